--- /dev/null
+++ b/laddercodec/codec.go
@@ -0,0 +1,206 @@
+package laddercodec
+
+import (
+	"fmt"
+	"reflect"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"lacewingladder/laddermessage"
+)
+
+// The bounds of what Decode accepts.
+const (
+	maxElements = 131_072
+	maxNesting  = 8
+)
+
+// kind is the first byte of an encoded message.
+type kind byte
+
+// The kinds of messages. They are part of the format.
+const (
+	kindBeat kind = iota + 1
+	kindReserve
+	kindRoom
+	kindFull
+	kindRelease
+	kindForward
+	kindAnswered
+	kindFetch
+	kindPush
+	kindMove
+	kindEnds
+	kindEnded
+	kindRunning
+	kindRuns
+	kindNotice
+	kindLook
+	kindSeen
+	kindDone
+	kindFault
+)
+
+var (
+	encoder = must(cbor.CoreDetEncOptions().EncMode())
+	decoder = must(cbor.DecOptions{
+		MaxArrayElements: maxElements, MaxMapPairs: maxElements, MaxNestedLevels: maxNesting,
+		DupMapKey: cbor.DupMapKeyEnforcedAPF,
+	}.DecMode())
+)
+
+// Encode returns a message in its travelling form.
+func Encode(m laddermessage.Message) ([]byte, error) {
+	k, wire, err := toWire(m)
+	if err != nil {
+		return nil, err
+	}
+	data, err := encoder.Marshal(wire)
+	if err != nil {
+		return nil, fmt.Errorf("encode %T: %w", m, err)
+	}
+	return append([]byte{byte(k)}, data...), nil
+}
+
+// toWire maps a message to its wire type.
+func toWire(m laddermessage.Message) (kind, any, error) {
+	switch m := m.(type) {
+	case laddermessage.Beat:
+		return kindBeat, fromBeat(m), nil
+	case laddermessage.Reserve:
+		return kindReserve, fromAsk(m.Ask), nil
+	case laddermessage.Room:
+		return kindRoom, fromRoom(m.Reservation), nil
+	case laddermessage.Full:
+		return kindFull, fullWire{Reason: m.Reason, RetryAfter: int64(m.RetryAfter)}, nil
+	case laddermessage.Release:
+		return kindRelease, mapAll(m.Ends, fromEnd), nil
+	case laddermessage.Forward:
+		return kindForward, fromRequest(m.Request), nil
+	case laddermessage.Answered:
+		return kindAnswered, fromAnswer(m.Answer), nil
+	case laddermessage.Fetch:
+		return kindFetch, struct{}{}, nil
+	case laddermessage.Push:
+		return kindPush, fromPush(m), nil
+	case laddermessage.Move:
+		return kindMove, fromMove(m), nil
+	case laddermessage.Ends:
+		return kindEnds, endsWire{Incarnation: m.Incarnation, After: m.After}, nil
+	case laddermessage.Ended:
+		return kindEnded, fromEnded(m), nil
+	case laddermessage.Running:
+		return kindRunning, struct{}{}, nil
+	case laddermessage.Runs:
+		return kindRuns, runsWire{Incarnation: m.Incarnation, Workers: m.Workers, Held: m.Held}, nil
+	case laddermessage.Notice:
+		return kindNotice, m.Jobs, nil
+	case laddermessage.Look:
+		return kindLook, m.Job, nil
+	case laddermessage.Seen:
+		return kindSeen, fromSeen(m), nil
+	case laddermessage.Done:
+		return kindDone, struct{}{}, nil
+	case laddermessage.Fault:
+		return kindFault, m.Reason, nil
+	}
+	return 0, nil, fmt.Errorf("%s is not a message between entry VMs", reflect.TypeOf(m))
+}
+
+// Decode returns the message of an encoded form.
+func Decode(data []byte) (laddermessage.Message, error) {
+	if len(data) < 2 {
+		return nil, fmt.Errorf("a message of %d bytes is too short", len(data))
+	}
+	k, body := kind(data[0]), data[1:]
+	switch k {
+	case kindBeat:
+		return decode(body, toBeat)
+	case kindReserve:
+		return decode(body, func(w askWire) (laddermessage.Reserve, error) {
+			return laddermessage.Reserve{Ask: toAsk(w)}, nil
+		})
+	case kindRoom:
+		return decode(body, toRoom)
+	case kindFull:
+		return decode(body, toFull)
+	case kindRelease:
+		return decode(body, func(w []endWire) (laddermessage.Release, error) {
+			return laddermessage.Release{Ends: mapAll(w, toEnd)}, nil
+		})
+	case kindForward:
+		return decode(body, func(w requestWire) (laddermessage.Forward, error) {
+			return laddermessage.Forward{Request: toRequest(w)}, nil
+		})
+	case kindAnswered:
+		return decode(body, func(w answerWire) (laddermessage.Answered, error) {
+			return laddermessage.Answered{Answer: toAnswer(w)}, nil
+		})
+	case kindFetch:
+		return laddermessage.Fetch{}, nil
+	case kindPush:
+		return decode(body, toPush)
+	case kindMove:
+		return decode(body, toMove)
+	case kindEnds:
+		return decode(body, func(w endsWire) (laddermessage.Ends, error) {
+			return laddermessage.Ends{Incarnation: w.Incarnation, After: w.After}, nil
+		})
+	case kindEnded:
+		return decode(body, toEnded)
+	case kindRunning:
+		return laddermessage.Running{}, nil
+	case kindRuns:
+		return decode(body, func(w runsWire) (laddermessage.Runs, error) {
+			return laddermessage.Runs{Incarnation: w.Incarnation, Workers: w.Workers, Held: w.Held}, nil
+		})
+	case kindNotice:
+		return decode(body, func(w []string) (laddermessage.Notice, error) {
+			return laddermessage.Notice{Jobs: w}, nil
+		})
+	case kindLook:
+		return decode(body, func(w string) (laddermessage.Look, error) {
+			return laddermessage.Look{Job: w}, nil
+		})
+	case kindSeen:
+		return decode(body, toSeen)
+	case kindDone:
+		return laddermessage.Done{}, nil
+	case kindFault:
+		return decode(body, func(w string) (laddermessage.Fault, error) {
+			return laddermessage.Fault{Reason: w}, nil
+		})
+	}
+	return nil, fmt.Errorf("a message of kind %d is unknown", k)
+}
+
+// decode reads a wire value and maps it to its message.
+func decode[W, M any](data []byte, to func(W) (M, error)) (laddermessage.Message, error) {
+	var wire W
+	if err := decoder.Unmarshal(data, &wire); err != nil {
+		return nil, fmt.Errorf("decode %T: %w", wire, err)
+	}
+	m, err := to(wire)
+	if err != nil {
+		return nil, err
+	}
+	return m, nil
+}
+
+func mapAll[A, B any](in []A, f func(A) B) []B {
+	if len(in) == 0 {
+		return nil
+	}
+	out := make([]B, len(in))
+	for i, a := range in {
+		out[i] = f(a)
+	}
+	return out
+}
+
+func must[T any](v T, err error) T {
+	if err != nil {
+		panic(err)
+	}
+	return v
+}
--- /dev/null
+++ b/laddercodec/mapping.go
@@ -0,0 +1,265 @@
+package laddercodec
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"lacewingladder/ladderclaim"
+	"lacewingladder/ladderconfig"
+	"lacewingladder/ladderholder"
+	"lacewingladder/ladderkey"
+	"lacewingladder/laddermessage"
+	"lacewingladder/laddermodel"
+	"lacewingladder/ladderplacement"
+)
+
+func fromSize(s laddermodel.Size) sizeWire {
+	return sizeWire{Slots: s.Slots, Millicores: s.Millicores, Memory: s.Memory, Accelerators: s.Accelerators}
+}
+
+func toSize(w sizeWire) laddermodel.Size {
+	return laddermodel.Size{Slots: w.Slots, Millicores: w.Millicores, Memory: w.Memory, Accelerators: w.Accelerators}
+}
+
+func fromDigest(d ladderplacement.Digest) digestWire {
+	return digestWire{
+		Holder: d.Holder, Region: d.Region, Zone: d.Zone, Rack: d.Rack,
+		Free: fromSize(d.Free), Widest: fromSize(d.Widest), Home: d.Home, Waiting: int64(d.Waiting),
+	}
+}
+
+func toDigest(w digestWire) ladderplacement.Digest {
+	return ladderplacement.Digest{
+		Holder: w.Holder, Region: w.Region, Zone: w.Zone, Rack: w.Rack,
+		Free: toSize(w.Free), Widest: toSize(w.Widest), Home: w.Home, Waiting: time.Duration(w.Waiting),
+	}
+}
+
+func fromBeat(b laddermessage.Beat) beatWire {
+	return beatWire{
+		Name: b.From.Name, Region: b.From.Region, Zone: b.From.Zone, Peers: b.From.Peers.String(),
+		Incarnation: b.Incarnation, Version: b.Version, Draining: b.Draining,
+		Digests: mapAll(b.Digests, fromDigest), Leaving: b.Leaving,
+	}
+}
+
+func toBeat(w beatWire) (laddermessage.Beat, error) {
+	address, err := netip.ParseAddrPort(w.Peers)
+	if err != nil {
+		return laddermessage.Beat{}, fmt.Errorf("beat of %q: %w", w.Name, err)
+	}
+	return laddermessage.Beat{
+		From:        laddermodel.EntryVM{Name: w.Name, Region: w.Region, Zone: w.Zone, Peers: address},
+		Incarnation: w.Incarnation, Version: w.Version, Draining: w.Draining,
+		Digests: mapAll(w.Digests, toDigest), Leaving: w.Leaving,
+	}, nil
+}
+
+func fromAsk(a ladderholder.Ask) askWire {
+	return askWire{
+		Task: a.Task, Source: a.Source, Kind: int(a.Kind), Size: fromSize(a.Size), Policy: a.Policy,
+		Patience: int64(a.Patience), Rack: a.Rack, Avoid: a.Avoid,
+	}
+}
+
+func toAsk(w askWire) ladderholder.Ask {
+	return ladderholder.Ask{
+		Task: w.Task, Source: w.Source, Kind: toKind(w.Kind), Size: toSize(w.Size), Policy: w.Policy,
+		Patience: time.Duration(w.Patience), Rack: w.Rack, Avoid: w.Avoid,
+	}
+}
+
+// toKind takes unknown kinds for batch, which gives way to all others.
+func toKind(w int) laddermodel.Kind {
+	k := laddermodel.Kind(w)
+	if k < laddermodel.Urgent || k > laddermodel.Service {
+		return laddermodel.Batch
+	}
+	return k
+}
+
+func fromRoom(r laddermodel.Reservation) roomWire {
+	return roomWire{
+		Task: r.Task, Worker: fromWorker(r.Worker),
+		Boot: r.Grant.Boot, Epoch: r.Grant.Epoch, Until: int64(r.Grant.Until), Holder: r.Holder,
+	}
+}
+
+func toRoom(w roomWire) (laddermessage.Room, error) {
+	worker, err := toWorker(w.Worker)
+	if err != nil {
+		return laddermessage.Room{}, err
+	}
+	return laddermessage.Room{Reservation: laddermodel.Reservation{
+		Task: w.Task, Worker: worker, Holder: w.Holder,
+		Grant: laddermodel.Grant{
+			Worker: worker.Name, Boot: w.Boot, Epoch: w.Epoch, Until: time.Duration(w.Until),
+		},
+	}}, nil
+}
+
+func toFull(w fullWire) (laddermessage.Full, error) {
+	return laddermessage.Full{Reason: w.Reason, RetryAfter: time.Duration(w.RetryAfter)}, nil
+}
+
+func fromEnd(e ladderholder.End) endWire {
+	return endWire{
+		Worker: e.Worker, Task: e.Task, Source: e.Source,
+		Ran: e.Ran, Failed: e.Failed, Fenced: e.Fenced, Leaving: e.Leaving,
+	}
+}
+
+func toEnd(w endWire) ladderholder.End {
+	return ladderholder.End{
+		Worker: w.Worker, Task: w.Task, Source: w.Source,
+		Ran: w.Ran, Failed: w.Failed, Fenced: w.Fenced, Leaving: w.Leaving,
+	}
+}
+
+func fromRequest(r laddermodel.Request) requestWire {
+	return requestWire{
+		ID: r.ID, Key: r.Key, Member: r.Member, Class: r.Class, Deadline: int64(r.Deadline), Body: r.Body,
+	}
+}
+
+func toRequest(w requestWire) laddermodel.Request {
+	return laddermodel.Request{
+		ID: w.ID, Key: w.Key, Member: w.Member, Class: w.Class, Deadline: time.Duration(w.Deadline), Body: w.Body,
+	}
+}
+
+func fromAnswer(a laddermodel.Answer) answerWire {
+	return answerWire{
+		Outcome: int(a.Outcome), Body: a.Body, Reason: a.Reason, RetryAfter: int64(a.RetryAfter),
+		Conflict: a.Conflict, Worker: a.Worker, Attempts: a.Attempts,
+	}
+}
+
+// toAnswer takes outcomes that it does not know for unknown.
+func toAnswer(w answerWire) laddermodel.Answer {
+	o := laddermodel.Outcome(w.Outcome)
+	if o != laddermodel.Ran && o != laddermodel.NotRun {
+		o = laddermodel.Unknown
+	}
+	return laddermodel.Answer{
+		Outcome: o, Body: w.Body, Reason: w.Reason, RetryAfter: time.Duration(w.RetryAfter),
+		Conflict: w.Conflict, Worker: w.Worker, Attempts: w.Attempts,
+	}
+}
+
+func fromPush(m laddermessage.Push) pushWire {
+	v := m.Version
+	return pushWire{
+		Number: v.Number, Change: v.Change, By: v.By, Document: v.Document,
+		Workers: mapAll(m.Listing.Workers, fromWorker),
+		Entries: mapAll(m.Listing.Entries, func(e laddermodel.EntryVM) entryWire {
+			return entryWire{Name: e.Name, Region: e.Region, Zone: e.Zone, Peers: e.Peers.String(), Leaving: e.Leaving}
+		}),
+	}
+}
+
+func toPush(w pushWire) (laddermessage.Push, error) {
+	m := laddermessage.Push{
+		Version: ladderconfig.Version{Number: w.Number, Change: w.Change, By: w.By, Document: w.Document},
+	}
+	for _, x := range w.Workers {
+		worker, err := toWorker(x)
+		if err != nil {
+			return laddermessage.Push{}, err
+		}
+		m.Listing.Workers = append(m.Listing.Workers, worker)
+	}
+	for _, x := range w.Entries {
+		address, err := netip.ParseAddrPort(x.Peers)
+		if err != nil {
+			return laddermessage.Push{}, fmt.Errorf("entry VM %q: %w", x.Name, err)
+		}
+		m.Listing.Entries = append(m.Listing.Entries, laddermodel.EntryVM{
+			Name: x.Name, Region: x.Region, Zone: x.Zone, Peers: address, Leaving: x.Leaving,
+		})
+	}
+	return m, nil
+}
+
+func fromWorker(w laddermodel.Worker) workerWire {
+	return workerWire{
+		Name: w.Name, Region: w.Region, Zone: w.Zone, Rack: w.Rack, Address: w.Address.String(),
+		Size: fromSize(w.Size), Leaving: w.Leaving,
+	}
+}
+
+func toWorker(w workerWire) (laddermodel.Worker, error) {
+	address, err := netip.ParseAddrPort(w.Address)
+	if err != nil {
+		return laddermodel.Worker{}, fmt.Errorf("worker %q: %w", w.Name, err)
+	}
+	return laddermodel.Worker{
+		Name: w.Name, Region: w.Region, Zone: w.Zone, Rack: w.Rack, Address: address,
+		Size: toSize(w.Size), Leaving: w.Leaving,
+	}, nil
+}
+
+func fromRecord(r ladderkey.Record) recordWire {
+	c := r.Claim
+	return recordWire{
+		Key: c.Key, Rack: c.Rack, Member: c.Member, Digest: c.Digest, Once: c.Once, Lease: int64(c.Lease),
+		Answer: fromAnswer(r.Answer), At: r.At.UnixNano(),
+	}
+}
+
+func toRecord(w recordWire) ladderkey.Record {
+	return ladderkey.Record{
+		Claim: ladderkey.Claim{
+			Key: w.Key, Rack: w.Rack, Member: w.Member, Digest: w.Digest, Once: w.Once,
+			Lease: time.Duration(w.Lease),
+		},
+		Answer: toAnswer(w.Answer), At: time.Unix(0, w.At),
+	}
+}
+
+func fromMove(m laddermessage.Move) moveWire {
+	return moveWire{
+		Rack: m.Handover.Rack, Since: m.Handover.Since.UnixNano(),
+		Boots: m.Handover.Boots, Epochs: m.Handover.Epochs, Records: mapAll(m.Records, fromRecord),
+	}
+}
+
+func toMove(w moveWire) (laddermessage.Move, error) {
+	return laddermessage.Move{
+		Handover: ladderclaim.Handover{
+			Rack: w.Rack, Since: time.Unix(0, w.Since), Boots: w.Boots, Epochs: w.Epochs,
+		},
+		Records: mapAll(w.Records, toRecord),
+	}, nil
+}
+
+func fromEnded(m laddermessage.Ended) endedWire {
+	return endedWire{
+		Incarnation: m.Incarnation, Held: m.Held,
+		Ends: mapAll(m.Ends, func(f ladderholder.Finished) finishedWire {
+			return finishedWire{
+				Seq: f.Seq, Task: f.Task, Worker: f.Worker, Known: f.Known, Failed: f.Failed, Stopped: f.Stopped,
+			}
+		}),
+	}
+}
+
+func toEnded(w endedWire) (laddermessage.Ended, error) {
+	return laddermessage.Ended{
+		Incarnation: w.Incarnation, Held: w.Held,
+		Ends: mapAll(w.Ends, func(f finishedWire) ladderholder.Finished {
+			return ladderholder.Finished{
+				Seq: f.Seq, Task: f.Task, Worker: f.Worker, Known: f.Known, Failed: f.Failed, Stopped: f.Stopped,
+			}
+		}),
+	}, nil
+}
+
+func fromSeen(m laddermessage.Seen) seenWire {
+	return seenWire{Known: m.Known, State: m.State, Reason: m.Reason, Running: m.Running, Ended: m.Ended}
+}
+
+func toSeen(w seenWire) (laddermessage.Seen, error) {
+	return laddermessage.Seen{Known: w.Known, State: w.State, Reason: w.Reason, Running: w.Running, Ended: w.Ended}, nil
+}
--- /dev/null
+++ b/laddercommand/check.go
@@ -0,0 +1,65 @@
+package laddercommand
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/google/subcommands"
+
+	"lacewingladder/ladderconfig"
+	"lacewingladder/laddersettings"
+	"lacewingladder/laddertrace"
+	"lacewingladder/ladderyaml"
+)
+
+// check validates files.
+type check struct {
+	streams
+}
+
+func (*check) Name() string     { return "check" }
+func (*check) Synopsis() string { return "validate settings, configurations and traces" }
+func (*check) Usage() string {
+	return `check FILE...
+  Validate files and print every finding with its place. A file whose name ends
+  in .jsonl is a trace, one with the key "defaults" a configuration, and any
+  other the settings of an entry VM.
+`
+}
+
+func (*check) SetFlags(*flag.FlagSet) {}
+
+func (c *check) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() == 0 {
+		return c.misuse("check: name at least one file")
+	}
+	status := subcommands.ExitSuccess
+	for _, file := range f.Args() {
+		if err := checkFile(file); err != nil {
+			_, _ = fmt.Fprintln(c.out, err)
+			status = subcommands.ExitFailure
+		}
+	}
+	return status
+}
+
+// checkFile returns all findings of a file as one error.
+func checkFile(file string) error {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	if strings.HasSuffix(file, ".jsonl") {
+		_, err := laddertrace.Parse(file, data)
+		return err
+	}
+	if ladderyaml.Parse(file, data).Has("defaults") {
+		_, err := ladderconfig.Parse(file, data)
+		return err
+	}
+	_, err = laddersettings.Parse(file, data)
+	return err
+}
--- /dev/null
+++ b/laddergate/job.go
@@ -0,0 +1,120 @@
+package laddergate
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"time"
+
+	"lacewingladder/ladderjob"
+	"lacewingladder/laddermodel"
+)
+
+// The errors by which [Jobs] tell why they refuse.
+var (
+	// ErrNoJob means that there is no such job.
+	ErrNoJob = errors.New("there is no such job")
+	// ErrStore means that the platform's store can not be reached.
+	ErrStore = errors.New("the platform's store can not be reached")
+	// ErrUnsure means that a write may have taken effect.
+	ErrUnsure = errors.New("the platform's store did not answer; the write may have taken effect")
+)
+
+// Never is the error of a job that can never run.
+type Never struct {
+	Reason string
+}
+
+// Error returns the reason.
+func (n *Never) Error() string { return "the job can never run: " + n.Reason }
+
+// storePause is the Retry-After while the store is out.
+const storePause = 5 * time.Second
+
+// jobWire is a job in the callers' interface.
+type jobWire struct {
+	ID       string `json:"id"`
+	Member   string `json:"member"`
+	Team     string `json:"team"`
+	Kind     string `json:"kind"`
+	Tasks    int    `json:"tasks"`
+	State    string `json:"state"`
+	Reason   string `json:"reason,omitempty"`
+	Running  int    `json:"running"`
+	Ended    int    `json:"ended"`
+	Accepted string `json:"accepted"`
+}
+
+// submit takes a job in.
+func (g *Gate) submit(x *exchange) *Refusal {
+	job, err := ladderjob.Parse("job", x.body)
+	if err != nil {
+		return refuse(http.StatusBadRequest, "%v", err)
+	}
+	if job.Member != x.member {
+		return refuse(http.StatusForbidden, "member: the job is of %q and the caller of %q", job.Member, x.member)
+	}
+	job.Submitted = g.Clock.Now()
+	id, err := g.Jobs.Submit(x.http.Context(), job, x.http.Header.Get(HeaderKey))
+	if err != nil {
+		return fromJobError(err)
+	}
+	x.writer.Header().Set("Location", "/v1/jobs/"+id)
+	x.writeJSON(http.StatusAccepted, jobWire{
+		ID: id, Member: job.Member, Team: job.Team, Kind: job.Kind.String(), Tasks: job.Tasks,
+		State: string(ladderjob.Queued), Accepted: job.Submitted.UTC().Format(time.RFC3339Nano),
+	})
+	return nil
+}
+
+// view shows a job to its own member.
+func (g *Gate) view(x *exchange) *Refusal {
+	v, err := g.Jobs.View(x.http.Context(), x.http.PathValue("id"))
+	if err == nil && v.Job.Member != x.member {
+		err = ErrNoJob
+	}
+	if err != nil {
+		return fromJobError(err)
+	}
+	x.writeJSON(http.StatusOK, jobWire{
+		ID: v.Job.ID, Member: v.Job.Member, Team: v.Job.Team, Kind: v.Job.Kind.String(), Tasks: v.Job.Tasks,
+		State: string(v.State), Reason: v.Reason, Running: v.Running, Ended: v.Ended,
+		Accepted: v.Job.Submitted.UTC().Format(time.RFC3339Nano),
+	})
+	return nil
+}
+
+// cancel ends a job of the caller's member.
+func (g *Gate) cancel(x *exchange) *Refusal {
+	if err := g.Jobs.Cancel(x.http.Context(), x.member, x.http.PathValue("id")); err != nil {
+		return fromJobError(err)
+	}
+	x.writeBody(http.StatusAccepted, "text/plain; charset=utf-8", []byte("the job will end\n"))
+	return nil
+}
+
+func fromJobError(err error) *Refusal {
+	var never *Never
+	switch {
+	case errors.As(err, &never):
+		return refuse(http.StatusUnprocessableEntity, "%v", err)
+	case errors.Is(err, ErrNoJob):
+		return refuse(http.StatusNotFound, "%v", err)
+	case errors.Is(err, ErrUnsure):
+		return &Refusal{
+			Status: http.StatusGatewayTimeout, Outcome: laddermodel.Unknown, Reason: err.Error(), RetryAfter: storePause,
+		}
+	}
+	return &Refusal{
+		Status: http.StatusServiceUnavailable, Outcome: laddermodel.NotRun, Reason: err.Error(), RetryAfter: storePause,
+	}
+}
+
+func (x *exchange) writeJSON(status int, v any) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		x.refuse(refuse(http.StatusInternalServerError, "%v", err))
+		return
+	}
+	x.writeBody(status, "application/json", append(data, '\n'))
+}
--- /dev/null
+++ b/ladderholder/holder.go
@@ -0,0 +1,212 @@
+package ladderholder
+
+import (
+	"sync"
+	"time"
+
+	"lacewingladder/ladderadmission"
+	"lacewingladder/ladderclaim"
+	"lacewingladder/ladderconfig"
+	"lacewingladder/ladderhealth"
+	"lacewingladder/ladderledger"
+	"lacewingladder/laddermodel"
+	"lacewingladder/ladderplacement"
+)
+
+const (
+	// roomPause is the Retry-After when no worker has room.
+	roomPause = 250 * time.Millisecond
+	// claimPause is the Retry-After when no worker is held yet.
+	claimPause = time.Second
+	// maxFinished bounds the remembered ends of jobs' tasks.
+	maxFinished = 50_000
+)
+
+// Log takes a line for each decision.
+type Log interface {
+	// Info writes a message with pairs of keys and values.
+	Info(msg any, keyvals ...any)
+}
+
+// Holder places tasks on the workers of one entry VM. Create one with [New].
+type Holder struct {
+	name string
+	log  Log
+
+	mu       sync.Mutex
+	claims   *ladderclaim.Book
+	ledger   ladderledger.Ledger
+	judge    ladderhealth.Judge
+	line     ladderadmission.Line
+	load     ladderadmission.Load
+	policies map[string]ladderplacement.Policy
+	seed     uint64
+	drained  map[string]bool
+	leaving  map[string]bool
+	finished []Finished
+	seq      uint64
+	// stopping is true once this VM takes no new work.
+	stopping bool
+}
+
+// New returns a holder for the entry VM name in the given incarnation. Policies
+// draw their random choices from seed.
+func New(name, incarnation string, lease time.Duration, seed uint64, log Log) *Holder {
+	return &Holder{
+		name:     name,
+		log:      log,
+		claims:   ladderclaim.NewBook(name+"#"+incarnation, lease),
+		policies: map[string]ladderplacement.Policy{},
+		seed:     seed,
+		drained:  map[string]bool{},
+		leaving:  map[string]bool{},
+	}
+}
+
+// SetConfig takes over the parts of a configuration that a holder needs.
+func (h *Holder) SetConfig(c *ladderconfig.Config) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.claims.SetSeats(c.Seats())
+	h.drained = c.Drained
+}
+
+// SetWorkers replaces the workers that this VM may hold: those of its zone.
+func (h *Holder) SetWorkers(now time.Time, workers []laddermodel.Worker) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, w := range workers {
+		h.ledger.Update(w)
+	}
+	h.claims.SetWorkers(now, workers)
+}
+
+// SetLeaving records workers that some VM found leaving before the platform's
+// list said so.
+func (h *Holder) SetLeaving(names []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, n := range names {
+		h.leaving[n] = true
+	}
+}
+
+// Stop makes the holder refuse all new work, ahead of a shutdown.
+func (h *Holder) Stop() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.stopping = true
+}
+
+// Reserve sets room aside for a task and returns where to start it.
+func (h *Holder) Reserve(now time.Time, a Ask) (laddermodel.Reservation, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.reserve(now, a)
+}
+
+func (h *Holder) reserve(now time.Time, a Ask) (laddermodel.Reservation, error) {
+	if h.stopping {
+		return laddermodel.Reservation{}, &NoRoom{Reason: "the entry VM is leaving", RetryAfter: roomPause}
+	}
+	candidates, held := h.candidates(now, a)
+	if held == 0 {
+		return laddermodel.Reservation{}, &NoRoom{Reason: "no worker is held here", RetryAfter: claimPause}
+	}
+	if a.Kind != laddermodel.Urgent && h.short(now, a, candidates) {
+		return laddermodel.Reservation{}, &NoRoom{Reason: "the rest is kept for urgent work", RetryAfter: roomPause}
+	}
+	i := h.policy(a.Policy).Pick(a.Size, candidates)
+	if i < 0 {
+		return laddermodel.Reservation{}, &NoRoom{Reason: "no worker has room", RetryAfter: roomPause}
+	}
+	w := candidates[i].Worker
+	grant, ok := h.claims.Grant(now, w.Name)
+	if !ok || !h.ledger.Reserve(w.Name, ladderledger.Item{
+		Task: a.Task, Kind: a.Kind, Size: a.Size, Until: grant.Until,
+	}) {
+		return laddermodel.Reservation{}, &NoRoom{Reason: "the task has room already", RetryAfter: roomPause}
+	}
+	h.judge.Started(now, w.Name)
+	h.settleLoad(now)
+	h.log.Info("room set aside", "task", a.Task, "worker", w.Name, "epoch", grant.Epoch, "policy", a.Policy)
+	return laddermodel.Reservation{Task: a.Task, Worker: w, Grant: grant, Holder: h.name}, nil
+}
+
+// candidates returns the workers that may take the task, and how many are held.
+func (h *Holder) candidates(now time.Time, a Ask) (usable []ladderplacement.Candidate, held int) {
+	for _, w := range h.claims.Held(now) {
+		if a.Rack != "" && w.Rack != a.Rack {
+			continue
+		}
+		if !h.claims.Opened(w.Name) {
+			continue
+		}
+		held++
+		if w.Name == a.Avoid || h.closed(w) || !h.judge.Allows(now, w.Name) {
+			continue
+		}
+		usable = append(usable, ladderplacement.Candidate{Worker: w, Free: h.ledger.Free(w.Name)})
+	}
+	return usable, held
+}
+
+// closed reports whether a worker takes no new work.
+func (h *Holder) closed(w laddermodel.Worker) bool {
+	return w.Leaving || h.drained[w.Name] || h.leaving[w.Name] || h.claims.Leaving(w.Name)
+}
+
+// short reports whether a batch task would take slots that urgent work needs.
+func (h *Holder) short(now time.Time, a Ask, candidates []ladderplacement.Candidate) bool {
+	free := 0
+	for _, c := range candidates {
+		free += max(0, c.Free.Slots)
+	}
+	return free-a.Size.Slots < h.load.Headroom(now)
+}
+
+func (h *Holder) policy(name string) ladderplacement.Policy {
+	if p, ok := h.policies[name]; ok {
+		return p
+	}
+	p, err := ladderplacement.Named(name, h.seed)
+	if err != nil {
+		p = ladderplacement.Spread{}
+	}
+	h.policies[name] = p
+	return p
+}
+
+// Release gives a task's room back and lets waiting work use it.
+func (h *Holder) Release(now time.Time, e End) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if e.Leaving {
+		h.leaving[e.Worker] = true
+	}
+	if e.Fenced {
+		h.claims.Lapse(now, e.Worker)
+	}
+	if !h.ledger.Release(e.Worker, e.Task) {
+		return
+	}
+	h.ended(now, e)
+	h.settleLoad(now)
+	h.line.Departed(now)
+	h.line.Serve(now)
+}
+
+// ended tells the judge how a task ended.
+func (h *Holder) ended(now time.Time, e End) {
+	if !e.Ran {
+		h.judge.Abandon(e.Worker)
+		return
+	}
+	if h.judge.Ended(now, e.Worker, e.Source, e.Failed) {
+		h.log.Info("worker's standing changed", "worker", e.Worker, "suspect", h.judge.Suspect(e.Worker))
+	}
+}
+
+func (h *Holder) settleLoad(now time.Time) {
+	h.load.Set(now, h.ledger.Running(laddermodel.Urgent))
+}
--- /dev/null
+++ b/ladderjob/job.go
@@ -0,0 +1,119 @@
+package ladderjob
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"lacewingladder/ladderconfig"
+	"lacewingladder/laddermodel"
+	"lacewingladder/ladderyaml"
+)
+
+// MaxBody bounds what a job passes to its tasks, in bytes.
+const MaxBody = 64 << 10
+
+// Job is a job as it was submitted.
+type Job struct {
+	ID     string
+	Member string
+	Team   string
+	Kind   laddermodel.Kind
+	// Size is what each task needs.
+	Size laddermodel.Size
+	// Tasks is the number of tasks.
+	Tasks int
+	// Estimate is the expected run time of a task, or zero.
+	Estimate time.Duration
+	// Body is passed to each task.
+	Body      string
+	Submitted time.Time
+}
+
+// State is where a job stands.
+type State string
+
+// The states of a job.
+const (
+	Queued    State = "queued"
+	Running   State = "running"
+	Done      State = "done"
+	Failed    State = "failed"
+	Cancelled State = "cancelled"
+)
+
+// Final reports whether a state is an end.
+func (s State) Final() bool { return s == Done || s == Failed || s == Cancelled }
+
+// View is what callers see of a job.
+type View struct {
+	Job   Job
+	State State
+	// Reason says in plain words why the job waits or failed.
+	Reason  string
+	Running int
+	Ended   int
+}
+
+// Task returns the id of a job's task. Attempt counts from 1.
+func Task(job string, index, attempt int) string {
+	return fmt.Sprintf("%s/%d/%d", job, index, attempt)
+}
+
+// ParseTask takes a task's id apart.
+func ParseTask(task string) (job string, index, attempt int, ok bool) {
+	parts := strings.Split(task, "/")
+	if len(parts) != 3 {
+		return "", 0, 0, false
+	}
+	index, errIndex := strconv.Atoi(parts[1])
+	attempt, errAttempt := strconv.Atoi(parts[2])
+	return parts[0], index, attempt, errIndex == nil && errAttempt == nil && index >= 0
+}
+
+// Parse reads a job from YAML or JSON. The error, if any, holds all findings.
+func Parse(file string, data []byte) (Job, error) {
+	r := ladderyaml.Parse(file, data)
+	j := Job{
+		Member:   r.Need("member").Text(),
+		Team:     r.Need("team").Text(),
+		Size:     ladderconfig.Size(r.Need("size")),
+		Tasks:    r.Key("tasks").Count(1),
+		Estimate: r.Key("estimate").Duration(0),
+		Body:     r.Key("body").Text(),
+	}
+	kind, err := laddermodel.ParseKind(r.Need("kind").Text())
+	if k := r.Key("kind"); k.Present() && (err != nil || kind == laddermodel.Urgent) {
+		k.Fault("%q is not batch, gang or service", k.Text())
+	}
+	j.Kind = kind
+	if j.Tasks == 0 {
+		r.Key("tasks").Fault("a job needs at least one task")
+	}
+	if len(j.Body) > MaxBody {
+		r.Key("body").Fault("a body has at most %d bytes", MaxBody)
+	}
+	r.Done()
+	return j, r.Findings().Err()
+}
+
+// Check returns why a job can never run under a configuration, or an empty
+// string. Largest is the largest worker's size in every part.
+func Check(j Job, c *ladderconfig.Config, largest laddermodel.Size) string {
+	team, ok := c.Team(j.Team)
+	switch {
+	case !ok || team.Member != j.Member:
+		return fmt.Sprintf("member %q has no team %q", j.Member, j.Team)
+	case j.Tasks > c.Members[j.Member].Tasks:
+		return fmt.Sprintf("the job has %d tasks; member %q may have %d in a job", j.Tasks, j.Member, c.Members[j.Member].Tasks)
+	case !j.Size.Fits(largest):
+		return fmt.Sprintf("a task needs %v; the largest worker has %v", j.Size, largest)
+	case j.Kind == laddermodel.Gang && j.Size.Times(j.Tasks).Slots > team.Quota:
+		return fmt.Sprintf("the gang needs %d slots at once; team %q has a quota of %d",
+			j.Size.Times(j.Tasks).Slots, j.Team, team.Quota)
+	case j.Size.Slots > team.Quota:
+		return fmt.Sprintf("a task needs %d slots; team %q has a quota of %d", j.Size.Slots, j.Team, team.Quota)
+	}
+	return ""
+}
--- /dev/null
+++ b/laddermessage/message.go
@@ -0,0 +1,131 @@
+package laddermessage
+
+import (
+	"time"
+
+	"lacewingladder/ladderclaim"
+	"lacewingladder/ladderconfig"
+	"lacewingladder/ladderholder"
+	"lacewingladder/ladderkey"
+	"lacewingladder/laddermodel"
+	"lacewingladder/ladderplacement"
+)
+
+// Message is one of the messages of this package.
+type Message any
+
+// Beat is a heartbeat. It is answered by the receiver's own beat.
+type Beat struct {
+	From laddermodel.EntryVM
+	// Incarnation tells runs of the sender's process apart.
+	Incarnation string
+	// Version is the number of the sender's configuration.
+	Version uint64
+	// Draining is true once the sender takes no new work.
+	Draining bool
+	Digests  []ladderplacement.Digest
+	// Leaving names workers that were found to be leaving.
+	Leaving []string
+}
+
+// Reserve asks a holder for room. It is answered by [Room] or [Full].
+type Reserve struct {
+	Ask ladderholder.Ask
+}
+
+// Room is a reservation.
+type Room struct {
+	Reservation laddermodel.Reservation
+}
+
+// Full says that there is no room.
+type Full struct {
+	Reason     string
+	RetryAfter time.Duration
+}
+
+// Release tells a holder of tasks that need no room any more. It is answered by
+// [Done].
+type Release struct {
+	Ends []ladderholder.End
+}
+
+// Forward hands a keyed request to its home. It is answered by [Answered].
+type Forward struct {
+	Request laddermodel.Request
+}
+
+// Answered is the final answer to a forwarded request.
+type Answered struct {
+	Answer laddermodel.Answer
+}
+
+// Fetch asks for the receiver's configuration and list of VMs, for a start while
+// the platform is out. It is answered by [Push].
+type Fetch struct{}
+
+// Push carries a configuration. As a question it is answered by [Done]. As an
+// answer it carries the list of VMs as well.
+type Push struct {
+	Version ladderconfig.Version
+	Listing laddermodel.Listing
+}
+
+// Move hands the home of a rack to its successor. It is answered by [Done].
+type Move struct {
+	Handover ladderclaim.Handover
+	Records  []ladderkey.Record
+}
+
+// Ends asks for the ends of jobs' tasks. It is answered by [Ended].
+type Ends struct {
+	// Incarnation and After name the last end that the asker knows.
+	Incarnation string
+	After       uint64
+}
+
+// Ended lists ends of jobs' tasks, and the workers that the sender holds.
+type Ended struct {
+	Incarnation string
+	Ends        []ladderholder.Finished
+	Held        []string
+}
+
+// Running asks which tasks of jobs run on the receiver's workers. It is answered
+// by [Runs].
+type Running struct{}
+
+// Runs names the worker of each running task of a job.
+type Runs struct {
+	Incarnation string
+	Workers     map[string]string
+	Held        []string
+}
+
+// Notice tells the queue's leader of new or cancelled jobs. It is answered by
+// [Done].
+type Notice struct {
+	Jobs []string
+}
+
+// Look asks the queue's leader for a job. It is answered by [Seen].
+type Look struct {
+	Job string
+}
+
+// Seen is what the leader says of a job.
+type Seen struct {
+	Known   bool
+	State   string
+	Reason  string
+	Running int
+	Ended   int
+}
+
+// Done answers a question that needs no other answer.
+type Done struct{}
+
+// Fault answers a question that could not be served.
+type Fault struct {
+	Reason string
+}
--- /dev/null
+++ b/ladderserver/claims.go
@@ -0,0 +1,118 @@
+package ladderserver
+
+import (
+	"context"
+	"time"
+
+	"lacewingladder/ladderclaim"
+	"lacewingladder/laddermessage"
+)
+
+// moveTime bounds the handover of one rack.
+const moveTime = 2 * time.Second
+
+// claim keeps the claims on the zone's workers alive. It runs on the control
+// goroutine.
+func (s *Server) claim(ctx context.Context, now time.Time) {
+	if s.config.current() == nil {
+		return
+	}
+	wanted := func(rack string) bool {
+		name := s.members.Wanted(now, rack)
+		return name == s.settings.Name
+	}
+	s.giveUp(ctx, now, wanted)
+	free := func(rack string) bool { return s.moved[rack] }
+	for _, call := range s.holder.Tick(now, wanted, free) {
+		s.claiming.Go(func() { s.sendClaim(ctx, call) })
+	}
+}
+
+// sendClaim carries one call to a worker. A second try goes over a new
+// connection.
+func (s *Server) sendClaim(ctx context.Context, call ladderclaim.Call) {
+	for _, again := range []bool{false, true} {
+		calling, cancel := context.WithTimeout(ctx, call.Lease/4)
+		answer, err := s.workers.Claim(calling, call, again)
+		cancel()
+		if err == nil {
+			s.holder.Observe(s.clock.Now(), call, answer)
+			return
+		}
+		if ctx.Err() != nil {
+			return
+		}
+	}
+	s.holder.Failed(s.clock.Now(), call)
+}
+
+// giveUp hands over the racks that another VM should hold.
+func (s *Server) giveUp(ctx context.Context, now time.Time, wanted func(rack string) bool) {
+	held := map[string]bool{}
+	for _, rack := range s.holder.Held(now) {
+		held[rack] = true
+		to := s.members.Wanted(now, rack)
+		switch {
+		case wanted(rack):
+			s.keep(rack)
+		case !s.moved[rack] && !s.moving[rack] && to != "":
+			s.moving[rack] = true
+			s.background.Go(func() { s.move(ctx, rack, to) })
+		case to == "" && s.members.Draining():
+			s.moved[rack] = true
+		}
+	}
+	for rack := range s.moved {
+		if !held[rack] {
+			s.keep(rack)
+		}
+	}
+}
+
+// keep forgets that a rack was to be given up.
+func (s *Server) keep(rack string) {
+	if s.moved[rack] {
+		delete(s.moved, rack)
+		s.holder.Keep(rack)
+		s.dispatch.Reopen(rack)
+	}
+}
+
+// move hands the home of a rack to its successor, after which the rack's claims
+// may be released.
+func (s *Server) move(ctx context.Context, rack, to string) {
+	done := s.handOver(ctx, rack, to)
+	s.do(ctx, func() {
+		delete(s.moving, rack)
+		s.moved[rack] = done
+		if !done {
+			delete(s.moved, rack)
+			s.holder.Keep(rack)
+		}
+	})
+}
+
+// handOver reports whether the rack may be released.
+func (s *Server) handOver(ctx context.Context, rack, to string) bool {
+	log := s.logs.Part("claims")
+	if _, home := s.holder.Home(s.clock.Now(), rack); !home {
+		return true
+	}
+	records, ok := s.dispatch.Export(rack)
+	if !ok {
+		return false
+	}
+	handover, ok := s.holder.Give(s.clock.Now(), rack)
+	if !ok {
+		return true
+	}
+	moving, cancel := context.WithTimeout(ctx, moveTime)
+	defer cancel()
+	_, err := s.peers.call(moving, to, laddermessage.Move{Handover: handover, Records: records})
+	if err != nil {
+		log.Warn("handover failed", "rack", rack, "peer", to, "err", err)
+		return false
+	}
+	log.Info("handed over", "rack", rack, "peer", to, "records", len(records))
+	return true
+}
--- /dev/null
+++ b/ladderserver/control.go
@@ -0,0 +1,67 @@
+package ladderserver
+
+import (
+	"context"
+	"time"
+
+	"lacewingladder/laddermodel"
+)
+
+const (
+	// tickTime is the time between turns of the control loop.
+	tickTime = 50 * time.Millisecond
+	// listTime is the time between looks at the platform's list of VMs.
+	listTime = 2 * time.Second
+)
+
+// controlLoop owns the control state until ctx ends.
+func (s *Server) controlLoop(ctx context.Context) {
+	tick := time.NewTicker(tickTime)
+	defer tick.Stop()
+	var nextList time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-s.control:
+			f()
+		case <-tick.C:
+			now := s.clock.Now()
+			if !now.Before(nextList) {
+				nextList = now.Add(listTime)
+				s.background.Go(func() { s.list(ctx) })
+			}
+			s.beat(ctx, now)
+			s.claim(ctx, now)
+			s.config.tick(ctx, now)
+		}
+	}
+}
+
+// list looks at the platform's list of VMs and passes it to the control loop.
+func (s *Server) list(ctx context.Context) {
+	listing, findings, err := s.lister.List(ctx)
+	if err != nil {
+		return
+	}
+	for _, f := range findings.Findings() {
+		s.logs.Part("list").Warn("entry passed over", "finding", f.String())
+	}
+	s.do(ctx, func() { s.setListing(listing) })
+}
+
+// setListing takes over a list of VMs. It runs on the control goroutine.
+func (s *Server) setListing(listing laddermodel.Listing) {
+	now := s.clock.Now()
+	s.listing = listing
+	s.members.SetListing(now, listing.Entries)
+	var own []laddermodel.Worker
+	for _, w := range listing.Workers {
+		if w.Zone == s.settings.Zone {
+			own = append(own, w)
+		}
+	}
+	s.holder.SetWorkers(now, own)
+	s.leader.setWorkers(listing.Workers)
+	s.publishPeers()
+}
--- /dev/null
+++ b/ladderserver/handler.go
@@ -0,0 +1,121 @@
+package ladderserver
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"lacewingladder/ladderholder"
+	"lacewingladder/laddermessage"
+	"lacewingladder/laddermodel"
+)
+
+// Handle answers the messages of peers. It implements ladderpeer.Handler.
+func (s *Server) Handle(ctx context.Context, m laddermessage.Message) (laddermessage.Message, error) {
+	now := s.clock.Now()
+	switch m := m.(type) {
+	case laddermessage.Beat:
+		return s.answerBeat(ctx, m)
+	case laddermessage.Reserve:
+		return s.answerReserve(ctx, m.Ask)
+	case laddermessage.Release:
+		for _, e := range m.Ends {
+			s.holder.Release(now, e)
+		}
+		return laddermessage.Done{}, nil
+	case laddermessage.Forward:
+		if s.config.current() == nil {
+			return nil, errors.New("no configuration yet")
+		}
+		return laddermessage.Answered{Answer: s.dispatch.Accept(ctx, m.Request)}, nil
+	case laddermessage.Fetch:
+		return s.answerFetch(ctx)
+	case laddermessage.Push:
+		s.config.offer(ctx, m.Version)
+		return laddermessage.Done{}, nil
+	case laddermessage.Move:
+		s.dispatch.Import(m.Records)
+		s.holder.Take(m.Handover)
+		return laddermessage.Done{}, nil
+	case laddermessage.Ends:
+		return s.answerEnds(m), nil
+	case laddermessage.Running:
+		_, held := s.holder.Finished(now, ^uint64(0)-1)
+		return laddermessage.Runs{Incarnation: s.incarnation, Workers: s.holder.Running(now), Held: held}, nil
+	case laddermessage.Notice:
+		s.leader.notice()
+		return laddermessage.Done{}, nil
+	case laddermessage.Look:
+		return s.leader.look(m.Job), nil
+	}
+	return nil, fmt.Errorf("a %T is no question", m)
+}
+
+func (s *Server) answerBeat(ctx context.Context, b laddermessage.Beat) (laddermessage.Message, error) {
+	var own laddermessage.Beat
+	s.ask(ctx, func() {
+		s.heard(context.WithoutCancel(ctx), b)
+		own = s.ownBeat(s.clock.Now())
+	})
+	return own, ctx.Err()
+}
+
+// answerReserve reserves room for a peer, and waits for it as long as the ask
+// allows.
+func (s *Server) answerReserve(ctx context.Context, a ladderholder.Ask) (laddermessage.Message, error) {
+	room, waiter, err := s.holder.Await(s.clock.Now(), a)
+	if err == nil && waiter == nil {
+		return laddermessage.Room{Reservation: room}, nil
+	}
+	if waiter == nil {
+		return full(err), nil
+	}
+	waiting, cancel := context.WithTimeout(ctx, a.Patience)
+	defer cancel()
+	select {
+	case room = <-waiter.Room:
+	case <-waiting.Done():
+		left, ok := s.holder.Leave(waiter)
+		if !ok {
+			return laddermessage.Full{Reason: "no room came free in time", RetryAfter: a.Patience}, nil
+		}
+		room = left
+	}
+	if ctx.Err() != nil {
+		s.holder.Release(s.clock.Now(), unused(room))
+		return nil, ctx.Err()
+	}
+	return laddermessage.Room{Reservation: room}, nil
+}
+
+// unused returns the end of a reservation that nobody will use.
+func unused(r laddermodel.Reservation) ladderholder.End {
+	return ladderholder.End{Worker: r.Worker.Name, Task: r.Task}
+}
+
+func full(err error) laddermessage.Full {
+	var n *ladderholder.NoRoom
+	if errors.As(err, &n) {
+		return laddermessage.Full{Reason: n.Reason, RetryAfter: n.RetryAfter}
+	}
+	return laddermessage.Full{Reason: err.Error()}
+}
+
+func (s *Server) answerFetch(ctx context.Context) (laddermessage.Message, error) {
+	v, ok := s.config.version()
+	if !ok {
+		return nil, errors.New("no configuration yet")
+	}
+	push := laddermessage.Push{Version: v}
+	s.ask(ctx, func() { push.Listing = s.listing.Clone() })
+	return push, ctx.Err()
+}
+
+func (s *Server) answerEnds(m laddermessage.Ends) laddermessage.Ended {
+	after := m.After
+	if m.Incarnation != s.incarnation {
+		after = 0
+	}
+	ends, held := s.holder.Finished(s.clock.Now(), after)
+	return laddermessage.Ended{Incarnation: s.incarnation, Ends: ends, Held: held}
+}
--- /dev/null
+++ b/ladderserver/jobs.go
@@ -0,0 +1,231 @@
+package ladderserver
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/oklog/ulid/v2"
+
+	"lacewingladder/laddergate"
+	"lacewingladder/ladderjob"
+	"lacewingladder/laddermessage"
+	"lacewingladder/laddermodel"
+	"lacewingladder/ladderplatform"
+)
+
+const (
+	// queuePrefix is where jobs and cancellations are kept in the store.
+	queuePrefix  = "ladder/queue/"
+	jobPrefix    = queuePrefix + "j/"
+	cancelPrefix = queuePrefix + "c/"
+	// commitTime is how long writes are gathered into one transaction.
+	commitTime = 5 * time.Millisecond
+	// maxCommit bounds the writes in one transaction.
+	maxCommit = 64
+	// commitTries is how often a transaction without an answer is sent.
+	commitTries = 3
+	// maxWrites bounds the writes that wait.
+	maxWrites = 16_384
+)
+
+// jobs keeps jobs in the platform's store. It implements laddergate.Jobs.
+type jobs struct {
+	server  *Server
+	log     Log
+	writes  chan write
+	largest atomic.Pointer[laddermodel.Size]
+}
+
+// write is one write that waits to be committed.
+type write struct {
+	put  ladderplatform.Put
+	done chan error
+}
+
+func newJobs(s *Server) *jobs {
+	return &jobs{server: s, log: s.logs.Part("jobs"), writes: make(chan write, maxWrites)}
+}
+
+// Submit implements laddergate.Jobs.
+func (j *jobs) Submit(ctx context.Context, job ladderjob.Job, key string) (string, error) {
+	largest := j.largest.Load()
+	if largest == nil {
+		return "", laddergate.ErrStore
+	}
+	if why := ladderjob.Check(job, j.server.config.current(), *largest); why != "" {
+		return "", &laddergate.Never{Reason: why}
+	}
+	job.ID = jobID(job, key)
+	value, err := ladderjob.Encode(ladderjob.Record{Job: job, State: ladderjob.Queued})
+	if err != nil {
+		return "", err
+	}
+	put := ladderplatform.Put{Key: jobPrefix + job.ID, Value: value}
+	if key != "" {
+		err = j.create(ctx, put)
+	} else {
+		err = j.commit(ctx, put)
+	}
+	if err != nil {
+		return "", err
+	}
+	j.log.Info("job accepted", "job", job.ID, "team", job.Team, "kind", job.Kind, "tasks", job.Tasks)
+	j.notify(ctx)
+	return job.ID, nil
+}
+
+// jobID returns a new id, or always the same one for a member's key.
+func jobID(job ladderjob.Job, key string) string {
+	if key == "" {
+		return job.Member + "." + ulid.MustNew(ulid.Now(), rand.Reader).String()
+	}
+	var id ulid.ULID
+	for i := range 2 {
+		sum := xxhash.NewWithSeed(uint64(i))
+		_, _ = sum.WriteString(key)
+		copy(id[i*8:], sum.Sum(nil))
+	}
+	id[0] &= 0x7f
+	return job.Member + "." + id.String()
+}
+
+// create writes a job unless it is there already.
+func (j *jobs) create(ctx context.Context, put ladderplatform.Put) error {
+	for range commitTries {
+		_, _, err := j.server.store.Commit(ctx, ladderplatform.Txn{
+			If: []ladderplatform.Condition{{Key: put.Key}}, Puts: []ladderplatform.Put{put},
+		})
+		if err == nil {
+			return nil
+		}
+		if errors.Is(err, ladderplatform.ErrRefused) {
+			return errors.Join(laddergate.ErrStore, err)
+		}
+	}
+	return laddergate.ErrUnsure
+}
+
+// commit makes a write durable together with others.
+func (j *jobs) commit(ctx context.Context, put ladderplatform.Put) error {
+	w := write{put: put, done: make(chan error, 1)}
+	select {
+	case j.writes <- w:
+	default:
+		return laddergate.ErrStore
+	}
+	select {
+	case err := <-w.done:
+		return err
+	case <-ctx.Done():
+		return laddergate.ErrUnsure
+	}
+}
+
+// commitLoop gathers writes into transactions until ctx ends.
+func (j *jobs) commitLoop(ctx context.Context) {
+	for {
+		var first write
+		select {
+		case <-ctx.Done():
+			return
+		case first = <-j.writes:
+		}
+		time.Sleep(commitTime)
+		group := []write{first}
+		for len(group) < maxCommit && len(j.writes) > 0 {
+			group = append(group, <-j.writes)
+		}
+		err := j.commitGroup(ctx, group)
+		for _, w := range group {
+			w.done <- err
+		}
+	}
+}
+
+func (j *jobs) commitGroup(ctx context.Context, group []write) error {
+	var t ladderplatform.Txn
+	for _, w := range group {
+		t.Puts = append(t.Puts, w.put)
+	}
+	for range commitTries {
+		_, _, err := j.server.store.Commit(ctx, t)
+		if err == nil {
+			return nil
+		}
+		if errors.Is(err, ladderplatform.ErrRefused) {
+			return errors.Join(laddergate.ErrStore, err)
+		}
+	}
+	return laddergate.ErrUnsure
+}
+
+// View implements laddergate.Jobs.
+func (j *jobs) View(ctx context.Context, id string) (ladderjob.View, error) {
+	e, ok, err := j.server.store.Get(ctx, jobPrefix+id)
+	if err != nil {
+		return ladderjob.View{}, errors.Join(laddergate.ErrStore, err)
+	}
+	if !ok {
+		return ladderjob.View{}, laddergate.ErrNoJob
+	}
+	r, err := ladderjob.Decode(e.Value)
+	if err != nil {
+		return ladderjob.View{}, err
+	}
+	v := ladderjob.View{Job: r.Job, State: r.State, Reason: r.Reason}
+	if seen := j.look(ctx, id); seen.Known && !r.State.Final() {
+		v.State, v.Reason, v.Running, v.Ended = ladderjob.State(seen.State), seen.Reason, seen.Running, seen.Ended
+	} else if !seen.Known && !r.State.Final() {
+		v.Reason = "the queue has no leader that can be reached"
+	}
+	return v, nil
+}
+
+// look asks the queue's leader for a job.
+func (j *jobs) look(ctx context.Context, id string) laddermessage.Seen {
+	name := j.server.leader.name()
+	if name == j.server.settings.Name {
+		return j.server.leader.look(id)
+	}
+	looking, cancel := context.WithTimeout(ctx, fetchTime)
+	defer cancel()
+	answer, err := j.server.peers.call(looking, name, laddermessage.Look{Job: id})
+	if seen, ok := answer.(laddermessage.Seen); ok && err == nil {
+		return seen
+	}
+	return laddermessage.Seen{}
+}
+
+// Cancel implements laddergate.Jobs. The id names the member, so that a wave of
+// cancellations needs no reads.
+func (j *jobs) Cancel(ctx context.Context, member, id string) error {
+	owner, _, ok := strings.Cut(id, ".")
+	if !ok || owner != member {
+		return laddergate.ErrNoJob
+	}
+	if err := j.commit(ctx, ladderplatform.Put{Key: cancelPrefix + id, Value: []byte(member)}); err != nil {
+		return err
+	}
+	j.notify(ctx)
+	return nil
+}
+
+// notify wakes the queue's leader.
+func (j *jobs) notify(ctx context.Context) {
+	name := j.server.leader.name()
+	if name == j.server.settings.Name {
+		j.server.leader.notice()
+		return
+	}
+	telling := context.WithoutCancel(ctx)
+	j.server.background.Go(func() {
+		bounded, cancel := context.WithTimeout(telling, fetchTime)
+		defer cancel()
+		_, _ = j.server.peers.call(bounded, name, laddermessage.Notice{})
+	})
+}
--- /dev/null
+++ b/ladderserver/leader.go
@@ -0,0 +1,337 @@
+package ladderserver
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"lacewingladder/ladderclaim"
+	"lacewingladder/ladderconfig"
+	"lacewingladder/ladderjob"
+	"lacewingladder/laddermessage"
+	"lacewingladder/laddermodel"
+	"lacewingladder/ladderplatform"
+	"lacewingladder/ladderqueue"
+)
+
+const (
+	// leaderKey names the leader of the queue in the store.
+	leaderKey = "ladder/leader"
+	// leaderLease is the length of the leader's lease, and leaderAlive the time
+	// between its renewals.
+	leaderLease = 8 * time.Second
+	leaderAlive = 2 * time.Second
+	// electTime is the time between looks at who leads.
+	electTime = 3 * time.Second
+	// turnTime is the time between turns of the leader's loop.
+	turnTime = 100 * time.Millisecond
+	// syncTime is the time between looks at the store for new jobs, when nobody
+	// told of any.
+	syncTime = 2 * time.Second
+	// endsTime is the time between questions for ended tasks.
+	endsTime = 300 * time.Millisecond
+)
+
+// leader leads the queue while this VM holds the lease for it.
+type leader struct {
+	server *Server
+	log    Log
+	wake   chan struct{}
+
+	mu      sync.Mutex
+	known   string
+	queue   *ladderqueue.Queue
+	workers map[string]laddermodel.Worker
+	// term is this VM's term as leader, or nil.
+	term *term
+}
+
+// term is the time during which a VM leads the queue.
+type term struct {
+	lease int64
+	// created is the revision at which the leader's key was made.
+	created int64
+	began   time.Time
+	// proof is the sending time of the last renewal that was answered.
+	proof time.Time
+	// revision is up to where the store's queue was read.
+	revision int64
+	synced   time.Time
+	asked    time.Time
+	alive    time.Time
+	// ends is up to where each VM's ends were read.
+	ends map[string]laddermessage.Ends
+	// heard is when each worker was last held by a VM that answered.
+	heard map[string]time.Time
+}
+
+func newLeader(s *Server) *leader {
+	return &leader{
+		server: s, log: s.logs.Part("queue"), wake: make(chan struct{}, 1),
+		queue: ladderqueue.New(), workers: map[string]laddermodel.Worker{},
+	}
+}
+
+// setWorkers takes over the platform's list of workers.
+func (l *leader) setWorkers(workers []laddermodel.Worker) {
+	largest := ladderconfig.Largest(workers)
+	if len(workers) > 0 {
+		l.server.jobs.largest.Store(&largest)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.workers = make(map[string]laddermodel.Worker, len(workers))
+	for _, w := range workers {
+		l.workers[w.Name] = w
+	}
+}
+
+// name returns the name of the leader, as far as this VM knows.
+func (l *leader) name() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.known
+}
+
+// notice makes the leader look for new jobs at once.
+func (l *leader) notice() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// look returns what this VM knows of a job, which is something only as leader.
+func (l *leader) look(id string) laddermessage.Seen {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	v, ok := l.queue.View(id)
+	if l.term == nil || !ok {
+		return laddermessage.Seen{}
+	}
+	return laddermessage.Seen{
+		Known: true, State: string(v.State), Reason: v.Reason, Running: v.Running, Ended: v.Ended,
+	}
+}
+
+// loop leads the queue whenever this VM can, until ctx ends.
+func (l *leader) loop(ctx context.Context) {
+	tick := time.NewTicker(turnTime)
+	defer tick.Stop()
+	var elect time.Time
+	noticed := false
+	for {
+		select {
+		case <-ctx.Done():
+			l.resign(context.WithoutCancel(ctx))
+			return
+		case <-l.wake:
+			noticed = true
+		case <-tick.C:
+		}
+		now := l.server.clock.Now()
+		t := l.current()
+		switch {
+		case t != nil:
+			l.turn(ctx, now, t, noticed)
+			noticed = false
+		case !now.Before(elect):
+			elect = now.Add(electTime)
+			l.elect(ctx)
+		}
+	}
+}
+
+func (l *leader) current() *term {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.term
+}
+
+// elect finds out who leads, and takes the lead when nobody does.
+func (l *leader) elect(ctx context.Context) {
+	e, ok, err := l.server.store.Get(ctx, leaderKey)
+	l.server.storeOK.Store(err == nil)
+	if err != nil {
+		return
+	}
+	if ok {
+		l.setKnown(string(e.Value))
+		return
+	}
+	if l.server.config.current() == nil || l.server.leaving.Load() {
+		return
+	}
+	now := l.server.clock.Now()
+	lease, err := l.server.store.Grant(ctx, leaderLease)
+	if err != nil {
+		return
+	}
+	done, revision, err := l.server.store.Commit(ctx, ladderplatform.Txn{
+		If:   []ladderplatform.Condition{{Key: leaderKey}},
+		Puts: []ladderplatform.Put{{Key: leaderKey, Value: []byte(l.server.settings.Name), Lease: lease}},
+	})
+	if err != nil || !done {
+		return
+	}
+	l.log.Info("leads the queue", "revision", revision)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.known = l.server.settings.Name
+	l.queue = ladderqueue.New()
+	l.term = &term{
+		lease: lease, created: revision, began: now, proof: now, alive: now,
+		ends: map[string]laddermessage.Ends{}, heard: map[string]time.Time{},
+	}
+}
+
+func (l *leader) setKnown(name string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.known = name
+}
+
+// valid reports whether the term still stands at this moment.
+func (l *leader) valid(t *term) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	margin := leaderLease * ladderclaim.DriftPerMille / 1000
+	return l.term == t && l.server.clock.Now().Before(t.proof.Add(leaderLease-margin))
+}
+
+// end ends the term.
+func (l *leader) end(t *term, why string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.term == t {
+		l.term, l.known = nil, ""
+		l.queue = ladderqueue.New()
+		l.log.Warn("leads no more", "why", why)
+	}
+}
+
+// resign lets another VM lead at once.
+func (l *leader) resign(ctx context.Context) {
+	t := l.current()
+	if t == nil {
+		return
+	}
+	l.end(t, "the VM is leaving")
+	_, _, _ = l.server.store.Commit(ctx, ladderplatform.Txn{
+		If:      []ladderplatform.Condition{t.own()},
+		Deletes: []string{leaderKey},
+	})
+}
+
+// own is the condition that the term still stands in the store.
+func (t *term) own() ladderplatform.Condition {
+	return ladderplatform.Condition{Key: leaderKey, Modified: t.created, Creation: true}
+}
+
+// turn does what is due in a term.
+func (l *leader) turn(ctx context.Context, now time.Time, t *term, noticed bool) {
+	if now.Sub(t.alive) >= leaderAlive {
+		t.alive = now
+		if !l.renew(ctx, now, t) {
+			return
+		}
+	}
+	if noticed || now.Sub(t.synced) >= syncTime {
+		t.synced = now
+		l.sync(ctx, t)
+	}
+	if now.Sub(t.asked) >= endsTime && l.busy() {
+		t.asked = now
+		l.askEnds(ctx, t)
+	}
+	l.save(ctx, t)
+	if l.valid(t) {
+		l.start(ctx, t)
+	}
+}
+
+// renew prolongs the leader's lease. It returns false when the term has ended.
+func (l *leader) renew(ctx context.Context, now time.Time, t *term) bool {
+	alive, err := l.server.store.Alive(ctx, t.lease)
+	l.server.storeOK.Store(err == nil)
+	if err == nil && !alive {
+		l.end(t, "the lease lapsed")
+		return false
+	}
+	if err == nil {
+		l.mu.Lock()
+		t.proof = now
+		l.mu.Unlock()
+	}
+	return true
+}
+
+// busy reports whether tasks run or may run.
+func (l *leader) busy() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.queue.Running() > 0 || l.queue.Uncertain() > 0
+}
+
+// sync takes in new jobs and cancellations from the store.
+func (l *leader) sync(ctx context.Context, t *term) {
+	entries, revision, err := l.server.store.List(ctx, queuePrefix, t.revision+1)
+	if err != nil {
+		return
+	}
+	t.revision = revision
+	var stops []ladderqueue.Stop
+	l.mu.Lock()
+	for _, e := range entries {
+		if id, ok := cutPrefix(e.Key, cancelPrefix); ok {
+			stops = append(stops, l.queue.Cancel(id)...)
+			continue
+		}
+		r, err := ladderjob.Decode(e.Value)
+		if err != nil {
+			l.log.Warn("job passed over", "key", e.Key, "err", err)
+			continue
+		}
+		l.queue.Add(r)
+	}
+	l.mu.Unlock()
+	l.stop(ctx, stops)
+}
+
+// save makes changed records durable, as many as fit into one transaction.
+func (l *leader) save(ctx context.Context, t *term) {
+	l.mu.Lock()
+	records := l.queue.Unsaved(maxCommit)
+	l.mu.Unlock()
+	if len(records) == 0 {
+		return
+	}
+	txn := ladderplatform.Txn{If: []ladderplatform.Condition{t.own()}}
+	for _, r := range records {
+		value, err := ladderjob.Encode(r)
+		if err != nil {
+			continue
+		}
+		txn.Puts = append(txn.Puts, ladderplatform.Put{Key: jobPrefix + r.Job.ID, Value: value})
+	}
+	done, _, err := l.server.store.Commit(ctx, txn)
+	if err != nil {
+		return
+	}
+	if !done {
+		l.end(t, "another VM leads")
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, r := range records {
+		l.queue.Saved(r)
+	}
+}
+
+func cutPrefix(key, prefix string) (string, bool) {
+	if len(key) < len(prefix) || key[:len(prefix)] != prefix {
+		return "", false
+	}
+	return key[len(prefix):], true
+}
--- /dev/null
+++ b/ladderserver/membership.go
@@ -0,0 +1,97 @@
+package ladderserver
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"lacewingladder/laddermember"
+	"lacewingladder/laddermessage"
+)
+
+// beatTime bounds one heartbeat.
+const beatTime = 600 * time.Millisecond
+
+// beat sends the heartbeats that are due. It runs on the control goroutine.
+func (s *Server) beat(ctx context.Context, now time.Time) {
+	due := s.members.Due(now)
+	if len(due) == 0 {
+		return
+	}
+	b := s.ownBeat(now)
+	s.dispatch.Learn(now, b.Digests)
+	for _, address := range due {
+		s.background.Go(func() { s.sendBeat(ctx, address, b) })
+	}
+}
+
+// ownBeat returns this VM's heartbeat.
+func (s *Server) ownBeat(now time.Time) laddermessage.Beat {
+	self, err := s.self()
+	if err != nil {
+		self.Name = s.settings.Name
+	}
+	return laddermessage.Beat{
+		From: self, Incarnation: s.incarnation, Version: s.config.number(),
+		Draining: s.members.Draining(), Digests: s.holder.Digests(now), Leaving: s.holder.Leaving(),
+	}
+}
+
+// sendBeat exchanges heartbeats with a peer. A second try goes over a fresh
+// connection, so that a silent one does not make the peer look dead.
+func (s *Server) sendBeat(ctx context.Context, to netip.AddrPort, b laddermessage.Beat) {
+	for range 2 {
+		beating, cancel := context.WithTimeout(ctx, beatTime)
+		answer, err := s.peers.client.Call(beating, to, b)
+		cancel()
+		if back, ok := answer.(laddermessage.Beat); ok && err == nil {
+			s.do(ctx, func() { s.heard(ctx, back) })
+			return
+		}
+		if ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+// heard takes in a peer's heartbeat. It runs on the control goroutine.
+func (s *Server) heard(ctx context.Context, b laddermessage.Beat) {
+	now := s.clock.Now()
+	if b.From.Name == s.settings.Name {
+		return
+	}
+	s.members.Heard(now, b)
+	s.holder.SetLeaving(b.Leaving)
+	if b.Draining {
+		s.dispatch.Forget(b.From.Name)
+	}
+	s.dispatch.Learn(now, b.Digests)
+	s.publishPeers()
+	if b.Version > s.config.number() {
+		s.background.Go(func() { s.config.fetch(ctx, b.From.Peers) })
+	}
+}
+
+// publishPeers gives traffic the addresses of the peers.
+func (s *Server) publishPeers() {
+	known := map[string]netip.AddrPort{}
+	for _, p := range s.members.Peers() {
+		known[p.VM.Name] = p.VM.Peers
+	}
+	s.peers.known.Store(&known)
+}
+
+// livePeers returns the live peers. It runs on the control goroutine.
+func (s *Server) livePeers(now time.Time) []laddermember.Peer {
+	live := map[string]bool{}
+	for _, name := range s.members.Live(now) {
+		live[name] = true
+	}
+	var peers []laddermember.Peer
+	for _, p := range s.members.Peers() {
+		if live[p.VM.Name] {
+			peers = append(peers, p)
+		}
+	}
+	return peers
+}
--- /dev/null
+++ b/ladderserver/operator.go
@@ -0,0 +1,132 @@
+package ladderserver
+
+import (
+	"crypto/subtle"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/oklog/ulid/v2"
+
+	"lacewingladder/ladderconfig"
+	"lacewingladder/ladderfinding"
+)
+
+// The headers of the operators' interface.
+const (
+	HeaderOperator = "Ladder-Operator"
+	HeaderChange   = "Ladder-Change"
+	HeaderBase     = "If-Match"
+)
+
+// maxDocument bounds a configuration in bytes.
+const maxDocument = 1 << 20
+
+// operatorHandler returns the operators' HTTP interface.
+func (s *Server) operatorHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/config", s.authorized(s.getConfig))
+	mux.HandleFunc("PUT /v1/config", s.authorized(s.putConfig))
+	mux.HandleFunc("GET /v1/status", s.authorized(s.getStatus))
+	mux.HandleFunc("POST /v1/drain", s.authorized(func(w http.ResponseWriter, _ *http.Request) {
+		s.beginDrain()
+		w.WriteHeader(http.StatusAccepted)
+	}))
+	mux.HandleFunc("GET /metrics", s.getMetrics)
+	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !s.isReady() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+// authorized lets a request pass that carries the operators' token.
+func (s *Server) authorized(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		got, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		if subtle.ConstantTimeCompare([]byte(got), []byte(s.settings.Token)) != 1 {
+			http.Error(w, "Authorization: the token is not the operators' token", http.StatusUnauthorized)
+			return
+		}
+		next(w, r)
+	}
+}
+
+func (s *Server) getConfig(w http.ResponseWriter, _ *http.Request) {
+	v, ok := s.config.version()
+	if !ok {
+		http.Error(w, "there is no configuration yet", http.StatusNotFound)
+		return
+	}
+	w.Header().Set("ETag", strconv.Quote(strconv.FormatUint(v.Number, 10)))
+	writeVersion(w, v)
+}
+
+func writeVersion(w http.ResponseWriter, v ladderconfig.Version) {
+	data, err := EncodeVersion(v)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(append(data, '\n'))
+}
+
+// putConfig applies a configuration. If-Match names the version on which it is
+// based.
+func (s *Server) putConfig(w http.ResponseWriter, r *http.Request) {
+	document, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxDocument))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+		return
+	}
+	base, err := parseBase(r.Header.Get(HeaderBase))
+	if err != nil {
+		http.Error(w, HeaderBase+": "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	v := ladderconfig.Version{
+		Change: r.Header.Get(HeaderChange), By: r.Header.Get(HeaderOperator), Document: string(document),
+	}
+	if v.Change == "" {
+		v.Change = ulid.Make().String()
+	}
+	if v.By == "" {
+		v.By = "unnamed operator"
+	}
+	accepted, err := s.config.apply(r.Context(), v, base)
+	var findings *ladderfinding.Error
+	var lost *ladderconfig.Refusal
+	switch {
+	case errors.As(err, &findings):
+		http.Error(w, err.Error(), http.StatusBadRequest)
+	case errors.As(err, &lost):
+		http.Error(w, err.Error(), http.StatusConflict)
+	case errors.Is(err, ErrUnsure):
+		http.Error(w, err.Error(), http.StatusGatewayTimeout)
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	default:
+		writeVersion(w, accepted)
+	}
+}
+
+// parseBase reads a version number from an If-Match header.
+func parseBase(text string) (uint64, error) {
+	if text == "" {
+		return 0, nil
+	}
+	return strconv.ParseUint(strings.Trim(text, `"`), 10, 64)
+}
+
+func (s *Server) getStatus(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	_ = encoder.Encode(s.status(r.Context()))
+}
--- /dev/null
+++ b/ladderserver/peers.go
@@ -0,0 +1,138 @@
+package ladderserver
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"lacewingladder/ladderholder"
+	"lacewingladder/laddermessage"
+	"lacewingladder/laddermodel"
+	"lacewingladder/ladderpeer"
+)
+
+const (
+	// releaseTime is how long ends are gathered before they are sent.
+	releaseTime = 5 * time.Millisecond
+	// releaseCall bounds the message that carries them.
+	releaseCall = time.Second
+	// maxReleases bounds the ends that wait. Further ones are left to the
+	// workers' reports.
+	maxReleases = 16_384
+	// reserveShare bounds the time without an answer of a peer beyond the wait
+	// for room that it was asked for.
+	reserveShare = 500 * time.Millisecond
+)
+
+// Log is the logger of a part.
+type Log interface {
+	// Info writes a message with pairs of keys and values.
+	Info(msg any, keyvals ...any)
+	// Warn is like Info, for what an operator should see.
+	Warn(msg any, keyvals ...any)
+}
+
+// peers sends messages to other entry VMs by name. It implements
+// ladderdispatch.Peers.
+type peers struct {
+	client   *ladderpeer.Client
+	log      Log
+	known    atomic.Pointer[map[string]netip.AddrPort]
+	releases chan addressed
+}
+
+// addressed is the end of a task, for a peer.
+type addressed struct {
+	peer string
+	end  ladderholder.End
+}
+
+func newPeers(client *ladderpeer.Client, log Log) *peers {
+	p := &peers{client: client, log: log, releases: make(chan addressed, maxReleases)}
+	p.known.Store(&map[string]netip.AddrPort{})
+	return p
+}
+
+// call sends a message to a peer by name.
+func (p *peers) call(ctx context.Context, peer string, m laddermessage.Message) (laddermessage.Message, error) {
+	address, ok := (*p.known.Load())[peer]
+	if !ok {
+		return nil, fmt.Errorf("peer %q is not known: %w", peer, ladderpeer.ErrUnsent)
+	}
+	return p.client.Call(ctx, address, m)
+}
+
+// Reserve implements ladderdispatch.Peers.
+func (p *peers) Reserve(ctx context.Context, peer string, a ladderholder.Ask) (laddermodel.Reservation, error) {
+	asking, cancel := context.WithTimeout(ctx, a.Patience+reserveShare)
+	defer cancel()
+	answer, err := p.call(asking, peer, laddermessage.Reserve{Ask: a})
+	if err != nil {
+		return laddermodel.Reservation{}, err
+	}
+	switch m := answer.(type) {
+	case laddermessage.Room:
+		return m.Reservation, nil
+	case laddermessage.Full:
+		return laddermodel.Reservation{}, &ladderholder.NoRoom{Reason: m.Reason, RetryAfter: m.RetryAfter}
+	}
+	return laddermodel.Reservation{}, unexpected(peer, answer)
+}
+
+// Release implements ladderdispatch.Peers.
+func (p *peers) Release(peer string, e ladderholder.End) {
+	select {
+	case p.releases <- addressed{peer: peer, end: e}:
+	default:
+	}
+}
+
+// Forward implements ladderdispatch.Peers.
+func (p *peers) Forward(ctx context.Context, peer string, r laddermodel.Request) (laddermodel.Answer, error) {
+	forwarding, cancel := context.WithTimeout(ctx, r.Deadline+reserveShare)
+	defer cancel()
+	answer, err := p.call(forwarding, peer, laddermessage.Forward{Request: r})
+	if err != nil {
+		return laddermodel.Answer{}, err
+	}
+	m, ok := answer.(laddermessage.Answered)
+	if !ok {
+		return laddermodel.Answer{}, unexpected(peer, answer)
+	}
+	return m.Answer, nil
+}
+
+// releaseLoop gathers ends and sends them to their peers until ctx ends.
+func (p *peers) releaseLoop(ctx context.Context) {
+	tick := time.NewTicker(releaseTime)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		waiting := map[string][]ladderholder.End{}
+		for range len(p.releases) {
+			a := <-p.releases
+			waiting[a.peer] = append(waiting[a.peer], a.end)
+		}
+		for peer, ends := range waiting {
+			go p.sendReleases(ctx, peer, ends)
+		}
+	}
+}
+
+func (p *peers) sendReleases(ctx context.Context, peer string, ends []ladderholder.End) {
+	sending, cancel := context.WithTimeout(ctx, releaseCall)
+	defer cancel()
+	if _, err := p.call(sending, peer, laddermessage.Release{Ends: ends}); err != nil {
+		p.log.Info("ends left to the workers' reports", "peer", peer, "ends", len(ends), "err", err)
+	}
+}
+
+func unexpected(peer string, m laddermessage.Message) error {
+	return fmt.Errorf("peer %q: unexpected answer %T", peer, m)
+}
--- /dev/null
+++ b/ladderserver/version.go
@@ -0,0 +1,30 @@
+package ladderserver
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"lacewingladder/ladderconfig"
+)
+
+// versionWire is a version in the platform's store and in the operators'
+// interface.
+type versionWire struct {
+	Number   uint64 `json:"number"`
+	Change   string `json:"change"`
+	By       string `json:"by"`
+	Document string `json:"document"`
+}
+
+// EncodeVersion returns a version in the form in which the store keeps it.
+func EncodeVersion(v ladderconfig.Version) ([]byte, error) {
+	return json.Marshal(versionWire{Number: v.Number, Change: v.Change, By: v.By, Document: v.Document})
+}
+
+func decodeVersion(data []byte) (ladderconfig.Version, error) {
+	var w versionWire
+	if err := json.Unmarshal(data, &w); err != nil {
+		return ladderconfig.Version{}, fmt.Errorf("configuration in the store: %w", err)
+	}
+	return ladderconfig.Version{Number: w.Number, Change: w.Change, By: w.By, Document: w.Document}, nil
+}
--- /dev/null
+++ b/ladderworker/client.go
@@ -0,0 +1,240 @@
+package ladderworker
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+	"net/url"
+	"strconv"
+	"time"
+
+	"lacewingladder/ladderattempt"
+	"lacewingladder/ladderclaim"
+	"lacewingladder/ladderdispatch"
+	"lacewingladder/laddermodel"
+)
+
+const (
+	// maxConns bounds the connections to one worker.
+	maxConns = 64
+	// maxAnswer bounds an endpoint's answer in bytes.
+	maxAnswer = 16 << 20
+	// dialTime bounds the opening of a connection.
+	dialTime = 500 * time.Millisecond
+	// checkTime is how often a running task is asked after on a new connection.
+	checkTime = time.Second
+)
+
+// Client speaks to workers. Create one with [NewClient].
+type Client struct {
+	// pooled keeps connections open; fresh opens one for each call.
+	pooled *http.Client
+	fresh  *http.Client
+}
+
+// NewClient returns a client without connections.
+func NewClient() *Client {
+	dialer := &net.Dialer{Timeout: dialTime}
+	return &Client{
+		pooled: &http.Client{Transport: &http.Transport{
+			DialContext: dialer.DialContext, MaxConnsPerHost: maxConns, MaxIdleConnsPerHost: maxConns,
+			IdleConnTimeout: 30 * time.Second, DisableCompression: true,
+		}},
+		fresh: &http.Client{Transport: &http.Transport{
+			DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true,
+		}},
+	}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() {
+	c.pooled.CloseIdleConnections()
+	c.fresh.CloseIdleConnections()
+}
+
+// Claim carries a call about a worker's claim. It uses a new connection when
+// again is true, since the last one may have gone silent.
+func (c *Client) Claim(ctx context.Context, call ladderclaim.Call, again bool) (ladderclaim.Answer, error) {
+	body, err := json.Marshal(fromCall(call))
+	if err != nil {
+		return ladderclaim.Answer{}, err
+	}
+	client := c.pooled
+	if again {
+		client = c.fresh
+	}
+	var reply ClaimReply
+	if err := exchange(ctx, client, http.MethodPost, address(call.Worker, "/claim", ""), body, &reply); err != nil {
+		return ladderclaim.Answer{}, fmt.Errorf("claim of worker %s: %w", call.Worker.Name, err)
+	}
+	return toAnswer(reply), nil
+}
+
+// Start implements [ladderdispatch.Workers].
+func (c *Client) Start(
+	ctx context.Context, r laddermodel.Reservation, t laddermodel.Task, share time.Duration,
+) ladderdispatch.Reply {
+	starting, cancel := context.WithCancel(ctx)
+	defer cancel()
+	accepted := make(chan struct{}, 1)
+	done := make(chan ladderdispatch.Reply, 1)
+	go func() { done <- c.start(starting, r, t, accepted) }()
+	accept := time.NewTimer(share)
+	defer accept.Stop()
+	check := time.NewTicker(checkTime)
+	defer check.Stop()
+	late := accept.C
+	for {
+		select {
+		case got := <-done:
+			return got
+		case <-accepted:
+			late = nil
+		case <-late:
+			return silent("the start was not accepted in time")
+		case <-check.C:
+			if late == nil && c.ended(ctx, r.Worker, t.ID) {
+				return silent("the connection went silent")
+			}
+		case <-ctx.Done():
+			return silent("the deadline passed")
+		}
+	}
+}
+
+func silent(reason string) ladderdispatch.Reply {
+	return ladderdispatch.Reply{Kind: ladderdispatch.Silent, Reason: reason}
+}
+
+// start sends a start and reads its answer.
+func (c *Client) start(
+	ctx context.Context, r laddermodel.Reservation, t laddermodel.Task, accepted chan<- struct{},
+) ladderdispatch.Reply {
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		Got1xxResponse: func(int, textproto.MIMEHeader) error {
+			select {
+			case accepted <- struct{}{}:
+			default:
+			}
+			return nil
+		},
+	})
+	request, err := http.NewRequestWithContext(
+		traced, http.MethodPost, address(r.Worker, "/tasks", ""), bytes.NewReader(t.Body),
+	)
+	if err != nil {
+		return ladderdispatch.Reply{Kind: ladderdispatch.Refused, Reason: err.Error()}
+	}
+	setHeaders(request.Header, r.Grant, t)
+	response, err := c.pooled.Do(request)
+	if err != nil {
+		return unsent(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
+	if err != nil {
+		return silent("the answer broke off: " + err.Error())
+	}
+	return judge(t.ID, response, body)
+}
+
+// unsent tells a start that never left from one that may have arrived.
+func unsent(err error) ladderdispatch.Reply {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return ladderdispatch.Reply{Kind: ladderdispatch.Refused, Reason: "the worker can not be reached"}
+	}
+	return silent(err.Error())
+}
+
+// judge decides what an HTTP response says of a start.
+func judge(task string, r *http.Response, body []byte) ladderdispatch.Reply {
+	if r.StatusCode == http.StatusConflict {
+		why := r.Header.Get(HeaderRefusal)
+		return ladderdispatch.Reply{
+			Kind: ladderdispatch.Refused, Reason: "the worker refused the start: " + why,
+			Fenced: why == RefusalFenced, Leaving: why == RefusalLeaving,
+		}
+	}
+	if named := r.Header.Get(HeaderTask); named != task {
+		return silent(fmt.Sprintf("the answer is for task %q", named))
+	}
+	if length, err := strconv.Atoi(r.Header.Get(HeaderLength)); err != nil || length != len(body) {
+		return silent(fmt.Sprintf("the answer has %d bytes and should have %q", len(body), r.Header.Get(HeaderLength)))
+	}
+	switch r.StatusCode {
+	case http.StatusOK, http.StatusAccepted:
+		return ladderdispatch.Reply{Kind: ladderdispatch.Answered, Body: body}
+	default:
+		return ladderdispatch.Reply{
+			Kind: ladderdispatch.Failed, Reason: fmt.Sprintf("the endpoint failed with status %d", r.StatusCode),
+		}
+	}
+}
+
+// ended asks on a new connection if a task has ended.
+func (c *Client) ended(ctx context.Context, w laddermodel.Worker, task string) bool {
+	asking, cancel := context.WithTimeout(ctx, dialTime)
+	defer cancel()
+	var reply RevokeReply
+	err := exchange(asking, c.fresh, http.MethodGet, address(w, "/tasks", task), nil, &reply)
+	return err == nil && reply.State == "ended"
+}
+
+// Revoke implements [ladderdispatch.Workers].
+func (c *Client) Revoke(
+	ctx context.Context, w laddermodel.Worker, task string,
+) (ladderattempt.State, ladderdispatch.Reply) {
+	var reply RevokeReply
+	if err := exchange(ctx, c.fresh, http.MethodDelete, address(w, "/tasks", task), nil, &reply); err != nil {
+		return ladderattempt.Unreachable, silent(err.Error())
+	}
+	switch {
+	case reply.State == "never":
+		return ladderattempt.Never, silent("the task had not begun")
+	case reply.State == "stopped":
+		return ladderattempt.Stopped, silent("the task was stopped")
+	case reply.State != "ended" || reply.Length != len(reply.Body):
+		return ladderattempt.Unreachable, silent("the worker's answer makes no sense")
+	case reply.Failed:
+		return ladderattempt.Ended, ladderdispatch.Reply{Kind: ladderdispatch.Failed, Reason: "the endpoint failed"}
+	}
+	return ladderattempt.Ended, ladderdispatch.Reply{Kind: ladderdispatch.Answered, Body: reply.Body}
+}
+
+// address returns the URL of a worker's call, about a task unless it is empty.
+func address(w laddermodel.Worker, path, task string) string {
+	u := url.URL{Scheme: "http", Host: w.Address.String(), Path: path}
+	if task != "" {
+		u.RawQuery = url.Values{"task": {task}}.Encode()
+	}
+	return u.String()
+}
+
+// exchange sends a JSON body, if any, and reads a JSON answer.
+func exchange(ctx context.Context, client *http.Client, method, to string, body []byte, into any) error {
+	request, err := http.NewRequestWithContext(ctx, method, to, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
+	if err != nil {
+		return err
+	}
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %d", response.StatusCode)
+	}
+	return json.Unmarshal(data, into)
+}
