--- a/ladderattempt/run.go
+++ b/ladderattempt/run.go
@@ -36,7 +36,7 @@
 	Unreachable State = iota
 	// Never means that the attempt had not begun, and never will.
 	Never
-	// Stopped means that the attempt had begun and was stopped.
+	// Stopped means that the attempt may have begun and does not run any more.
 	Stopped
 	// Ended means that the attempt had ended before and its answer is at hand.
 	Ended
--- a/ladderdispatch/outside.go
+++ b/ladderdispatch/outside.go
@@ -62,6 +62,7 @@
 	// not accepted within share, or when ctx ends.
 	Start(ctx context.Context, r laddermodel.Reservation, t laddermodel.Task, share time.Duration) Reply
 	// Revoke makes sure that a task does not run any more, over a new
-	// connection. For an ended task it returns the reply as well.
-	Revoke(ctx context.Context, w laddermodel.Worker, task string) (ladderattempt.State, Reply)
+	// connection. Boot is that of the grant under which the task was sent, or
+	// zero. For an ended task it returns the reply as well.
+	Revoke(ctx context.Context, w laddermodel.Worker, boot uint64, task string) (ladderattempt.State, Reply)
 }
--- a/ladderdispatch/run.go
+++ b/ladderdispatch/run.go
@@ -142,7 +142,7 @@
 func (t *trip) revoke(ctx context.Context) {
 	revoking, cancel := context.WithTimeout(context.WithoutCancel(ctx), revokeTime)
 	defer cancel()
-	state, reply := t.d.Workers.Revoke(revoking, t.room.Worker, t.room.Task)
+	state, reply := t.d.Workers.Revoke(revoking, t.room.Worker, t.room.Grant.Boot, t.room.Task)
 	t.d.Log.Info("revoked", "task", t.room.Task, "worker", t.room.Worker.Name, "state", state, "reason", reply.Reason)
 	switch state {
 	case ladderattempt.Ended:
--- a/ladderserver/tasks.go
+++ b/ladderserver/tasks.go
@@ -137,7 +137,7 @@
 		l.returned([]string{room.Task})
 		return false
 	case ladderdispatch.Silent:
-		if l.revoke(ctx, room.Worker, room.Task) {
+		if l.revoke(ctx, room.Worker, room.Grant.Boot, room.Task) {
 			l.giveBack(room, ladderholder.End{})
 			l.returned([]string{room.Task})
 			return false
@@ -153,7 +153,7 @@
 func (l *leader) undo(ctx context.Context, b ladderqueue.Batch, rooms []laddermodel.Reservation, begun []bool) {
 	l.log.Info("gang undone", "job", b.Job.ID)
 	for i, room := range rooms {
-		if begun[i] && l.revoke(ctx, room.Worker, room.Task) {
+		if begun[i] && l.revoke(ctx, room.Worker, room.Grant.Boot, room.Task) {
 			l.ended(room.Task, ladderqueue.End{Stopped: true})
 		}
 	}
@@ -161,10 +161,10 @@
 
 // revoke makes sure that a task does not run. It returns false when the worker
 // did not say so.
-func (l *leader) revoke(ctx context.Context, w laddermodel.Worker, task string) bool {
+func (l *leader) revoke(ctx context.Context, w laddermodel.Worker, boot uint64, task string) bool {
 	revoking, cancel := context.WithTimeout(ctx, revokeTime)
 	defer cancel()
-	state, _ := l.server.workers.Revoke(revoking, w, task)
+	state, _ := l.server.workers.Revoke(revoking, w, boot, task)
 	return state == ladderattempt.Never || state == ladderattempt.Stopped
 }
 
@@ -181,7 +181,7 @@
 		l.server.background.Go(func() {
 			slots <- struct{}{}
 			defer func() { <-slots }()
-			if l.revoke(ctx, w, s.Task) {
+			if l.revoke(ctx, w, 0, s.Task) {
 				l.ended(s.Task, ladderqueue.End{Stopped: true})
 			}
 		})
--- a/ladderstand/serve.go
+++ b/ladderstand/serve.go
@@ -216,7 +216,13 @@
 }
 
 func (s *Server) revoke(w http.ResponseWriter, r *http.Request) {
-	state, e := s.worker.Revoke(r.URL.Query().Get("task"))
+	query := r.URL.Query()
+	boot, err := strconv.ParseUint(query.Get("boot"), 10, 64)
+	if err != nil {
+		http.Error(w, "boot: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	state, e := s.worker.Revoke(query.Get("task"), boot)
 	writeJSON(w, ladderworker.RevokeReply{State: state, Failed: e.Failed, Length: len(e.Body), Body: e.Body})
 }
 
--- a/ladderstand/worker.go
+++ b/ladderstand/worker.go
@@ -241,12 +241,12 @@
 	_, ended := w.ended[s.Task]
 	_, revoked := w.revoked[s.Task]
 	switch {
-	case s.Boot != w.spec.Boot || s.Epoch != w.epoch || now > s.Until || w.released:
-		return RefuseFenced
 	case revoked:
 		return RefuseRevoked
 	case runs || ended:
 		return RefuseKnown
+	case s.Boot != w.spec.Boot || s.Epoch != w.epoch || now > s.Until || w.released:
+		return RefuseFenced
 	case w.leaving:
 		return RefuseLeaving
 	}
@@ -268,11 +268,16 @@
 }
 
 // Revoke makes sure that a task does not run any more. It returns never, stopped
-// or ended, and for the last what the task came to.
-func (w *Worker) Revoke(name string) (string, EndedTask) {
+// or ended, and for the last what the task came to. When the task was sent to
+// another run of the worker's process it returns restarted: the task may have run
+// there. Boot is zero when the sender does not know it.
+func (w *Worker) Revoke(name string, boot uint64) (string, EndedTask) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := w.tick()
+	if boot != 0 && boot != w.spec.Boot {
+		return "restarted", EndedTask{}
+	}
 	if e, ok := w.ended[name]; ok {
 		if e.Stopped {
 			return "stopped", e
--- a/ladderworker/client.go
+++ b/ladderworker/client.go
@@ -158,6 +158,9 @@
 func judge(task string, r *http.Response, body []byte) ladderdispatch.Reply {
 	if r.StatusCode == http.StatusConflict {
 		why := r.Header.Get(HeaderRefusal)
+		if why == RefusalKnown {
+			return silent("the worker knows the task already")
+		}
 		return ladderdispatch.Reply{
 			Kind: ladderdispatch.Refused, Reason: "the worker refused the start: " + why,
 			Fenced: why == RefusalFenced, Leaving: why == RefusalLeaving,
@@ -190,10 +193,11 @@
 
 // Revoke implements [ladderdispatch.Workers].
 func (c *Client) Revoke(
-	ctx context.Context, w laddermodel.Worker, task string,
+	ctx context.Context, w laddermodel.Worker, boot uint64, task string,
 ) (ladderattempt.State, ladderdispatch.Reply) {
 	var reply RevokeReply
-	if err := exchange(ctx, c.fresh, http.MethodDelete, address(w, "/tasks", task), nil, &reply); err != nil {
+	to := address(w, "/tasks", task) + "&boot=" + strconv.FormatUint(boot, 10)
+	if err := exchange(ctx, c.fresh, http.MethodDelete, to, nil, &reply); err != nil {
 		return ladderattempt.Unreachable, silent(err.Error())
 	}
 	switch {
@@ -201,6 +205,8 @@
 		return ladderattempt.Never, silent("the task had not begun")
 	case reply.State == "stopped":
 		return ladderattempt.Stopped, silent("the task was stopped")
+	case reply.State == "restarted":
+		return ladderattempt.Stopped, silent("the worker restarted; the task may have run before")
 	case reply.State != "ended" || reply.Length != len(reply.Body):
 		return ladderattempt.Unreachable, silent("the worker's answer makes no sense")
 	case reply.Failed:
--- a/ladderworker/wire.go
+++ b/ladderworker/wire.go
@@ -87,7 +87,7 @@
 
 // RevokeReply is the answer to DELETE /tasks.
 type RevokeReply struct {
-	// State is never, stopped or ended.
+	// State is never, stopped, ended or restarted.
 	State  string `json:"state"`
 	Failed bool   `json:"failed,omitempty"`
 	Length int    `json:"length"`
