--- /dev/null
+++ b/ladderclaim/book_test.go
@@ -0,0 +1,203 @@
+package ladderclaim_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lacewingladder/ladderclaim"
+	"lacewingladder/laddermodel"
+)
+
+const lease = 3 * time.Second
+
+var start = time.Unix(1000, 0)
+
+func always(string) bool { return true }
+
+func never(string) bool { return false }
+
+// newBook returns a book of four workers in a rack of four seats.
+func newBook() *ladderclaim.Book {
+	b := ladderclaim.NewBook("a#1", lease)
+	var workers []laddermodel.Worker
+	for i := range 4 {
+		workers = append(workers, laddermodel.Worker{Name: fmt.Sprintf("w%d", i), Rack: "r"})
+	}
+	b.SetWorkers(start, workers)
+	b.SetSeats(map[string]int{"r": 4})
+	return b
+}
+
+// granted is the answer of a worker that has long been up and grants the claim.
+func granted(epoch uint64) ladderclaim.Answer {
+	return ladderclaim.Answer{
+		Granted: true, Holder: "a#1", Epoch: epoch, Boot: 1, Age: time.Hour, Until: time.Hour + lease,
+		Report: ladderclaim.Report{Epoch: epoch, At: time.Hour},
+	}
+}
+
+// claim sends the book's calls at a time and grants the first n of them.
+func claim(b *ladderclaim.Book, now time.Time, n int, epoch uint64) {
+	for i, call := range b.Tick(now, always, always) {
+		if i >= n {
+			b.Failed(now, call)
+			continue
+		}
+		b.Observe(now, call, granted(epoch))
+		b.Reported(call.Worker.Name, granted(epoch).Report)
+	}
+}
+
+func TestGrant(t *testing.T) {
+	tests := map[string]struct {
+		answer ladderclaim.Answer
+		report bool
+		after  time.Duration
+		want   bool
+	}{
+		"held":                     {answer: granted(1), report: true, want: true},
+		"nothing reported yet":     {answer: granted(1)},
+		"held by another":          {answer: ladderclaim.Answer{Holder: "b#1", Epoch: 1, Boot: 1}, report: true},
+		"just before the lease":    {answer: granted(1), report: true, after: 2960 * time.Millisecond, want: true},
+		"paused beyond the lease":  {answer: granted(1), report: true, after: 3 * time.Second},
+		"within the drift's bound": {answer: granted(1), report: true, after: 2975 * time.Millisecond},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newBook()
+			call := b.Tick(start, always, always)[0]
+			b.Observe(start.Add(50*time.Millisecond), call, tt.answer)
+			if tt.report {
+				b.Reported(call.Worker.Name, tt.answer.Report)
+			}
+			_, ok := b.Grant(start.Add(tt.after), call.Worker.Name)
+			require.Equal(t, tt.want, ok)
+		})
+	}
+}
+
+func TestLateAnswerDoesNotProlong(t *testing.T) {
+	b := newBook()
+	call := b.Tick(start, always, always)[0]
+	b.Observe(start.Add(2900*time.Millisecond), call, granted(1))
+	b.Reported("w0", granted(1).Report)
+	_, ok := b.Grant(start.Add(2990*time.Millisecond), "w0")
+	require.False(t, ok, "the lease counts from the sending, not from the answer")
+}
+
+func TestOlderAnswerIsStale(t *testing.T) {
+	b := newBook()
+	first := b.Tick(start, always, always)[0]
+	later := start.Add(lease)
+	second := b.Tick(later, always, always)[0]
+	require.Equal(t, ladderclaim.Begun, b.Observe(later, second, granted(2)))
+	require.Equal(t, ladderclaim.Stale, b.Observe(later, first, ladderclaim.Answer{Holder: "b#1", Epoch: 1, Boot: 1}))
+	require.Equal(t, "a#1", b.Holder("w0"))
+}
+
+func TestReleaseOnlyWhenFree(t *testing.T) {
+	b := newBook()
+	claim(b, start, 4, 1)
+	at := start.Add(lease / 2)
+	for _, call := range b.Tick(at, never, never) {
+		require.Equal(t, ladderclaim.Renew, call.Verb)
+	}
+	at = at.Add(lease)
+	claim(b, at, 4, 1)
+	at = at.Add(lease / 2)
+	calls := b.Tick(at, never, always)
+	require.Len(t, calls, 4)
+	for _, call := range calls {
+		require.Equal(t, ladderclaim.Release, call.Verb)
+		_, ok := b.Grant(at, call.Worker.Name)
+		require.False(t, ok, "nothing is placed on a worker that is being given up")
+	}
+}
+
+func TestHome(t *testing.T) {
+	tests := map[string]struct {
+		held int
+		want bool
+	}{
+		"all seats":      {held: 4, want: true},
+		"more than half": {held: 3, want: true},
+		"half":           {held: 2},
+		"none":           {},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newBook()
+			claim(b, start, tt.held, 1)
+			_, ok := b.Home(start, "r")
+			require.Equal(t, tt.want, ok)
+		})
+	}
+}
+
+func TestHomeNeedsWorkersThatAreUpForALease(t *testing.T) {
+	b := newBook()
+	for _, call := range b.Tick(start, always, always) {
+		a := granted(1)
+		a.Age = lease - 1
+		b.Observe(start, call, a)
+	}
+	_, ok := b.Home(start, "r")
+	require.False(t, ok, "a worker that restarted may have forgotten another's claim")
+}
+
+func TestTenure(t *testing.T) {
+	tests := map[string]struct {
+		epoch uint64
+		since time.Time
+	}{
+		"goes on when no other held the workers": {epoch: 1, since: start},
+		"begins anew after another holder":       {epoch: 3, since: start.Add(10 * time.Second)},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newBook()
+			claim(b, start, 4, 1)
+			_, ok := b.Home(start, "r")
+			require.True(t, ok)
+			later := start.Add(10 * time.Second)
+			_, ok = b.Home(later, "r")
+			require.False(t, ok, "the claims lapsed")
+			claim(b, later, 4, tt.epoch)
+			h, ok := b.Home(later, "r")
+			require.True(t, ok)
+			require.Equal(t, tt.since, h.Since)
+		})
+	}
+}
+
+func TestHandover(t *testing.T) {
+	tests := map[string]struct {
+		epoch   uint64
+		inherit bool
+	}{
+		"straight from the predecessor":  {epoch: 2, inherit: true},
+		"with another holder in between": {epoch: 3},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			old := newBook()
+			claim(old, start, 4, 1)
+			_, ok := old.Home(start, "r")
+			require.True(t, ok)
+			later := start.Add(time.Second)
+			h, ok := old.Give(later, "r")
+			require.True(t, ok)
+			_, ok = old.Home(later, "r")
+			require.False(t, ok, "a home that was given is not acted on")
+			b := newBook()
+			b.Take(h)
+			claim(b, later, 4, tt.epoch)
+			home, ok := b.Home(later, "r")
+			require.True(t, ok)
+			require.Equal(t, tt.inherit, home.Since.Equal(start))
+		})
+	}
+}
