--- /dev/null
+++ b/ladderaudit/check_test.go
@@ -0,0 +1,111 @@
+package ladderaudit_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lacewingladder/ladderaudit"
+)
+
+func event(at time.Duration, worker, name, task string) ladderaudit.Event {
+	return ladderaudit.Event{At: int64(at), Worker: worker, Event: name, Task: task, Kind: "urgent", Class: "booking", Slots: 1}
+}
+
+func gang(at time.Duration, task string) ladderaudit.Event {
+	e := event(at, "w", "start", task)
+	e.Kind = "gang"
+	return e
+}
+
+// TestEachRuleCatchesItsRecord feeds the checker one bad record for each rule,
+// and beside it the closest good one.
+func TestEachRuleCatchesItsRecord(t *testing.T) {
+	tests := map[string]struct {
+		rule string
+		bad  ladderaudit.Evidence
+		good ladderaudit.Evidence
+	}{
+		"over capacity": {
+			rule: "capacity",
+			bad:  ladderaudit.Evidence{Events: []ladderaudit.Event{event(1, "w", "start", "m/k1/q1.1"), event(2, "w", "start", "m/k2/q2.1")}},
+			good: ladderaudit.Evidence{Events: []ladderaudit.Event{event(1, "w", "start", "m/k1/q1.1"), event(2, "w", "end", "m/k1/q1.1"), event(3, "w", "start", "m/k2/q2.1")}},
+		},
+		"two places": {
+			rule: "place",
+			bad:  ladderaudit.Evidence{Events: []ladderaudit.Event{event(1, "w", "start", "q1.1"), event(2, "v", "start", "q1.2")}},
+			good: ladderaudit.Evidence{Events: []ladderaudit.Event{event(1, "w", "start", "q1.1"), event(2, "w", "stop", "q1.1"), event(3, "v", "start", "q1.2")}},
+		},
+		"twice": {
+			rule: "once",
+			bad:  ladderaudit.Evidence{Events: []ladderaudit.Event{event(1, "w", "start", "m/k/q1.1"), event(2, "w", "end", "m/k/q1.1"), event(3, "v", "start", "m/k/q2.1")}},
+			good: ladderaudit.Evidence{Events: []ladderaudit.Event{event(1, "w", "start", "m/k/q1.1"), event(2, "w", "end", "m/k/q1.1"), event(3, "v", "start", "m/l/q2.1")}},
+		},
+		"cut answer": {
+			rule: "answer",
+			bad:  ladderaudit.Evidence{Exchanges: []ladderaudit.Exchange{{Outcome: "ran", Want: "whole", Got: "who"}}},
+			good: ladderaudit.Evidence{Exchanges: []ladderaudit.Exchange{{Outcome: "ran", Want: "whole", Got: "whole"}}},
+		},
+		"another's answer": {
+			rule: "answer",
+			bad:  ladderaudit.Evidence{Exchanges: []ladderaudit.Exchange{{Outcome: "ran", Want: "mine", Got: "your"}}},
+			good: ladderaudit.Evidence{Exchanges: []ladderaudit.Exchange{{Outcome: "unknown", Want: "mine", Got: "a reason"}}},
+		},
+		"false notrun": {
+			rule: "notrun",
+			bad:  ladderaudit.Evidence{Events: []ladderaudit.Event{event(1, "w", "start", "q1.1")}, Exchanges: []ladderaudit.Exchange{{Request: "q1", Outcome: "notrun"}}},
+			good: ladderaudit.Evidence{Events: []ladderaudit.Event{event(1, "w", "refuse", "q1.1")}, Exchanges: []ladderaudit.Exchange{{Request: "q1", Outcome: "notrun"}}},
+		},
+		"false notrun of a key": {
+			rule: "notrun",
+			bad:  ladderaudit.Evidence{Events: []ladderaudit.Event{event(1, "w", "start", "m/k/q1.1")}, Exchanges: []ladderaudit.Exchange{{Request: "q2", Member: "m", Key: "k", Outcome: "notrun", Answered: time.Unix(0, 5)}}},
+			good: ladderaudit.Evidence{Events: []ladderaudit.Event{event(9, "w", "start", "m/k/q1.1")}, Exchanges: []ladderaudit.Exchange{{Request: "q2", Member: "m", Key: "k", Outcome: "notrun", Answered: time.Unix(0, 5)}}},
+		},
+		"work after leaving": {
+			rule: "leaving",
+			bad:  ladderaudit.Evidence{Events: []ladderaudit.Event{event(0, "w", "leave", ""), event(3*time.Second+1, "w", "start", "q1.1")}},
+			good: ladderaudit.Evidence{Events: []ladderaudit.Event{event(0, "w", "leave", ""), event(3*time.Second, "w", "start", "q1.1")}},
+		},
+		"gang in part": {
+			rule: "gang",
+			bad:  ladderaudit.Evidence{Events: []ladderaudit.Event{gang(1, "j/0/1"), gang(2, "j/0/2"), gang(3, "j/1/2")}},
+			good: ladderaudit.Evidence{Events: []ladderaudit.Event{gang(1, "j/0/1"), gang(2, "j/1/1")}},
+		},
+		"lost job": {
+			rule: "job",
+			bad:  ladderaudit.Evidence{Jobs: []ladderaudit.Job{{ID: "j", State: "queued"}}},
+			good: ladderaudit.Evidence{Jobs: []ladderaudit.Job{{ID: "j", State: "cancelled"}}},
+		},
+		"reverted configuration": {
+			rule: "configuration",
+			bad:  ladderaudit.Evidence{Versions: []ladderaudit.Seen{{VM: "e", Version: 2, At: time.Unix(1, 0)}, {VM: "e", Version: 1, At: time.Unix(2, 0)}}},
+			good: ladderaudit.Evidence{Versions: []ladderaudit.Seen{{VM: "e", Version: 2, At: time.Unix(2, 0)}, {VM: "e", Version: 1, At: time.Unix(1, 0)}}},
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			for _, e := range []*ladderaudit.Evidence{&tt.bad, &tt.good} {
+				e.Sizes = map[string]ladderaudit.Size{"w": {Slots: 1}, "v": {Slots: 1}}
+				e.Once = map[string]bool{"booking": true}
+				e.Grace = 3 * time.Second
+				if tt.rule != "once" {
+					e.Once = nil
+				}
+				if tt.rule == "gang" {
+					e.Sizes = nil
+				}
+			}
+			found := ladderaudit.Check(tt.bad)
+			require.Len(t, found, 1)
+			require.Equal(t, tt.rule, found[0].Rule)
+			require.Empty(t, ladderaudit.Check(tt.good))
+		})
+	}
+}
+
+func TestReadEventsNamesTheBadLine(t *testing.T) {
+	_, err := ladderaudit.ReadEvents(strings.NewReader("{\"at\":1}\nnonsense\n"))
+	require.ErrorContains(t, err, "line 2")
+}
