Hand homes over without a gap

Ruled out: the inheritance of the tenure, which held wherever the claims passed straight on.

Change: a rack that was handed over is released at once and asked for every 50 ms by its successor; a VM that has just started says so and is no successor; a keyed request looks for its moving home for at most 600 ms, bounded by half its deadline.

--- a/ladderclaim/book.go
+++ b/ladderclaim/book.go
@@ -14,6 +14,10 @@
 // renewalsPerLease is how often a claim is renewed within one lease.
 const renewalsPerLease = 3
 
+// handedPart is the part of a lease after which a claim is asked for again on a
+// rack that was handed to this VM.
+const handedPart = 60
+
 // Book is one entry VM's record of its claims on workers.
 type Book struct {
 	self   string
@@ -103,11 +107,12 @@
 		}
 		held := c.holder == b.self && now.Before(c.expires)
 		want := wanted(c.worker.Rack)
-		if now.Before(c.next) || (!want && !held) {
+		giveUp := !want && held && free(c.worker.Rack)
+		if (now.Before(c.next) && !giveUp) || (!want && !held) {
 			continue
 		}
 		verb := Renew
-		if !want && free(c.worker.Rack) {
+		if giveUp {
 			verb = Release
 			c.expires = now
 		}
@@ -153,7 +158,7 @@
 	c.holder, c.epoch, c.boot, c.age, c.leaving = a.Holder, a.Epoch, a.Boot, a.Age, a.Leaving
 	if !a.Granted || call.Verb == Release {
 		c.expires, c.reported, c.since = time.Time{}, false, 0
-		c.next = now.Add(min(max(a.Left, b.lease/10), b.lease/renewalsPerLease))
+		c.next = now.Add(b.retryIn(c, a.Left))
 		return Lost
 	}
 	c.until = a.Until
@@ -165,6 +170,15 @@
 	return Renewed
 }
 
+// retryIn returns when to ask again for a claim that another VM has. A rack that
+// was handed to this VM comes free at any moment.
+func (b *Book) retryIn(c *claim, left time.Duration) time.Duration {
+	if _, ok := b.taken[c.worker.Rack]; ok {
+		return b.lease / handedPart
+	}
+	return min(max(left, b.lease/10), b.lease/renewalsPerLease)
+}
+
 // Failed records that a call had no answer, so that it is tried again soon.
 func (b *Book) Failed(now time.Time, call Call) {
 	if c, ok := b.claims[call.Worker.Name]; ok && call.Sent.Equal(c.sent) {
--- a/ladderclaim/book_test.go
+++ b/ladderclaim/book_test.go
@@ -193,7 +193,7 @@
 			_, ok = old.Home(later, "r")
 			require.False(t, ok, "a home that was given is not acted on")
 			b := newBook()
-			b.Take(h)
+			b.Take(later, h)
 			claim(b, later, 4, tt.epoch)
 			home, ok := b.Home(later, "r")
 			require.True(t, ok)
--- a/ladderclaim/home.go
+++ b/ladderclaim/home.go
@@ -86,7 +86,14 @@
 
 // Take records a handover to this VM. It counts once this VM becomes the home
 // with no other holder in between.
-func (b *Book) Take(h Handover) { b.taken[h.Rack] = h }
+func (b *Book) Take(now time.Time, h Handover) {
+	b.taken[h.Rack] = h
+	for _, c := range b.claims {
+		if c.worker.Rack == h.Rack {
+			c.next = now
+		}
+	}
+}
 
 // inherit returns since when this VM's tenure of a home counts. It is the
 // predecessor's when more than half of the seats passed straight from it.
--- a/laddercodec/mapping.go
+++ b/laddercodec/mapping.go
@@ -40,7 +40,7 @@
 	return beatWire{
 		Name: b.From.Name, Region: b.From.Region, Zone: b.From.Zone, Peers: b.From.Peers.String(),
 		Incarnation: b.Incarnation, Version: b.Version, Draining: b.Draining,
-		Digests: mapAll(b.Digests, fromDigest), Leaving: b.Leaving,
+		Digests: mapAll(b.Digests, fromDigest), Leaving: b.Leaving, Joining: b.Joining,
 	}
 }
 
@@ -52,7 +52,7 @@
 	return laddermessage.Beat{
 		From:        laddermodel.EntryVM{Name: w.Name, Region: w.Region, Zone: w.Zone, Peers: address},
 		Incarnation: w.Incarnation, Version: w.Version, Draining: w.Draining,
-		Digests: mapAll(w.Digests, toDigest), Leaving: w.Leaving,
+		Digests: mapAll(w.Digests, toDigest), Leaving: w.Leaving, Joining: w.Joining,
 	}, nil
 }
 
@@ -120,12 +120,14 @@
 func fromRequest(r laddermodel.Request) requestWire {
 	return requestWire{
 		ID: r.ID, Key: r.Key, Member: r.Member, Class: r.Class, Deadline: int64(r.Deadline), Body: r.Body,
+		Hops: r.Hops,
 	}
 }
 
 func toRequest(w requestWire) laddermodel.Request {
 	return laddermodel.Request{
 		ID: w.ID, Key: w.Key, Member: w.Member, Class: w.Class, Deadline: time.Duration(w.Deadline), Body: w.Body,
+		Hops: w.Hops,
 	}
 }
 
--- a/laddercodec/wire.go
+++ b/laddercodec/wire.go
@@ -45,6 +45,7 @@
 	Draining    bool
 	Digests     []digestWire
 	Leaving     []string
+	Joining     bool
 }
 
 type askWire struct {
@@ -94,6 +95,7 @@
 	Class    string
 	Deadline int64
 	Body     []byte
+	Hops     int
 }
 
 type answerWire struct {
--- a/ladderdispatch/dispatcher.go
+++ b/ladderdispatch/dispatcher.go
@@ -21,8 +21,12 @@
 const (
 	// homePause is the Retry-After when a key's home can not be reached.
 	homePause = time.Second
-	// maxForwards bounds how often a request is handed from home to home.
-	maxForwards = 2
+	// maxHops bounds how often a request is handed from VM to VM.
+	maxHops = 3
+	// homeWait is how long a request waits for its home while that moves, and
+	// homeLook the time between looks.
+	homeWait = 600 * time.Millisecond
+	homeLook = 20 * time.Millisecond
 )
 
 // Log takes a line for each decision.
@@ -131,7 +135,7 @@
 	if r.Key == "" {
 		return d.count(d.run(ctx, r, class, nil))
 	}
-	return d.count(d.keyed(ctx, r, class, 0))
+	return d.count(d.keyed(ctx, r, class))
 }
 
 // Accept carries a request that a peer forwarded, because this VM is its home.
@@ -141,7 +145,7 @@
 		return laddermodel.Answer{Outcome: laddermodel.NotRun, Reason: fmt.Sprintf("class %q is unknown", r.Class)}
 	}
 	d.retries.Earn()
-	return d.keyed(ctx, r, class, maxForwards)
+	return d.keyed(ctx, r, class)
 }
 
 func (d *Dispatcher) count(a laddermodel.Answer) laddermodel.Answer {
@@ -157,21 +161,45 @@
 }
 
 // keyed carries a request at its key's home, or hands it over.
-func (d *Dispatcher) keyed(ctx context.Context, r laddermodel.Request, class ladderconfig.Class, forwards int) laddermodel.Answer {
+func (d *Dispatcher) keyed(ctx context.Context, r laddermodel.Request, class ladderconfig.Class) laddermodel.Answer {
 	rack := ladderkey.Rack(r.Key, zones(d.config.Load()))
-	now := d.Clock.Now()
-	if _, ok := d.Room.Home(now, rack); ok {
-		return d.atHome(ctx, r, class, rack)
+	began := d.Clock.Now()
+	for {
+		now := d.Clock.Now()
+		if _, ok := d.Room.Home(now, rack); ok {
+			return d.atHome(ctx, r, class, rack)
+		}
+		if peer, ok := d.homeOf(now, rack); ok && r.Hops < maxHops {
+			d.counts.Forwards.Add(1)
+			d.Log.Info("forward to home", "request", r.ID, "rack", rack, "peer", peer, "hops", r.Hops)
+			r.Deadline -= now.Sub(began)
+			r.Hops++
+			return d.forward(ctx, r, peer)
+		}
+		if now.Sub(began) >= min(homeWait, r.Deadline/2) || !pause(ctx, homeLook) {
+			return homeless("the home of the key can not be reached; an earlier try may have run")
+		}
 	}
+}
+
+// homeOf returns the peer that is the home of a rack, as far as this VM knows.
+func (d *Dispatcher) homeOf(now time.Time, rack string) (peer string, ok bool) {
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	target, ok := d.router.Home(now, rack)
-	d.mu.Unlock()
-	if !ok || target.Holder == d.Name || forwards >= maxForwards {
-		return homeless("the home of the key can not be reached; an earlier try may have run")
+	return target.Holder, ok && target.Holder != d.Name
+}
+
+// pause waits, and returns false when ctx ends first.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
 	}
-	d.counts.Forwards.Add(1)
-	d.Log.Info("forward to home", "request", r.ID, "rack", rack, "peer", target.Holder)
-	return d.forward(ctx, r, target.Holder)
 }
 
 // forward hands a request to its home, a second time when the first message had
--- a/ladderholder/claim.go
+++ b/ladderholder/claim.go
@@ -124,10 +124,10 @@
 }
 
 // Take records a handover to this VM; see [ladderclaim.Book.Take].
-func (h *Holder) Take(o ladderclaim.Handover) {
+func (h *Holder) Take(now time.Time, o ladderclaim.Handover) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.claims.Take(o)
+	h.claims.Take(now, o)
 }
 
 // Held returns the racks of which this VM holds workers, in order.
--- a/laddermember/members.go
+++ b/laddermember/members.go
@@ -30,6 +30,8 @@
 	// Version is the number of the peer's configuration.
 	Version  uint64
 	Draining bool
+	// Joining is true while the peer holds no racks yet.
+	Joining bool
 	// Heard is when the peer was last heard, or zero.
 	Heard time.Time
 
@@ -87,7 +89,7 @@
 	}
 	p := m.peer(b.From.Name)
 	p.VM.Name, p.VM.Region, p.VM.Zone, p.VM.Peers = b.From.Name, b.From.Region, b.From.Zone, b.From.Peers
-	p.Incarnation, p.Version, p.Draining, p.Heard = b.Incarnation, b.Version, b.Draining, now
+	p.Incarnation, p.Version, p.Draining, p.Joining, p.Heard = b.Incarnation, b.Version, b.Draining, b.Joining, now
 	delete(m.seeds, b.From.Peers)
 }
 
@@ -150,12 +152,15 @@
 // Wanted returns the entry VM that should hold a rack of this zone, in this VM's
 // view. It is empty while this VM has not listened long enough.
 func (m *Members) Wanted(now time.Time, rack string) string {
-	if now.Sub(m.born) < settleTime {
+	if m.Joining(now) {
 		return ""
 	}
 	return ladderkey.Highest(rack, m.zoneVMs(now))
 }
 
+// Joining reports whether this VM has not listened long enough to hold racks.
+func (m *Members) Joining(now time.Time) bool { return now.Sub(m.born) < settleTime }
+
 // Duty reports whether this VM should do a zone's single duty of that name.
 func (m *Members) Duty(now time.Time, name string) bool {
 	return ladderkey.Highest(name, m.zoneVMs(now)) == m.self.Name
@@ -170,7 +175,7 @@
 	}
 	for _, name := range m.names() {
 		p := m.peers[name]
-		if p.VM.Zone == m.self.Zone && m.live(now, p) && !p.Draining && !p.VM.Leaving {
+		if p.VM.Zone == m.self.Zone && m.live(now, p) && !p.Draining && !p.Joining && !p.VM.Leaving {
 			names = append(names, name)
 		}
 	}
--- a/laddermessage/message.go
+++ b/laddermessage/message.go
@@ -23,7 +23,9 @@
 	Version uint64
 	// Draining is true once the sender takes no new work.
 	Draining bool
-	Digests  []ladderplacement.Digest
+	// Joining is true while the sender has not listened long enough to hold racks.
+	Joining bool
+	Digests []ladderplacement.Digest
 	// Leaving names workers that were found to be leaving.
 	Leaving []string
 }
--- a/laddermodel/request.go
+++ b/laddermodel/request.go
@@ -90,6 +90,8 @@
 	// Deadline is the time left when the request was received.
 	Deadline time.Duration
 	Body     []byte
+	// Hops is how often entry VMs have handed the request on.
+	Hops int
 }
 
 // Answer is the scheduler's answer to a [Request].
--- a/ladderserver/handler.go
+++ b/ladderserver/handler.go
@@ -35,7 +35,7 @@
 		return laddermessage.Done{}, nil
 	case laddermessage.Move:
 		s.dispatch.Import(m.Records)
-		s.holder.Take(m.Handover)
+		s.holder.Take(now, m.Handover)
 		return laddermessage.Done{}, nil
 	case laddermessage.Ends:
 		return s.answerEnds(m), nil
--- a/ladderserver/membership.go
+++ b/ladderserver/membership.go
@@ -33,7 +33,7 @@
 	}
 	return laddermessage.Beat{
 		From: self, Incarnation: s.incarnation, Version: s.config.number(),
-		Draining: s.members.Draining(), Digests: s.holder.Digests(now), Leaving: s.holder.Leaving(),
+		Draining: s.members.Draining(), Joining: s.members.Joining(now), Digests: s.holder.Digests(now), Leaving: s.holder.Leaving(),
 	}
 }
 
