--- a/ladderclaim/book.go
+++ b/ladderclaim/book.go
@@ -1,6 +1,7 @@
 package ladderclaim
 
 import (
+	"iter"
 	"sort"
 	"time"
 
@@ -23,8 +24,10 @@
 	self   string
 	lease  time.Duration
 	claims map[string]*claim
-	seats  map[string]int
-	homes  map[string]*home
+	// order holds the claims by the names of their workers.
+	order []*claim
+	seats map[string]int
+	homes map[string]*home
 	// taken holds the handovers to this VM that have not counted yet.
 	taken map[string]Handover
 }
@@ -85,6 +88,11 @@
 			delete(b.claims, name)
 		}
 	}
+	b.order = b.order[:0]
+	for _, c := range b.claims {
+		b.order = append(b.order, c)
+	}
+	sort.Slice(b.order, func(i, j int) bool { return b.order[i].worker.Name < b.order[j].worker.Name })
 }
 
 // SetSeats states how many workers each rack is built for.
@@ -100,8 +108,7 @@
 // given up.
 func (b *Book) Tick(now time.Time, wanted, free func(rack string) bool) []Call {
 	var calls []Call
-	for _, name := range b.names() {
-		c := b.claims[name]
+	for _, c := range b.order {
 		if c.waiting && now.Sub(c.sent) < b.lease {
 			continue
 		}
@@ -228,36 +235,31 @@
 	return ""
 }
 
-// Leaving reports whether the worker itself said that it wants no new work.
-func (b *Book) Leaving(worker string) bool {
-	c, ok := b.claims[worker]
-	return ok && c.leaving
+// Held is a worker whose claim this VM may rely on.
+type Held struct {
+	Worker *laddermodel.Worker
+	// Opened is true once the first report was taken in, so that tasks may be
+	// placed.
+	Opened bool
+	// Leaving is true when the worker itself said that it wants no new work.
+	Leaving bool
 }
 
-// Held returns the workers whose claims this VM may rely on, by name.
-func (b *Book) Held(now time.Time) []laddermodel.Worker {
-	var held []laddermodel.Worker
-	for _, name := range b.names() {
-		if c := b.claims[name]; b.valid(now, c) {
-			held = append(held, c.worker)
+// Held yields the workers whose claims this VM may rely on, by name.
+func (b *Book) Held(now time.Time) iter.Seq[Held] {
+	return func(yield func(Held) bool) {
+		for _, c := range b.order {
+			if b.valid(now, c) && !yield(Held{Worker: &c.worker, Opened: c.reported, Leaving: c.leaving}) {
+				return
+			}
 		}
 	}
-	return held
 }
 
 func (b *Book) valid(now time.Time, c *claim) bool {
 	return c.holder == b.self && now.Before(c.expires)
 }
 
-func (b *Book) names() []string {
-	names := make([]string, 0, len(b.claims))
-	for name := range b.claims {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	return names
-}
-
 // shorten returns the part of a lease that a holder may rely on.
 func shorten(lease time.Duration) time.Duration {
 	return lease - lease*DriftPerMille/1000
--- a/ladderdispatch/run.go
+++ b/ladderdispatch/run.go
@@ -162,6 +162,11 @@
 func (t *trip) release(e ladderholder.End) {
 	e.Worker, e.Task, e.Source = t.room.Worker.Name, t.room.Task, t.class.Name
 	t.d.release(t.room.Holder, e)
+	if t.room.Holder != t.d.Name {
+		t.d.mu.Lock()
+		defer t.d.mu.Unlock()
+		t.d.router.Ended(t.room.Worker.Rack, t.class.Size)
+	}
 }
 
 // release tells a holder of the end of a task's need for room.
--- a/ladderholder/claim.go
+++ b/ladderholder/claim.go
@@ -136,10 +136,10 @@
 	defer h.mu.Unlock()
 	seen := map[string]bool{}
 	var racks []string
-	for _, w := range h.claims.Held(now) {
-		if !seen[w.Rack] {
-			seen[w.Rack] = true
-			racks = append(racks, w.Rack)
+	for x := range h.claims.Held(now) {
+		if rack := x.Worker.Rack; !seen[rack] {
+			seen[rack] = true
+			racks = append(racks, rack)
 		}
 	}
 	sort.Strings(racks)
@@ -153,9 +153,9 @@
 	defer h.mu.Unlock()
 	at := sort.Search(len(h.finished), func(i int) bool { return h.finished[i].Seq > after })
 	ends = append(ends, h.finished[at:]...)
-	for _, w := range h.claims.Held(now) {
-		if h.claims.Opened(w.Name) {
-			held = append(held, w.Name)
+	for x := range h.claims.Held(now) {
+		if x.Opened {
+			held = append(held, x.Worker.Name)
 		}
 	}
 	return ends, held
@@ -166,10 +166,10 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	running := map[string]string{}
-	for _, w := range h.claims.Held(now) {
-		for _, it := range h.ledger.Items(w.Name) {
+	for x := range h.claims.Held(now) {
+		for _, it := range h.ledger.Items(x.Worker.Name) {
 			if it.Kind != laddermodel.Urgent {
-				running[it.Task] = w.Name
+				running[it.Task] = x.Worker.Name
 			}
 		}
 	}
@@ -193,8 +193,9 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	racks := map[string]*ladderplacement.Digest{}
-	for _, w := range h.claims.Held(now) {
-		if !h.claims.Opened(w.Name) {
+	for x := range h.claims.Held(now) {
+		w := x.Worker
+		if !x.Opened {
 			continue
 		}
 		d, ok := racks[w.Rack]
@@ -205,7 +206,7 @@
 			}
 			racks[w.Rack] = d
 		}
-		if h.closed(w) || h.judge.Suspect(w.Name) || h.stopping {
+		if h.closed(x) || h.judge.Suspect(w.Name) || h.stopping {
 			continue
 		}
 		free := h.ledger.Free(w.Name)
@@ -234,10 +235,10 @@
 func (h *Holder) Slots(now time.Time) (used, all int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for _, w := range h.claims.Held(now) {
-		if h.claims.Opened(w.Name) {
-			used += h.ledger.Used(w.Name).Slots
-			all += w.Size.Slots
+	for x := range h.claims.Held(now) {
+		if x.Opened {
+			used += h.ledger.Used(x.Worker.Name).Slots
+			all += x.Worker.Size.Slots
 		}
 	}
 	return used, all
--- a/ladderholder/holder.go
+++ b/ladderholder/holder.go
@@ -44,7 +44,9 @@
 	drained  map[string]bool
 	leaving  map[string]bool
 	finished []Finished
-	seq      uint64
+	// usable is the space of candidates, kept between decisions.
+	usable []ladderplacement.Candidate
+	seq    uint64
 	// stopping is true once this VM takes no new work.
 	stopping bool
 }
@@ -130,30 +132,31 @@
 	h.judge.Started(now, w.Name)
 	h.settleLoad(now)
 	h.log.Info("room set aside", "task", a.Task, "worker", w.Name, "epoch", grant.Epoch, "policy", a.Policy)
-	return laddermodel.Reservation{Task: a.Task, Worker: w, Grant: grant, Holder: h.name}, nil
+	return laddermodel.Reservation{Task: a.Task, Worker: *w, Grant: grant, Holder: h.name}, nil
 }
 
 // candidates returns the workers that may take the task, and how many are held.
+// The slice is valid until the next call.
 func (h *Holder) candidates(now time.Time, a Ask) (usable []ladderplacement.Candidate, held int) {
-	for _, w := range h.claims.Held(now) {
-		if a.Rack != "" && w.Rack != a.Rack {
-			continue
-		}
-		if !h.claims.Opened(w.Name) {
+	usable = h.usable[:0]
+	for x := range h.claims.Held(now) {
+		w := x.Worker
+		if !x.Opened || (a.Rack != "" && w.Rack != a.Rack) {
 			continue
 		}
 		held++
-		if w.Name == a.Avoid || h.closed(w) || !h.judge.Allows(now, w.Name) {
+		if w.Name == a.Avoid || h.closed(x) || !h.judge.Allows(now, w.Name) {
 			continue
 		}
 		usable = append(usable, ladderplacement.Candidate{Worker: w, Free: h.ledger.Free(w.Name)})
 	}
+	h.usable = usable
 	return usable, held
 }
 
 // closed reports whether a worker takes no new work.
-func (h *Holder) closed(w laddermodel.Worker) bool {
-	return w.Leaving || h.drained[w.Name] || h.leaving[w.Name] || h.claims.Leaving(w.Name)
+func (h *Holder) closed(x ladderclaim.Held) bool {
+	return x.Leaving || x.Worker.Leaving || h.drained[x.Worker.Name] || h.leaving[x.Worker.Name]
 }
 
 // short reports whether a batch task would take slots that urgent work needs.
--- a/ladderplacement/policy.go
+++ b/ladderplacement/policy.go
@@ -11,7 +11,7 @@
 
 // Candidate is a worker that may take a task.
 type Candidate struct {
-	Worker laddermodel.Worker
+	Worker *laddermodel.Worker
 	Free   laddermodel.Size
 }
 
--- a/ladderplacement/router.go
+++ b/ladderplacement/router.go
@@ -101,6 +101,14 @@
 	}
 }
 
+// Ended gives room back to a rack's digest for a task that was sent there and has
+// ended.
+func (r *Router) Ended(rack string, s laddermodel.Size) {
+	if k, ok := r.racks[rack]; ok {
+		k.sent = k.sent.Sub(s)
+	}
+}
+
 // Full records that a rack's holder had no room, until its next digest.
 func (r *Router) Full(rack string) {
 	if k, ok := r.racks[rack]; ok {
@@ -119,7 +127,8 @@
 
 // Route returns the holder to ask next for room of the given size. It prefers
 // its own zone, then other zones of its region, and goes to other regions only
-// when far allows it. Holders in tried are passed over.
+// when far allows it. When all look full it returns one of the own zone, where
+// the task may wait. Racks in tried are passed over.
 func (r *Router) Route(now time.Time, need laddermodel.Size, tried map[string]bool, far bool) (Target, bool) {
 	for ring := range 3 {
 		if ring == 2 && !far {
@@ -129,6 +138,9 @@
 			return target(k.digest), true
 		}
 	}
+	if k := r.choose(r.ring(now, 0, laddermodel.Size{}, tried)); k != nil {
+		return target(k.digest), true
+	}
 	return Target{}, false
 }
 
@@ -161,7 +173,7 @@
 		if r.distance(k.digest) != ring || tried[k.digest.Rack] || now.Sub(k.at) > staleAfter {
 			continue
 		}
-		if need.Fits(k.digest.Widest) && need.Fits(r.room(k)) {
+		if need == (laddermodel.Size{}) || (need.Fits(k.digest.Widest) && need.Fits(r.room(k))) {
 			usable = append(usable, k)
 		}
 	}
