Send fewer heartbeats, and at once when a home changes

Heartbeats to the own zone every 700 ms and to others every 2 s, digests without what the sender's name says already, and a heartbeat to all peers as soon as the set of homes changes.

--- a/laddercodec/mapping.go
+++ b/laddercodec/mapping.go
@@ -22,14 +22,21 @@
 	return laddermodel.Size{Slots: w.Slots, Millicores: w.Millicores, Memory: w.Memory, Accelerators: w.Accelerators}
 }
 
-func fromDigest(d ladderplacement.Digest) digestWire {
-	return digestWire{
-		Holder: d.Holder, Region: d.Region, Zone: d.Zone, Rack: d.Rack,
-		Free: fromSize(d.Free), Widest: fromSize(d.Widest), Home: d.Home, Waiting: int64(d.Waiting),
+// fromDigest leaves out what is the same as of the beat's sender.
+func fromDigest(from laddermodel.EntryVM, d ladderplacement.Digest) digestWire {
+	w := digestWire{
+		Rack: d.Rack, Free: fromSize(d.Free), Widest: fromSize(d.Widest), Home: d.Home, Waiting: int64(d.Waiting),
 	}
+	if d.Holder != from.Name || d.Region != from.Region || d.Zone != from.Zone {
+		w.Holder, w.Region, w.Zone = d.Holder, d.Region, d.Zone
+	}
+	return w
 }
 
-func toDigest(w digestWire) ladderplacement.Digest {
+func toDigest(beat beatWire, w digestWire) ladderplacement.Digest {
+	if w.Holder == "" {
+		w.Holder, w.Region, w.Zone = beat.Name, beat.Region, beat.Zone
+	}
 	return ladderplacement.Digest{
 		Holder: w.Holder, Region: w.Region, Zone: w.Zone, Rack: w.Rack,
 		Free: toSize(w.Free), Widest: toSize(w.Widest), Home: w.Home, Waiting: time.Duration(w.Waiting),
@@ -40,7 +47,8 @@
 	return beatWire{
 		Name: b.From.Name, Region: b.From.Region, Zone: b.From.Zone, Peers: b.From.Peers.String(),
 		Incarnation: b.Incarnation, Version: b.Version, Draining: b.Draining,
-		Digests: mapAll(b.Digests, fromDigest), Leaving: b.Leaving, Joining: b.Joining,
+		Digests: mapAll(b.Digests, func(d ladderplacement.Digest) digestWire { return fromDigest(b.From, d) }),
+		Leaving: b.Leaving, Joining: b.Joining,
 	}
 }
 
@@ -52,7 +60,8 @@
 	return laddermessage.Beat{
 		From:        laddermodel.EntryVM{Name: w.Name, Region: w.Region, Zone: w.Zone, Peers: address},
 		Incarnation: w.Incarnation, Version: w.Version, Draining: w.Draining,
-		Digests: mapAll(w.Digests, toDigest), Leaving: w.Leaving, Joining: w.Joining,
+		Digests: mapAll(w.Digests, func(d digestWire) ladderplacement.Digest { return toDigest(w, d) }),
+		Leaving: w.Leaving, Joining: w.Joining,
 	}, nil
 }
 
--- a/laddermember/members.go
+++ b/laddermember/members.go
@@ -12,11 +12,11 @@
 
 const (
 	// DeadAfter is the silence after which a peer does not count as live.
-	DeadAfter = 1500 * time.Millisecond
+	DeadAfter = 2 * time.Second
 	// nearBeat and farBeat are the times between heartbeats to peers of the own
 	// zone and of other zones.
-	nearBeat = 400 * time.Millisecond
-	farBeat  = time.Second
+	nearBeat = 700 * time.Millisecond
+	farBeat  = 2 * time.Second
 	// settleTime is how long a new process listens before it claims racks.
 	settleTime = time.Second
 	// forgetAfter is the silence after which an unlisted peer is forgotten.
@@ -120,6 +120,14 @@
 	return due
 }
 
+// Hurry makes heartbeats to all peers due at once, since something changed that
+// they should know.
+func (m *Members) Hurry() {
+	for _, p := range m.peers {
+		p.next = time.Time{}
+	}
+}
+
 // gap returns the time between heartbeats to a peer. Peers that are not live are
 // asked less often.
 func (m *Members) gap(now time.Time, p *Peer) time.Duration {
--- a/ladderserver/membership.go
+++ b/ladderserver/membership.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"strings"
 	"time"
 
 	"lacewingladder/laddermember"
@@ -14,17 +15,32 @@
 
 // beat sends the heartbeats that are due. It runs on the control goroutine.
 func (s *Server) beat(ctx context.Context, now time.Time) {
+	b := s.ownBeat(now)
+	if homes := homesOf(b); homes != s.homes {
+		s.homes = homes
+		s.members.Hurry()
+	}
 	due := s.members.Due(now)
 	if len(due) == 0 {
 		return
 	}
-	b := s.ownBeat(now)
 	s.dispatch.Learn(now, b.Digests)
 	for _, address := range due {
 		s.background.Go(func() { s.sendBeat(ctx, address, b) })
 	}
 }
 
+// homesOf names the racks of which a heartbeat's sender is the home.
+func homesOf(b laddermessage.Beat) string {
+	var homes []string
+	for _, d := range b.Digests {
+		if d.Home {
+			homes = append(homes, d.Rack)
+		}
+	}
+	return strings.Join(homes, " ")
+}
+
 // ownBeat returns this VM's heartbeat.
 func (s *Server) ownBeat(now time.Time) laddermessage.Beat {
 	self, err := s.self()
--- a/ladderserver/server.go
+++ b/ladderserver/server.go
@@ -75,7 +75,9 @@
 	// moving and moved hold the racks that are being given up, and those whose
 	// claims may be released. They belong to the control goroutine.
 	moving map[string]bool
-	moved  map[string]bool
+	// homes names the racks of which the peers know this VM to be the home.
+	homes string
+	moved map[string]bool
 	// control takes functions that the control goroutine runs.
 	control chan func()
 	ready   atomic.Bool
