--- a/ladderadmission/line.go
+++ b/ladderadmission/line.go
@@ -53,10 +53,13 @@
 	if len(l.tickets) >= maxWaiting || now.Add(wait).After(t.Latest) {
 		return wait, false
 	}
-	heap.Push(&l.tickets, t)
+	l.Join(t)
 	return wait, true
 }
 
+// Join adds a ticket whatever the predicted wait, for room that is known to come.
+func (l *Line) Join(t *Ticket) { heap.Push(&l.tickets, t) }
+
 // Departed records that a task ended and room came back.
 func (l *Line) Departed(now time.Time) {
 	if !l.last.IsZero() {
--- a/ladderdemo/load_test.go
+++ b/ladderdemo/load_test.go
@@ -13,7 +13,10 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/stretchr/testify/require"
 
+	"lacewingladder/ladderclock"
 	"lacewingladder/ladderdemo"
+	"lacewingladder/laddermodel"
+	"lacewingladder/laddertrace"
 )
 
 // BenchmarkPlacements measures placements end to end, with the platform, the
@@ -88,3 +91,48 @@
 		b.Errorf("outcome %s: %s", response.Header.Get("Ladder-Outcome"), answer)
 	}
 }
+
+// BenchmarkUrgentBesideBatch measures the wait of fit checks alone, and then with
+// batch work filling 95% of the slots, in one run, and reports both and their
+// ratio at the 99th percentile.
+func BenchmarkUrgentBesideBatch(b *testing.B) {
+	fleet, err := ladderdemo.Start(b.Context(), ladderdemo.Options{Dir: b.TempDir()})
+	require.NoError(b, err)
+	b.Cleanup(fleet.Close)
+	run := func(trace []laddertrace.Entry) laddertrace.Report {
+		meter := laddertrace.Measure(b.Context(), fleet.Operators())
+		report := laddertrace.Replay{Trace: trace, Targets: fleet.Callers(), Clock: ladderclock.System{}}.Run(b.Context())
+		report.Cost = meter.Stop(b.Context())
+		return report
+	}
+	urgent := ladderdemo.Urgent(12*time.Second, 4*time.Second)
+	for b.Loop() {
+		alone := run(urgent)
+		filled := run(append(ladderdemo.Fill(365, 20*time.Second), urgent...))
+		p99 := func(r laddertrace.Report) float64 {
+			return float64(r.Waits[0].P99) / float64(time.Millisecond)
+		}
+		require.Equal(b, laddermodel.Urgent, alone.Waits[0].Kind)
+		b.ReportMetric(p99(alone), "alone-p99-ms")
+		b.ReportMetric(p99(filled), "beside-p99-ms")
+		b.ReportMetric(p99(filled)/p99(alone), "ratio")
+		b.ReportMetric(100*filled.Cost.Peak, "peak-%")
+		b.ReportMetric(float64(len(alone.Differences)+len(filled.Differences)), "differences")
+	}
+}
+
+// BenchmarkRest measures what an idle fleet costs.
+func BenchmarkRest(b *testing.B) {
+	fleet, err := ladderdemo.Start(b.Context(), ladderdemo.Options{Dir: b.TempDir()})
+	require.NoError(b, err)
+	b.Cleanup(fleet.Close)
+	const rest = 12 * time.Second
+	for b.Loop() {
+		meter := laddertrace.Measure(b.Context(), fleet.Operators())
+		time.Sleep(rest)
+		c := meter.Stop(b.Context())
+		seconds := rest.Seconds() * float64(c.VMs)
+		b.ReportMetric(c.Calls/seconds, "calls/s/VM")
+		b.ReportMetric(c.PeerBytes/seconds, "peer-B/s/VM")
+	}
+}
--- a/ladderdemo/trace.go
+++ b/ladderdemo/trace.go
@@ -66,3 +66,36 @@
 	)
 	return laddertrace.Sort(trace)
 }
+
+// Urgent returns a trace of fit checks alone, at the demo's rate, that begins
+// after a pause.
+func Urgent(length, pause time.Duration) []laddertrace.Entry {
+	var trace []laddertrace.Entry
+	for _, e := range Trace(length) {
+		if e.Class == "fitcheck" {
+			e.At += pause
+			trace = append(trace, e)
+		}
+	}
+	return trace
+}
+
+// Fill returns a trace that fills slots with batch work of two teams at once.
+func Fill(slots int, run time.Duration) []laddertrace.Entry {
+	small := laddermodel.Size{Slots: 1, Millicores: 1000, Memory: 2 << 30}
+	var trace []laddertrace.Entry
+	for _, team := range []struct {
+		member, name string
+		quota        int
+	}{{"jadewing", "regrades", 192}, {"jadewing", "reconciliation", 128}, {"bureau", "archive", 128}} {
+		tasks := min(slots, team.quota)
+		slots -= tasks
+		if tasks > 0 {
+			trace = append(trace, laddertrace.Entry{
+				Member: team.member, Kind: laddermodel.Batch, Team: team.name, Size: small, Tasks: tasks,
+				Run: run, Estimate: run,
+			})
+		}
+	}
+	return trace
+}
--- a/ladderholder/holder.go
+++ b/ladderholder/holder.go
@@ -43,7 +43,10 @@
 	seed     uint64
 	drained  map[string]bool
 	leaving  map[string]bool
-	finished []Finished
+	// victims and preempted are the batch tasks that make room.
+	victims   chan Victim
+	preempted map[string]bool
+	finished  []Finished
 	// usable is the space of candidates, kept between decisions.
 	usable []ladderplacement.Candidate
 	seq    uint64
@@ -62,6 +65,8 @@
 		seed:     seed,
 		drained:  map[string]bool{},
 		leaving:  map[string]bool{},
+
+		victims: make(chan Victim, maxVictims), preempted: map[string]bool{},
 	}
 }
 
--- a/ladderholder/wait.go
+++ b/ladderholder/wait.go
@@ -35,6 +35,10 @@
 		}
 		return err == nil
 	}
+	if a.Patience > 0 && h.preempt(now, a) {
+		h.line.Join(t)
+		return room, &Waiter{Room: delivered, ticket: t}, nil
+	}
 	wait, ok := h.line.Offer(now, t)
 	if !ok {
 		h.log.Info("turned away", "task", a.Task, "wait", wait, "patience", a.Patience, "line", h.line.Len())
--- a/ladderproof/interleave_test.go
+++ b/ladderproof/interleave_test.go
@@ -208,7 +208,8 @@
 				running[keyOf(r.Task)]++
 			case ladderstand.EventEnd, ladderstand.EventStop:
 				running[keyOf(r.Task)]--
-			case ladderstand.EventClaim, ladderstand.EventLeave, ladderstand.EventRefuse, ladderstand.EventRevoke:
+			case ladderstand.EventClaim, ladderstand.EventLeave, ladderstand.EventRefuse, ladderstand.EventRevoke,
+				ladderstand.EventCheckpoint:
 			}
 		}
 	}
--- /dev/null
+++ b/ladderserver/preempt.go
@@ -0,0 +1,32 @@
+package ladderserver
+
+import (
+	"context"
+
+	"lacewingladder/ladderattempt"
+	"lacewingladder/ladderholder"
+)
+
+// preemptLoop checkpoints and stops the batch tasks that make room for urgent
+// work, until ctx ends.
+func (s *Server) preemptLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case v := <-s.holder.Victims():
+			s.background.Go(func() { s.preempt(ctx, v) })
+		}
+	}
+}
+
+// preempt stops one task, after a checkpoint that may fail.
+func (s *Server) preempt(ctx context.Context, v ladderholder.Victim) {
+	stopping, cancel := context.WithTimeout(ctx, revokeTime)
+	defer cancel()
+	if err := s.workers.Checkpoint(stopping, v.Worker, v.Task); err != nil {
+		s.logs.Part("preempt").Warn("no checkpoint", "task", v.Task, "err", err)
+	}
+	state, _ := s.workers.Revoke(stopping, v.Worker, v.Grant.Boot, v.Task)
+	s.holder.Stopped(s.clock.Now(), v, state != ladderattempt.Unreachable)
+}
--- a/ladderserver/server.go
+++ b/ladderserver/server.go
@@ -218,6 +218,7 @@
 	wait.Go(func() { s.peers.releaseLoop(serving) })
 	wait.Go(func() { s.jobs.commitLoop(serving) })
 	wait.Go(func() { s.leader.loop(serving) })
+	wait.Go(func() { s.preemptLoop(serving) })
 	wait.Go(func() { s.config.watchLoop(serving) })
 	s.logs.Part("server").Info("serving", "name", s.settings.Name, "zone", s.settings.Zone,
 		"callers", s.Callers(), "incarnation", s.incarnation)
--- a/ladderstand/record.go
+++ b/ladderstand/record.go
@@ -18,6 +18,8 @@
 	EventStop   Event = "stop"
 	EventRevoke Event = "revoke"
 	EventLeave  Event = "leave"
+	// EventCheckpoint tells that a running task's work was saved.
+	EventCheckpoint Event = "checkpoint"
 )
 
 // Record is one thing that happened on a worker.
--- a/ladderstand/serve.go
+++ b/ladderstand/serve.go
@@ -68,6 +68,7 @@
 	mux.HandleFunc("POST /tasks", s.start)
 	mux.HandleFunc("GET /tasks", s.look)
 	mux.HandleFunc("DELETE /tasks", s.revoke)
+	mux.HandleFunc("POST /checkpoint", s.checkpoint)
 	mux.HandleFunc("GET /records", s.records)
 	mux.HandleFunc("POST /switch", s.set)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -215,6 +216,10 @@
 	writeJSON(w, ladderworker.RevokeReply{State: s.worker.Look(r.URL.Query().Get("task"))})
 }
 
+func (s *Server) checkpoint(w http.ResponseWriter, r *http.Request) {
+	writeJSON(w, ladderworker.RevokeReply{State: s.worker.Checkpoint(r.URL.Query().Get("task"))})
+}
+
 func (s *Server) revoke(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	boot, err := strconv.ParseUint(query.Get("boot"), 10, 64)
--- a/ladderstand/worker.go
+++ b/ladderstand/worker.go
@@ -294,6 +294,17 @@
 	return "stopped", EndedTask{}
 }
 
+// Checkpoint records that a task's work was saved and returns the task's state.
+func (w *Worker) Checkpoint(name string) string {
+	state := w.Look(name)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if t, ok := w.running[name]; ok {
+		w.record(fromStart(EventCheckpoint, t.start, ""))
+	}
+	return state
+}
+
 // Look returns never, running, stopped or ended.
 func (w *Worker) Look(name string) string {
 	w.mu.Lock()
--- a/laddertrace/cost.go
+++ b/laddertrace/cost.go
@@ -25,6 +25,7 @@
 	done      sync.WaitGroup
 	samples   int
 	packing   float64
+	peak      float64
 }
 
 // totals are the sums of some metrics over all entry VMs.
@@ -41,6 +42,7 @@
 			if all := t["ladder_slots"]; all > 0 {
 				m.samples++
 				m.packing += t["ladder_slots_used"] / all
+				m.peak = max(m.peak, t["ladder_slots_used"]/all)
 			}
 		}
 	})
@@ -57,6 +59,7 @@
 	return &Cost{
 		VMs:       len(m.operators),
 		Packing:   m.packing / float64(max(1, m.samples)),
+		Peak:      m.peak,
 		Calls:     grew("ladder_store_calls_total"),
 		PeerBytes: grew("ladder_peer_sent_bytes_total"),
 		Attempts:  grew("ladder_attempts_total"),
--- a/laddertrace/report.go
+++ b/laddertrace/report.go
@@ -44,6 +44,8 @@
 	VMs int
 	// Packing is the mean share of the slots that were in use.
 	Packing float64
+	// Peak is the largest share of the slots that was in use.
+	Peak float64
 	// Calls is the number of calls to the platform's store.
 	Calls float64
 	// PeerBytes is the number of bytes between entry VMs.
@@ -114,7 +116,7 @@
 	}
 	if c := r.Cost; c != nil {
 		seconds := max(r.Took.Seconds(), 1e-9) * float64(max(1, c.VMs))
-		_, _ = fmt.Fprintf(out, "packing\t%.1f%% of slots in use on average\n", 100*c.Packing)
+		_, _ = fmt.Fprintf(out, "packing\t%.1f%% of slots in use on average, %.1f%% at the peak\n", 100*c.Packing, 100*c.Peak)
 		_, _ = fmt.Fprintf(out, "cost per VM\t%.2f store calls/s\t%.1f peer KB/s\n",
 			c.Calls/seconds, c.PeerBytes/seconds/1000)
 		_, _ = fmt.Fprintf(out, "attempts\t%.0f for %.0f requests\n", c.Attempts, c.Requests)
@@ -152,6 +154,7 @@
 type costWire struct {
 	VMs       int     `json:"vms"`
 	Packing   float64 `json:"packing"`
+	Peak      float64 `json:"peak"`
 	Calls     float64 `json:"calls"`
 	Bytes     float64 `json:"bytes"`
 	Attempts  float64 `json:"attempts"`
@@ -172,7 +175,7 @@
 	}
 	if c := r.Cost; c != nil {
 		out.Cost = &costWire{
-			VMs: c.VMs, Packing: c.Packing, Calls: c.Calls, Bytes: c.PeerBytes, Attempts: c.Attempts,
+			VMs: c.VMs, Packing: c.Packing, Peak: c.Peak, Calls: c.Calls, Bytes: c.PeerBytes, Attempts: c.Attempts,
 			Requests: c.Requests, Processor: milliseconds(c.Processor),
 		}
 	}
--- a/ladderworker/client.go
+++ b/ladderworker/client.go
@@ -215,6 +215,12 @@
 	return ladderattempt.Ended, ladderdispatch.Reply{Kind: ladderdispatch.Answered, Body: reply.Body}
 }
 
+// Checkpoint asks a worker to save what a task has done so far.
+func (c *Client) Checkpoint(ctx context.Context, w laddermodel.Worker, task string) error {
+	var reply RevokeReply
+	return exchange(ctx, c.pooled, http.MethodPost, address(w, "/checkpoint", task), nil, &reply)
+}
+
 // address returns the URL of a worker's call, about a task unless it is empty.
 func address(w laddermodel.Worker, path, task string) string {
 	u := url.URL{Scheme: "http", Host: w.Address.String(), Path: path}
--- a/ladderyaml/reader.go
+++ b/ladderyaml/reader.go
@@ -33,11 +33,14 @@
 type document struct {
 	file string
 	list ladderfinding.List
+	// broken is true when the document could not be read at all, so that missing
+	// keys are no findings of their own.
+	broken bool
 }
 
 // Parse returns a reader of the document's only value.
 func Parse(file string, data []byte) *Reader {
-	d := &document{file: file}
+	d := &document{file: file, broken: true}
 	r := &Reader{doc: d}
 	if len(data) > MaxBytes {
 		d.list.Add(ladderfinding.Place{File: file}, "the document has %d bytes; at most %d are read", len(data), MaxBytes)
@@ -45,7 +48,8 @@
 	}
 	var root yaml.Node
 	if err := yaml.Unmarshal(data, &root); err != nil {
-		d.list.Add(syntaxPlace(file, err), "%s", strings.TrimPrefix(err.Error(), "yaml: "))
+		place, text := syntaxError(file, err)
+		d.list.Add(place, "%s", text)
 		return r
 	}
 	if len(root.Content) != 1 {
@@ -57,6 +61,7 @@
 			"the document uses aliases or is nested more than %d deep", maxDepth)
 		return r
 	}
+	d.broken = false
 	return d.reader(root.Content[0], "")
 }
 
@@ -73,18 +78,19 @@
 	return true
 }
 
-// syntaxPlace takes the line out of a syntax error's text.
-func syntaxPlace(file string, err error) ladderfinding.Place {
+// syntaxError takes a syntax error apart into its place and its text.
+func syntaxError(file string, err error) (ladderfinding.Place, string) {
 	place := ladderfinding.Place{File: file, Line: 1, Column: 1}
-	_, after, found := strings.Cut(err.Error(), "line ")
+	text := strings.TrimPrefix(err.Error(), "yaml: ")
+	after, found := strings.CutPrefix(text, "line ")
 	if !found {
-		return place
+		return place, text
 	}
-	digits, _, _ := strings.Cut(after, ":")
+	digits, rest, _ := strings.Cut(after, ": ")
 	if line, err := strconv.Atoi(digits); err == nil {
-		place.Line = line
+		place.Line, text = line, rest
 	}
-	return place
+	return place, text
 }
 
 func (d *document) reader(n *yaml.Node, path string) *Reader {
@@ -154,7 +160,7 @@
 // Need is like Key, and finds fault with a missing value.
 func (r *Reader) Need(name string) *Reader {
 	k := r.Key(name)
-	if !k.Present() {
+	if !k.Present() && !r.doc.broken {
 		r.Fault("the key %q is missing", name)
 	}
 	return k
