--- /dev/null
+++ b/laddercodec/codec_bench_test.go
@@ -0,0 +1,44 @@
+package laddercodec_test
+
+import (
+	"fmt"
+	"testing"
+
+	"lacewingladder/laddercodec"
+	"lacewingladder/laddermessage"
+	"lacewingladder/laddermodel"
+	"lacewingladder/ladderplacement"
+)
+
+// BenchmarkBeat measures the encoding and decoding of a heartbeat with the racks
+// that one VM holds, and reports its size.
+func BenchmarkBeat(b *testing.B) {
+	for _, racks := range []int{0, 1, 2, 5} {
+		b.Run(fmt.Sprintf("racks=%d", racks), func(b *testing.B) {
+			beat := laddermessage.Beat{
+				From:        laddermodel.EntryVM{Name: "kaohsiung-a-e2", Region: "tw-south", Zone: "kaohsiung-a", Peers: address},
+				Incarnation: "01M8Z2E7ZPNA45FFE32F77BQCC", Version: 700,
+			}
+			for i := range racks {
+				beat.Digests = append(beat.Digests, ladderplacement.Digest{
+					Holder: beat.From.Name, Region: beat.From.Region, Zone: beat.From.Zone, Rack: fmt.Sprintf("kaohsiung-a-r%d", i),
+					Free:   laddermodel.Size{Slots: 40, Millicores: 160_000, Memory: 300 << 30},
+					Widest: laddermodel.Size{Slots: 7, Millicores: 30_000, Memory: 60 << 30}, Home: true, Waiting: 20_000_000,
+				})
+			}
+			size := 0
+			b.ReportAllocs()
+			for b.Loop() {
+				data, err := laddercodec.Encode(beat)
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(data)
+				if _, err := laddercodec.Decode(data); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(size), "bytes")
+		})
+	}
+}
--- a/laddercommand/command.go
+++ b/laddercommand/command.go
@@ -41,16 +41,16 @@
 	c.Register(c.FlagsCommand(), "")
 	c.Register(&version{streams: s}, "")
 	for _, x := range []subcommands.Command{&serve{streams: s}, &check{streams: s}, &keys{streams: s}} {
-		c.Register(x, "on an entry VM")
+		c.Register(x, "an entry VM")
 	}
 	for _, x := range []subcommands.Command{&apply{client: client{streams: s}}, &status{client: client{streams: s}}, &drain{client: client{streams: s}}} {
-		c.Register(x, "for operators")
+		c.Register(x, "operators")
 	}
 	for _, x := range []subcommands.Command{&submit{client: client{streams: s}}, &cancel{client: client{streams: s}}} {
-		c.Register(x, "for callers")
+		c.Register(x, "callers")
 	}
 	for _, x := range []subcommands.Command{&replay{streams: s}, &demo{streams: s}} {
-		c.Register(x, "for trying it out")
+		c.Register(x, "trying it out")
 	}
 	return c
 }
--- /dev/null
+++ b/laddercommand/command_test.go
@@ -0,0 +1,95 @@
+package laddercommand_test
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/subcommands"
+	"github.com/stretchr/testify/require"
+
+	"lacewingladder/laddercommand"
+)
+
+var update = flag.Bool("update", false, "write the golden files")
+
+// run runs a command line and returns its status and what it printed.
+func run(t *testing.T, args ...string) (subcommands.ExitStatus, string) {
+	t.Helper()
+	var out bytes.Buffer
+	top := flag.NewFlagSet("lacewingladder", flag.ContinueOnError)
+	top.SetOutput(&out)
+	commander := laddercommand.New(top, &out, &out)
+	require.NoError(t, top.Parse(args))
+	return commander.Execute(context.Background()), out.String()
+}
+
+// golden compares a text with a file under testdata.
+func golden(t *testing.T, name, got string) {
+	t.Helper()
+	file := filepath.Join("testdata", name+".txt")
+	if *update {
+		require.NoError(t, os.WriteFile(file, []byte(got), 0o600))
+	}
+	want, err := os.ReadFile(file)
+	require.NoError(t, err)
+	require.Equal(t, string(want), got)
+}
+
+const statusReply = `{"name":"taoyuan-a-e1","region":"tw-north","zone":"taoyuan-a","version":7,"ready":true,"store":"ok",
+"leader":"hsinchu-a-e2","peers":[
+{"name":"hsinchu-a-e2","zone":"hsinchu-a","version":7,"live":true,"heard":"400ms"},
+{"name":"kaohsiung-a-e1","zone":"kaohsiung-a","version":6,"live":false,"heard":"12.3s"},
+{"name":"taoyuan-a-e2","zone":"taoyuan-a","version":7,"live":true,"draining":true,"heard":"100ms"}],
+"racks":[{"name":"taoyuan-a-r1","zone":"taoyuan-a","holder":"taoyuan-a-e1","home":true,"free":41}],
+"workers":[{"name":"w1","zone":"taoyuan-a","rack":"taoyuan-a-r1"},{"name":"w2","zone":"taoyuan-a","rack":"taoyuan-a-r1","leaving":true}]}`
+
+func TestGolden(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(statusReply))
+	}))
+	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+	tests := map[string]struct {
+		args   []string
+		status subcommands.ExitStatus
+	}{
+		"help":   {args: []string{"help"}},
+		"check":  {args: []string{"check", "testdata/bad-fleet.yaml", "testdata/bad-entry.yaml", "testdata/bad-trace.jsonl"}, status: subcommands.ExitFailure},
+		"status": {args: []string{"status", "-to", address}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			status, out := run(t, tt.args...)
+			require.Equal(t, tt.status, status, out)
+			golden(t, name, out)
+		})
+	}
+}
+
+func TestExitStatus(t *testing.T) {
+	tests := map[string]struct {
+		args []string
+		want subcommands.ExitStatus
+	}{
+		"version":         {args: []string{"version"}, want: subcommands.ExitSuccess},
+		"no arguments":    {args: []string{"check"}, want: subcommands.ExitUsageError},
+		"missing flag":    {args: []string{"apply"}, want: subcommands.ExitUsageError},
+		"unknown command": {args: []string{"dance"}, want: subcommands.ExitUsageError},
+		"missing file":    {args: []string{"check", "testdata/none.yaml"}, want: subcommands.ExitFailure},
+		"valid files":     {args: []string{"check", "../examples/bureau/fleet.yaml", "../examples/bureau/chuo-e1.yaml"}, want: subcommands.ExitSuccess},
+		"nobody there":    {args: []string{"status", "-to", "127.0.0.1:1"}, want: subcommands.ExitFailure},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			status, out := run(t, tt.args...)
+			require.Equal(t, tt.want, status, out)
+		})
+	}
+}
--- /dev/null
+++ b/ladderpeer/peer_test.go
@@ -0,0 +1,109 @@
+package ladderpeer_test
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"lacewingladder/laddercert"
+	"lacewingladder/laddermessage"
+	"lacewingladder/ladderpeer"
+)
+
+var loopback = netip.MustParseAddrPort("127.0.0.1:0")
+
+// newTLS makes an authority of its own and returns the configuration of one VM.
+func newTLS(t *testing.T) *tls.Config {
+	t.Helper()
+	dir := t.TempDir() + "/keys"
+	require.NoError(t, laddercert.Make(dir, []string{"e"}, []netip.Addr{loopback.Addr()}, time.Now()))
+	config, err := laddercert.Load(laddercert.Paths(dir, "e"))
+	require.NoError(t, err)
+	return config
+}
+
+// handler answers looks: "slow" after a second, "bad" with an error.
+type handler struct{}
+
+func (handler) Handle(ctx context.Context, m laddermessage.Message) (laddermessage.Message, error) {
+	look, ok := m.(laddermessage.Look)
+	switch {
+	case !ok:
+		return nil, errors.New("no question")
+	case look.Job == "slow":
+		select {
+		case <-time.After(time.Second):
+		case <-ctx.Done():
+		}
+	case look.Job == "bad":
+		return nil, errors.New("no such job")
+	}
+	return laddermessage.Seen{Known: true, Reason: look.Job}, nil
+}
+
+// serve starts a server and returns its address.
+func serve(t *testing.T, config *tls.Config) netip.AddrPort {
+	t.Helper()
+	s, err := ladderpeer.Listen(loopback, config, handler{})
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		require.NoError(t, <-done)
+	})
+	address, err := s.Address()
+	require.NoError(t, err)
+	return address
+}
+
+func TestCall(t *testing.T) {
+	config := newTLS(t)
+	address := serve(t, config)
+	client := ladderpeer.NewClient(config)
+	defer client.Close()
+
+	answer, err := client.Call(t.Context(), address, laddermessage.Look{Job: "j"})
+	require.NoError(t, err)
+	require.Equal(t, laddermessage.Seen{Known: true, Reason: "j"}, answer)
+
+	_, err = client.Call(t.Context(), address, laddermessage.Look{Job: "bad"})
+	require.ErrorContains(t, err, "no such job")
+
+	short, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err = client.Call(short, address, laddermessage.Look{Job: "slow"})
+	require.Error(t, err)
+	require.NotErrorIs(t, err, ladderpeer.ErrUnsent, "the peer may have got it")
+
+	_, err = client.Call(t.Context(), address, laddermessage.Look{Job: "next"})
+	require.NoError(t, err, "a silent exchange does not spoil the next one")
+}
+
+func TestPeerWithAnotherAuthorityIsRefused(t *testing.T) {
+	address := serve(t, newTLS(t))
+	client := ladderpeer.NewClient(newTLS(t))
+	defer client.Close()
+	_, err := client.Call(t.Context(), address, laddermessage.Fetch{})
+	require.ErrorIs(t, err, ladderpeer.ErrUnsent)
+}
+
+func TestNobodyThere(t *testing.T) {
+	client := ladderpeer.NewClient(newTLS(t))
+	defer client.Close()
+	short, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	_, err := client.Call(short, netip.MustParseAddrPort("127.0.0.1:9"), laddermessage.Fetch{})
+	require.ErrorIs(t, err, ladderpeer.ErrUnsent)
+}
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
--- a/ladderplacement/policy.go
+++ b/ladderplacement/policy.go
@@ -61,17 +61,36 @@
 	})
 }
 
-// Pack picks the worker that is fullest once the task is placed, so that large
-// gaps stay whole. It keeps accelerators for tasks that need them.
+// Pack picks the worker whose resources are used most evenly once the task is
+// placed, and among such the fullest: what is left of one resource is of no use
+// when another has run out. It keeps accelerators for tasks that need them.
 type Pack struct{}
 
 // Pick implements [Policy].
 func (Pack) Pick(need laddermodel.Size, candidates []Candidate) int {
 	return best(need, candidates, func(c Candidate) float64 {
-		return fullness(need, c) - wasted(need, c)
+		return fullness(need, c) - unevenness*spreadOf(need, c) - wasted(need, c)
 	})
 }
 
+// unevenness is the weight of an even use of resources against a full worker.
+const unevenness = 4
+
+// spreadOf returns the difference between the most and the least used resource of
+// a worker with the task placed, as shares.
+func spreadOf(need laddermodel.Size, c Candidate) float64 {
+	used, whole := c.Worker.Size.Sub(c.Free).Add(need), c.Worker.Size
+	least, most := 1.0, 0.0
+	for _, share := range [...]float64{
+		float64(used.Slots) / float64(max(1, whole.Slots)),
+		float64(used.Millicores) / float64(max(1, whole.Millicores)),
+		float64(used.Memory) / float64(max(1, whole.Memory)),
+	} {
+		least, most = min(least, share), max(most, share)
+	}
+	return most - least
+}
+
 // First picks the first worker that fits.
 type First struct{}
 
--- /dev/null
+++ b/ladderplacement/router_test.go
@@ -0,0 +1,75 @@
+package ladderplacement_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lacewingladder/laddermodel"
+	"lacewingladder/ladderplacement"
+)
+
+var (
+	start = time.Unix(1000, 0)
+	one   = laddermodel.Size{Slots: 1}
+)
+
+func digest(rack, zone, region string, slots int) ladderplacement.Digest {
+	s := laddermodel.Size{Slots: slots}
+	return ladderplacement.Digest{Holder: "h-" + rack, Rack: rack, Zone: zone, Region: region, Free: s, Widest: s, Home: true}
+}
+
+func newRouter(digests ...ladderplacement.Digest) *ladderplacement.Router {
+	r := ladderplacement.NewRouter("north", "a", ladderplacement.Corrected, 1)
+	for _, d := range digests {
+		r.Learn(start, d)
+	}
+	return r
+}
+
+func TestRouteByDistance(t *testing.T) {
+	tests := map[string]struct {
+		digests []ladderplacement.Digest
+		far     bool
+		want    string
+	}{
+		"own zone first":          {digests: []ladderplacement.Digest{digest("a1", "a", "north", 1), digest("b1", "b", "north", 9)}, want: "a1"},
+		"then the own region":     {digests: []ladderplacement.Digest{digest("a1", "a", "north", 0), digest("b1", "b", "north", 1), digest("c1", "c", "south", 9)}, want: "b1"},
+		"then others, if allowed": {digests: []ladderplacement.Digest{digest("a1", "a", "north", 0), digest("c1", "c", "south", 1)}, far: true, want: "c1"},
+		"else the own zone waits": {digests: []ladderplacement.Digest{digest("a1", "a", "north", 0), digest("c1", "c", "south", 1)}, want: "a1"},
+		"nowhere":                 {digests: []ladderplacement.Digest{digest("c1", "c", "south", 1)}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			target, ok := newRouter(tt.digests...).Route(start, one, nil, tt.far)
+			require.Equal(t, tt.want != "", ok)
+			require.Equal(t, tt.want, target.Rack)
+		})
+	}
+}
+
+func TestSentWorkCountsUntilItEndsOrADigestComes(t *testing.T) {
+	r := newRouter(digest("a1", "a", "north", 2), digest("b1", "b", "north", 5))
+	route := func() string {
+		target, _ := r.Route(start, one, nil, false)
+		return target.Rack
+	}
+	r.Sent("a1", one)
+	require.Equal(t, "a1", route())
+	r.Sent("a1", one)
+	require.Equal(t, "b1", route(), "what was sent fills the zone")
+	r.Ended("a1", one)
+	require.Equal(t, "a1", route(), "what ended does not")
+	r.Sent("a1", one)
+	r.Learn(start, digest("a1", "a", "north", 1))
+	require.Equal(t, "a1", route(), "a digest replaces the guess")
+}
+
+func TestStaleDigestsAreNotUsed(t *testing.T) {
+	r := newRouter(digest("a1", "a", "north", 2))
+	_, ok := r.Home(start.Add(10*time.Second), "a1")
+	require.True(t, ok)
+	_, ok = r.Home(start.Add(10*time.Second+1), "a1")
+	require.False(t, ok)
+}
