Settle no task of an earlier leader by an end that was not its last

Cause of the task that ended twice in TestJobsOutliveTheQueuesLeader: the records of one run show task 35 preempted as attempt 1, run to its end as attempt 2, and started a second time as attempt 2 by the next leader. That one had read the old end of attempt 1, 'stopped', and took it for the end of the task. Ruled out before: the order of the questions and a victim that had ended by itself.

Change: a new leader settles an uncertain task only by a success; a stop or a failure of an earlier attempt leaves it uncertain until every worker is counted. TestEndOfAnEarlierAttemptSettlesNothingForANewLeader: 'Should be empty, but was [j/0/2]' before, passes after.

--- a/ladderkey/book.go
+++ b/ladderkey/book.go
@@ -10,7 +10,7 @@
 
 const (
 	// maxRecords bounds the number of keys that a book remembers.
-	maxRecords = 200_000
+	maxRecords = 100_000
 	// maxKept bounds the bytes of answers that a book keeps for repeated keys.
 	maxKept = 32 << 20
 	// movePause is the Retry-After while a home is moving.
--- a/ladderqueue/queue.go
+++ b/ladderqueue/queue.go
@@ -182,6 +182,11 @@
 	if !runs && !j.uncertain[i] {
 		return
 	}
+	if !runs && (e.Failed || e.Stopped) {
+		// The earlier leader may have started the task again since.
+		j.attempts[i] = max(j.attempts[i], attempt)
+		return
+	}
 	if runs {
 		q.remove(j, i)
 	}
--- a/ladderqueue/queue_test.go
+++ b/ladderqueue/queue_test.go
@@ -155,3 +155,25 @@
 	q.Ended("s/0/1", ladderqueue.End{Stopped: true})
 	require.Equal(t, []string{"s/0/2"}, plan(q, start, 9))
 }
+
+func TestEndOfAnEarlierAttemptSettlesNothingForANewLeader(t *testing.T) {
+	tests := map[string]struct {
+		end  ladderqueue.End
+		left int
+	}{
+		"stopped, perhaps started again": {end: ladderqueue.End{Stopped: true}, left: 1},
+		"failed, perhaps started again":  {end: ladderqueue.End{Failed: true}, left: 1},
+		"done":                           {end: ladderqueue.End{}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			q := ladderqueue.New()
+			q.Add(ladderjob.Record{State: ladderjob.Queued, Begun: 1, Job: ladderjob.Job{
+				ID: "j", Team: "a", Kind: laddermodel.Batch, Size: slot, Tasks: 1, Submitted: start,
+			}})
+			q.Ended("j/0/1", tt.end)
+			require.Empty(t, plan(q, start, 9))
+			require.Equal(t, tt.left, q.Uncertain())
+		})
+	}
+}
