Leave out of a worker's report what the holder has

Cause: docs/CAPACITY.md put renewals at 14 times the budget of bytes, since every report listed every task. A report now has a version that changes when a task begins or ends, the renewal names the version taken in, and the list is left out when it is the same.

--- a/ladderclaim/book.go
+++ b/ladderclaim/book.go
@@ -50,8 +50,9 @@
 	expires time.Time
 	// reported is true once a report of the present epoch was taken in.
 	reported bool
-	// since is the time of the newest report that was taken in.
+	// since and version are those of the newest report that was taken in.
 	since   time.Duration
+	version uint64
 	leaving bool
 }
 
@@ -126,7 +127,8 @@
 		c.waiting, c.sent = true, now
 		c.next = now.Add(b.lease / renewalsPerLease)
 		calls = append(calls, Call{
-			Worker: c.worker, Verb: verb, Holder: b.self, Epoch: c.epoch, Lease: b.lease, Since: c.since, Sent: now,
+			Worker: c.worker, Verb: verb, Holder: b.self, Epoch: c.epoch, Lease: b.lease, Since: c.since,
+			Version: c.version, Sent: now,
 		})
 	}
 	return calls
@@ -164,14 +166,15 @@
 	begun := a.Granted && (a.Boot != c.boot || a.Epoch != c.epoch)
 	c.holder, c.epoch, c.boot, c.age, c.leaving = a.Holder, a.Epoch, a.Boot, a.Age, a.Leaving
 	if !a.Granted || call.Verb == Release {
-		c.expires, c.reported, c.since = time.Time{}, false, 0
+		c.expires = time.Time{}
+		c.forget()
 		c.next = now.Add(b.retryIn(c, a.Left))
 		return Lost
 	}
 	c.until = a.Until
 	c.expires = call.Sent.Add(shorten(b.lease))
 	if begun {
-		c.reported, c.since = false, 0
+		c.forget()
 		return Begun
 	}
 	return Renewed
@@ -198,10 +201,15 @@
 func (b *Book) Reported(worker string, r Report) {
 	if c, ok := b.claims[worker]; ok && r.Epoch == c.epoch {
 		c.reported = true
-		c.since = max(c.since, r.At)
+		if r.At >= c.since {
+			c.since, c.version = r.At, r.Version
+		}
 	}
 }
 
+// forget drops what the reports of an earlier epoch said.
+func (c *claim) forget() { c.reported, c.since, c.version = false, 0, 0 }
+
 // Opened reports whether a report of a worker's present epoch was taken in.
 func (b *Book) Opened(worker string) bool {
 	c, ok := b.claims[worker]
--- a/ladderclaim/call.go
+++ b/ladderclaim/call.go
@@ -29,6 +29,8 @@
 	Lease time.Duration
 	// Since is the time of the newest report that the holder took in.
 	Since time.Duration
+	// Version is that of the newest report that the holder took in, or zero.
+	Version uint64
 	// Sent is the holder's time of sending.
 	Sent time.Time
 }
@@ -56,7 +58,12 @@
 	// Epoch is the worker's epoch when the report was made.
 	Epoch uint64
 	// At is when the report was made.
-	At      time.Duration
+	At time.Duration
+	// Version changes whenever a task begins or ends.
+	Version uint64
+	// Same is true when the version is the one that the call named. Running is
+	// then left out, since the holder has it.
+	Same    bool
 	Running []Running
 	// Ended lists tasks of jobs that ended after the call's Since.
 	Ended []Ended
--- a/ladderledger/ledger.go
+++ b/ladderledger/ledger.go
@@ -46,7 +46,7 @@
 // Open starts a worker's account afresh from the first report of a new epoch.
 // It returns false, and changes nothing, when the report is not of that epoch.
 func (l *Ledger) Open(w laddermodel.Worker, boot, epoch uint64, r ladderclaim.Report) bool {
-	if r.Epoch != epoch {
+	if r.Epoch != epoch || r.Same {
 		return false
 	}
 	if l.accounts == nil {
@@ -112,6 +112,7 @@
 	for task, e := range a.items {
 		t, runs := running[task]
 		switch {
+		case r.Same && e.seen:
 		case runs:
 			e.seen = true
 			a.observe(e, t.Memory)
--- a/ladderledger/ledger_test.go
+++ b/ladderledger/ledger_test.go
@@ -71,6 +71,8 @@
 		"not listed after the last start":   {reports: []ladderclaim.Report{report(5, until+1)}, freed: true},
 		"listed":                            {reports: []ladderclaim.Report{report(5, until+1, "a")}},
 		"listed, then gone":                 {reports: []ladderclaim.Report{report(5, 2*time.Second, "a"), report(5, 3*time.Second)}, freed: true},
+		"listed, and nothing changed since": {reports: []ladderclaim.Report{report(5, 2*time.Second, "a"), {Epoch: 5, At: until + 1, Same: true}}},
+		"never listed, and nothing changed": {reports: []ladderclaim.Report{{Epoch: 5, At: until + 1, Same: true}}, freed: true},
 		"gone in a report that is older":    {reports: []ladderclaim.Report{report(5, 3*time.Second, "a"), report(5, 2*time.Second)}},
 		"gone in a report of another epoch": {reports: []ladderclaim.Report{report(6, until+1)}},
 	}
--- a/ladderproof/world_test.go
+++ b/ladderproof/world_test.go
@@ -522,12 +522,14 @@
 	if call.Verb == ladderclaim.Release {
 		s = x.stand.Release(call.Holder)
 	} else {
-		s = x.stand.Claim(call.Holder, call.Lease, call.Since)
+		s = x.stand.Claim(call.Holder, call.Lease, call.Since, call.Version)
 	}
 	a := ladderclaim.Answer{
 		Granted: s.Granted, Holder: s.Holder, Epoch: s.Epoch, Boot: x.boot, Age: s.Age, Until: s.Until,
 		Left: s.Left, Leaving: s.Leaving,
-		Report: ladderclaim.Report{Epoch: s.Report.Epoch, At: s.Report.At},
+		Report: ladderclaim.Report{
+			Epoch: s.Report.Epoch, At: s.Report.At, Version: s.Report.Version, Same: s.Report.Same,
+		},
 	}
 	for _, t := range s.Report.Running {
 		a.Report.Running = append(a.Report.Running, ladderclaim.Running{Task: t.Task, Kind: t.Kind, Size: t.Size})
--- a/ladderstand/serve.go
+++ b/ladderstand/serve.go
@@ -97,7 +97,7 @@
 	if q.Release {
 		state = s.worker.Release(q.Holder)
 	} else {
-		state = s.worker.Claim(q.Holder, time.Duration(q.Lease), time.Duration(q.Since))
+		state = s.worker.Claim(q.Holder, time.Duration(q.Lease), time.Duration(q.Since), q.Version)
 	}
 	writeJSON(w, s.fromState(state))
 }
@@ -106,7 +106,9 @@
 	reply := ladderworker.ClaimReply{
 		Granted: c.Granted, Holder: c.Holder, Epoch: c.Epoch, Boot: s.worker.spec.Boot, Age: int64(c.Age),
 		Until: int64(c.Until), Left: int64(c.Left), Leaving: c.Leaving,
-		Report: ladderworker.ReportReply{Epoch: c.Report.Epoch, At: int64(c.Report.At)},
+		Report: ladderworker.ReportReply{
+			Epoch: c.Report.Epoch, At: int64(c.Report.At), Version: c.Report.Version, Same: c.Report.Same,
+		},
 	}
 	for _, t := range c.Report.Running {
 		reply.Report.Running = append(reply.Report.Running, ladderworker.RunningReply{
--- a/ladderstand/worker.go
+++ b/ladderstand/worker.go
@@ -53,8 +53,12 @@
 
 // Snapshot is a worker's report.
 type Snapshot struct {
-	Epoch   uint64
-	At      time.Duration
+	Epoch uint64
+	At    time.Duration
+	// Version changes whenever a task begins or ends.
+	Version uint64
+	// Same is true when Running is left out, since the holder has this version.
+	Same    bool
 	Running []Start
 	Ended   []EndedTask
 }
@@ -82,6 +86,7 @@
 	until     time.Duration
 	released  bool
 	leaving   bool
+	version   uint64
 	running   map[string]*task
 	ended     map[string]EndedTask
 	revoked   map[string]time.Duration
@@ -102,7 +107,7 @@
 func NewWorker(clock ladderclock.Clock, spec Spec) *Worker {
 	return &Worker{
 		spec: spec, clock: clock, born: clock.Now(),
-		running: map[string]*task{}, ended: map[string]EndedTask{}, revoked: map[string]time.Duration{},
+		version: 1, running: map[string]*task{}, ended: map[string]EndedTask{}, revoked: map[string]time.Duration{},
 	}
 }
 
@@ -113,7 +118,7 @@
 func (w *Worker) age() time.Duration { return w.clock.Now().Sub(w.born) }
 
 // Claim grants, renews or refuses the claim on the worker.
-func (w *Worker) Claim(holder string, lease, since time.Duration) ClaimState {
+func (w *Worker) Claim(holder string, lease, since time.Duration, version uint64) ClaimState {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := w.tick()
@@ -131,7 +136,7 @@
 	if w.holder == holder {
 		w.renewTasks(now)
 	}
-	return w.state(now, holder, since)
+	return w.state(now, holder, since, version)
 }
 
 // Release gives the claim up when holder has it.
@@ -142,7 +147,7 @@
 	if w.holder == holder {
 		w.released = true
 	}
-	s := w.state(now, holder, now)
+	s := w.state(now, holder, now, 0)
 	s.Granted, s.Left = false, 0
 	return s
 }
@@ -157,19 +162,20 @@
 	}
 }
 
-func (w *Worker) state(now time.Duration, holder string, since time.Duration) ClaimState {
+func (w *Worker) state(now time.Duration, holder string, since time.Duration, version uint64) ClaimState {
 	s := ClaimState{
 		Granted: w.holder == holder && !w.released, Holder: w.holder, Epoch: w.epoch, Age: now,
 		Until: w.until, Left: max(0, w.until-now), Leaving: w.leaving,
 	}
 	if s.Granted {
-		s.Report = w.report(now, since)
+		s.Report = w.report(now, since, version)
 	}
 	return s
 }
 
-// report returns the newest snapshot that is as old as the worker's lag.
-func (w *Worker) report(now, since time.Duration) Snapshot {
+// report returns the newest snapshot that is as old as the worker's lag, without
+// what the holder has already.
+func (w *Worker) report(now, since time.Duration, version uint64) Snapshot {
 	if w.spec.Lag == 0 {
 		w.snapshots = nil
 		w.snapshot(now)
@@ -180,6 +186,9 @@
 			s = old
 		}
 	}
+	if version != 0 && s.Version == version && s.Epoch == w.epoch {
+		s.Same, s.Running = true, nil
+	}
 	for _, e := range w.ended {
 		if e.Kind != laddermodel.Urgent && e.At > since && e.At <= s.At {
 			s.Ended = append(s.Ended, e)
@@ -191,7 +200,7 @@
 
 // snapshot remembers what runs now, for a later report.
 func (w *Worker) snapshot(now time.Duration) {
-	s := Snapshot{Epoch: w.epoch, At: now}
+	s := Snapshot{Epoch: w.epoch, At: now, Version: w.version}
 	for _, t := range w.running {
 		s.Running = append(s.Running, t.start)
 	}
@@ -226,6 +235,7 @@
 	}
 	t := &task{start: s, expires: now + s.Lease, stop: make(chan struct{})}
 	w.running[s.Task] = t
+	w.version++
 	w.used = w.used.Add(s.Size)
 	r := fromStart(EventStart, s, "")
 	r.Over = !w.used.Fits(w.spec.Size)
@@ -376,6 +386,7 @@
 func (w *Worker) finish(now time.Duration, t *task, e EndedTask) {
 	name := t.start.Task
 	delete(w.running, name)
+	w.version++
 	w.used = w.used.Sub(t.start.Size)
 	e.Task, e.Kind, e.At = name, t.start.Kind, now
 	w.ended[name] = e
--- a/ladderworker/client_bench_test.go
+++ b/ladderworker/client_bench_test.go
@@ -48,35 +48,40 @@
 // number of tasks on the worker, and reports the bytes of both directions.
 func BenchmarkClaim(b *testing.B) {
 	for _, tasks := range []int{0, 8, 64} {
-		b.Run(fmt.Sprintf("tasks=%d", tasks), func(b *testing.B) {
-			size := laddermodel.Size{Slots: 1, Millicores: 500, Memory: 1 << 30}
-			stand := ladderstand.NewWorker(ladderclock.System{}, ladderstand.Spec{Name: "w", Boot: 1, Size: size.Times(64)})
-			stand.Claim("vm#1", time.Hour, 0)
-			for i := range tasks {
-				stand.Start(ladderstand.Start{
-					Task: fmt.Sprintf("jadewing.01M8Z3B4HSHZTDB0N4XG21MTED/%d/1", i), Kind: laddermodel.Batch, Size: size,
-					Lease: time.Hour, Boot: 1, Epoch: 1, Until: time.Hour,
-				})
-			}
-			var bytes atomic.Int64
-			server := httptest.NewUnstartedServer(ladderstand.NewServer(stand).Handler())
-			server.Listener = counting{server.Listener, &bytes}
-			server.Start()
-			defer server.Close()
-			client := ladderworker.NewClient()
-			defer client.Close()
-			call := ladderclaim.Call{
-				Worker: laddermodel.Worker{Name: "w", Address: netip.MustParseAddrPort(server.Listener.Addr().String())},
-				Holder: "vm#1", Lease: time.Hour,
-			}
-			exchanges := 0
-			for b.Loop() {
-				if _, err := client.Claim(b.Context(), call, false); err != nil {
-					b.Fatal(err)
-				}
-				exchanges++
-			}
-			b.ReportMetric(float64(bytes.Load())/float64(exchanges), "bytes")
+		b.Run(fmt.Sprintf("tasks=%d", tasks), func(b *testing.B) { benchmarkClaim(b, tasks, 0) })
+		b.Run(fmt.Sprintf("tasks=%d/unchanged", tasks), func(b *testing.B) { benchmarkClaim(b, tasks, uint64(tasks)+1) })
+	}
+}
+
+// benchmarkClaim measures the renewal by a holder that has a version of the
+// report.
+func benchmarkClaim(b *testing.B, tasks int, version uint64) {
+	size := laddermodel.Size{Slots: 1, Millicores: 500, Memory: 1 << 30}
+	stand := ladderstand.NewWorker(ladderclock.System{}, ladderstand.Spec{Name: "w", Boot: 1, Size: size.Times(64)})
+	stand.Claim("vm#1", time.Hour, 0, 0)
+	for i := range tasks {
+		stand.Start(ladderstand.Start{
+			Task: fmt.Sprintf("jadewing.01M8Z3B4HSHZTDB0N4XG21MTED/%d/1", i), Kind: laddermodel.Batch, Size: size,
+			Lease: time.Hour, Boot: 1, Epoch: 1, Until: time.Hour,
 		})
 	}
+	var bytes atomic.Int64
+	server := httptest.NewUnstartedServer(ladderstand.NewServer(stand).Handler())
+	server.Listener = counting{server.Listener, &bytes}
+	server.Start()
+	defer server.Close()
+	client := ladderworker.NewClient()
+	defer client.Close()
+	call := ladderclaim.Call{
+		Worker: laddermodel.Worker{Name: "w", Address: netip.MustParseAddrPort(server.Listener.Addr().String())},
+		Holder: "vm#1", Lease: time.Hour, Version: version,
+	}
+	exchanges := 0
+	for b.Loop() {
+		if _, err := client.Claim(b.Context(), call, false); err != nil {
+			b.Fatal(err)
+		}
+		exchanges++
+	}
+	b.ReportMetric(float64(bytes.Load())/float64(exchanges), "bytes")
 }
--- a/ladderworker/wire.go
+++ b/ladderworker/wire.go
@@ -43,6 +43,7 @@
 	Release bool   `json:"release,omitempty"`
 	Lease   int64  `json:"lease"`
 	Since   int64  `json:"since,omitempty"`
+	Version uint64 `json:"version,omitempty"`
 }
 
 // ClaimReply is the answer to POST /claim.
@@ -62,6 +63,8 @@
 type ReportReply struct {
 	Epoch   uint64         `json:"epoch"`
 	At      int64          `json:"at"`
+	Version uint64         `json:"version"`
+	Same    bool           `json:"same,omitempty"`
 	Running []RunningReply `json:"running,omitempty"`
 	Ended   []EndedReply   `json:"ended,omitempty"`
 }
@@ -98,6 +101,7 @@
 func fromCall(c ladderclaim.Call) ClaimQuery {
 	return ClaimQuery{
 		Holder: c.Holder, Release: c.Verb == ladderclaim.Release, Lease: int64(c.Lease), Since: int64(c.Since),
+		Version: c.Version,
 	}
 }
 
@@ -107,7 +111,9 @@
 		Granted: r.Granted, Holder: r.Holder, Epoch: r.Epoch, Boot: r.Boot,
 		Age: time.Duration(r.Age), Until: time.Duration(r.Until), Left: time.Duration(r.Left),
 		Leaving: r.Leaving,
-		Report:  ladderclaim.Report{Epoch: r.Report.Epoch, At: time.Duration(r.Report.At)},
+		Report: ladderclaim.Report{
+			Epoch: r.Report.Epoch, At: time.Duration(r.Report.At), Version: r.Report.Version, Same: r.Report.Same,
+		},
 	}
 	for _, t := range r.Report.Running {
 		kind, err := laddermodel.ParseKind(t.Kind)
