Let a returned worker take work again, and the lease follow the configuration

Found on reading: a worker that was once leaving counted as leaving for ever, and peers told each other so in a circle; limits.lease was read and used nowhere; the members' jobs limit was read and enforced nowhere.

Now a VM passes on only what a worker told it itself, and forgets after 15 s (TestLeavingWorkerIsForgottenInTime); the lease is taken from the configuration; the jobs limit is gone until it is enforced. The usage sections of the packages follow the code again.

--- a/ladderadmission/doc.go
+++ b/ladderadmission/doc.go
@@ -13,7 +13,7 @@
 //		return retryAfter(wait)
 //	}
 //	// when room comes back:
-//	ticket, ok := line.Next(now)
+//	line.Serve(now)
 //
 // Neither type is safe for concurrent use; their owner holds the lock.
 package ladderadmission
--- a/ladderclaim/book.go
+++ b/ladderclaim/book.go
@@ -69,8 +69,8 @@
 	}
 }
 
-// Lease returns the length of the book's claims.
-func (b *Book) Lease() time.Duration { return b.lease }
+// SetLease changes the length of claims from their next renewal on.
+func (b *Book) SetLease(lease time.Duration) { b.lease = lease }
 
 // SetWorkers replaces the known workers. Claims on workers that are no longer
 // listed are kept until they lapse, since the list may be wrong.
@@ -172,7 +172,7 @@
 		return Lost
 	}
 	c.until = a.Until
-	c.expires = call.Sent.Add(shorten(b.lease))
+	c.expires = call.Sent.Add(shorten(call.Lease))
 	if begun {
 		c.forget()
 		return Begun
--- a/ladderclaim/doc.go
+++ b/ladderclaim/doc.go
@@ -25,8 +25,8 @@
 // The control goroutine drives a [Book] and carries its calls to the workers:
 //
 //	book := ladderclaim.NewBook("entry-1#7", 3*time.Second)
-//	book.SetWorkers(workers)
-//	for _, call := range book.Tick(clock.Now(), wanted) {
+//	book.SetWorkers(clock.Now(), workers)
+//	for _, call := range book.Tick(clock.Now(), wanted, free) {
 //		answer := send(call)
 //		book.Observe(clock.Now(), call, answer)
 //	}
--- a/ladderconfig/config.go
+++ b/ladderconfig/config.go
@@ -40,8 +40,6 @@
 // Member is a firm of the co-operative.
 type Member struct {
 	Name string
-	// Jobs bounds the member's jobs that have not ended.
-	Jobs int
 	// Tasks bounds the tasks of one job.
 	Tasks int
 }
--- a/ladderconfig/parse.go
+++ b/ladderconfig/parse.go
@@ -20,7 +20,6 @@
 	standardRetries   = 0.1
 	standardLink      = 256 << 10
 	standardTasklease = 30 * time.Second
-	standardJobs      = 10_000
 	standardTasks     = 5_000
 	standardDeadline  = 2 * time.Second
 	standardShare     = 300 * time.Millisecond
@@ -111,7 +110,6 @@
 		checkName(m, n)
 		p.config.Members[n] = Member{
 			Name:  n,
-			Jobs:  m.Key("jobs").Count(standardJobs),
 			Tasks: m.Key("tasks").Count(standardTasks),
 		}
 		m.Done()
--- a/ladderholder/claim.go
+++ b/ladderholder/claim.go
@@ -29,8 +29,9 @@
 	if change == ladderclaim.Stale {
 		return
 	}
+	delete(h.leaving, name)
 	if a.Leaving {
-		h.leaving[name] = true
+		h.leaving[name] = now
 	}
 	switch change {
 	case ladderclaim.Lost:
@@ -176,13 +177,16 @@
 	return running
 }
 
-// Leaving returns the workers known to be leaving, by name.
-func (h *Holder) Leaving() []string {
+// Leaving returns the workers that said to this VM of late that they are leaving,
+// by name. What peers told is not passed on, so that it can be forgotten.
+func (h *Holder) Leaving(now time.Time) []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	names := make([]string, 0, len(h.leaving))
 	for n := range h.leaving {
-		names = append(names, n)
+		if recent(now, h.leaving, n) {
+			names = append(names, n)
+		}
 	}
 	sort.Strings(names)
 	return names
@@ -206,7 +210,7 @@
 			}
 			racks[w.Rack] = d
 		}
-		if h.closed(x) || h.judge.Suspect(w.Name) || h.stopping {
+		if h.closed(now, x) || h.judge.Suspect(w.Name) || h.stopping {
 			continue
 		}
 		free := h.ledger.Free(w.Name)
--- a/ladderholder/doc.go
+++ b/ladderholder/doc.go
@@ -9,7 +9,7 @@
 //
 // The control goroutine keeps the claims alive:
 //
-//	for _, call := range holder.Tick(now, wanted) {
+//	for _, call := range holder.Tick(now, wanted, free) {
 //		answer := send(call)
 //		holder.Observe(now, call, answer)
 //	}
--- a/ladderholder/holder.go
+++ b/ladderholder/holder.go
@@ -20,6 +20,9 @@
 	claimPause = time.Second
 	// maxFinished bounds the remembered ends of jobs' tasks.
 	maxFinished = 50_000
+	// leavingMemory is how long a worker counts as leaving after it was last said
+	// to be. The next one of its name is then taken for what it says itself.
+	leavingMemory = 15 * time.Second
 )
 
 // Log takes a line for each decision.
@@ -42,7 +45,10 @@
 	policies map[string]ladderplacement.Policy
 	seed     uint64
 	drained  map[string]bool
-	leaving  map[string]bool
+	// leaving holds the workers that said so to this VM, and told those that said
+	// so to a peer, with the time.
+	leaving map[string]time.Time
+	told    map[string]time.Time
 	// victims and preempted are the batch tasks that make room.
 	victims   chan Victim
 	preempted map[string]bool
@@ -64,7 +70,8 @@
 		policies: map[string]ladderplacement.Policy{},
 		seed:     seed,
 		drained:  map[string]bool{},
-		leaving:  map[string]bool{},
+		leaving:  map[string]time.Time{},
+		told:     map[string]time.Time{},
 
 		victims: make(chan Victim, maxVictims), preempted: map[string]bool{},
 	}
@@ -75,6 +82,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.claims.SetSeats(c.Seats())
+	h.claims.SetLease(c.Limits.Lease)
 	h.drained = c.Drained
 }
 
@@ -88,13 +96,13 @@
 	h.claims.SetWorkers(now, workers)
 }
 
-// SetLeaving records workers that some VM found leaving before the platform's
-// list said so.
-func (h *Holder) SetLeaving(names []string) {
+// SetLeaving records workers that a peer found leaving before the platform's list
+// said so.
+func (h *Holder) SetLeaving(now time.Time, names []string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, n := range names {
-		h.leaving[n] = true
+		h.told[n] = now
 	}
 }
 
@@ -150,7 +158,7 @@
 			continue
 		}
 		held++
-		if w.Name == a.Avoid || h.closed(x) || !h.judge.Allows(now, w.Name) {
+		if w.Name == a.Avoid || h.closed(now, x) || !h.judge.Allows(now, w.Name) {
 			continue
 		}
 		usable = append(usable, ladderplacement.Candidate{Worker: w, Free: h.ledger.Free(w.Name)})
@@ -160,8 +168,15 @@
 }
 
 // closed reports whether a worker takes no new work.
-func (h *Holder) closed(x ladderclaim.Held) bool {
-	return x.Leaving || x.Worker.Leaving || h.drained[x.Worker.Name] || h.leaving[x.Worker.Name]
+func (h *Holder) closed(now time.Time, x ladderclaim.Held) bool {
+	name := x.Worker.Name
+	return x.Leaving || x.Worker.Leaving || h.drained[name] || recent(now, h.leaving, name) || recent(now, h.told, name)
+}
+
+// recent reports whether a worker was said to be leaving of late.
+func recent(now time.Time, said map[string]time.Time, worker string) bool {
+	at, ok := said[worker]
+	return ok && now.Sub(at) < leavingMemory
 }
 
 // short reports whether a batch task would take slots that urgent work needs.
@@ -190,7 +205,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if e.Leaving {
-		h.leaving[e.Worker] = true
+		h.leaving[e.Worker] = now
 	}
 	if e.Fenced {
 		h.claims.Lapse(now, e.Worker)
--- /dev/null
+++ b/ladderholder/leaving_test.go
@@ -0,0 +1,31 @@
+package ladderholder_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lacewingladder/ladderholder"
+	"lacewingladder/ladderlog"
+	"lacewingladder/laddermodel"
+)
+
+func TestLeavingWorkerIsForgottenInTime(t *testing.T) {
+	tests := map[string]struct {
+		after time.Duration
+		want  bool
+	}{
+		"just told": {},
+		"long ago":  {after: 15 * time.Second, want: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			h, now := newHolder(1, ladderlog.Discard().Part("holder"))
+			h.SetLeaving(now, []string{"w0000"})
+			_, err := h.Reserve(now.Add(tt.after), ladderholder.Ask{Task: "t", Size: laddermodel.Size{Slots: 1}, Policy: "first"})
+			require.Equal(t, tt.want, err == nil, "the next worker of that name may take work")
+			require.Empty(t, h.Leaving(now), "what a peer told is not passed on")
+		})
+	}
+}
--- a/ladderkey/doc.go
+++ b/ladderkey/doc.go
@@ -14,7 +14,7 @@
 //
 // # Usage
 //
-//	key := ladderkey.Mint(now, "taoyuan-a", entropy)
+//	key, err := ladderkey.Mint(now, "taoyuan-a", entropy)
 //	rack := ladderkey.Rack(key, zones)
 //	verdict := book.Begin(now, home, ladderkey.Claim{Key: key, Member: member})
 //	if verdict.Act == ladderkey.Run {
--- a/ladderledger/doc.go
+++ b/ladderledger/doc.go
@@ -12,11 +12,11 @@
 // An account opens with the first report of a new epoch and is kept up with the
 // later ones:
 //
-//	ledger.Open(worker, report, boot)
+//	ledger.Open(worker, boot, epoch, report)
 //	if ledger.Reserve(worker.Name, item) {
 //		// send the start
 //	}
-//	ended := ledger.Reconcile(worker.Name, boot, report)
+//	gone := ledger.Reconcile(worker.Name, boot, report)
 //
 // A Ledger is not safe for concurrent use; its owner holds the lock.
 package ladderledger
--- a/laddermember/doc.go
+++ b/laddermember/doc.go
@@ -7,8 +7,8 @@
 //
 // # Usage
 //
-//	members := laddermember.New(self, incarnation, now)
-//	members.SetListing(listing.Entries)
+//	members := laddermember.New(self, now)
+//	members.SetListing(now, listing.Entries)
 //	members.Heard(now, beat)
 //	if members.Wanted(now, rack) == self.Name {
 //		// try to hold the rack
--- a/ladderplacement/doc.go
+++ b/ladderplacement/doc.go
@@ -16,7 +16,7 @@
 //	}
 //
 //	router.Learn(now, digest)
-//	target, ok := router.Route(now, task, excluded)
+//	target, ok := router.Route(now, task.Size, tried, class.Far)
 //
 // Random choices come from a seeded generator, so that a run can be repeated.
 package ladderplacement
--- a/ladderqueue/doc.go
+++ b/ladderqueue/doc.go
@@ -10,12 +10,12 @@
 // # Usage
 //
 //	queue := ladderqueue.New()
-//	queue.Add(record, false)
+//	queue.Add(record)
 //	for _, batch := range queue.Plan(now, config, room) {
 //		// reserve and start all of batch.Tasks, then:
 //		queue.Started(now, task, worker)
 //	}
-//	queue.Ended(now, task, ladderqueue.End{Known: true})
+//	queue.Ended(task, ladderqueue.End{})
 //
 // Before a task is started, the record that allows it must be durable: see
 // [Queue.Unsaved] and [Queue.Saved]. A Queue is not safe for concurrent use.
--- a/ladderserver/membership.go
+++ b/ladderserver/membership.go
@@ -49,7 +49,7 @@
 	}
 	return laddermessage.Beat{
 		From: self, Incarnation: s.incarnation, Version: s.config.number(),
-		Draining: s.members.Draining(), Joining: s.members.Joining(now), Digests: s.holder.Digests(now), Leaving: s.holder.Leaving(),
+		Draining: s.members.Draining(), Joining: s.members.Joining(now), Digests: s.holder.Digests(now), Leaving: s.holder.Leaving(now),
 	}
 }
 
@@ -77,7 +77,7 @@
 		return
 	}
 	s.members.Heard(now, b)
-	s.holder.SetLeaving(b.Leaving)
+	s.holder.SetLeaving(now, b.Leaving)
 	if b.Draining {
 		s.dispatch.Forget(b.From.Name)
 	}
--- a/ladderserver/status.go
+++ b/ladderserver/status.go
@@ -60,7 +60,7 @@
 		st.Store = "ok"
 	}
 	leaving := map[string]bool{}
-	for _, w := range s.holder.Leaving() {
+	for _, w := range s.holder.Leaving(now) {
 		leaving[w] = true
 	}
 	s.ask(ctx, func() {
--- a/ladderworker/doc.go
+++ b/ladderworker/doc.go
@@ -1,17 +1,18 @@
 // Package ladderworker speaks to workers over HTTP.
 //
-// A worker offers three calls. POST /claim asks for, prolongs or gives up the
+// A worker offers four calls. POST /claim asks for, prolongs or gives up the
 // claim on the worker, and brings its report. POST /tasks starts a task under a
 // grant; the worker says 102 once it has accepted the start, and answers when the
 // task has ended, or at once for tasks of jobs. DELETE /tasks makes sure that a
-// task does not run any more and says what had become of it.
+// task does not run any more and says what had become of it. POST /checkpoint
+// saves what a task has done so far.
 //
 // # Usage
 //
-//	client := ladderworker.NewClient(clock)
+//	client := ladderworker.NewClient()
 //	reply := client.Start(ctx, reservation, task, 300*time.Millisecond)
 //	if reply.Kind == ladderdispatch.Silent {
-//		state, reply := client.Revoke(ctx, reservation.Worker, task.ID)
+//		state, reply := client.Revoke(ctx, reservation.Worker, reservation.Grant.Boot, task.ID)
 //	}
 //
 // An answer is taken only when it names the task that was sent and is as long as
