Cut a zone off in a test, and answer at once for homes beyond a cut

Peers send from the address they listen on, and settings can name the address at which peers reach it, so that a test's relay stands between zones and knows who sends.

Now traffic forgets a peer as soon as it is not live.

--- a/ladderpeer/client.go
+++ b/ladderpeer/client.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -40,9 +41,11 @@
 // abandoned is the code with which a connection is given up.
 const abandoned quic.ApplicationErrorCode = 1
 
-// Client sends messages to peers. Create one with [NewClient].
+// Client sends messages to peers. Create one with [Server.Client], or with
+// [NewClient] for a client that is no peer itself.
 type Client struct {
 	tls   *tls.Config
+	dial  dialer
 	bytes Traffic
 
 	mu    sync.Mutex
@@ -55,11 +58,21 @@
 	Received atomic.Int64
 }
 
-// NewClient returns a client that presents the given certificate.
+// dialer opens a connection.
+type dialer func(ctx context.Context, to net.Addr, t *tls.Config, c *quic.Config) (*quic.Conn, error)
+
+// NewClient returns a client that presents the given certificate and sends from a
+// new address for each connection.
 func NewClient(t *tls.Config) *Client {
+	return newClient(t, func(ctx context.Context, to net.Addr, t *tls.Config, c *quic.Config) (*quic.Conn, error) {
+		return quic.DialAddr(ctx, to.String(), t, c)
+	})
+}
+
+func newClient(t *tls.Config, d dialer) *Client {
 	own := t.Clone()
 	own.NextProtos = []string{protocol}
-	return &Client{tls: own, conns: map[netip.AddrPort]*quic.Conn{}}
+	return &Client{tls: own, dial: d, conns: map[netip.AddrPort]*quic.Conn{}}
 }
 
 // Traffic returns the client's byte counts.
@@ -126,7 +139,7 @@
 	}
 	dialing, cancel := context.WithTimeout(ctx, dialTime)
 	defer cancel()
-	fresh, err := quic.DialAddr(dialing, peer.String(), c.tls, config())
+	fresh, err := c.dial(dialing, net.UDPAddrFromAddrPort(peer), c.tls, config())
 	if err != nil {
 		return nil, err
 	}
--- a/ladderpeer/doc.go
+++ b/ladderpeer/doc.go
@@ -11,7 +11,7 @@
 //	server, err := ladderpeer.Listen(address, tls, handler)
 //	go server.Serve(ctx)
 //
-//	client := ladderpeer.NewClient(tls)
+//	client := server.Client(tls)
 //	answer, err := client.Call(ctx, peer, laddermessage.Fetch{})
 //
 // An error that wraps [ErrUnsent] proves that the peer did not get the message.
--- a/ladderpeer/peer_test.go
+++ b/ladderpeer/peer_test.go
@@ -58,6 +58,7 @@
 	t.Cleanup(func() {
 		cancel()
 		require.NoError(t, <-done)
+		s.Close()
 	})
 	address, err := s.Address()
 	require.NoError(t, err)
--- a/ladderpeer/server.go
+++ b/ladderpeer/server.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/netip"
 	"sync"
 
@@ -23,23 +24,33 @@
 
 // Server takes the messages of peers. Create one with [Listen].
 type Server struct {
-	listener *quic.Listener
-	handler  Handler
-	bytes    Traffic
-	wait     sync.WaitGroup
+	transport *quic.Transport
+	listener  *quic.Listener
+	handler   Handler
+	bytes     Traffic
+	wait      sync.WaitGroup
 }
 
 // Listen opens a server's address.
 func Listen(address netip.AddrPort, t *tls.Config, h Handler) (*Server, error) {
 	own := t.Clone()
 	own.NextProtos = []string{protocol}
-	l, err := quic.ListenAddr(address.String(), own, config())
+	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
 	if err != nil {
 		return nil, fmt.Errorf("listen for peers: %w", err)
 	}
-	return &Server{listener: l, handler: h}, nil
+	transport := &quic.Transport{Conn: socket}
+	l, err := transport.Listen(own, config())
+	if err != nil {
+		_ = socket.Close()
+		return nil, fmt.Errorf("listen for peers: %w", err)
+	}
+	return &Server{transport: transport, listener: l, handler: h}, nil
 }
 
+// Client returns a client that sends from the server's own address.
+func (s *Server) Client(t *tls.Config) *Client { return newClient(t, s.transport.Dial) }
+
 // Traffic returns the server's byte counts.
 func (s *Server) Traffic() *Traffic { return &s.bytes }
 
@@ -112,4 +123,8 @@
 }
 
 // Close closes the server's address.
-func (s *Server) Close() { _ = s.listener.Close() }
+func (s *Server) Close() {
+	_ = s.listener.Close()
+	_ = s.transport.Close()
+	_ = s.transport.Conn.Close()
+}
--- a/ladderserver/membership.go
+++ b/ladderserver/membership.go
@@ -15,6 +15,7 @@
 
 // beat sends the heartbeats that are due. It runs on the control goroutine.
 func (s *Server) beat(ctx context.Context, now time.Time) {
+	s.forgetDead(now)
 	b := s.ownBeat(now)
 	if homes := homesOf(b); homes != s.homes {
 		s.homes = homes
@@ -30,6 +31,21 @@
 	}
 }
 
+// forgetDead makes traffic stop to ask peers that are not live any more.
+func (s *Server) forgetDead(now time.Time) {
+	live := map[string]bool{}
+	for _, name := range s.members.Live(now) {
+		live[name] = true
+	}
+	for name := range s.live {
+		if !live[name] {
+			s.logs.Part("members").Info("peer is silent", "peer", name)
+			s.dispatch.Forget(name)
+		}
+	}
+	s.live = live
+}
+
 // homesOf names the racks of which a heartbeat's sender is the home.
 func homesOf(b laddermessage.Beat) string {
 	var homes []string
--- a/ladderserver/server.go
+++ b/ladderserver/server.go
@@ -75,6 +75,8 @@
 	// moving and moved hold the racks that are being given up, and those whose
 	// claims may be released. They belong to the control goroutine.
 	moving map[string]bool
+	// live holds the peers that were live at the last turn.
+	live map[string]bool
 	// homes names the racks of which the peers know this VM to be the home.
 	homes string
 	moved map[string]bool
@@ -117,7 +119,12 @@
 	seed := mathrand.Uint64()
 	set := o.Settings
 	s.holder = ladderholder.New(set.Name, s.incarnation, bootLease, seed, o.Logs.Part("holder"))
-	s.peers = newPeers(ladderpeer.NewClient(o.TLS), o.Logs.Part("peer"))
+	var err error
+	if s.peerServer, err = ladderpeer.Listen(set.Listen.Peers, o.TLS, s); err != nil {
+		s.close()
+		return nil, err
+	}
+	s.peers = newPeers(s.peerServer.Client(o.TLS), o.Logs.Part("peer"))
 	s.dispatch = ladderdispatch.New(ladderdispatch.Options{
 		Name: set.Name, Region: set.Region, Zone: set.Zone, Clock: o.Clock, Room: s.holder, Peers: s.peers,
 		Workers: s.workers, Log: o.Logs.Part("dispatch"), Seed: seed, Rule: o.Rule,
@@ -129,7 +136,7 @@
 		Zone: set.Zone, Clock: o.Clock, Requests: s.dispatch, Jobs: s.jobs, Config: s.config.current,
 		Ready: s.isReady, Tokens: set.Tokens, Entropy: rand.Reader, Log: o.Logs.Part("gate"),
 	})
-	if err := s.listen(o.TLS); err != nil {
+	if err := s.listen(); err != nil {
 		s.close()
 		return nil, err
 	}
@@ -144,12 +151,9 @@
 	return s, nil
 }
 
-// listen opens the three addresses.
-func (s *Server) listen(t *tls.Config) error {
+// listen opens the addresses for callers and operators.
+func (s *Server) listen() error {
 	var err error
-	if s.peerServer, err = ladderpeer.Listen(s.settings.Listen.Peers, t, s); err != nil {
-		return err
-	}
 	if s.callers, err = open(s.settings.Listen.Callers, s.gate.Handler()); err != nil {
 		return eris.Wrap(err, "listen for callers")
 	}
@@ -198,6 +202,9 @@
 	if err != nil {
 		return laddermodel.EntryVM{}, err
 	}
+	if s.settings.Listen.Advertise.IsValid() {
+		address = s.settings.Listen.Advertise
+	}
 	return laddermodel.EntryVM{
 		Name: s.settings.Name, Region: s.settings.Region, Zone: s.settings.Zone, Peers: address,
 	}, nil
@@ -251,13 +258,15 @@
 			_ = l.net.Close()
 		}
 	}
-	if s.peerServer != nil {
-		s.peerServer.Close()
+	if s.peers != nil {
+		s.peers.client.Close()
 	}
-	s.peers.client.Close()
 	s.workers.Close()
 	s.store.Close()
 	s.lister.Close()
+	if s.peerServer != nil {
+		s.peerServer.Close()
+	}
 }
 
 // isReady reports whether this VM wants callers' requests.
--- a/laddersettings/settings.go
+++ b/laddersettings/settings.go
@@ -32,6 +32,8 @@
 	Callers   netip.AddrPort
 	Peers     netip.AddrPort
 	Operators netip.AddrPort
+	// Advertise is the address at which peers reach Peers, where it is another.
+	Advertise netip.AddrPort
 }
 
 // TLS are the files for messages between peers, in PEM.
@@ -94,6 +96,7 @@
 		}
 		seen[*f.into] = f.key
 	}
+	l.Advertise = r.Key("advertise").Address()
 	r.Done()
 	return l
 }
--- a/laddertest/cell_test.go
+++ b/laddertest/cell_test.go
@@ -91,13 +91,21 @@
 	workers  []*process
 	entries  []*entry
 	client   *http.Client
+	// cut, if any, stands between the zones.
+	cut *cut
 }
 
 // startCell starts a platform, six entry VMs and perRack workers in each of six
 // racks, and waits until they serve.
 func startCell(t *testing.T, perRack int) *cell {
 	t.Helper()
-	c := &cell{t: t, dir: t.TempDir(), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+	return startCutCell(t, perRack, nil)
+}
+
+// startCutCell is startCell with a cut between the zones that can be opened.
+func startCutCell(t *testing.T, perRack int, between *cut) *cell {
+	t.Helper()
+	c := &cell{t: t, dir: t.TempDir(), cut: between, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
 	t.Cleanup(c.client.CloseIdleConnections)
 	c.platform = c.start("platform", "ladderstand", "platform")
 	for _, z := range zones {
@@ -166,16 +174,20 @@
 func (c *cell) startEntry(z zone, name string) *entry {
 	c.t.Helper()
 	callers, peers, operators := freePort(c.t, "tcp"), freePort(c.t, "udp"), freePort(c.t, "tcp")
+	platform, advertise := c.platform.address, peers
+	if c.cut != nil {
+		platform, advertise = c.cut.platformFor(c, z.name), c.cut.peersFor(c, z.name, peers)
+	}
 	settings := fmt.Sprintf(`
 name: %s
 region: %s
 zone: %s
-listen: {callers: %q, peers: %q, operators: %q}
-store: %q
+listen: {callers: %q, peers: %q, operators: %q, advertise: %[9]q}
+store: %[7]q
 list: %[7]q
 tls: {authority: %[8]s/authority.pem, certificate: %[8]s/%[1]s.pem, key: %[8]s/%[1]s-key.pem}
 token: secret
-`, name, z.region, z.name, callers, peers, operators, c.platform.address, filepath.Join(c.dir, "keys"))
+`, name, z.region, z.name, callers, peers, operators, platform, filepath.Join(c.dir, "keys"), advertise)
 	e := &entry{
 		zone: z.name, callers: callers, operators: operators,
 		settings: filepath.Join(c.dir, name+".yaml"), log: filepath.Join(c.dir, name+".log"),
@@ -183,7 +195,7 @@
 	require.NoError(c.t, os.WriteFile(e.settings, []byte(settings), 0o600))
 	c.launchEntry(e, name)
 	c.post("http://"+c.platform.address+"/vms", fmt.Sprintf(
-		`{"name":%q,"role":"entry","region":%q,"zone":%q,"address":%q}`, name, z.region, z.name, peers))
+		`{"name":%q,"role":"entry","region":%q,"zone":%q,"address":%q}`, name, z.region, z.name, advertise))
 	c.entries = append(c.entries, e)
 	return e
 }
--- a/laddertest/failure_test.go
+++ b/laddertest/failure_test.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -363,3 +364,52 @@
 	})
 	f.audit(t)
 }
+
+func TestStoreSlowForLong(t *testing.T) {
+	c := startCell(t, 2)
+	c.flip(c.platform, "slow=1500ms")
+	f := c.startTraffic()
+	time.Sleep(20 * time.Second)
+	f.end()
+	n := f.counts()
+	require.Equal(t, len(f.exchanges), n["ran"], "requests need no store: %v", n)
+	f.audit(t)
+}
+
+func TestWaveOfCancellations(t *testing.T) {
+	const wave = 10_000
+	c := startCell(t, 2)
+	f := c.startTraffic()
+	const size = "size: {slots: 1, cores: 500m, memory: 64MiB}\n"
+	submitted := make([]string, 200)
+	for i := range submitted {
+		e := c.entries[i%len(c.entries)]
+		submitted[i] = c.submit(e, "bureau", "member: bureau\nteam: archive\nkind: batch\ntasks: 2\nbody: run=20s\n"+size).ID
+	}
+	began := time.Now()
+	var wait sync.WaitGroup
+	var failed atomic.Int64
+	for worker := range 64 {
+		wait.Go(func() {
+			for i := worker; i < wave; i += 64 {
+				id := fmt.Sprintf("bureau.none%05d", i)
+				if i%50 == 0 {
+					id = submitted[i/50]
+				}
+				if status, _ := c.jobCall(c.entries[i%len(c.entries)], http.MethodDelete, "/v1/jobs/"+id, "bureau", ""); status != http.StatusAccepted {
+					failed.Add(1)
+				}
+			}
+		})
+	}
+	wait.Wait()
+	t.Logf("%d cancellations took %v", wave, time.Since(began).Round(10*time.Millisecond))
+	require.Zero(t, failed.Load())
+	var jobs []ladderaudit.Job
+	for _, id := range submitted {
+		jobs = append(jobs, ladderaudit.Job{ID: id, State: c.awaitJob(c.entries[0], "bureau", id, "cancelled", 30*time.Second).State})
+	}
+	f.audit(t, jobs...)
+	ran, all := f.since(began, "fitcheck")
+	require.GreaterOrEqual(t, ran*100, all*99, "urgent work goes on")
+}
--- a/laddertest/traffic_test.go
+++ b/laddertest/traffic_test.go
@@ -33,7 +33,9 @@
 	mu        sync.Mutex
 	exchanges []ladderaudit.Exchange
 	broken    int
-	versions  []ladderaudit.Seen
+	// through names the entry VM of each exchange.
+	through  []string
+	versions []ladderaudit.Seen
 }
 
 // startTraffic starts the callers.
@@ -102,6 +104,7 @@
 		f.broken++
 		return got, false
 	}
+	f.through = append(f.through, e.name)
 	f.exchanges = append(f.exchanges, ladderaudit.Exchange{
 		Request: got.request, Member: a.member, Key: a.key, Class: a.class, Outcome: got.outcome,
 		Want: "answer to " + a.body, Got: got.body, Answered: time.Now(),
@@ -149,6 +152,26 @@
 	return ran, all
 }
 
+// within returns how many first exchanges through an entry VM, answered between
+// two moments, ran.
+func (f *traffic) within(from, to time.Time, name string) (ran, all int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	seen := map[string]bool{}
+	for i, x := range f.exchanges {
+		repeated := x.Key != "" && seen[x.Key]
+		seen[x.Key] = true
+		if f.through[i] != name || repeated || x.Answered.Before(from) || x.Answered.After(to) {
+			continue
+		}
+		all++
+		if x.Outcome == "ran" {
+			ran++
+		}
+	}
+	return ran, all
+}
+
 // audit ends the traffic and holds all records against what is promised.
 func (f *traffic) audit(t *testing.T, jobs ...ladderaudit.Job) []ladderaudit.Event {
 	t.Helper()
