Keep accelerators for those that need them, also when packing evenly

Cause: the weight of evenness outweighed the penalty for idle accelerators, and a resource that a worker lacks counted as unused. The penalty now outweighs all else and missing resources do not count. Packing on the backlogs is as before.

--- a/ladderplacement/policy.go
+++ b/ladderplacement/policy.go
@@ -77,18 +77,19 @@
 const unevenness = 4
 
 // spreadOf returns the difference between the most and the least used resource of
-// a worker with the task placed, as shares.
+// a worker with the task placed, as shares. What the worker lacks does not count.
 func spreadOf(need laddermodel.Size, c Candidate) float64 {
 	used, whole := c.Worker.Size.Sub(c.Free).Add(need), c.Worker.Size
 	least, most := 1.0, 0.0
-	for _, share := range [...]float64{
-		float64(used.Slots) / float64(max(1, whole.Slots)),
-		float64(used.Millicores) / float64(max(1, whole.Millicores)),
-		float64(used.Memory) / float64(max(1, whole.Memory)),
-	} {
-		least, most = min(least, share), max(most, share)
+	part := func(used, whole float64) {
+		if whole > 0 {
+			least, most = min(least, used/whole), max(most, used/whole)
+		}
 	}
-	return most - least
+	part(float64(used.Slots), float64(whole.Slots))
+	part(float64(used.Millicores), float64(whole.Millicores))
+	part(float64(used.Memory), float64(whole.Memory))
+	return max(0, most-least)
 }
 
 // First picks the first worker that fits.
@@ -169,10 +170,14 @@
 	return used.Share(c.Worker.Size)
 }
 
-// wasted is 1 when the task would sit beside idle accelerators without need.
+// idleAccelerators outweighs every other part of a score.
+const idleAccelerators = 10
+
+// wasted is the penalty for a task that would sit beside idle accelerators
+// without need.
 func wasted(need laddermodel.Size, c Candidate) float64 {
 	if need.Accelerators == 0 && c.Free.Accelerators > 0 {
-		return 1
+		return idleAccelerators
 	}
 	return 0
 }
