Drain a worker from the command line, with its reason

drain -worker NAME -reason TEXT adds the exception to the version in force and keeps the document's comments. TestDrainedWorkerGetsNoWork: none of the starts came 4 s after its acceptance or later.

--- a/laddercommand/apply.go
+++ b/laddercommand/apply.go
@@ -55,8 +55,9 @@
 
 // versionReply is what the command needs of a version.
 type versionReply struct {
-	Number uint64 `json:"number"`
-	Change string `json:"change"`
+	Number   uint64 `json:"number"`
+	Change   string `json:"change"`
+	Document string `json:"document"`
 }
 
 func (a *apply) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
@@ -95,16 +96,24 @@
 		ladderserver.HeaderChange: a.change, ladderserver.HeaderOperator: a.by,
 	}
 	if a.base > 0 {
-		header[ladderserver.HeaderBase] = strconv.Quote(strconv.FormatUint(a.base, 10))
+		header[ladderserver.HeaderBase] = quote(a.base)
 	}
-	data, err := a.must(ctx, http.MethodPut, "/v1/config", header, document)
+	return a.client.put(ctx, document, header)
+}
+
+// put sends a document as the next version.
+func (c *client) put(ctx context.Context, document []byte, header map[string]string) (versionReply, error) {
+	data, err := c.must(ctx, http.MethodPut, "/v1/config", header, document)
 	if err != nil {
 		return versionReply{}, err
 	}
-	var reply versionReply
-	return reply, json.Unmarshal(data, &reply)
+	var accepted versionReply
+	return accepted, json.Unmarshal(data, &accepted)
 }
 
+// quote returns a version's number as an entity tag.
+func quote(number uint64) string { return strconv.Quote(strconv.FormatUint(number, 10)) }
+
 // held returns the version in force, or a zero one when there is none.
 func (c *client) held(ctx context.Context) (versionReply, error) {
 	var held versionReply
--- a/laddertest/failure_test.go
+++ b/laddertest/failure_test.go
@@ -212,6 +212,30 @@
 	require.LessOrEqual(t, attempts*10, requests*11)
 }
 
+func TestDrainedWorkerGetsNoWork(t *testing.T) {
+	c := startCell(t, 2)
+	f := c.startTraffic()
+	time.Sleep(time.Second)
+	drained := c.workers[0].name
+	out := c.run("drain", "-to", c.entries[3].operators, "-token", "secret", "-worker", drained, "-reason", "the fan is loud")
+	require.Contains(t, out, "version 2 accepted")
+	accepted := time.Now()
+	time.Sleep(configTarget + time.Second)
+	before, after := 0, 0
+	for _, x := range f.audit(t) {
+		if x.Event != "start" || x.Worker != drained {
+			continue
+		}
+		if x.At > accepted.Add(configTarget).UnixNano() {
+			after++
+		} else {
+			before++
+		}
+	}
+	require.Positive(t, before)
+	require.Zero(t, after)
+}
+
 func TestLeavingWorkerGetsNoWork(t *testing.T) {
 	c := startCell(t, 2)
 	c.flip(c.platform, "lag=1m")
