Forget jobs an hour after their end, in memory and in the store

The leader kept every job that ever ended, and the store every record and every cancellation. Traces can state a deadline, and reports count answers that came after it.

--- a/ladderqueue/queue.go
+++ b/ladderqueue/queue.go
@@ -20,8 +20,9 @@
 // Queue orders the jobs of the cell. Create one with [New].
 type Queue struct {
 	jobs map[string]*job
-	// cancelled holds cancellations that came before their jobs.
-	cancelled map[string]bool
+	// cancelled holds cancellations that came before their jobs, with the time of
+	// the first sweep after them.
+	cancelled map[string]time.Time
 	// order holds the jobs that have not ended, the oldest first.
 	order []*job
 	// usage is the slots in use by each team.
@@ -45,6 +46,8 @@
 	ended     int
 	cancel    bool
 	notBefore time.Time
+	// swept is the time of the first sweep after the job's end.
+	swept time.Time
 }
 
 // run is one running task.
@@ -58,7 +61,7 @@
 
 // New returns an empty queue.
 func New() *Queue {
-	return &Queue{jobs: map[string]*job{}, cancelled: map[string]bool{}, usage: map[string]int{}}
+	return &Queue{jobs: map[string]*job{}, cancelled: map[string]time.Time{}, usage: map[string]int{}}
 }
 
 // Len returns the number of jobs that have not ended.
@@ -100,7 +103,7 @@
 	q.order = append(q.order, nil)
 	copy(q.order[at+1:], q.order[at:])
 	q.order[at] = j
-	if q.cancelled[r.Job.ID] {
+	if _, ok := q.cancelled[r.Job.ID]; ok {
 		q.Cancel(r.Job.ID)
 	}
 }
@@ -116,7 +119,7 @@
 func (q *Queue) Cancel(id string) []Stop {
 	j, ok := q.jobs[id]
 	if !ok {
-		q.cancelled[id] = true
+		q.cancelled[id] = time.Time{}
 		return nil
 	}
 	delete(q.cancelled, id)
@@ -292,6 +295,36 @@
 	j.dirty = j.dirty && !same
 }
 
+// Sweep forgets jobs that ended, and cancellations that met no job, longer ago
+// than the given time. It returns the ids of at most limit of each, whose records
+// may then be deleted.
+func (q *Queue) Sweep(now time.Time, memory time.Duration, limit int) (jobs, cancellations []string) {
+	for id, j := range q.jobs {
+		if !j.record.State.Final() || j.dirty || len(jobs) >= limit {
+			continue
+		}
+		if j.swept.IsZero() {
+			j.swept = now
+		}
+		if now.Sub(j.swept) >= memory {
+			delete(q.jobs, id)
+			jobs = append(jobs, id)
+		}
+	}
+	for id, at := range q.cancelled {
+		if len(cancellations) >= limit {
+			break
+		}
+		if at.IsZero() {
+			q.cancelled[id] = now
+		} else if now.Sub(at) >= memory {
+			delete(q.cancelled, id)
+			cancellations = append(cancellations, id)
+		}
+	}
+	return jobs, cancellations
+}
+
 // View returns a job.
 func (q *Queue) View(id string) (ladderjob.View, bool) {
 	j, ok := q.jobs[id]
--- a/ladderqueue/queue_test.go
+++ b/ladderqueue/queue_test.go
@@ -177,3 +177,22 @@
 		})
 	}
 }
+
+func TestSweepForgetsWhatEndedLongAgo(t *testing.T) {
+	q := ladderqueue.New()
+	add(q, "ended", "a", laddermodel.Batch, 1, 0)
+	add(q, "going", "a", laddermodel.Batch, 1, 0)
+	q.Cancel("ended")
+	q.Cancel("never came")
+	for _, r := range q.Unsaved(10) {
+		q.Saved(r)
+	}
+	jobs, cancellations := q.Sweep(start, time.Hour, 10)
+	require.Empty(t, jobs)
+	require.Empty(t, cancellations)
+	jobs, cancellations = q.Sweep(start.Add(time.Hour), time.Hour, 10)
+	require.Equal(t, []string{"ended"}, jobs)
+	require.Equal(t, []string{"never came"}, cancellations)
+	_, ok := q.View("going")
+	require.True(t, ok)
+}
--- a/ladderreport/measure.go
+++ b/ladderreport/measure.go
@@ -19,6 +19,8 @@
 const (
 	// meanRun is the mean run time of a request.
 	meanRun = 400 * time.Millisecond
+	// deadline is the deadline of each request.
+	deadline = 2 * time.Second
 	// traceSeed seeds the traces.
 	traceSeed = 3
 )
@@ -61,6 +63,8 @@
 	Ran     int
 	Refused int
 	Unknown int
+	// Late counts the requests that ran and were answered after their deadline.
+	Late int
 	// Useful is the share of all slots' time that answered requests ran for.
 	Useful float64
 }
@@ -95,7 +99,7 @@
 	cost := meter.Stop(ctx)
 	p := Point{
 		Load: load, Packing: cost.Packing, Peak: cost.Peak,
-		Ran: report.Outcomes["ran"], Refused: report.Outcomes["notrun"], Unknown: report.Outcomes["unknown"],
+		Ran: report.Outcomes["ran"], Refused: report.Outcomes["notrun"], Unknown: report.Outcomes["unknown"], Late: report.Late,
 		Useful: report.Useful.Seconds() / (slots * report.Took.Seconds()),
 	}
 	for _, w := range report.Ran {
@@ -113,7 +117,7 @@
 	for at := time.Duration(0); at < length; {
 		trace = append(trace, laddertrace.Entry{
 			At: at, Member: "jadewing", Kind: laddermodel.Urgent, Class: "fitcheck",
-			Run: meanRun/2 + time.Duration(r.Int64N(int64(meanRun))),
+			Run: meanRun/2 + time.Duration(r.Int64N(int64(meanRun))), Deadline: deadline,
 		})
 		at += time.Duration(r.ExpFloat64() / rate * float64(time.Second))
 	}
@@ -123,11 +127,11 @@
 // Table writes the points for people.
 func Table(w io.Writer, points []Point) error {
 	out := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
-	_, _ = fmt.Fprintln(out, "RULE\tLOAD\tP50\tP99\tPACKING\tPEAK\tUSEFUL\tRAN\tTURNED AWAY\tUNKNOWN")
+	_, _ = fmt.Fprintln(out, "RULE\tLOAD\tP50\tP99\tPACKING\tPEAK\tUSEFUL\tRAN\tTURNED AWAY\tUNKNOWN\tLATE")
 	for _, p := range points {
-		_, _ = fmt.Fprintf(out, "%s\t%.0f%%\t%v\t%v\t%.1f%%\t%.1f%%\t%.1f%%\t%d\t%d\t%d\n", p.Rule, 100*p.Load,
+		_, _ = fmt.Fprintf(out, "%s\t%.0f%%\t%v\t%v\t%.1f%%\t%.1f%%\t%.1f%%\t%d\t%d\t%d\t%d\n", p.Rule, 100*p.Load,
 			p.P50.Round(100*time.Microsecond), p.P99.Round(100*time.Microsecond),
-			100*p.Packing, 100*p.Peak, 100*p.Useful, p.Ran, p.Refused, p.Unknown)
+			100*p.Packing, 100*p.Peak, 100*p.Useful, p.Ran, p.Refused, p.Unknown, p.Late)
 	}
 	return out.Flush()
 }
--- a/ladderserver/leader.go
+++ b/ladderserver/leader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -30,6 +31,10 @@
 	syncTime = 2 * time.Second
 	// endsTime is the time between questions for ended tasks.
 	endsTime = 300 * time.Millisecond
+	// sweepTime is the time between looks for jobs to forget, and jobMemory how
+	// long they are remembered after their end.
+	sweepTime = 5 * time.Second
+	jobMemory = time.Hour
 )
 
 // leader leads the queue while this VM holds the lease for it.
@@ -59,6 +64,7 @@
 	synced   time.Time
 	asked    time.Time
 	alive    time.Time
+	swept    time.Time
 	// ends is up to where each VM's ends were read.
 	ends map[string]laddermessage.Ends
 	// heard is when each worker was last held by a VM that answered.
@@ -248,6 +254,10 @@
 		l.askEnds(ctx, t)
 	}
 	l.save(ctx, t)
+	if now.Sub(t.swept) >= sweepTime {
+		t.swept = now
+		l.sweep(ctx, now, t)
+	}
 	if l.valid(t) {
 		l.start(ctx, t)
 	}
@@ -286,7 +296,7 @@
 	var stops []ladderqueue.Stop
 	l.mu.Lock()
 	for _, e := range entries {
-		if id, ok := cutPrefix(e.Key, cancelPrefix); ok {
+		if id, ok := strings.CutPrefix(e.Key, cancelPrefix); ok {
 			stops = append(stops, l.queue.Cancel(id)...)
 			continue
 		}
@@ -332,9 +342,20 @@
 	}
 }
 
-func cutPrefix(key, prefix string) (string, bool) {
-	if len(key) < len(prefix) || key[:len(prefix)] != prefix {
-		return "", false
+// sweep deletes the records of jobs that ended long ago.
+func (l *leader) sweep(ctx context.Context, now time.Time, t *term) {
+	l.mu.Lock()
+	jobs, cancellations := l.queue.Sweep(now, jobMemory, maxCommit/2)
+	l.mu.Unlock()
+	if len(jobs)+len(cancellations) == 0 {
+		return
+	}
+	txn := ladderplatform.Txn{If: []ladderplatform.Condition{t.own()}}
+	for _, id := range jobs {
+		txn.Deletes = append(txn.Deletes, jobPrefix+id, cancelPrefix+id)
+	}
+	for _, id := range cancellations {
+		txn.Deletes = append(txn.Deletes, cancelPrefix+id)
 	}
-	return key[len(prefix):], true
+	_, _, _ = l.server.store.Commit(ctx, txn)
 }
--- a/laddertrace/replay.go
+++ b/laddertrace/replay.go
@@ -118,6 +118,9 @@
 func (s sender) request(ctx context.Context, result *Result) {
 	body := fmt.Sprintf("run=%s\nentry %d of %s", s.entry.Run, s.number, s.entry.Member)
 	header := http.Header{"Ladder-Class": {s.entry.Class}}
+	if s.entry.Deadline > 0 {
+		header.Set("Ladder-Deadline", s.entry.Deadline.String())
+	}
 	if s.entry.Key != "" {
 		header.Set("Idempotency-Key", s.key())
 	}
--- a/laddertrace/report.go
+++ b/laddertrace/report.go
@@ -28,6 +28,9 @@
 	Waits       []Wait
 	// Ran holds the waiting times of just the entries that ran.
 	Ran []Wait
+	// Late is the number of requests that ran and were answered after their
+	// stated deadline.
+	Late int
 	// Useful is the sum of the run times of the requests that ran.
 	Useful time.Duration
 	// Cost is the control cost, when it was read.
@@ -74,6 +77,9 @@
 		if got.Outcome == laddermodel.Ran.String() {
 			ran.record(got)
 			r.Useful += got.Entry.Run
+			if got.Entry.Deadline > 0 && got.Took > got.Entry.Deadline {
+				r.Late++
+			}
 		}
 	}
 	r.Waits, r.Ran = waits.summary(), ran.summary()
--- a/laddertrace/trace.go
+++ b/laddertrace/trace.go
@@ -33,6 +33,8 @@
 	Estimate time.Duration
 	// Run is how long each task runs.
 	Run time.Duration
+	// Deadline is that of a request, or zero for its class's.
+	Deadline time.Duration
 	// Key is the idempotency key of a request, or empty. [MintKey] asks for a new
 	// one at the time of sending.
 	Key string
@@ -55,6 +57,7 @@
 	Tasks    int    `json:"tasks,omitempty"`
 	Estimate string `json:"estimate,omitempty"`
 	Run      string `json:"run,omitempty"`
+	Deadline string `json:"deadline,omitempty"`
 	Key      string `json:"key,omitempty"`
 	Outcome  string `json:"outcome,omitempty"`
 }
@@ -109,7 +112,7 @@
 		At: duration("at", w.At), Member: w.Member, Class: w.Class, Team: w.Team,
 		Size:  laddermodel.Size{Slots: w.Slots, Millicores: w.Cores, Memory: w.Memory, Accelerators: w.Accel},
 		Tasks: w.Tasks, Estimate: duration("estimate", w.Estimate), Run: duration("run", w.Run),
-		Key: w.Key, Outcome: w.Outcome,
+		Deadline: duration("deadline", w.Deadline), Key: w.Key, Outcome: w.Outcome,
 	}
 	kind, err := laddermodel.ParseKind(w.Kind)
 	if err != nil {
@@ -170,6 +173,9 @@
 		if e.Estimate > 0 {
 			w.Estimate = e.Estimate.String()
 		}
+		if e.Deadline > 0 {
+			w.Deadline = e.Deadline.String()
+		}
 		if err := encoder.Encode(w); err != nil {
 			return nil, err
 		}
--- a/laddertrace/trace_test.go
+++ b/laddertrace/trace_test.go
@@ -24,7 +24,7 @@
 
 func TestEncodeRoundTrip(t *testing.T) {
 	trace := []laddertrace.Entry{
-		{At: time.Second, Member: "m", Kind: laddermodel.Urgent, Class: "c", Run: time.Millisecond, Key: "k", Outcome: "ran"},
+		{At: time.Second, Member: "m", Kind: laddermodel.Urgent, Class: "c", Run: time.Millisecond, Deadline: time.Second, Key: "k", Outcome: "ran"},
 		{At: 2 * time.Second, Member: "m", Kind: laddermodel.Gang, Team: "t", Tasks: 4, Size: laddermodel.Size{Slots: 2, Memory: 5}, Estimate: time.Minute},
 	}
 	data, err := laddertrace.Encode(trace)
