--- a/ladderaudit/check.go
+++ b/ladderaudit/check.go
@@ -42,6 +42,10 @@
 			delete(running, id)
 			u = Size{u.Slots - s.Slots, u.Cores - s.Cores, u.Memory - s.Memory, u.Accel - s.Accel}
 		}
+		if s, ok := running[id]; ok && x.Event == "throttle" {
+			u = Size{u.Slots, u.Cores - s.Cores + x.Cores, u.Memory, u.Accel}
+			running[id] = x
+		}
 		used[x.Worker] = u
 		has, known := e.Sizes[x.Worker]
 		if x.Event == "start" && known &&
--- a/ladderaudit/check_test.go
+++ b/ladderaudit/check_test.go
@@ -109,3 +109,13 @@
 	_, err := ladderaudit.ReadEvents(strings.NewReader("{\"at\":1}\nnonsense\n"))
 	require.ErrorContains(t, err, "line 2")
 }
+
+func TestThrottledTaskTakesLess(t *testing.T) {
+	start := func(at int64, task string) ladderaudit.Event {
+		return ladderaudit.Event{At: at, Worker: "w", Event: "start", Task: task, Kind: "batch", Slots: 1, Cores: 8}
+	}
+	throttle := ladderaudit.Event{At: 2, Worker: "w", Event: "throttle", Task: "j/0/1", Kind: "batch", Slots: 1, Cores: 2}
+	sizes := map[string]ladderaudit.Size{"w": {Slots: 2, Cores: 10}}
+	require.Empty(t, ladderaudit.Check(ladderaudit.Evidence{Sizes: sizes, Events: []ladderaudit.Event{start(1, "j/0/1"), throttle, start(3, "j/1/1")}}))
+	require.Len(t, ladderaudit.Check(ladderaudit.Evidence{Sizes: sizes, Events: []ladderaudit.Event{start(1, "j/0/1"), start(3, "j/1/1")}}), 1)
+}
--- a/ladderaudit/evidence.go
+++ b/ladderaudit/evidence.go
@@ -14,7 +14,8 @@
 	// At is nanoseconds since 1970.
 	At     int64  `json:"at"`
 	Worker string `json:"worker"`
-	// Event is claim, start, refuse, end, stop, revoke or leave.
+	// Event is claim, start, refuse, end, stop, revoke, throttle,
+	// checkpoint or leave.
 	Event  string `json:"event"`
 	Task   string `json:"task"`
 	Kind   string `json:"kind"`
--- a/ladderholder/preempt_test.go
+++ b/ladderholder/preempt_test.go
@@ -52,3 +52,36 @@
 		})
 	}
 }
+
+func TestThrottleComesBeforeStop(t *testing.T) {
+	tests := map[string]struct {
+		batch    int
+		throttle bool
+	}{
+		"only processor time is short": {batch: 4, throttle: true},
+		"slots are short as well":      {batch: 8},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			h, now := newHolder(1, ladderlog.Discard().Part("holder"))
+			for i := range tt.batch {
+				_, err := h.Reserve(now, ladderholder.Ask{
+					Task: fmt.Sprintf("j/%d/1", i), Kind: laddermodel.Batch, Policy: "pack",
+					Size: laddermodel.Size{Slots: 1, Millicores: 32_000 / tt.batch},
+				})
+				require.NoError(t, err)
+			}
+			_, waiter, err := h.Await(now, ladderholder.Ask{
+				Task: "urgent", Size: laddermodel.Size{Slots: 1, Millicores: 2000}, Policy: "spread", Patience: time.Second,
+			})
+			require.NoError(t, err)
+			v := <-h.Victims()
+			require.Equal(t, tt.throttle, v.Millicores > 0)
+			if tt.throttle {
+				require.Empty(t, waiter.Room, "no room before the worker has confirmed")
+				h.Throttled(now, v, true)
+				require.Len(t, waiter.Room, 1)
+			}
+		})
+	}
+}
--- a/ladderledger/ledger.go
+++ b/ladderledger/ledger.go
@@ -96,6 +96,22 @@
 	return a.remove(task)
 }
 
+// Shrink lowers the processor time of a task's room to what its worker has
+// confirmed. It returns false when there is no such room.
+func (l *Ledger) Shrink(worker, task string, millicores int) bool {
+	a, ok := l.accounts[worker]
+	if !ok {
+		return false
+	}
+	e, ok := a.items[task]
+	if !ok || millicores >= e.item.Size.Millicores {
+		return false
+	}
+	a.used.Millicores -= e.item.Size.Millicores - millicores
+	e.item.Size.Millicores = millicores
+	return true
+}
+
 // Reconcile compares a worker's account with a later report of the same epoch
 // and returns the tasks whose room came back.
 func (l *Ledger) Reconcile(worker string, boot uint64, r ladderclaim.Report) []Item {
--- a/ladderproof/interleave_test.go
+++ b/ladderproof/interleave_test.go
@@ -209,7 +209,7 @@
 			case ladderstand.EventEnd, ladderstand.EventStop:
 				running[keyOf(r.Task)]--
 			case ladderstand.EventClaim, ladderstand.EventLeave, ladderstand.EventRefuse, ladderstand.EventRevoke,
-				ladderstand.EventCheckpoint:
+				ladderstand.EventCheckpoint, ladderstand.EventThrottle:
 			}
 		}
 	}
--- a/ladderserver/preempt.go
+++ b/ladderserver/preempt.go
@@ -6,8 +6,7 @@
 	"lacewingladder/ladderholder"
 )
 
-// preemptLoop checkpoints and stops the batch tasks that make room for urgent
-// work, until ctx ends.
+// preemptLoop carries out what makes room for urgent work, until ctx ends.
 func (s *Server) preemptLoop(ctx context.Context) {
 	for {
 		select {
@@ -19,10 +18,15 @@
 	}
 }
 
-// preempt stops one task, after a checkpoint that may fail.
+// preempt throttles one task, or stops it after a checkpoint that may fail.
 func (s *Server) preempt(ctx context.Context, v ladderholder.Victim) {
 	stopping, cancel := context.WithTimeout(ctx, revokeTime)
 	defer cancel()
+	if v.Millicores > 0 {
+		err := s.workers.Throttle(stopping, v.Worker, v.Task, v.Millicores)
+		s.holder.Throttled(s.clock.Now(), v, err == nil)
+		return
+	}
 	if err := s.workers.Checkpoint(stopping, v.Worker, v.Task); err != nil {
 		s.logs.Part("preempt").Warn("no checkpoint", "task", v.Task, "err", err)
 	}
--- a/ladderstand/record.go
+++ b/ladderstand/record.go
@@ -18,6 +18,8 @@
 	EventStop   Event = "stop"
 	EventRevoke Event = "revoke"
 	EventLeave  Event = "leave"
+	// EventThrottle tells that a task was lowered to the record's size.
+	EventThrottle Event = "throttle"
 	// EventCheckpoint tells that a running task's work was saved.
 	EventCheckpoint Event = "checkpoint"
 )
--- a/ladderstand/serve.go
+++ b/ladderstand/serve.go
@@ -69,6 +69,7 @@
 	mux.HandleFunc("GET /tasks", s.look)
 	mux.HandleFunc("DELETE /tasks", s.revoke)
 	mux.HandleFunc("POST /checkpoint", s.checkpoint)
+	mux.HandleFunc("POST /throttle", s.throttle)
 	mux.HandleFunc("GET /records", s.records)
 	mux.HandleFunc("POST /switch", s.set)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -222,6 +223,20 @@
 	writeJSON(w, ladderworker.RevokeReply{State: s.worker.Checkpoint(r.URL.Query().Get("task"))})
 }
 
+func (s *Server) throttle(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	millicores, err := strconv.Atoi(query.Get("millicores"))
+	if err != nil {
+		http.Error(w, "millicores: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	if !s.worker.Throttle(query.Get("task"), millicores) {
+		http.Error(w, "the task can not be throttled", http.StatusConflict)
+		return
+	}
+	writeJSON(w, ladderworker.RevokeReply{State: "running"})
+}
+
 func (s *Server) revoke(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	boot, err := strconv.ParseUint(query.Get("boot"), 10, 64)
--- a/ladderstand/worker.go
+++ b/ladderstand/worker.go
@@ -315,6 +315,23 @@
 	return state
 }
 
+// Throttle lowers a running task to fewer millicores. It is false when the task
+// does not run, or has no more than that.
+func (w *Worker) Throttle(name string, millicores int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.tick()
+	t, ok := w.running[name]
+	if !ok || millicores <= 0 || millicores >= t.start.Size.Millicores {
+		return false
+	}
+	w.used.Millicores -= t.start.Size.Millicores - millicores
+	t.start.Size.Millicores = millicores
+	w.version++
+	w.record(fromStart(EventThrottle, t.start, ""))
+	return true
+}
+
 // Look returns never, running, stopped or ended.
 func (w *Worker) Look(name string) string {
 	w.mu.Lock()
--- a/laddertest/failure_test.go
+++ b/laddertest/failure_test.go
@@ -437,3 +437,27 @@
 	ran, all := f.since(began, "fitcheck")
 	require.GreaterOrEqual(t, ran*100, all*99, "urgent work goes on")
 }
+
+func TestUrgentWorkThrottlesBatch(t *testing.T) {
+	c := startCell(t, 2)
+	e := c.entries[0]
+	batch := c.submit(e, "jadewing", "member: jadewing\nteam: regrades\nkind: batch\ntasks: 24\nbody: run=15s\nsize: {slots: 1, cores: 16, memory: 64MiB}\n")
+	require.Eventually(t, func() bool { return c.job(e, "jadewing", batch.ID).Running == 24 }, 10*time.Second, 100*time.Millisecond)
+	f := c.startTraffic()
+	time.Sleep(4 * time.Second)
+	f.end()
+	throttled, stopped := 0, 0
+	for _, x := range f.audit(t) {
+		if x.Event == "throttle" {
+			throttled++
+		}
+		if x.Event == "stop" && x.Kind == "batch" {
+			stopped++
+		}
+	}
+	t.Logf("%d batch tasks throttled, %d stopped", throttled, stopped)
+	require.Positive(t, throttled)
+	require.Zero(t, stopped, "slots and memory were not short")
+	n := f.counts()
+	require.GreaterOrEqual(t, n["ran"]*100, len(f.exchanges)*99, "%v", n)
+}
--- a/ladderworker/client.go
+++ b/ladderworker/client.go
@@ -215,6 +215,14 @@
 	return ladderattempt.Ended, ladderdispatch.Reply{Kind: ladderdispatch.Answered, Body: reply.Body}
 }
 
+// Throttle lowers a running task to fewer millicores. Without an error the worker
+// has done so.
+func (c *Client) Throttle(ctx context.Context, w laddermodel.Worker, task string, millicores int) error {
+	var reply RevokeReply
+	to := address(w, "/throttle", task) + "&millicores=" + strconv.Itoa(millicores)
+	return exchange(ctx, c.fresh, http.MethodPost, to, nil, &reply)
+}
+
 // Checkpoint asks a worker to save what a task has done so far.
 func (c *Client) Checkpoint(ctx context.Context, w laddermodel.Worker, task string) error {
 	var reply RevokeReply
