Let a keyed request outlive its caller, and decide anew after a joined run

Found on reading. A caller that hung up had its booking stopped half-way, and the repetition was told unknown for ever. And a request that had joined another which then did not run was told notrun, although a third one with the key might have begun in between.

Now a run under a key goes on to its end, and a request that joined decides again with the book, within its own deadline. Shown failing on the old code: expected outcome ran, got unknown ('the worker w did not answer in time') and notrun ('the try that this one joined did not run').

--- a/ladderdispatch/dispatcher.go
+++ b/ladderdispatch/dispatcher.go
@@ -225,29 +225,36 @@
 	return laddermodel.Answer{Outcome: laddermodel.Unknown, Reason: reason, RetryAfter: homePause}
 }
 
-// atHome decides on a key and runs it when it is new.
+// atHome decides on a key and runs it when it is new. A key that is being run is
+// waited for; when it then turns out not to have run, this request may run itself.
 func (d *Dispatcher) atHome(ctx context.Context, r laddermodel.Request, class ladderconfig.Class, rack string) laddermodel.Answer {
 	claim := ladderkey.Claim{
-		Key: r.Key, Rack: rack, Member: r.Member, Digest: digest(r), Once: class.Once, Lease: lease(r),
+		Key: r.Key, Rack: rack, Member: r.Member, Digest: digest(r), Once: class.Once, Lease: r.Deadline,
 	}
-	verdict, ok := d.begin(rack, claim)
-	if !ok {
-		return homeless("the home of the key is changing; an earlier try may have run")
-	}
-	switch verdict.Act {
-	case ladderkey.Run:
-	case ladderkey.Join:
-		return d.join(ctx, r, verdict)
-	case ladderkey.Done:
-		return verdict.Answer
-	case ladderkey.Conflict:
-		return laddermodel.Answer{Outcome: laddermodel.NotRun, Reason: verdict.Reason, Conflict: true}
-	case ladderkey.Unsure:
-		return laddermodel.Answer{Outcome: laddermodel.Unknown, Reason: verdict.Reason, RetryAfter: verdict.RetryAfter}
-	case ladderkey.Busy:
-		return laddermodel.Answer{Outcome: laddermodel.NotRun, Reason: verdict.Reason, RetryAfter: verdict.RetryAfter}
+	until := d.Clock.Now().Add(r.Deadline)
+	for {
+		verdict, ok := d.begin(rack, claim)
+		if !ok {
+			return homeless("the home of the key is changing; an earlier try may have run")
+		}
+		r.Deadline = until.Sub(d.Clock.Now())
+		if verdict.Act == ladderkey.Run {
+			return d.runKey(ctx, r, class, rack)
+		}
+		if verdict.Act != ladderkey.Join {
+			return settled(verdict)
+		}
+		d.Log.Info("joined a running key", "request", r.ID)
+		if !join(ctx, verdict, r.Deadline) {
+			return homeless("an earlier try of the key is still running")
+		}
 	}
-	a := d.run(ctx, r, class, func(now time.Time) bool {
+}
+
+// runKey runs a new key. It goes on when the caller hangs up, so that a repetition
+// finds the answer.
+func (d *Dispatcher) runKey(ctx context.Context, r laddermodel.Request, class ladderconfig.Class, rack string) laddermodel.Answer {
+	a := d.run(context.WithoutCancel(ctx), r, class, func(now time.Time) bool {
 		_, ok := d.Room.Home(now, rack)
 		return ok
 	})
@@ -257,35 +264,45 @@
 	return a
 }
 
-// begin asks the book about a key while this VM is its home.
-func (d *Dispatcher) begin(rack string, c ladderkey.Claim) (ladderkey.Verdict, bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := d.Clock.Now()
-	home, ok := d.Room.Home(now, rack)
-	if !ok {
-		return ladderkey.Verdict{}, false
+// settled returns the answer for a key that must not be run.
+func settled(v ladderkey.Verdict) laddermodel.Answer {
+	a := laddermodel.Answer{Outcome: laddermodel.NotRun, Reason: v.Reason, RetryAfter: v.RetryAfter}
+	switch v.Act {
+	case ladderkey.Done:
+		return v.Answer
+	case ladderkey.Conflict:
+		a.Conflict = true
+	case ladderkey.Unsure:
+		a.Outcome = laddermodel.Unknown
+	case ladderkey.Run, ladderkey.Join, ladderkey.Busy:
 	}
-	return d.book.Begin(now, home, c), true
+	return a
 }
 
-// join waits for the answer of a key that is being run already.
-func (d *Dispatcher) join(ctx context.Context, r laddermodel.Request, v ladderkey.Verdict) laddermodel.Answer {
-	d.Log.Info("joined a running key", "request", r.ID)
+// join waits until a running key has ended. It returns false when the caller hangs
+// up or the time is over.
+func join(ctx context.Context, v ladderkey.Verdict, limit time.Duration) bool {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
 	select {
 	case <-v.Ended:
+		return true
 	case <-ctx.Done():
-		return homeless("an earlier try of the key is still running")
+	case <-timer.C:
 	}
+	return false
+}
+
+// begin asks the book about a key while this VM is its home.
+func (d *Dispatcher) begin(rack string, c ladderkey.Claim) (ladderkey.Verdict, bool) {
 	d.mu.Lock()
-	a, ok := d.book.Ended(r.Key)
-	d.mu.Unlock()
+	defer d.mu.Unlock()
+	now := d.Clock.Now()
+	home, ok := d.Room.Home(now, rack)
 	if !ok {
-		return laddermodel.Answer{
-			Outcome: laddermodel.NotRun, Reason: "the try that this one joined did not run", RetryAfter: homePause / 4,
-		}
+		return ladderkey.Verdict{}, false
 	}
-	return a
+	return d.book.Begin(now, home, c), true
 }
 
 // Keys returns the number of keys that are remembered.
@@ -343,8 +360,5 @@
 	return h.Sum64()
 }
 
-// lease returns how long an attempt of a request may run.
-func lease(r laddermodel.Request) time.Duration { return r.Deadline }
-
 // errNoTarget is the error of a request for which no holder is left to ask.
 var errNoTarget = &ladderholder.NoRoom{Reason: "no zone in reach has room", RetryAfter: homePause / 4}
--- a/ladderkey/book.go
+++ b/ladderkey/book.go
@@ -124,15 +124,6 @@
 	return Verdict{Act: Run}
 }
 
-// Ended returns the answer of a key that has ended.
-func (b *Book) Ended(key string) (laddermodel.Answer, bool) {
-	r, ok := b.records[key]
-	if !ok || r.running {
-		return laddermodel.Answer{}, false
-	}
-	return r.Answer, true
-}
-
 // Finish records the answer of a key that was run. A key that is proved not to
 // have run is forgotten, so that the caller may try it again.
 func (b *Book) Finish(now time.Time, key string, a laddermodel.Answer) {
