Wait on the passed-in clock in the dispatcher

The core read the passed-in clock but waited on timers of its own. The clock now also rings; limits of calls to workers are given to the edge, which keeps its own timers.

--- a/ladderclock/doc.go
+++ b/ladderclock/doc.go
@@ -1,6 +1,6 @@
 // Package ladderclock gives every other package its notion of time.
 //
-// No package of the scheduler calls [time.Now]. Each takes a [Clock], which is
+// No rule of the scheduler calls [time.Now]. Each takes a [Clock], which is
 // [System] in a running process and [Manual] in a test, so that a test decides
 // when time passes and by how much.
 //
--- a/ladderdispatch/dispatcher.go
+++ b/ladderdispatch/dispatcher.go
@@ -176,7 +176,7 @@
 			r.Hops++
 			return d.forward(ctx, r, peer)
 		}
-		if now.Sub(began) >= min(homeWait, r.Deadline/2) || !pause(ctx, homeLook) {
+		if now.Sub(began) >= min(homeWait, r.Deadline/2) || !d.pause(ctx, homeLook) {
 			return homeless("the home of the key can not be reached; an earlier try may have run")
 		}
 	}
@@ -191,11 +191,9 @@
 }
 
 // pause waits, and returns false when ctx ends first.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
+func (d *Dispatcher) pause(ctx context.Context, length time.Duration) bool {
 	select {
-	case <-timer.C:
+	case <-d.Clock.After(length):
 		return true
 	case <-ctx.Done():
 		return false
@@ -245,7 +243,7 @@
 			return settled(verdict)
 		}
 		d.Log.Info("joined a running key", "request", r.ID)
-		if !join(ctx, verdict, r.Deadline) {
+		if !d.join(ctx, verdict, r.Deadline) {
 			return homeless("an earlier try of the key is still running")
 		}
 	}
@@ -281,14 +279,12 @@
 
 // join waits until a running key has ended. It returns false when the caller hangs
 // up or the time is over.
-func join(ctx context.Context, v ladderkey.Verdict, limit time.Duration) bool {
-	timer := time.NewTimer(limit)
-	defer timer.Stop()
+func (d *Dispatcher) join(ctx context.Context, v ladderkey.Verdict, limit time.Duration) bool {
 	select {
 	case <-v.Ended:
 		return true
 	case <-ctx.Done():
-	case <-timer.C:
+	case <-d.Clock.After(limit):
 	}
 	return false
 }
--- a/ladderdispatch/dispatcher_test.go
+++ b/ladderdispatch/dispatcher_test.go
@@ -44,7 +44,7 @@
 	revoked int
 }
 
-func (w *workers) Start(ctx context.Context, _ laddermodel.Reservation, _ laddermodel.Task, _ time.Duration) ladderdispatch.Reply {
+func (w *workers) Start(ctx context.Context, _ laddermodel.Reservation, _ laddermodel.Task, _, limit time.Duration) ladderdispatch.Reply {
 	w.mu.Lock()
 	reply := w.replies[w.starts]
 	w.starts++
@@ -52,6 +52,8 @@
 	select {
 	case <-time.After(time.Second):
 		return reply
+	case <-time.After(limit):
+		return ladderdispatch.Reply{Kind: ladderdispatch.Silent}
 	case <-ctx.Done():
 		return ladderdispatch.Reply{Kind: ladderdispatch.Silent}
 	}
--- a/ladderdispatch/outside.go
+++ b/ladderdispatch/outside.go
@@ -59,10 +59,10 @@
 // Workers are the endpoint VMs.
 type Workers interface {
 	// Start runs a task to its end. It gives up with [Silent] when the start is
-	// not accepted within share, or when ctx ends.
-	Start(ctx context.Context, r laddermodel.Reservation, t laddermodel.Task, share time.Duration) Reply
+	// not accepted within share, when limit has passed, or when ctx ends.
+	Start(ctx context.Context, r laddermodel.Reservation, t laddermodel.Task, share, limit time.Duration) Reply
 	// Revoke makes sure that a task does not run any more, over a new
-	// connection. Boot is that of the grant under which the task was sent, or
+	// connection and within a bounded time. Boot is that of the grant under which the task was sent, or
 	// zero. For an ended task it returns the reply as well.
 	Revoke(ctx context.Context, w laddermodel.Worker, boot uint64, task string) (ladderattempt.State, Reply)
 }
--- a/ladderdispatch/run.go
+++ b/ladderdispatch/run.go
@@ -13,9 +13,6 @@
 	"lacewingladder/ladderplacement"
 )
 
-// revokeTime bounds one call that revokes a task.
-const revokeTime = time.Second
-
 // trip is the course of one request through this VM.
 type trip struct {
 	d       *Dispatcher
@@ -108,12 +105,10 @@
 	left := t.deadline.Sub(now)
 	t.run.Sending()
 	t.d.counts.Attempts.Add(1)
-	sending, cancel := context.WithTimeout(ctx, left)
-	defer cancel()
-	t.reply = t.d.Workers.Start(sending, t.room, laddermodel.Task{
+	t.reply = t.d.Workers.Start(ctx, t.room, laddermodel.Task{
 		ID: t.room.Task, Member: t.request.Member, Class: t.class.Name, Kind: laddermodel.Urgent,
 		Size: t.class.Size, Lease: left, Estimate: t.class.Estimate, Body: t.request.Body,
-	}, min(t.class.Share, left))
+	}, min(t.class.Share, left), left)
 	t.take(t.reply)
 }
 
@@ -140,9 +135,7 @@
 // revoke makes sure that a silent attempt does not run, even when the caller has
 // gone.
 func (t *trip) revoke(ctx context.Context) {
-	revoking, cancel := context.WithTimeout(context.WithoutCancel(ctx), revokeTime)
-	defer cancel()
-	state, reply := t.d.Workers.Revoke(revoking, t.room.Worker, t.room.Grant.Boot, t.room.Task)
+	state, reply := t.d.Workers.Revoke(context.WithoutCancel(ctx), t.room.Worker, t.room.Grant.Boot, t.room.Task)
 	t.d.Log.Info("revoked", "task", t.room.Task, "worker", t.room.Worker.Name, "state", state, "reason", reply.Reason)
 	switch state {
 	case ladderattempt.Ended:
@@ -209,12 +202,11 @@
 
 // wait waits in the local line.
 func (d *Dispatcher) wait(ctx context.Context, a ladderholder.Ask, w *ladderholder.Waiter) (laddermodel.Reservation, error) {
-	waiting, cancel := context.WithTimeout(ctx, a.Patience)
-	defer cancel()
 	select {
 	case room := <-w.Room:
 		return room, nil
-	case <-waiting.Done():
+	case <-d.Clock.After(a.Patience):
+	case <-ctx.Done():
 	}
 	if room, ok := d.Room.Leave(w); ok {
 		return room, nil
--- a/ladderproof/world_test.go
+++ b/ladderproof/world_test.go
@@ -73,6 +73,10 @@
 	return c.start.Add(passed + passed*time.Duration(c.rate)/1000)
 }
 
+// After rings in the bubble's time, which stands still while a world runs, so that
+// no two routines wake at once: who waits for time waits to the world's end.
+func (*driftClock) After(d time.Duration) <-chan time.Time { return time.After(d) }
+
 // vm is one entry VM.
 type vm struct {
 	name   string
@@ -401,7 +405,7 @@
 }
 
 // Start implements ladderdispatch.Workers.
-func (p *workers) Start(ctx context.Context, room laddermodel.Reservation, t laddermodel.Task, _ time.Duration) ladderdispatch.Reply {
+func (p *workers) Start(ctx context.Context, room laddermodel.Reservation, t laddermodel.Task, _, _ time.Duration) ladderdispatch.Reply {
 	r := current(ctx)
 	f := p.world.fate()
 	doubled := rapid.IntRange(0, 9).Draw(p.world.t, "doubled") == 0
--- a/ladderserver/tasks.go
+++ b/ladderserver/tasks.go
@@ -20,8 +20,8 @@
 const (
 	// taskShare is how long a job's task may stay unaccepted by its worker.
 	taskShare = time.Second
-	// revokeTime bounds one call that revokes a task.
-	revokeTime = time.Second
+	// preemptTime bounds the calls that make one batch task give way.
+	preemptTime = time.Second
 	// maxStops bounds the tasks that are revoked at once.
 	maxStops = 64
 )
@@ -122,12 +122,10 @@
 
 // startTask starts one task. It returns false when the task does not run.
 func (l *leader) startTask(ctx context.Context, job ladderjob.Job, room laddermodel.Reservation) bool {
-	starting, cancel := context.WithTimeout(ctx, taskShare)
-	defer cancel()
-	reply := l.server.workers.Start(starting, room, laddermodel.Task{
+	reply := l.server.workers.Start(ctx, room, laddermodel.Task{
 		ID: room.Task, Member: job.Member, Class: job.Team, Kind: job.Kind, Size: job.Size,
 		Lease: l.server.config.current().Limits.Tasklease, Estimate: job.Estimate, Body: []byte(job.Body),
-	}, taskShare)
+	}, taskShare, taskShare)
 	l.log.Info("task sent", "task", room.Task, "worker", room.Worker.Name, "rack", room.Worker.Rack,
 		"accepted", reply.Kind == ladderdispatch.Answered, "reason", reply.Reason)
 	switch reply.Kind {
@@ -162,9 +160,7 @@
 // revoke makes sure that a task does not run. It returns false when the worker
 // did not say so.
 func (l *leader) revoke(ctx context.Context, w laddermodel.Worker, boot uint64, task string) bool {
-	revoking, cancel := context.WithTimeout(ctx, revokeTime)
-	defer cancel()
-	state, _ := l.server.workers.Revoke(revoking, w, boot, task)
+	state, _ := l.server.workers.Revoke(ctx, w, boot, task)
 	return state == ladderattempt.Never || state == ladderattempt.Stopped
 }
 
--- a/ladderworker/client.go
+++ b/ladderworker/client.go
@@ -28,6 +28,8 @@
 	maxAnswer = 16 << 20
 	// dialTime bounds the opening of a connection.
 	dialTime = 500 * time.Millisecond
+	// revokeTime bounds one revocation.
+	revokeTime = time.Second
 	// checkTime is how often a running task is asked after on a new connection.
 	checkTime = time.Second
 )
@@ -79,9 +81,9 @@
 
 // Start implements [ladderdispatch.Workers].
 func (c *Client) Start(
-	ctx context.Context, r laddermodel.Reservation, t laddermodel.Task, share time.Duration,
+	ctx context.Context, r laddermodel.Reservation, t laddermodel.Task, share, limit time.Duration,
 ) ladderdispatch.Reply {
-	starting, cancel := context.WithCancel(ctx)
+	starting, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	accepted := make(chan struct{}, 1)
 	done := make(chan ladderdispatch.Reply, 1)
@@ -100,10 +102,10 @@
 		case <-late:
 			return silent("the start was not accepted in time")
 		case <-check.C:
-			if late == nil && c.ended(ctx, r.Worker, t.ID) {
+			if late == nil && c.ended(starting, r.Worker, t.ID) {
 				return silent("the connection went silent")
 			}
-		case <-ctx.Done():
+		case <-starting.Done():
 			return silent("the deadline passed")
 		}
 	}
@@ -195,9 +197,11 @@
 func (c *Client) Revoke(
 	ctx context.Context, w laddermodel.Worker, boot uint64, task string,
 ) (ladderattempt.State, ladderdispatch.Reply) {
+	revoking, cancel := context.WithTimeout(ctx, revokeTime)
+	defer cancel()
 	var reply RevokeReply
 	to := address(w, "/tasks", task) + "&boot=" + strconv.FormatUint(boot, 10)
-	if err := exchange(ctx, c.fresh, http.MethodDelete, to, nil, &reply); err != nil {
+	if err := exchange(revoking, c.fresh, http.MethodDelete, to, nil, &reply); err != nil {
 		return ladderattempt.Unreachable, silent(err.Error())
 	}
 	switch {
--- a/ladderworker/doc.go
+++ b/ladderworker/doc.go
@@ -10,7 +10,7 @@
 // # Usage
 //
 //	client := ladderworker.NewClient()
-//	reply := client.Start(ctx, reservation, task, 300*time.Millisecond)
+//	reply := client.Start(ctx, reservation, task, 300*time.Millisecond, 2*time.Second)
 //	if reply.Kind == ladderdispatch.Silent {
 //		state, reply := client.Revoke(ctx, reservation.Worker, reservation.Grant.Boot, task.ID)
 //	}
