--- a/ladderproof/interleave_test.go
+++ b/ladderproof/interleave_test.go
@@ -24,6 +24,9 @@
 	standardSteps  = "300"
 )
 
+// recent is how many of the last requests callers may repeat.
+const recent = 8
+
 func TestMain(m *testing.M) {
 	flag.Parse()
 	given := map[string]bool{}
@@ -109,6 +112,9 @@
 				return
 			}
 			w.takeover(from, to, rapid.Bool().Draw(t, "pause"))
+			for _, a := range w.asked[max(0, len(w.asked)-recent):] {
+				w.repeat(to, a)
+			}
 		},
 		"heal": func(t *rapid.T) {
 			v := rapid.SampledFrom(w.vms).Draw(t, "vm")
@@ -124,13 +130,8 @@
 			if len(up) == 0 || len(w.asked) == 0 {
 				return
 			}
-			recent := w.asked[max(0, len(w.asked)-8):]
-			a := rapid.SampledFrom(recent).Draw(t, "again")
-			minted, _ := ladderkey.Minted(a.key)
-			if w.clock.Now().Sub(minted) > w.config.Limits.Horizon {
-				return
-			}
-			w.request(rapid.SampledFrom(up).Draw(t, "vm"), a.key, a.class)
+			a := rapid.SampledFrom(w.asked[max(0, len(w.asked)-recent):]).Draw(t, "again")
+			w.repeat(rapid.SampledFrom(up).Draw(t, "vm"), a)
 		},
 	}
 	ask := func(t *rapid.T) {
@@ -165,6 +166,14 @@
 	return all
 }
 
+// repeat lets a caller repeat a request, unless its key is too old for that.
+func (w *world) repeat(v *vm, a asked) {
+	minted, _ := ladderkey.Minted(a.key)
+	if w.clock.Now().Sub(minted) <= w.config.Limits.Horizon {
+		w.request(v, a.key, a.class)
+	}
+}
+
 // records returns the records of all workers, of all runs of their processes.
 func (w *world) records() []ladderstand.Record {
 	var all []ladderstand.Record
