--- a/ladderserver/membership.go
+++ b/ladderserver/membership.go
@@ -33,10 +33,7 @@
 
 // forgetDead makes traffic stop to ask peers that are not live any more.
 func (s *Server) forgetDead(now time.Time) {
-	live := map[string]bool{}
-	for _, name := range s.members.Live(now) {
-		live[name] = true
-	}
+	live := s.liveNames(now)
 	for name := range s.live {
 		if !live[name] {
 			s.logs.Part("members").Info("peer is silent", "peer", name)
@@ -113,12 +110,19 @@
 	s.peers.known.Store(&known)
 }
 
-// livePeers returns the live peers. It runs on the control goroutine.
-func (s *Server) livePeers(now time.Time) []laddermember.Peer {
+// liveNames returns the set of the live peers' names. It runs on the control
+// goroutine.
+func (s *Server) liveNames(now time.Time) map[string]bool {
 	live := map[string]bool{}
 	for _, name := range s.members.Live(now) {
 		live[name] = true
 	}
+	return live
+}
+
+// livePeers returns the live peers. It runs on the control goroutine.
+func (s *Server) livePeers(now time.Time) []laddermember.Peer {
+	live := s.liveNames(now)
 	var peers []laddermember.Peer
 	for _, p := range s.members.Peers() {
 		if live[p.VM.Name] {
--- a/ladderserver/status.go
+++ b/ladderserver/status.go
@@ -83,10 +83,7 @@
 }
 
 func (s *Server) peerStatus(now time.Time) []PeerStatus {
-	live := map[string]bool{}
-	for _, name := range s.members.Live(now) {
-		live[name] = true
-	}
+	live := s.liveNames(now)
 	var peers []PeerStatus
 	for _, p := range s.members.Peers() {
 		heard := "never"
