--- a/ladderclock/clock.go
+++ b/ladderclock/clock.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Clock tells the time and waits for it.
@@ -76,3 +78,18 @@
 	}
 	m.alarms = waiting
 }
+
+// Boot tells the time since the machine started, in which a time of suspension
+// counts. What a VM may do until a certain time is measured with it.
+type Boot interface {
+	SinceBoot() time.Duration
+}
+
+// SinceBoot implements [Boot].
+func (System) SinceBoot() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		panic(err) // Linux has had this clock for longer than Go has existed.
+	}
+	return time.Duration(t.Nano())
+}
--- a/laddercodec/codec.go
+++ b/laddercodec/codec.go
@@ -104,6 +104,9 @@
 	case laddermessage.Fault:
 		return kindFault, m.Reason, nil
 	}
+	if k, wire, ok := toFlowWire(m); ok {
+		return k, wire, nil
+	}
 	return 0, nil, fmt.Errorf("%s is not a message between entry VMs", reflect.TypeOf(m))
 }
 
@@ -171,7 +174,7 @@
 			return laddermessage.Fault{Reason: w}, nil
 		})
 	}
-	return nil, fmt.Errorf("a message of kind %d is unknown", k)
+	return decodeFlow(k, body)
 }
 
 // decode reads a wire value and maps it to its message.
--- /dev/null
+++ b/laddercodec/flow.go
@@ -0,0 +1,176 @@
+package laddercodec
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"lacewingladder/ladderflow"
+	"lacewingladder/laddermessage"
+	"lacewingladder/platform"
+)
+
+// The kinds of the messages about jobs made of steps. They are part of the format.
+const (
+	kindAccepted kind = iota + 64
+	kindCancelled
+	kindStateOf
+	kindStateIs
+	kindCount
+	kindCounted
+	kindNotLeading
+	kindConsult
+	kindConsulted
+	kindCarry
+	kindCarried
+)
+
+type acceptedWire struct {
+	_    struct{} `cbor:",toarray"`
+	Job  string
+	Body []byte
+}
+
+type stateWire struct {
+	_     struct{} `cbor:",toarray"`
+	Known bool
+	State string
+}
+
+type consultWire struct {
+	_       struct{} `cbor:",toarray"`
+	Job     string
+	Round   int
+	Step    int
+	Workers []string
+}
+
+type consultedWire struct {
+	_       struct{} `cbor:",toarray"`
+	Tickets [][2]string
+	Valid   int64
+	Refused bool
+}
+
+type carryWire struct {
+	_        struct{} `cbor:",toarray"`
+	To       string
+	Method   string
+	Path     string
+	Instance string
+	Holder   string
+	Fence    int64
+	Body     []byte
+	Within   int64
+}
+
+type carriedWire struct {
+	_      struct{} `cbor:",toarray"`
+	Status int
+	Body   []byte
+	Unsent bool
+	Failed bool
+}
+
+// toFlowWire maps a message about jobs made of steps to its wire type.
+func toFlowWire(m laddermessage.Message) (kind, any, bool) {
+	switch m := m.(type) {
+	case laddermessage.Accepted:
+		return kindAccepted, acceptedWire{Job: m.Job, Body: m.Body}, true
+	case laddermessage.Cancelled:
+		return kindCancelled, m.Job, true
+	case laddermessage.StateOf:
+		return kindStateOf, m.Job, true
+	case laddermessage.StateIs:
+		return kindStateIs, stateWire{Known: m.Known, State: m.State}, true
+	case laddermessage.Count:
+		return kindCount, m.Queue, true
+	case laddermessage.Counted:
+		return kindCounted, m.Pending, true
+	case laddermessage.NotLeading:
+		return kindNotLeading, struct{}{}, true
+	case laddermessage.Consult:
+		return kindConsult, consultWire{Job: m.Step.Job, Round: m.Step.Round, Step: m.Step.Step, Workers: m.Workers}, true
+	case laddermessage.Consulted:
+		w := consultedWire{Valid: int64(m.Valid), Refused: m.Refused}
+		for _, t := range m.Tickets {
+			w.Tickets = append(w.Tickets, [2]string{t.Worker, t.Text})
+		}
+		return kindConsulted, w, true
+	case laddermessage.Carry:
+		return kindCarry, carryWire{
+			To: m.To.String(), Method: m.Call.Method, Path: m.Call.Path, Instance: m.Call.Instance,
+			Holder: m.Call.Holder, Fence: m.Call.Fence, Body: m.Call.Body, Within: int64(m.Within),
+		}, true
+	case laddermessage.Carried:
+		return kindCarried, carriedWire{Status: m.Reply.Status, Body: m.Reply.Body, Unsent: m.Unsent, Failed: m.Failed}, true
+	}
+	return 0, nil, false
+}
+
+// decodeFlow returns the message of an encoded form of the kinds above.
+func decodeFlow(k kind, body []byte) (laddermessage.Message, error) {
+	switch k {
+	case kindAccepted:
+		return decode(body, func(w acceptedWire) (laddermessage.Accepted, error) {
+			return laddermessage.Accepted{Job: w.Job, Body: w.Body}, nil
+		})
+	case kindCancelled:
+		return decode(body, func(w string) (laddermessage.Cancelled, error) {
+			return laddermessage.Cancelled{Job: w}, nil
+		})
+	case kindStateOf:
+		return decode(body, func(w string) (laddermessage.StateOf, error) {
+			return laddermessage.StateOf{Job: w}, nil
+		})
+	case kindStateIs:
+		return decode(body, func(w stateWire) (laddermessage.StateIs, error) {
+			return laddermessage.StateIs{Known: w.Known, State: w.State}, nil
+		})
+	case kindCount:
+		return decode(body, func(w string) (laddermessage.Count, error) {
+			return laddermessage.Count{Queue: w}, nil
+		})
+	case kindCounted:
+		return decode(body, func(w int) (laddermessage.Counted, error) {
+			return laddermessage.Counted{Pending: w}, nil
+		})
+	case kindNotLeading:
+		return laddermessage.NotLeading{}, nil
+	case kindConsult:
+		return decode(body, func(w consultWire) (laddermessage.Consult, error) {
+			return laddermessage.Consult{
+				Step: ladderflow.StepRef{Job: w.Job, Round: w.Round, Step: w.Step}, Workers: w.Workers,
+			}, nil
+		})
+	case kindConsulted:
+		return decode(body, toConsulted)
+	case kindCarry:
+		return decode(body, toCarry)
+	case kindCarried:
+		return decode(body, func(w carriedWire) (laddermessage.Carried, error) {
+			return laddermessage.Carried{
+				Reply: platform.Reply{Status: w.Status, Body: w.Body}, Unsent: w.Unsent, Failed: w.Failed,
+			}, nil
+		})
+	}
+	return nil, fmt.Errorf("a message of kind %d is unknown", k)
+}
+
+func toConsulted(w consultedWire) (laddermessage.Consulted, error) {
+	m := laddermessage.Consulted{Valid: time.Duration(w.Valid), Refused: w.Refused}
+	for _, t := range w.Tickets {
+		m.Tickets = append(m.Tickets, ladderflow.Ticket{Worker: t[0], Text: t[1]})
+	}
+	return m, nil
+}
+
+func toCarry(w carryWire) (laddermessage.Carry, error) {
+	to, err := netip.ParseAddrPort(w.To)
+	return laddermessage.Carry{
+		To: to, Within: time.Duration(w.Within),
+		Call: platform.Call{
+			Method: w.Method, Path: w.Path, Instance: w.Instance, Holder: w.Holder, Fence: w.Fence, Body: w.Body,
+		},
+	}, err
+}
--- a/laddercommand/command.go
+++ b/laddercommand/command.go
@@ -40,7 +40,7 @@
 	c.Register(c.HelpCommand(), "")
 	c.Register(c.FlagsCommand(), "")
 	c.Register(&version{streams: s}, "")
-	for _, x := range []subcommands.Command{&serve{streams: s}, &check{streams: s}, &keys{streams: s}} {
+	for _, x := range []subcommands.Command{&entry{streams: s}, &serve{streams: s}, &check{streams: s}, &keys{streams: s}} {
 		c.Register(x, "an entry VM")
 	}
 	for _, x := range []subcommands.Command{&apply{client: client{streams: s}}, &status{client: client{streams: s}}, &drain{client: client{streams: s}}} {
--- /dev/null
+++ b/laddercommand/entry.go
@@ -0,0 +1,86 @@
+package laddercommand
+
+import (
+	"context"
+	"flag"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/google/subcommands"
+
+	"lacewingladder/ladderlog"
+	"lacewingladder/laddervm"
+	"lacewingladder/platform"
+)
+
+// entry runs the scheduler on one entry VM of the members' platform.
+type entry struct {
+	streams
+	level   string
+	metrics uint
+}
+
+func (*entry) Name() string     { return "entry" }
+func (*entry) Synopsis() string { return "run the scheduler on this entry VM of the members' platform" }
+
+func (*entry) Usage() string {
+	return `entry [-level info] [-metrics PORT]
+  Run the scheduler on this entry VM of the members' platform until it is told to
+  leave. The settings are read from the file that ` + platform.SettingsVariable + `
+  names. On SIGTERM it takes no new connections, answers what it has read, hands the
+  lead over, and exits. SIGHUP is taken as news of the settings.
+`
+}
+
+func (e *entry) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&e.level, "level", "info", "least level of log lines: debug, info, warn or error")
+	f.UintVar(&e.metrics, "metrics", 9464, "port on which metrics are served")
+}
+
+// memoryShare is the part of the machine's memory, in hundredths, that the runtime
+// tries to stay below: what it counts is not all that the process uses.
+const memoryShare = 75
+
+func (e *entry) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() > 0 {
+		return e.misuse("entry: give no arguments")
+	}
+	settings, err := platform.ReadSettings(os.Getenv(platform.SettingsVariable))
+	if err != nil {
+		return e.fail(err)
+	}
+	if settings.MemoryLimit > 0 {
+		debug.SetMemoryLimit(settings.MemoryLimit * memoryShare / 100)
+	}
+	logs := ladderlog.New(e.out, e.level)
+	vm, err := laddervm.New(laddervm.Options{Settings: settings, Logs: logs, Metrics: uint16(e.metrics)})
+	if err != nil {
+		return e.fail(err)
+	}
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	go func() {
+		for range reloads {
+			reload(vm, logs)
+		}
+	}()
+	running, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := vm.Run(running); err != nil {
+		return e.fail(err)
+	}
+	return subcommands.ExitSuccess
+}
+
+// reload reads the settings again. What they hold is fixed for the life of a
+// process, so a change is logged and waits for the next start.
+func reload(vm *laddervm.VM, logs *ladderlog.Logs) {
+	settings, err := platform.ReadSettings(os.Getenv(platform.SettingsVariable))
+	if err != nil {
+		logs.Part("settings").Warn("settings can not be read; the old ones stay", "err", err)
+		return
+	}
+	vm.Reload(settings)
+}
--- a/laddermessage/message.go
+++ b/laddermessage/message.go
@@ -1,14 +1,17 @@
 package laddermessage
 
 import (
+	"net/netip"
 	"time"
 
 	"lacewingladder/ladderclaim"
 	"lacewingladder/ladderconfig"
+	"lacewingladder/ladderflow"
 	"lacewingladder/ladderholder"
 	"lacewingladder/ladderkey"
 	"lacewingladder/laddermodel"
 	"lacewingladder/ladderplacement"
+	"lacewingladder/platform"
 )
 
 // Message is one of the messages of this package.
@@ -131,3 +134,76 @@
 type Fault struct {
 	Reason string
 }
+
+// Accepted tells the leader of a job that the store holds. It is answered by
+// [Done], or by [NotLeading].
+type Accepted struct {
+	Job string
+	// Body is the job's stored form.
+	Body []byte
+}
+
+// Cancelled tells the leader of a cancellation that the store holds. It is answered
+// by [StateIs], or by [NotLeading].
+type Cancelled struct {
+	Job string
+}
+
+// StateOf asks the leader for a job's state. It is answered by [StateIs], or by
+// [NotLeading].
+type StateOf struct {
+	Job string
+}
+
+// StateIs is a job's state.
+type StateIs struct {
+	Known bool
+	State string
+}
+
+// Count asks the leader for the length of a queue. It is answered by [Counted], or
+// by [NotLeading].
+type Count struct {
+	Queue string
+}
+
+// Counted is how many jobs of a queue have not begun.
+type Counted struct {
+	Pending int
+}
+
+// NotLeading says that the receiver does not lead.
+type NotLeading struct{}
+
+// Consult asks a VM to put a question to the advice service. It is answered by
+// [Consulted].
+type Consult struct {
+	Step    ladderflow.StepRef
+	Workers []string
+}
+
+// Consulted is an answer of the advice service.
+type Consulted struct {
+	Tickets []ladderflow.Ticket
+	Valid   time.Duration
+	// Refused means that the service has too long a line of the VM's questions.
+	Refused bool
+}
+
+// Carry asks a VM to make a call that the sender can't make itself. It is answered
+// by [Carried].
+type Carry struct {
+	To   netip.AddrPort
+	Call platform.Call
+	// Within bounds the call.
+	Within time.Duration
+}
+
+// Carried is what became of a call.
+type Carried struct {
+	Reply platform.Reply
+	// Unsent means that the call did not reach its receiver, Failed that its fate
+	// is not known.
+	Unsent bool
+	Failed bool
+}
--- /dev/null
+++ b/ladderplan/advice.go
@@ -0,0 +1,239 @@
+package ladderplan
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"lacewingladder/ladderflow"
+)
+
+const (
+	// ticketMargin is how long before its end a ticket is not used any more: the
+	// way of the ticket to the leader and of the start to the worker.
+	ticketMargin = 120 * time.Millisecond
+	// longAsk is from what cost on a question may not go to the VMs that are kept
+	// for short ones: an urgent task can wait that long and still be in time.
+	longAsk = 150 * time.Millisecond
+	// maxLine is how long a VM's line of questions may be for a long one to join.
+	maxLine = 300 * time.Millisecond
+	// askAgain is how long a step waits after a question that was not answered.
+	askAgain = 150 * time.Millisecond
+	// fewest and most bound the workers that one question names.
+	fewest = 8
+	most   = 100
+	// firstShare is the share of workers that is taken to be allowed before any
+	// answer about a queue is known.
+	firstShare = 0.4
+	// brokenTime is how long a VM that did not answer is not asked.
+	brokenTime = time.Second
+)
+
+// Ask is a question to the advice service, through a VM.
+type Ask struct {
+	VM      string
+	Step    ladderflow.StepRef
+	Workers []string
+	Cost    time.Duration
+}
+
+// tickets is what is known of a step's workers.
+type tickets struct {
+	rows   map[string]ticket
+	denied map[string]bool
+	asking bool
+	next   time.Time
+}
+
+type ticket struct {
+	text  string
+	until time.Time
+}
+
+func (t *tickets) valid(worker string, now time.Time) bool {
+	return now.Before(t.rows[worker].until)
+}
+
+// drop forgets a ticket, but not that the worker is allowed.
+func (t *tickets) drop(worker string) {
+	if _, ok := t.rows[worker]; ok {
+		t.rows[worker] = ticket{}
+	}
+}
+
+// advisers are the VMs through which the advice service is asked.
+type advisers struct {
+	names []string
+	// busy is until when each VM's line is taken, and broken until when it is not
+	// asked.
+	busy   map[string]time.Time
+	broken map[string]time.Time
+	// named and allowed count workers by queue.
+	named   map[string]int
+	allowed map[string]int
+}
+
+func newAdvisers() advisers {
+	return advisers{
+		busy: map[string]time.Time{}, broken: map[string]time.Time{},
+		named: map[string]int{}, allowed: map[string]int{},
+	}
+}
+
+// SetVMs names the VMs that can ask for advice.
+func (p *Planner) SetVMs(names []string) {
+	p.advisers.names = slices.Sorted(slices.Values(names))
+}
+
+// pick returns the VM with the shortest line for a question. It is false when a
+// long question should rather wait.
+func (a *advisers) pick(now time.Time, cost time.Duration) (string, bool) {
+	names := a.names
+	if cost >= longAsk && len(names) > 1 {
+		names = names[:max(1, len(names)*2/3)]
+	}
+	found, wait := "", time.Duration(0)
+	for _, n := range names {
+		if now.Before(a.broken[n]) {
+			continue
+		}
+		if line := max(0, a.busy[n].Sub(now)); found == "" || line < wait {
+			found, wait = n, line
+		}
+	}
+	if found == "" || cost >= longAsk && wait > maxLine {
+		return "", false
+	}
+	a.busy[found] = now.Add(wait + cost)
+	return found, true
+}
+
+// share returns the share of a queue's workers that are allowed, as far as known.
+func (a *advisers) share(queue string) float64 {
+	const weight = 20
+	return (firstShare*weight + float64(a.allowed[queue])) / float64(weight+a.named[queue])
+}
+
+// mayBeAdvised reports whether a worker is allowed, or may be.
+func (f *field) mayBeAdvised(w *worker) bool {
+	return f.queue == nil || f.queue.Advice == nil || !f.step.tickets.denied[w.spec.ID]
+}
+
+// ask asks about workers for the step's waiting tasks, where tickets are missing.
+func (f *field) ask() {
+	t := &f.step.tickets
+	if f.queue == nil || f.queue.Advice == nil || t.asking || f.now.Before(t.next) {
+		return
+	}
+	names := f.toAsk()
+	if len(names) == 0 {
+		return
+	}
+	cost := f.queue.Advice.Cost(len(names))
+	vm, ok := f.planner.advisers.pick(f.now, cost)
+	if !ok {
+		return
+	}
+	t.asking = true
+	f.planner.orders.Asks = append(f.planner.orders.Asks, Ask{VM: vm, Step: f.step.ref(), Workers: names, Cost: cost})
+}
+
+// toAsk returns the workers to ask about, best first.
+func (f *field) toAsk() []string {
+	type candidate struct {
+		worker *worker
+		known  bool
+		slots  int
+	}
+	t := &f.step.tickets
+	need := float64(f.step.waiting)
+	soon := f.now.Add(f.queue.Advice.Cost(fewest))
+	var list []candidate
+	for _, w := range f.planner.workers {
+		if !f.usable(w) || t.denied[w.spec.ID] {
+			continue
+		}
+		n := f.slots(w)
+		if t.valid(w.spec.ID, soon) {
+			need -= float64(n)
+			continue
+		}
+		_, known := t.rows[w.spec.ID]
+		if !known && n == 0 && f.step.spec.Charge().Times(w.spec.Capacity, 1) == 0 {
+			continue
+		}
+		if known && n == 0 {
+			continue
+		}
+		list = append(list, candidate{w, known, n})
+	}
+	if need <= 0 {
+		return nil
+	}
+	slices.SortFunc(list, func(a, b candidate) int {
+		return cmp.Or(-cmp.Compare(b2i(a.known), b2i(b.known)), -cmp.Compare(a.slots, b.slots),
+			cmp.Compare(a.worker.spec.ID, b.worker.spec.ID))
+	})
+	share := f.planner.advisers.share(f.queue.Name)
+	var names []string
+	for _, c := range list {
+		if len(names) >= most || need <= 0 && len(names) >= fewest {
+			break
+		}
+		names = append(names, c.worker.spec.ID)
+		if c.known {
+			need -= float64(c.slots)
+		} else {
+			need -= share * float64(c.slots) / 2
+		}
+	}
+	return names
+}
+
+func b2i(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// Advised takes in an answer of the advice service. Valid is zero when there was none.
+func (p *Planner) Advised(now time.Time, a Ask, allowed []ladderflow.Ticket, valid time.Duration, refused bool) {
+	if valid == 0 {
+		p.advisers.broken[a.VM] = now.Add(brokenTime)
+	}
+	if refused {
+		p.advisers.busy[a.VM] = now.Add(a.Cost)
+	}
+	j := p.jobs[a.Step.Job]
+	if j == nil || j.rounds[a.Step.Round] == nil {
+		return
+	}
+	s := j.rounds[a.Step.Round].steps[a.Step.Step]
+	t := &s.tickets
+	t.asking = false
+	if valid == 0 || refused {
+		t.next = now.Add(askAgain)
+		return
+	}
+	if t.rows == nil {
+		t.rows, t.denied = map[string]ticket{}, map[string]bool{}
+	}
+	for _, x := range allowed {
+		t.rows[x.Worker] = ticket{text: x.Text, until: now.Add(valid - ticketMargin)}
+	}
+	for _, w := range a.Workers {
+		if _, ok := t.rows[w]; !ok {
+			t.denied[w] = true
+		}
+	}
+	p.advisers.named[j.spec.Queue] += len(a.Workers)
+	p.advisers.allowed[j.spec.Queue] += len(allowed)
+}
+
+// dropTickets forgets all tickets for a worker, whose life has ended.
+func (p *Planner) dropTickets(worker string) {
+	for _, s := range p.open {
+		s.tickets.drop(worker)
+	}
+}
--- /dev/null
+++ b/ladderplan/record.go
@@ -0,0 +1,236 @@
+package ladderplan
+
+import (
+	"time"
+
+	"lacewingladder/ladderflow"
+)
+
+// retireTime is the time between looks for jobs to forget.
+const retireTime = 5 * time.Second
+
+// Record is the durable progress of a job.
+type Record struct {
+	Job   string
+	State ladderflow.State
+	// Rounds holds the rounds that are under way, and Closed those that ended well.
+	Rounds []RoundRecord
+	Closed []int
+}
+
+// RoundRecord is the progress of one round.
+type RoundRecord struct {
+	Index int
+	Steps []StepRecord
+}
+
+// StepRecord is the progress of one step. Tasks without a record have not ended.
+type StepRecord struct {
+	// Done is true when all tasks have ended well.
+	Done  bool
+	Tasks []TaskRecord
+	// Fails, Closed and Saved are those of a gang as a whole.
+	Fails  int
+	Closed int
+	Saved  string
+}
+
+// TaskRecord is the progress of one task.
+type TaskRecord struct {
+	Index  int
+	Done   bool
+	Number int
+	Closed int
+	Fails  int
+	Saved  string
+}
+
+// Batch is a set of records to store, with the ends that may be noted then.
+type Batch struct {
+	Records []Record
+	// Forget names jobs of which all keys may be deleted.
+	Forget []string
+	noted  map[string]notedEnd
+	states map[string]ladderflow.State
+}
+
+type notedEnd struct {
+	born   int64
+	number int64
+}
+
+// Empty reports whether there is nothing to store or note.
+func (b *Batch) Empty() bool { return len(b.Records) == 0 && len(b.Forget) == 0 && len(b.noted) == 0 }
+
+// Unsaved returns what has changed since the last call.
+func (p *Planner) Unsaved() *Batch {
+	b := &Batch{noted: map[string]notedEnd{}, states: map[string]ladderflow.State{}}
+	for id, j := range p.dirty {
+		b.Records = append(b.Records, j.record())
+		b.states[id] = j.state
+	}
+	clear(p.dirty)
+	for id, w := range p.workers {
+		if w.seen > w.noted {
+			b.noted[id] = notedEnd{w.born, w.seen}
+		}
+	}
+	return b
+}
+
+// Saved takes in that a batch is stored.
+func (p *Planner) Saved(b *Batch) {
+	for id, n := range b.noted {
+		if w, ok := p.workers[id]; ok && w.born == n.born {
+			w.noted = max(w.noted, n.number)
+		}
+	}
+	for id, s := range b.states {
+		if j, ok := p.jobs[id]; ok {
+			j.saved = s
+		}
+	}
+	for _, id := range b.Forget {
+		delete(p.jobs, id)
+	}
+}
+
+// NotSaved takes in that a batch may not be stored.
+func (p *Planner) NotSaved(b *Batch) {
+	for id := range b.states {
+		if j, ok := p.jobs[id]; ok {
+			p.dirty[id] = j
+		}
+	}
+}
+
+// record returns a job's durable form.
+func (j *job) record() Record {
+	r := Record{Job: j.spec.ID, State: j.state}
+	if j.state.Final() {
+		return r
+	}
+	for i := range j.closed {
+		r.Closed = append(r.Closed, i)
+	}
+	for _, x := range j.rounds {
+		rr := RoundRecord{Index: x.index}
+		for _, s := range x.steps {
+			rr.Steps = append(rr.Steps, s.record())
+		}
+		r.Rounds = append(r.Rounds, rr)
+	}
+	return r
+}
+
+func (s *step) record() StepRecord {
+	r := StepRecord{Done: s.finished(), Fails: s.gang.fails, Closed: s.gang.closed, Saved: s.gang.saved}
+	if r.Done {
+		return r
+	}
+	for _, t := range s.tasks {
+		if t.done || t.number > 0 {
+			r.Tasks = append(r.Tasks, TaskRecord{
+				Index: t.index, Done: t.done, Number: t.number, Closed: t.closed, Fails: t.fails, Saved: t.saved,
+			})
+		}
+	}
+	return r
+}
+
+// Restore takes in a record of a job that was added before.
+func (p *Planner) Restore(now time.Time, r Record) {
+	j, ok := p.jobs[r.Job]
+	if !ok {
+		return
+	}
+	j.saved = r.State
+	if r.State.Final() {
+		j.state, j.ended = r.State, now
+		clear(j.rounds)
+		delete(p.dirty, r.Job)
+		return
+	}
+	for _, i := range r.Closed {
+		j.closed[i] = true
+		delete(j.rounds, i)
+	}
+	for _, rr := range r.Rounds {
+		x, ok := j.rounds[rr.Index]
+		if !ok {
+			due := j.spec.Accepted
+			if j.spec.Timed() {
+				due = j.spec.Due(rr.Index)
+			}
+			x = j.open(rr.Index, due)
+		}
+		j.begun = j.begun || x.restore(rr)
+		p.openSteps(now, x)
+	}
+}
+
+// restore takes over a round's progress. It is true when a task had begun.
+func (r *round) restore(rr RoundRecord) bool {
+	begun := false
+	for i, sr := range rr.Steps {
+		if i >= len(r.steps) {
+			break
+		}
+		s := r.steps[i]
+		s.gang = gang{fails: sr.Fails, closed: sr.Closed, saved: sr.Saved, run: sr.Closed}
+		for _, t := range s.tasks {
+			if sr.Done {
+				t.done = true
+			}
+		}
+		for _, tr := range sr.Tasks {
+			if tr.Index < 0 || tr.Index >= len(s.tasks) {
+				continue
+			}
+			begun = true
+			t := s.tasks[tr.Index]
+			t.done, t.number, t.closed, t.fails, t.saved = tr.Done, tr.Number, tr.Closed, tr.Fails, tr.Saved
+		}
+		s.done, s.waiting = 0, 0
+		for _, t := range s.tasks {
+			if t.done {
+				s.done++
+			} else {
+				s.waiting++
+			}
+		}
+		if s.finished() {
+			begun = true
+			r.left--
+		}
+	}
+	return begun
+}
+
+// retire forgets cancellations of unknown jobs after a while. Ended jobs are kept
+// for as long as callers may ask for them.
+func (p *Planner) retire(now time.Time) {
+	if now.Before(p.dueRetire) {
+		return
+	}
+	p.dueRetire = now.Add(retireTime)
+	for id, at := range p.cancelled {
+		if now.Sub(at) > p.options.Remembered {
+			delete(p.cancelled, id)
+		}
+	}
+}
+
+// Retired returns at most limit jobs that nobody may ask for any more.
+func (p *Planner) Retired(now time.Time, limit int) []string {
+	var ids []string
+	for id, j := range p.jobs {
+		if len(ids) == limit {
+			break
+		}
+		if j.saved.Final() && now.Sub(j.ended) > p.options.Remembered*5/4 {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
--- /dev/null
+++ b/laddervm/carrier.go
@@ -0,0 +1,210 @@
+package laddervm
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"lacewingladder/laddermessage"
+	"lacewingladder/platform"
+)
+
+const (
+	// callTime bounds one call to the store, a slow one included.
+	callTime = 1200 * time.Millisecond
+	// watchSlack is how long after its wait a watch is given up.
+	watchSlack = 800 * time.Millisecond
+	// hedgeTime is after how long without an answer a call is also sent through a
+	// peer, and hedgeFactor how many times the usual answer's time that is at least.
+	hedgeTime   = 120 * time.Millisecond
+	hedgeFactor = 4
+	// shunTime is how long the straight way is left alone after it failed.
+	shunTime = 700 * time.Millisecond
+	// smoothing is the weight of a new answer in the usual answer's time.
+	smoothing = 0.2
+)
+
+// carrier carries calls to the store, straight or through a peer. All writes that
+// go through it are conditional, so that sending one twice does no harm.
+type carrier struct {
+	vm *VM
+
+	mu sync.Mutex
+	// usual is the smoothed time of an answer.
+	usual time.Duration
+	// shun is until when calls go through a peer first.
+	shun time.Time
+	// bad is until when a peer is not used.
+	bad  map[string]time.Time
+	next int
+}
+
+func newCarrier(v *VM) *carrier { return &carrier{vm: v, bad: map[string]time.Time{}} }
+
+// answer is what became of one way of sending a call.
+type answer struct {
+	reply platform.Reply
+	err   error
+	own   bool
+}
+
+// useful reports whether the store itself has answered the call.
+func (a answer) useful() bool {
+	return a.err == nil && a.reply.Status != http.StatusServiceUnavailable && a.reply.Status != http.StatusTooManyRequests
+}
+
+// Carry implements [platform.Carrier].
+func (c *carrier) Carry(ctx context.Context, to netip.AddrPort, call platform.Call) (platform.Reply, error) {
+	c.vm.stats.calls.Inc()
+	within := callTime
+	if call.Wait > 0 {
+		within = call.Wait + watchSlack
+	}
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	results := make(chan answer, 2)
+	now := c.vm.clock.Now()
+	own := func() { go c.straight(ctx, to, call, results) }
+	peer := func() bool { return c.through(ctx, to, call, within, results) }
+	pending, second := 1, peer
+	if c.shunned(now) && peer() {
+		second = func() bool { own(); return true }
+	} else {
+		own()
+	}
+	hedge := c.vm.clock.After(c.hedge(within))
+	var last answer
+	unknown := false
+	for pending > 0 {
+		select {
+		case a := <-results:
+			pending--
+			if a.useful() {
+				return a.reply, nil
+			}
+			unknown = unknown || a.err != nil && !errors.Is(a.err, platform.ErrUnsent)
+			if last.err != nil || last.reply.Status == 0 || a.err == nil {
+				last = a
+			}
+		case <-hedge:
+			hedge = nil
+		}
+		if second != nil && ctx.Err() == nil && second() {
+			pending++
+		}
+		second = nil
+	}
+	if unknown && last.err == nil {
+		// One way refused, and the other may have brought the call to the store.
+		return platform.Reply{}, errors.New("the store did not answer on one of two ways")
+	}
+	return last.reply, last.err
+}
+
+// hedge returns after how long a call is also sent the other way.
+func (c *carrier) hedge(within time.Duration) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if within > callTime {
+		return within
+	}
+	return max(hedgeTime, hedgeFactor*c.usual)
+}
+
+func (c *carrier) shunned(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return now.Before(c.shun)
+}
+
+// straight sends a call straight to the store.
+func (c *carrier) straight(ctx context.Context, to netip.AddrPort, call platform.Call, out chan<- answer) {
+	began := c.vm.clock.Now()
+	reply, err := c.vm.direct.Carry(ctx, to, call)
+	now := c.vm.clock.Now()
+	a := answer{reply: reply, err: err, own: true}
+	c.mu.Lock()
+	switch {
+	case a.useful():
+		if call.Wait == 0 {
+			c.usual += time.Duration(smoothing * float64(now.Sub(began)-c.usual))
+		}
+		c.shun = time.Time{}
+	case !errors.Is(err, context.Canceled):
+		if !now.Before(c.shun) {
+			c.vm.log.Warn("store does not serve this VM", "status", reply.Status, "err", err)
+		}
+		c.shun = now.Add(shunTime)
+	}
+	c.mu.Unlock()
+	if err != nil {
+		c.vm.direct.Forget(to)
+	}
+	out <- a
+}
+
+// through sends a call through a peer. It is false when there is none.
+func (c *carrier) through(ctx context.Context, to netip.AddrPort, call platform.Call, within time.Duration, out chan<- answer) bool {
+	peer, ok := c.peer()
+	if !ok {
+		return false
+	}
+	c.vm.stats.relayed.Inc()
+	go func() {
+		m, err := c.vm.peers.Call(ctx, peer.address, laddermessage.Carry{To: to, Call: call, Within: within})
+		a := answer{err: err}
+		if r, ok := m.(laddermessage.Carried); ok {
+			a.reply = r.Reply
+			switch {
+			case r.Unsent:
+				a.err = platform.ErrUnsent
+			case r.Failed:
+				a.err = errors.New("the store did not answer the peer")
+			}
+		}
+		if !a.useful() && !errors.Is(err, context.Canceled) {
+			c.mu.Lock()
+			c.bad[peer.name] = c.vm.clock.Now().Add(shunTime)
+			c.mu.Unlock()
+		}
+		out <- a
+	}()
+	return true
+}
+
+// peer returns a peer that did not fail lately, each in turn.
+func (c *carrier) peer() (peer, bool) {
+	list := c.vm.registry.others()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.vm.clock.Now()
+	for range list {
+		c.next++
+		p := list[c.next%len(list)]
+		if !now.Before(c.bad[p.name]) {
+			return p, true
+		}
+	}
+	return peer{}, false
+}
+
+// carryFor makes a call for a peer.
+func (v *VM) carryFor(ctx context.Context, m laddermessage.Carry) laddermessage.Carried {
+	ctx, cancel := context.WithTimeout(ctx, min(m.Within, maxCarry))
+	defer cancel()
+	reply, err := v.direct.Carry(ctx, m.To, m.Call)
+	return laddermessage.Carried{Reply: reply, Unsent: errors.Is(err, platform.ErrUnsent), Failed: err != nil}
+}
+
+// maxCarry bounds a call that is made for a peer: the longest watch and its slack.
+const maxCarry = 35 * time.Second
+
+// usualTime returns the smoothed time of an answer of the store.
+func (c *carrier) usualTime() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.usual
+}
--- /dev/null
+++ b/laddervm/drive.go
@@ -0,0 +1,252 @@
+package laddervm
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"lacewingladder/ladderflow"
+	"lacewingladder/laddermessage"
+	"lacewingladder/ladderplan"
+	"lacewingladder/platform"
+)
+
+const (
+	// lookWait is how long a worker may wait for an end before it answers a look.
+	lookWait = time.Second
+	// lookSlack is how long after its wait a look is given up.
+	lookSlack = 450 * time.Millisecond
+	// lookRetry is the time to the next look after one that was not answered.
+	lookRetry = 200 * time.Millisecond
+	// unsavedTime is how long the next look waits for the ends of the last one to be
+	// stored; until then the worker would list them again at once.
+	unsavedTime = 400 * time.Millisecond
+	// orderTime bounds an order to a worker: some ways between regions and a start.
+	orderTime = 350 * time.Millisecond
+	// consultSlack is how long after its cost a question for advice is given up.
+	consultSlack = 700 * time.Millisecond
+)
+
+// driver looks at one worker after the other answer, as long as the term lasts.
+type driver struct {
+	worker ladderflow.Worker
+	ctx    context.Context
+	cancel context.CancelFunc
+	// due is when a look that waits for the store is made anyway.
+	due     time.Time
+	waiting bool
+}
+
+// setWorkers takes over the workers that the store lists, and drives each.
+func (t *term) setWorkers(list []ladderflow.Worker) {
+	t.listed = list
+	if !t.loaded {
+		return
+	}
+	now := t.vm.clock.Now()
+	t.planner.SetWorkers(now, list)
+	wanted := map[string]bool{}
+	fresh := false
+	for _, w := range t.planner.Workers() {
+		wanted[w.ID] = true
+		d, ok := t.drivers[w.ID]
+		if ok && d.worker.Address == w.Address {
+			d.worker = w
+			continue
+		}
+		if ok {
+			d.cancel()
+		}
+		ctx, cancel := context.WithCancel(t.ctx)
+		d = &driver{worker: w, ctx: ctx, cancel: cancel}
+		t.drivers[w.ID] = d
+		t.look(ctx, d)
+		fresh = fresh || !t.roster[w.ID]
+	}
+	for id, d := range t.drivers {
+		if !wanted[id] {
+			d.cancel()
+			delete(t.drivers, id)
+		}
+	}
+	if fresh {
+		t.saveRoster()
+	}
+}
+
+// look makes a driver's next look and takes in its answer.
+func (t *term) look(ctx context.Context, d *driver) {
+	now := t.vm.clock.Now()
+	next, ok := t.planner.Look(now, d.worker.ID)
+	if !ok || ctx.Err() != nil {
+		d.cancel()
+		if t.drivers[d.worker.ID] == d {
+			delete(t.drivers, d.worker.ID)
+		}
+		return
+	}
+	if next.Waiting && !t.saver.idle() && now.Before(d.due) {
+		d.waiting = true
+		time.AfterFunc(d.due.Sub(now), func() { t.do(func() { t.lookOn(ctx, d) }) })
+		return
+	}
+	h := platform.Hold{Fence: t.fence, Noted: next.Noted, Until: next.Until}
+	if next.Until > 0 && !next.Waiting {
+		h.Wait = lookWait
+	}
+	w := d.worker
+	t.vm.stats.looks.Inc()
+	go func() {
+		sent, l, err := t.lookOnce(ctx, w, h)
+		t.do(func() { t.looked(ctx, d, sent, l, err) })
+	}()
+}
+
+// lookOn makes a look that has waited for the store.
+func (t *term) lookOn(ctx context.Context, d *driver) {
+	if d.waiting {
+		d.waiting = false
+		d.due = time.Time{}
+		t.look(ctx, d)
+	}
+}
+
+func (t *term) lookOnce(ctx context.Context, w ladderflow.Worker, h platform.Hold) (time.Time, ladderflow.Look, error) {
+	ctx, cancel := context.WithTimeout(ctx, h.Wait+lookSlack)
+	defer cancel()
+	sent := t.vm.clock.Now()
+	l, err := t.vm.workers.Look(ctx, w.Address, w.ID, h)
+	return sent, l, err
+}
+
+// looked takes in a look's answer and makes the next one.
+func (t *term) looked(ctx context.Context, d *driver, sent time.Time, l ladderflow.Look, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	if err != nil {
+		t.planner.LookFailed(d.worker.ID, errors.Is(err, platform.ErrFenced))
+		t.log.Debug("worker did not answer", "worker", d.worker.ID, "err", err)
+		t.vm.direct.Forget(d.worker.Address)
+		time.AfterFunc(lookRetry, func() { t.do(func() { t.look(ctx, d) }) })
+		return
+	}
+	now := t.vm.clock.Now()
+	t.vm.stats.ends.Add(len(l.Ended))
+	t.planner.Looked(now, d.worker.ID, sent, l)
+	d.due = now.Add(unsavedTime)
+	if !t.roster[d.worker.ID] {
+		t.saveRoster()
+	}
+	// The ends are handed to the store first, so that the look can wait for it.
+	t.save()
+	t.look(ctx, d)
+}
+
+// order sends out what the planner wants done.
+func (t *term) order(o ladderplan.Orders) {
+	for _, s := range o.Starts {
+		go t.start(s)
+	}
+	for _, s := range o.Stops {
+		go t.stop(s)
+	}
+	for _, s := range o.Paces {
+		go t.pace(s)
+	}
+	for _, a := range o.Asks {
+		go t.askAdvice(a)
+	}
+	for _, id := range o.Looks {
+		if d, ok := t.drivers[id]; ok {
+			go t.extraLook(d.worker)
+		}
+	}
+}
+
+// extraLook looks at a worker beside its driver, without waiting or prolonging.
+func (t *term) extraLook(w ladderflow.Worker) {
+	sent, l, err := t.lookOnce(t.ctx, w, platform.Hold{Fence: t.fence})
+	if err != nil {
+		return // The driver's own look will tell.
+	}
+	t.do(func() { t.planner.Looked(t.vm.clock.Now(), w.ID, sent, l) })
+}
+
+// result says what an order's answer means.
+func result(refusal ladderflow.Refusal, err error) ladderplan.Result {
+	return ladderplan.Result{
+		Refusal: refusal, Unsent: errors.Is(err, platform.ErrUnsent),
+		Unknown: err != nil && !errors.Is(err, platform.ErrUnsent),
+	}
+}
+
+func (t *term) start(s ladderplan.StartOrder) {
+	r := ladderplan.Result{Unsent: true}
+	began := t.vm.clock.Now()
+	if t.valid() {
+		ctx, cancel := context.WithTimeout(t.ctx, orderTime)
+		defer cancel()
+		r = result(t.vm.workers.Start(ctx, s.Worker.Address, s.Worker.ID, ladderflow.Start{
+			Run: s.Run, Payload: s.Payload, Saved: s.Saved, Ticket: s.Ticket, Until: s.Until, Fence: t.fence,
+		}))
+		t.vm.stats.starts.Inc()
+		t.vm.stats.start.UpdateDuration(began)
+	}
+	t.log.Info("start", "task", s.Run.Task, "run", s.Run.Number, "worker", s.Worker.ID,
+		"refusal", r.Refusal, "unsent", r.Unsent, "unknown", r.Unknown)
+	t.do(func() { t.planner.Started(t.vm.clock.Now(), s.Worker.ID, s.Run, r) })
+}
+
+func (t *term) stop(s ladderplan.StopOrder) {
+	ctx, cancel := context.WithTimeout(t.ctx, orderTime)
+	defer cancel()
+	r := result(t.vm.workers.Stop(ctx, s.Worker.Address, s.Worker.ID, s.Run, t.fence))
+	t.log.Info("stop", "task", s.Run.Task, "run", s.Run.Number, "worker", s.Worker.ID,
+		"refusal", r.Refusal, "unsent", r.Unsent, "unknown", r.Unknown)
+	t.do(func() { t.planner.Stopped(t.vm.clock.Now(), s.Worker.ID, s.Run, r) })
+}
+
+func (t *term) pace(s ladderplan.PaceOrder) {
+	ctx, cancel := context.WithTimeout(t.ctx, orderTime)
+	defer cancel()
+	refusal, err := t.vm.workers.Pace(ctx, s.Worker.Address, s.Worker.ID, s.Run, s.Percent, t.fence)
+	t.log.Info("pace", "task", s.Run.Task, "worker", s.Worker.ID, "percent", s.Percent, "refusal", refusal, "err", err)
+}
+
+// askAdvice puts a question to the advice service, through a peer or straight.
+func (t *term) askAdvice(a ladderplan.Ask) {
+	began := t.vm.clock.Now()
+	ctx, cancel := context.WithTimeout(t.ctx, a.Cost+maxLine+consultSlack)
+	defer cancel()
+	var m laddermessage.Message
+	var err error
+	question := laddermessage.Consult{Step: a.Step, Workers: a.Workers}
+	if a.VM == t.vm.settings.Name {
+		m = t.vm.consult(ctx, question)
+	} else if p, ok := t.vm.registry.find(a.VM); ok {
+		m, err = t.vm.peers.Call(ctx, p.address, question)
+	}
+	c, _ := m.(laddermessage.Consulted)
+	t.vm.stats.asks.Inc()
+	t.vm.stats.ask.UpdateDuration(began)
+	t.log.Info("advice", "step", a.Step, "vm", a.VM, "asked", len(a.Workers), "allowed", len(c.Tickets),
+		"refused", c.Refused, "took", t.vm.clock.Now().Sub(began).Round(time.Millisecond), "err", err)
+	t.do(func() { t.planner.Advised(t.vm.clock.Now(), a, c.Tickets, c.Valid, c.Refused) })
+}
+
+// maxLine is how long a question may stand in a VM's line.
+const maxLine = 600 * time.Millisecond
+
+// consult puts a question to the advice service.
+func (v *VM) consult(ctx context.Context, m laddermessage.Consult) laddermessage.Consulted {
+	tickets, valid, err := v.advice.Ask(ctx, m.Step, m.Workers)
+	if err != nil {
+		if !errors.Is(err, platform.ErrRefused) {
+			v.direct.Forget(v.settings.Advice)
+		}
+		v.log.Info("advice service did not answer", "step", m.Step, "err", err)
+		return laddermessage.Consulted{Refused: errors.Is(err, platform.ErrRefused)}
+	}
+	return laddermessage.Consulted{Tickets: tickets, Valid: valid}
+}
--- /dev/null
+++ b/laddervm/lead.go
@@ -0,0 +1,162 @@
+package laddervm
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"lacewingladder/ladderflow"
+	"lacewingladder/ladderjournal"
+	"lacewingladder/platform"
+)
+
+const (
+	// contendTime spreads the VMs that want to lead, so that one is usually first.
+	contendTime = 12 * time.Millisecond
+	// electTime is the time between tries to lead when nothing was heard.
+	electTime = 500 * time.Millisecond
+	// resignTime bounds the giving up of the lead by a VM that leaves.
+	resignTime = time.Second
+)
+
+// lead wins the lead when nobody has it, and keeps the term in which it does.
+type lead struct {
+	vm   *VM
+	log  *log.Logger
+	term atomic.Pointer[term]
+	// resigned is closed once a leaving VM does not lead any more.
+	stop chan struct{}
+}
+
+func newLead(v *VM) *lead {
+	return &lead{vm: v, log: v.logs.Part("lead"), stop: make(chan struct{})}
+}
+
+// current returns the VM's term, or nil while it does not lead.
+func (l *lead) current() *term { return l.term.Load() }
+
+func (l *lead) setFleet(f *ladderflow.Fleet) {
+	if t := l.current(); t != nil {
+		t.do(func() { t.planner.SetFleet(f) })
+	}
+}
+
+// run contends for the lead whenever nobody has it, until ctx ends.
+func (l *lead) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-l.vm.registry.changed:
+		case <-l.vm.clock.After(electTime):
+		}
+		known, read := l.vm.registry.leads()
+		if t := l.current(); t != nil {
+			l.check(t, known)
+			continue
+		}
+		if !read || known.revision != 0 || l.vm.leaving.Load() || l.vm.fleet.Load() == nil {
+			continue
+		}
+		if lease, ok := l.vm.registry.held(); ok {
+			l.contend(ctx, lease)
+		}
+	}
+	if t := l.current(); t != nil {
+		l.end(t, "the VM stops")
+	}
+}
+
+// check ends a term that the store says is over.
+func (l *lead) check(t *term, known leader) {
+	switch {
+	case known.revision > t.fence:
+		l.end(t, "another VM leads")
+	case known.revision == 0 && l.vm.registry.knew(t.fence):
+		l.end(t, "the leader's key is gone")
+	case l.vm.registry.leaseNow() != t.lease:
+		l.end(t, "the lease has ended")
+	}
+}
+
+// contend tries to win the lead under the VM's lease.
+func (l *lead) contend(ctx context.Context, lease int64) {
+	// VMs close to the store come first: their answers are quicker, and so is all
+	// that they will lead.
+	wait := 2*l.vm.carrier.usualTime() + time.Duration(rand.Int64N(int64(contendTime)))
+	select {
+	case <-ctx.Done():
+		return
+	case <-l.vm.clock.After(wait):
+	}
+	if known, _ := l.vm.registry.leads(); known.revision != 0 || l.vm.leaving.Load() {
+		return
+	}
+	began := l.vm.clock.Now()
+	revision, found, err := l.vm.store.Commit(ctx, platform.Txn{
+		If:     []platform.Condition{{Key: ladderjournal.LeaderKey}},
+		Writes: []platform.Write{{Key: ladderjournal.LeaderKey, Value: l.vm.registry.entry(), Lease: lease}},
+	})
+	switch {
+	case errors.Is(err, platform.ErrChanged):
+		for _, item := range found {
+			if item.Key != ladderjournal.LeaderKey || item.Changed == 0 {
+				continue
+			}
+			p, err := parseEntry(item.Value)
+			if err != nil {
+				l.log.Warn("leader's key can not be read", "err", err)
+				continue
+			}
+			l.vm.registry.setLeader(leader{name: p.name, life: p.life, revision: item.Changed})
+			if p.life == l.vm.registry.life && item.Lease == lease {
+				l.begin(ctx, lease, item.Changed, began)
+			}
+		}
+	case err != nil:
+		l.log.Warn("lead was not won", "err", err)
+	default:
+		l.vm.registry.setLeader(leader{name: l.vm.settings.Name, life: l.vm.registry.life, revision: revision})
+		l.begin(ctx, lease, revision, began)
+	}
+}
+
+// begin opens a term.
+func (l *lead) begin(ctx context.Context, lease, fence int64, began time.Time) {
+	l.vm.stats.takeovers.Inc()
+	l.log.Info("leads", "fence", fence, "lease", lease)
+	t := newTerm(ctx, l.vm, lease, fence, began)
+	l.term.Store(t)
+	go t.run()
+}
+
+// end closes a term.
+func (l *lead) end(t *term, why string) {
+	if l.term.CompareAndSwap(t, nil) {
+		l.log.Warn("leads no more", "fence", t.fence, "why", why)
+		t.cancel()
+		l.vm.registry.signal()
+	}
+}
+
+// resign gives the lead up, so that another VM can take it at once.
+func (l *lead) resign() {
+	t := l.current()
+	if t == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), resignTime)
+	defer cancel()
+	t.settle(ctx)
+	l.end(t, "the VM leaves")
+	_, _, err := l.vm.store.Commit(ctx, platform.Txn{
+		If:      []platform.Condition{{Key: ladderjournal.LeaderKey, Changed: t.fence}},
+		Deletes: []string{ladderjournal.LeaderKey},
+	})
+	if err != nil {
+		l.log.Warn("lead is left to lapse", "err", err)
+	}
+}
--- /dev/null
+++ b/laddervm/registry.go
@@ -0,0 +1,422 @@
+package laddervm
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/oklog/ulid/v2"
+
+	"lacewingladder/ladderjournal"
+	"lacewingladder/platform"
+)
+
+const (
+	vmPrefix    = "ladder/vm/"
+	entryPrefix = "ladder/vm/entry/"
+	// leaseTime is the length of a VM's lease: how long the lead stands still after
+	// the leader has died without a word.
+	leaseTime = 2 * time.Second
+	// renewTime is the time between renewals, so that three may fail.
+	renewTime = 450 * time.Millisecond
+	// retryTime is the time to the next try of a call to the store that failed.
+	retryTime = 150 * time.Millisecond
+	// leaseMargin is by how much the VM believes its lease to be shorter.
+	leaseMargin = 100 * time.Millisecond
+	// watchTime is how long one watch waits. A watch that went silent costs that
+	// much and its slack, and a change must be known within 2.5 s.
+	watchTime = 1200 * time.Millisecond
+	// trustTime is how long the key of a VM whose entry is gone is accepted: an
+	// outage of the store takes entries away though the VMs run on.
+	trustTime = 30 * time.Second
+)
+
+// peer is another VM, as it registered itself.
+type peer struct {
+	name    string
+	life    string
+	address netip.AddrPort
+	hash    string
+	// gone is when its entry went, or zero.
+	gone time.Time
+}
+
+// leader is who leads, as far as the store has told. Revision is zero for nobody.
+type leader struct {
+	name     string
+	life     string
+	revision int64
+}
+
+// registry keeps the VM's lease and entry, and knows its peers and who leads.
+type registry struct {
+	vm   *VM
+	log  *log.Logger
+	life string
+
+	mu     sync.Mutex
+	peers  map[string]peer
+	leader leader
+	read   bool
+	// seen is the highest revision of the leader's key that the watch has shown.
+	seen    int64
+	lease   int64
+	until   time.Duration
+	changed chan struct{}
+}
+
+func newRegistry(v *VM) *registry {
+	return &registry{
+		vm: v, log: v.logs.Part("registry"), life: ulid.Make().String(), peers: map[string]peer{},
+		changed: make(chan struct{}, 1),
+	}
+}
+
+// entryWire is a VM's entry, and the leader's.
+type entryWire struct {
+	_       struct{} `cbor:",toarray"`
+	Name    string
+	Life    string
+	Address string
+	Hash    string
+}
+
+func (r *registry) entry() []byte {
+	address := netip.AddrPortFrom(r.vm.settings.Address, r.vm.settings.FirstPort)
+	data, err := cbor.Marshal(entryWire{
+		Name: r.vm.settings.Name, Life: r.life, Address: address.String(), Hash: r.vm.keys.hash,
+	})
+	if err != nil {
+		panic(err) // Strings can always be encoded.
+	}
+	return data
+}
+
+func parseEntry(data []byte) (peer, error) {
+	var w entryWire
+	if err := cbor.Unmarshal(data, &w); err != nil {
+		return peer{}, err
+	}
+	address, err := netip.ParseAddrPort(w.Address)
+	return peer{name: w.Name, life: w.Life, address: address, hash: w.Hash}, err
+}
+
+// trusts reports whether a key's hash is registered, or was a short while ago.
+func (r *registry) trusts(hash string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if hash == r.vm.keys.hash {
+		return true
+	}
+	for _, p := range r.peers {
+		if p.hash == hash {
+			return true
+		}
+	}
+	r.log.Warn("stranger is refused", "hash", hash)
+	return false
+}
+
+// others returns the peers that are registered, or all that were lately when none is.
+func (r *registry) others() []peer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var listed, all []peer
+	for _, p := range r.peers {
+		if p.life == r.life {
+			continue
+		}
+		all = append(all, p)
+		if p.gone.IsZero() {
+			listed = append(listed, p)
+		}
+	}
+	if len(listed) == 0 {
+		listed = all
+	}
+	slices.SortFunc(listed, func(a, b peer) int { return strings.Compare(a.name, b.name) })
+	return listed
+}
+
+// find returns a peer by its name.
+func (r *registry) find(name string) (peer, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p, ok := r.peers[name]
+	return p, ok
+}
+
+// leads returns who leads. It is false before the store was read.
+func (r *registry) leads() (leader, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.leader, r.read
+}
+
+// held returns the VM's lease while it certainly stands.
+func (r *registry) held() (int64, bool) {
+	now := r.vm.boot.SinceBoot()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lease, r.lease != 0 && now < r.until
+}
+
+func (r *registry) signal() {
+	select {
+	case r.changed <- struct{}{}:
+	default:
+	}
+}
+
+// keep registers the VM and renews its lease until ctx ends.
+func (r *registry) keep(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait := renewTime
+		lease, _ := r.held()
+		var err error
+		if lease == 0 {
+			err = r.register(ctx)
+		} else {
+			err = r.renew(ctx, lease)
+		}
+		if err != nil {
+			wait = retryTime
+			if ctx.Err() == nil {
+				r.log.Warn("lease is not renewed", "lease", lease, "err", err)
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-r.vm.clock.After(wait):
+		}
+	}
+}
+
+// register takes a new lease and writes the VM's entry under it.
+func (r *registry) register(ctx context.Context) error {
+	began := r.vm.boot.SinceBoot()
+	lease, length, err := r.vm.store.Grant(ctx, max(leaseTime, r.vm.settings.ShortestLease))
+	if err != nil {
+		return err
+	}
+	_, _, err = r.vm.store.Commit(ctx, platform.Txn{
+		Writes: []platform.Write{{Key: entryPrefix + r.vm.settings.Name, Value: r.entry(), Lease: lease}},
+	})
+	if err != nil {
+		return err
+	}
+	r.log.Info("is registered", "lease", lease, "length", length)
+	r.mu.Lock()
+	r.lease, r.until = lease, began+length-leaseMargin
+	r.mu.Unlock()
+	r.signal()
+	return nil
+}
+
+func (r *registry) renew(ctx context.Context, lease int64) error {
+	began := r.vm.boot.SinceBoot()
+	err := r.vm.store.Renew(ctx, lease)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.lease != lease {
+		return err
+	}
+	if errors.Is(err, platform.ErrNoLease) {
+		r.lease, r.until = 0, 0
+		r.signal()
+	}
+	if err == nil {
+		r.until = began + max(leaseTime, r.vm.settings.ShortestLease) - leaseMargin
+	}
+	return err
+}
+
+// leave ends the VM's lease, with its entry.
+func (r *registry) leave(ctx context.Context) {
+	r.mu.Lock()
+	lease := r.lease
+	r.lease, r.until = 0, 0
+	r.mu.Unlock()
+	if lease == 0 {
+		return
+	}
+	if err := r.vm.store.End(ctx, lease); err != nil {
+		r.log.Warn("lease is left to lapse", "lease", lease, "err", err)
+	}
+}
+
+// watch follows the entries of all VMs and the leader's key until ctx ends.
+func (r *registry) watch(ctx context.Context) {
+	follow(ctx, r.vm, vmPrefix, follower{
+		reset: func(items []platform.Item, revision int64) {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			now := r.vm.clock.Now()
+			listed := map[string]bool{}
+			for _, item := range items {
+				listed[item.Key] = true
+			}
+			for name, p := range r.peers {
+				if !listed[entryPrefix+name] && p.gone.IsZero() {
+					p.gone = now
+					r.peers[name] = p
+				}
+			}
+			if !listed[ladderjournal.LeaderKey] && revision > r.leader.revision {
+				r.leader = leader{}
+				r.seen = max(r.seen, revision)
+			}
+			for _, item := range items {
+				r.apply(item, now)
+			}
+			r.read = true
+			r.signal()
+		},
+		change: func(items []platform.Item) {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			for _, item := range items {
+				r.apply(item, r.vm.clock.Now())
+			}
+			r.signal()
+		},
+	})
+}
+
+// apply takes in one key below the VMs' prefix. The lock is held.
+func (r *registry) apply(item platform.Item, now time.Time) {
+	name := strings.TrimPrefix(item.Key, entryPrefix)
+	if item.Key == ladderjournal.LeaderKey {
+		r.seen = max(r.seen, item.Changed)
+	}
+	if item.Deleted {
+		if item.Key == ladderjournal.LeaderKey {
+			r.log.Info("nobody leads", "revision", item.Changed, "before", r.leader.name)
+			if item.Changed > r.leader.revision {
+				r.leader = leader{}
+			}
+		} else if p, ok := r.peers[name]; ok && p.gone.IsZero() {
+			p.gone = now
+			r.peers[name] = p
+		}
+		return
+	}
+	p, err := parseEntry(item.Value)
+	if err != nil {
+		r.log.Warn("entry is passed over", "key", item.Key, "err", err)
+		return
+	}
+	if item.Key == ladderjournal.LeaderKey {
+		if r.leader.revision != item.Changed {
+			r.log.Info("leader is known", "leader", p.name, "revision", item.Changed)
+		}
+		r.leader = leader{name: p.name, life: p.life, revision: item.Changed}
+		return
+	}
+	for old, o := range r.peers {
+		if !o.gone.IsZero() && now.Sub(o.gone) > trustTime {
+			delete(r.peers, old)
+		}
+	}
+	r.peers[name] = p
+}
+
+// setLeader takes over what a transaction has shown about the leader.
+func (r *registry) setLeader(l leader) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if l.revision > r.leader.revision {
+		r.leader = l
+	}
+}
+
+// follower takes in what lies below a prefix of the store.
+type follower struct {
+	// reset takes in all items, change those that have changed since.
+	reset  func(items []platform.Item, revision int64)
+	change func([]platform.Item)
+	// pause is the time between two watches; changes gather in it.
+	pause time.Duration
+}
+
+// follow reads a prefix and then watches it until ctx ends. When the history that
+// it needs is gone, it reads all again.
+func follow(ctx context.Context, v *VM, prefix string, f follower) {
+	revision := int64(0)
+	for ctx.Err() == nil {
+		var err error
+		if revision == 0 {
+			revision, err = readAll(ctx, v, prefix, f.reset)
+		} else {
+			var items []platform.Item
+			var next int64
+			items, next, err = v.store.Watch(ctx, prefix, revision, watchTime)
+			switch {
+			case errors.Is(err, platform.ErrForgotten):
+				v.log.Info("history is gone; all is read again", "prefix", prefix, "revision", revision)
+				revision, err = 0, nil
+			case err == nil:
+				revision = max(revision, next)
+				if len(items) > 0 {
+					f.change(items)
+				}
+			}
+		}
+		pause := f.pause
+		if err != nil {
+			pause = retryTime
+			if ctx.Err() == nil {
+				v.log.Warn("watch broke", "prefix", prefix, "revision", revision, "err", err)
+			}
+		}
+		if pause > 0 {
+			select {
+			case <-ctx.Done():
+			case <-v.clock.After(pause):
+			}
+		}
+	}
+}
+
+// readAll reads all pages of a prefix and returns the revision of the first.
+func readAll(ctx context.Context, v *VM, prefix string, take func([]platform.Item, int64)) (int64, error) {
+	var all []platform.Item
+	first := int64(0)
+	for after := ""; ; {
+		page, err := v.store.Range(ctx, prefix, after)
+		if err != nil {
+			return 0, fmt.Errorf("read %s: %w", prefix, err)
+		}
+		if first == 0 {
+			first = page.Revision
+		}
+		all = append(all, page.Items...)
+		if !page.More || len(page.Items) == 0 {
+			take(all, first)
+			return first, nil
+		}
+		after = page.Items[len(page.Items)-1].Key
+	}
+}
+
+// knew reports whether the watch has shown the leader's key of a revision, so that
+// its absence now means that it is gone.
+func (r *registry) knew(revision int64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.seen >= revision
+}
+
+// leaseNow returns the VM's lease, whether or not it still stands, or zero.
+func (r *registry) leaseNow() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lease
+}
--- /dev/null
+++ b/laddervm/save.go
@@ -0,0 +1,187 @@
+package laddervm
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"lacewingladder/ladderflow"
+	"lacewingladder/ladderjournal"
+	"lacewingladder/ladderplan"
+	"lacewingladder/platform"
+)
+
+const (
+	// saveGap is the least time between two transactions of the leader: at most 40
+	// a second, a tenth of what the store takes.
+	saveGap = 25 * time.Millisecond
+	// saveRetry is the time to the next try after one that failed.
+	saveRetry = 80 * time.Millisecond
+)
+
+// saver stores what the planner changed, one batch after the other.
+type saver struct {
+	busy bool
+	last time.Time
+}
+
+func (s *saver) idle() bool { return !s.busy }
+
+// save stores what has changed, unless a batch is under way.
+func (t *term) save() {
+	now := t.vm.clock.Now()
+	if t.saver.busy || !t.loaded {
+		return
+	}
+	if wait := t.saver.last.Add(saveGap).Sub(now); wait > 0 {
+		t.saver.busy = true
+		time.AfterFunc(wait, func() { t.do(func() { t.saver.busy = false; t.save() }) })
+		return
+	}
+	b := t.planner.Unsaved()
+	b.Forget = t.planner.Retired(now, ladderjournal.MaxForgotten)
+	if b.Empty() {
+		return
+	}
+	t.saver.busy, t.saver.last = true, now
+	go func() {
+		err := t.commit(b)
+		t.do(func() { t.saved(b, err) })
+	}()
+}
+
+// commit stores a batch in as many transactions as it takes.
+func (t *term) commit(b *ladderplan.Batch) error {
+	began := t.vm.clock.Now()
+	for rest := b.Records; len(rest) > 0; {
+		n := min(len(rest), ladderjournal.MaxRecords)
+		if err := t.vm.journal.Commit(t.ctx, t.fence, rest[:n]); err != nil {
+			return err
+		}
+		rest = rest[n:]
+	}
+	if len(b.Forget) > 0 {
+		if err := t.vm.journal.Forget(t.ctx, t.fence, b.Forget); err != nil {
+			return err
+		}
+	}
+	t.vm.stats.commit.UpdateDuration(began)
+	return nil
+}
+
+// saved takes in what became of a batch.
+func (t *term) saved(b *ladderplan.Batch, err error) {
+	t.saver.busy = false
+	switch {
+	case errors.Is(err, platform.ErrChanged):
+		t.vm.lead.end(t, "the store names another leader")
+		return
+	case err != nil:
+		t.log.Warn("progress is not stored", "records", len(b.Records), "err", err)
+		t.planner.NotSaved(b)
+		t.saver.busy = true
+		time.AfterFunc(saveRetry, func() { t.do(func() { t.saver.busy = false; t.save() }) })
+		return
+	}
+	t.planner.Saved(b)
+	for _, d := range t.drivers {
+		t.lookOn(d.ctx, d)
+	}
+	t.save()
+}
+
+// settle stores what has changed and waits for it, before the lead is given up.
+func (t *term) settle(ctx context.Context) {
+	var b *ladderplan.Batch
+	if !t.call(ctx, func() { b = t.planner.Unsaved() }) || b.Empty() {
+		return
+	}
+	if err := t.commit(b); err != nil {
+		t.log.Warn("progress is left to the next leader", "err", err)
+	}
+}
+
+// saveRoster stores which workers are in use. The planner starts nothing on a worker
+// that the stored list does not name.
+func (t *term) saveRoster() {
+	if t.rostering {
+		return
+	}
+	list := t.planner.Workers()
+	t.rostering = true
+	go func() {
+		err := t.vm.journal.SaveRoster(t.ctx, t.fence, list)
+		t.do(func() { t.rosterSaved(list, err) })
+	}()
+}
+
+func (t *term) rosterSaved(list []ladderflow.Worker, err error) {
+	t.rostering = false
+	if errors.Is(err, platform.ErrChanged) {
+		t.vm.lead.end(t, "the store names another leader")
+		return
+	}
+	if err != nil {
+		t.log.Warn("list of workers in use is not stored", "err", err)
+		time.AfterFunc(saveRetry, func() { t.do(t.saveRoster) })
+		return
+	}
+	t.roster = map[string]bool{}
+	for _, w := range list {
+		t.roster[w.ID] = true
+	}
+	t.planner.SetRoster(t.roster)
+	for id := range t.drivers {
+		if !t.roster[id] {
+			t.saveRoster()
+			return
+		}
+	}
+}
+
+// readWorkers reads the workers that the store lists.
+func (t *term) readWorkers() ([]ladderflow.Worker, error) {
+	var list []ladderflow.Worker
+	_, err := readAll(t.ctx, t.vm, platform.WorkerPrefix, func(items []platform.Item, _ int64) {
+		list = t.parseWorkers(items, map[string]ladderflow.Worker{})
+	})
+	return list, err
+}
+
+// parseWorkers puts what items say into a list by id, and returns the list.
+func (t *term) parseWorkers(items []platform.Item, byID map[string]ladderflow.Worker) []ladderflow.Worker {
+	for _, item := range items {
+		if item.Deleted {
+			delete(byID, item.Key)
+			continue
+		}
+		w, err := platform.ParseWorker(item)
+		if err != nil {
+			t.log.Warn("worker's entry is passed over", "err", err)
+			delete(byID, item.Key)
+			continue
+		}
+		byID[item.Key] = w
+	}
+	list := make([]ladderflow.Worker, 0, len(byID))
+	for _, w := range byID {
+		list = append(list, w)
+	}
+	return list
+}
+
+// workerFollower keeps the list of workers as the store has it.
+func (t *term) workerFollower() follower {
+	byID := map[string]ladderflow.Worker{}
+	return follower{
+		reset: func(items []platform.Item, _ int64) {
+			clear(byID)
+			list := t.parseWorkers(items, byID)
+			t.do(func() { t.setWorkers(list) })
+		},
+		change: func(items []platform.Item) {
+			list := t.parseWorkers(items, byID)
+			t.do(func() { t.setWorkers(list) })
+		},
+	}
+}
--- /dev/null
+++ b/laddervm/submit.go
@@ -0,0 +1,193 @@
+package laddervm
+
+import (
+	"context"
+	"time"
+
+	"lacewingladder/ladderflow"
+	"lacewingladder/ladderjournal"
+	"lacewingladder/laddermessage"
+)
+
+const (
+	// submissions bounds the jobs that wait to be stored. More than that can't be
+	// stored before their callers give up.
+	submissions = 256
+	// writers is how many transactions of new jobs may be under way at once: while
+	// the store is slow, one after the other would take too few.
+	writers = 4
+	// noticeTime bounds the telling of the leader, and noticeTries its tries; the
+	// leader finds what it was not told of in the store.
+	noticeTime  = 500 * time.Millisecond
+	noticeTries = 4
+)
+
+// writer stores new jobs, those that arrive together in one transaction.
+type writer struct {
+	vm    *VM
+	queue chan *pending
+}
+
+// pending is a submission that waits for its outcome.
+type pending struct {
+	ladderjournal.Submission
+	done chan struct{}
+}
+
+func newWriter(v *VM) *writer { return &writer{vm: v, queue: make(chan *pending, submissions)} }
+
+// run stores submissions until ctx ends.
+func (w *writer) run(ctx context.Context) {
+	slots := make(chan struct{}, writers)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case slots <- struct{}{}:
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case first := <-w.queue:
+			batch := w.gather(first)
+			w.vm.wait.Go(func() {
+				defer func() { <-slots }()
+				w.store(ctx, batch)
+			})
+		}
+	}
+}
+
+// gather returns a submission together with those that wait behind it.
+func (w *writer) gather(first *pending) []*pending {
+	batch := []*pending{first}
+	for len(batch) < ladderjournal.MaxSubmissions {
+		select {
+		case p := <-w.queue:
+			batch = append(batch, p)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+// store writes a batch. Two submissions of one id do not share a transaction.
+func (w *writer) store(ctx context.Context, batch []*pending) {
+	for len(batch) > 0 {
+		ids := map[string]bool{}
+		var now []*ladderjournal.Submission
+		var taken, later []*pending
+		for _, p := range batch {
+			if ids[p.Job.ID] {
+				later = append(later, p)
+				continue
+			}
+			ids[p.Job.ID] = true
+			now, taken = append(now, &p.Submission), append(taken, p)
+		}
+		w.vm.journal.Accept(ctx, now)
+		for _, p := range taken {
+			close(p.done)
+		}
+		batch = later
+	}
+}
+
+// submit stores a job and returns what became of it. A job whose fate is not known
+// is tried again until ctx ends: its repetition either stores it or finds it.
+func (w *writer) submit(ctx context.Context, job *ladderflow.Job) (ladderjournal.Outcome, error) {
+	unsettled := false
+	for {
+		p := &pending{Submission: ladderjournal.Submission{Job: job}, done: make(chan struct{})}
+		select {
+		case w.queue <- p:
+		default:
+			if unsettled {
+				return ladderjournal.Unsettled, errFull
+			}
+			return ladderjournal.Rejected, errFull
+		}
+		select {
+		case <-p.done:
+		case <-ctx.Done():
+			return ladderjournal.Unsettled, ctx.Err()
+		}
+		switch {
+		case p.Outcome == ladderjournal.Unsettled, p.Outcome == ladderjournal.Rejected && unsettled:
+			unsettled = true
+		default:
+			return p.Outcome, p.Err
+		}
+		select {
+		case <-ctx.Done():
+			return ladderjournal.Unsettled, p.Err
+		case <-w.vm.clock.After(retryTime):
+		}
+	}
+}
+
+// tell brings a message to the leader, with some tries.
+func (v *VM) tell(m laddermessage.Message) {
+	ctx, cancel := context.WithTimeout(context.Background(), noticeTries*noticeTime)
+	defer cancel()
+	for range noticeTries {
+		if _, ok := v.askLeader(ctx, m, noticeTime); ok {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-v.clock.After(retryTime):
+		}
+	}
+	v.log.Info("leader was not told; it will find this in the store", "message", m)
+}
+
+// askLeader puts a message to the leader. It is false when nobody that leads answered.
+func (v *VM) askLeader(ctx context.Context, m laddermessage.Message, within time.Duration) (laddermessage.Message, bool) {
+	l, _ := v.registry.leads()
+	if l.revision == 0 {
+		return nil, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	var reply laddermessage.Message
+	var err error
+	if l.life == v.registry.life {
+		reply, err = handler{v}.Handle(ctx, m)
+	} else {
+		p, ok := v.registry.find(l.name)
+		if !ok {
+			return nil, false
+		}
+		reply, err = v.peers.Call(ctx, p.address, m)
+	}
+	if err != nil {
+		v.log.Debug("leader did not answer", "leader", l.name, "err", err)
+		return nil, false
+	}
+	_, not := reply.(laddermessage.NotLeading)
+	return reply, !not
+}
+
+// handler answers the messages of peers.
+type handler struct {
+	vm *VM
+}
+
+// Handle implements ladderpeer.Handler.
+func (h handler) Handle(ctx context.Context, m laddermessage.Message) (laddermessage.Message, error) {
+	v := h.vm
+	switch m := m.(type) {
+	case laddermessage.Carry:
+		return v.carryFor(ctx, m), nil
+	case laddermessage.Consult:
+		return v.consult(ctx, m), nil
+	}
+	t := v.lead.current()
+	if t == nil {
+		return laddermessage.NotLeading{}, nil
+	}
+	return t.answer(ctx, m)
+}
--- /dev/null
+++ b/laddervm/term.go
@@ -0,0 +1,277 @@
+package laddervm
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"lacewingladder/ladderflow"
+	"lacewingladder/ladderjournal"
+	"lacewingladder/laddermessage"
+	"lacewingladder/ladderplan"
+	"lacewingladder/platform"
+)
+
+const (
+	// holdTime is how long a worker's lease lasts from each look. It outlasts a
+	// takeover (the lease of the leader, the reading of the store and one look) and
+	// frees the tasks of a worker that is gone for good as soon as that allows.
+	holdTime = 6 * time.Second
+	// planGap is the least time between two plans, in which events gather.
+	planGap = 2 * time.Millisecond
+	// turnTime is the longest time between two plans: some things become due by
+	// time alone, such as lapsed leases and rounds.
+	turnTime = 60 * time.Millisecond
+	// loadRetry is the time to the next try to read the store at a takeover.
+	loadRetry = 60 * time.Millisecond
+	// catchUpTime is the time between looks at the store for jobs and cancellations
+	// of which the leader was not told.
+	catchUpTime = 700 * time.Millisecond
+	// inboxSize bounds the events that wait for the control goroutine.
+	inboxSize = 4096
+)
+
+// term is the time during which this VM leads. The planner belongs to the goroutine
+// of run; all else reaches it through do.
+type term struct {
+	vm      *VM
+	log     *log.Logger
+	lease   int64
+	fence   int64
+	began   time.Time
+	ctx     context.Context
+	cancel  context.CancelFunc
+	inbox   chan func()
+	planner *ladderplan.Planner
+	// loaded is true once the planner knows what the store holds.
+	loaded  bool
+	drivers map[string]*driver
+	saver   saver
+	wall    wall
+	roster  map[string]bool
+	// rostering is true while the list of workers in use is being stored.
+	rostering bool
+	listed    []ladderflow.Worker
+}
+
+func newTerm(ctx context.Context, v *VM, lease, fence int64, began time.Time) *term {
+	t := &term{
+		vm: v, log: v.logs.Part("term"), lease: lease, fence: fence, began: began,
+		inbox: make(chan func(), inboxSize), drivers: map[string]*driver{}, roster: map[string]bool{},
+	}
+	t.ctx, t.cancel = context.WithCancel(ctx)
+	b := v.bounds.Load()
+	t.planner = ladderplan.New(ladderplan.Options{
+		Fence: fence, Hold: min(holdTime, b.LongestHold), Elected: began, Former: leaseTime,
+		StopTime: b.StopTime, Remembered: b.Remembered, Remote: b.Remote, Checkpoint: b.Checkpoint,
+		Log: v.logs.Part("plan"),
+	})
+	t.planner.SetFleet(v.fleet.Load())
+	return t
+}
+
+// do runs a function on the control goroutine. It is dropped once the term is over.
+func (t *term) do(f func()) {
+	select {
+	case t.inbox <- f:
+	case <-t.ctx.Done():
+	}
+}
+
+// call runs a function on the control goroutine and waits for it.
+func (t *term) call(ctx context.Context, f func()) bool {
+	done := make(chan struct{})
+	select {
+	case t.inbox <- func() { f(); close(done) }:
+	case <-t.ctx.Done():
+		return false
+	case <-ctx.Done():
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-t.ctx.Done():
+	case <-ctx.Done():
+	}
+	return false
+}
+
+// valid reports whether the VM may still order as the leader.
+func (t *term) valid() bool {
+	lease, ok := t.vm.registry.held()
+	return ok && lease == t.lease && t.ctx.Err() == nil
+}
+
+// run is the control goroutine.
+func (t *term) run() {
+	go t.load()
+	timer := time.NewTimer(turnTime)
+	defer timer.Stop()
+	for {
+		select {
+		case <-t.ctx.Done():
+			return
+		case f := <-t.inbox:
+			f()
+		case <-timer.C:
+		}
+		t.drain()
+		t.plan()
+		timer.Reset(turnTime)
+		if t.planner.Deposed() {
+			t.vm.lead.end(t, "a worker obeys a newer leader")
+			return
+		}
+	}
+}
+
+// drain runs the events that wait, and those that come within a short time.
+func (t *term) drain() {
+	gap := t.vm.clock.After(planGap)
+	for {
+		select {
+		case f := <-t.inbox:
+			f()
+		case <-gap:
+			return
+		case <-t.ctx.Done():
+			return
+		}
+	}
+}
+
+// plan lets the planner decide and sends out what it orders.
+func (t *term) plan() {
+	if !t.loaded {
+		return
+	}
+	now := t.vm.clock.Now()
+	t.planner.SetVMs(t.vmNames())
+	o := t.planner.Plan(now, t.wall.now(now), t.valid())
+	t.vm.stats.plan.UpdateDuration(now)
+	t.order(o)
+	t.save()
+}
+
+// vmNames returns the names of all VMs that can ask for advice.
+func (t *term) vmNames() []string {
+	names := []string{t.vm.settings.Name}
+	for _, p := range t.vm.registry.others() {
+		names = append(names, p.name)
+	}
+	return names
+}
+
+// load reads the store, and then follows it.
+func (t *term) load() {
+	var c *ladderjournal.Contents
+	var list []ladderflow.Worker
+	for c == nil {
+		var err error
+		if c, err = t.vm.journal.Load(t.ctx); err == nil {
+			list, err = t.readWorkers()
+		}
+		if err == nil {
+			break
+		}
+		c = nil
+		t.log.Warn("store can not be read", "err", err)
+		select {
+		case <-t.ctx.Done():
+			return
+		case <-t.vm.clock.After(loadRetry):
+		}
+	}
+	for _, fault := range c.Faults {
+		t.log.Error("stored value is passed over", "err", fault)
+	}
+	t.do(func() { t.takeOver(c, list) })
+	go follow(t.ctx, t.vm, platform.WorkerPrefix, t.workerFollower())
+	go follow(t.ctx, t.vm, ladderjournal.WatchPrefix, follower{
+		reset:  func(items []platform.Item, _ int64) { t.takeChanges(items) },
+		change: t.takeChanges, pause: catchUpTime,
+	})
+}
+
+// takeOver gives the planner what the store holds.
+func (t *term) takeOver(c *ladderjournal.Contents, list []ladderflow.Worker) {
+	now := t.vm.clock.Now()
+	for _, j := range c.Jobs {
+		t.planner.AddJob(now, j, true)
+	}
+	for _, r := range c.Records {
+		t.planner.Restore(now, r)
+	}
+	for _, id := range c.Cancelled {
+		t.planner.Cancel(now, id)
+	}
+	for _, w := range c.Roster {
+		t.planner.Inherit(w)
+		t.roster[w.ID] = true
+	}
+	t.loaded = true
+	t.setWorkers(list)
+	t.log.Info("store is read", "jobs", len(c.Jobs), "records", len(c.Records), "cancelled", len(c.Cancelled),
+		"roster", len(c.Roster), "workers", len(list), "took", now.Sub(t.began).Round(time.Millisecond))
+}
+
+// takeChanges gives the planner jobs and cancellations of which it may not know.
+func (t *term) takeChanges(items []platform.Item) {
+	c := ladderjournal.Changes(items)
+	for _, fault := range c.Faults {
+		t.log.Error("stored value is passed over", "err", fault)
+	}
+	t.do(func() {
+		now := t.vm.clock.Now()
+		for _, j := range c.Jobs {
+			t.planner.AddJob(now, j, false)
+		}
+		for _, id := range c.Cancelled {
+			t.planner.Cancel(now, id)
+		}
+	})
+}
+
+// answer answers a peer's message as the leader.
+func (t *term) answer(ctx context.Context, m laddermessage.Message) (laddermessage.Message, error) {
+	switch m := m.(type) {
+	case laddermessage.Accepted:
+		job, err := ladderjournal.DecodeJob(m.Job, m.Body)
+		if err != nil {
+			return nil, err
+		}
+		t.do(func() { t.planner.AddJob(t.vm.clock.Now(), job, false) })
+		return laddermessage.Done{}, nil
+	case laddermessage.Cancelled:
+		return t.ask(ctx, func() laddermessage.Message {
+			t.planner.Cancel(t.vm.clock.Now(), m.Job)
+			return t.state(m.Job)
+		}), nil
+	case laddermessage.StateOf:
+		return t.ask(ctx, func() laddermessage.Message { return t.state(m.Job) }), nil
+	case laddermessage.Count:
+		return t.ask(ctx, func() laddermessage.Message {
+			return laddermessage.Counted{Pending: t.planner.Pending(m.Queue)}
+		}), nil
+	}
+	return nil, errors.New("the message is not for a leader")
+}
+
+// ask computes an answer on the control goroutine.
+func (t *term) ask(ctx context.Context, f func() laddermessage.Message) laddermessage.Message {
+	var m laddermessage.Message = laddermessage.NotLeading{}
+	t.call(ctx, func() {
+		if t.loaded {
+			m = f()
+		}
+	})
+	return m
+}
+
+func (t *term) state(id string) laddermessage.Message {
+	v := t.planner.View(id)
+	return laddermessage.StateIs{Known: v.Known, State: string(v.State)}
+}
--- /dev/null
+++ b/laddervm/vm.go
@@ -0,0 +1,227 @@
+package laddervm
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/charmbracelet/log"
+	"github.com/rotisserie/eris"
+
+	"lacewingladder/ladderclock"
+	"lacewingladder/ladderflow"
+	"lacewingladder/ladderjournal"
+	"lacewingladder/ladderlog"
+	"lacewingladder/ladderpeer"
+	"lacewingladder/platform"
+)
+
+const (
+	// dialTime bounds the opening of a connection: several of the longest ways
+	// between regions, and less than a look's time.
+	dialTime = 400 * time.Millisecond
+	// rotateTime is how long a leaving VM goes on serving: the balancer asks once
+	// a second and takes a VM out after two misses.
+	rotateTime = 2500 * time.Millisecond
+	// lastTime bounds the answers that are still under way after that.
+	lastTime = 2 * time.Second
+)
+
+// Options are what a [VM] is made of.
+type Options struct {
+	Settings *platform.Settings
+	Logs     *ladderlog.Logs
+	// Metrics is the port on which metrics are served.
+	Metrics uint16
+	// Clock and Boot default to the system's.
+	Clock ladderclock.Clock
+	Boot  ladderclock.Boot
+}
+
+// VM is the scheduler on one entry VM. Create one with [New].
+type VM struct {
+	settings *platform.Settings
+	clock    ladderclock.Clock
+	boot     ladderclock.Boot
+	log      *log.Logger
+	logs     *ladderlog.Logs
+
+	direct  *platform.Direct
+	carrier *carrier
+	store   *platform.Store
+	workers *platform.Workers
+	advice  *platform.Advice
+	journal *ladderjournal.Journal
+
+	keys     *keys
+	registry *registry
+	peers    *ladderpeer.Client
+	server   *ladderpeer.Server
+	fleet    atomic.Pointer[ladderflow.Fleet]
+	writer   *writer
+	lead     *lead
+	stats    *stats
+
+	metrics uint16
+	bounds  atomic.Pointer[platform.Bounds]
+	leaving atomic.Bool
+	wait    sync.WaitGroup
+}
+
+// New returns a VM whose addresses are open.
+func New(o Options) (*VM, error) {
+	if o.Clock == nil {
+		o.Clock = ladderclock.System{}
+	}
+	if o.Boot == nil {
+		o.Boot = ladderclock.System{}
+	}
+	s := o.Settings
+	v := &VM{settings: s, metrics: o.Metrics, clock: o.Clock, boot: o.Boot, logs: o.Logs, log: o.Logs.Part("vm"), stats: newStats()}
+	v.bounds.Store(&s.Bounds)
+	v.direct = platform.NewDirect(dialTime)
+	v.carrier = newCarrier(v)
+	v.store = platform.NewStore(v.carrier, s.Store)
+	v.workers = platform.NewWorkers(v.direct)
+	v.advice = platform.NewAdvice(v.direct, s.Advice)
+	v.journal = ladderjournal.New(v.store)
+	v.registry = newRegistry(v)
+	v.writer = newWriter(v)
+	v.lead = newLead(v)
+	var err error
+	if v.keys, err = newKeys(v.registry.trusts); err != nil {
+		return nil, eris.Wrap(err, "make the VM's key")
+	}
+	address := netip.AddrPortFrom(s.Address, s.FirstPort)
+	if v.server, err = ladderpeer.Listen(address, v.keys.server, handler{v}); err != nil {
+		return nil, err
+	}
+	v.peers = v.server.Client(v.keys.client)
+	return v, nil
+}
+
+// Run serves until ctx ends, then answers what was read and hands over.
+func (v *VM) Run(ctx context.Context) error {
+	v.log.Info("starts", "name", v.settings.Name, "zone", v.settings.Zone, "address", v.settings.Address)
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	callers, err := v.listen(v.settings.Callers, v.gate())
+	if err != nil {
+		return err
+	}
+	balancer, err := v.listen(v.settings.Ready, http.HandlerFunc(v.serveReady))
+	if err != nil {
+		return err
+	}
+	measures, err := v.listen(netip.AddrPortFrom(v.settings.Address, v.metrics), v.stats.handler())
+	if err != nil {
+		return err
+	}
+	go func() {
+		if err := v.server.Serve(serving); err != nil {
+			v.log.Error("peers are not served any more", "err", err)
+		}
+	}()
+	for _, f := range []func(context.Context){
+		v.watchFleet, v.registry.watch, v.registry.keep, v.lead.run, v.writer.run,
+	} {
+		v.wait.Go(func() { f(serving) })
+	}
+	<-ctx.Done()
+	v.leaving.Store(true)
+	v.log.Info("is told to leave")
+	v.lead.resign()
+	callers.SetKeepAlivesEnabled(false)
+	<-v.clock.After(rotateTime)
+	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastTime)
+	defer cancel()
+	err = errors.Join(callers.Shutdown(last), balancer.Shutdown(last), measures.Shutdown(last))
+	v.registry.leave(last)
+	stop()
+	v.peers.Close()
+	v.server.Close()
+	v.log.Info("stops", "err", err)
+	return nil
+}
+
+// listen serves HTTP at an address.
+func (v *VM) listen(address netip.AddrPort, h http.Handler) (*http.Server, error) {
+	l, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return nil, eris.Wrapf(err, "listen on %v", address)
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: headerBytes}
+	go func() {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			v.log.Error("callers are not served any more", "address", address, "err", err)
+		}
+	}()
+	return s, nil
+}
+
+// serveReady tells the balancer whether the VM takes new connections.
+func (v *VM) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if v.leaving.Load() || v.fleet.Load() == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// stats are the process's counters.
+type stats struct {
+	set       *metrics.Set
+	accepted  *metrics.Counter
+	refused   *metrics.Counter
+	starts    *metrics.Counter
+	ends      *metrics.Counter
+	looks     *metrics.Counter
+	asks      *metrics.Counter
+	calls     *metrics.Counter
+	relayed   *metrics.Counter
+	takeovers *metrics.Counter
+	accept    *metrics.Histogram
+	commit    *metrics.Histogram
+	ask       *metrics.Histogram
+	start     *metrics.Histogram
+	plan      *metrics.Histogram
+}
+
+func newStats() *stats {
+	s := metrics.NewSet()
+	return &stats{
+		set:       s,
+		accepted:  s.NewCounter("ladder_jobs_accepted_total"),
+		refused:   s.NewCounter("ladder_requests_refused_total"),
+		starts:    s.NewCounter("ladder_starts_total"),
+		ends:      s.NewCounter("ladder_ends_total"),
+		looks:     s.NewCounter("ladder_looks_total"),
+		asks:      s.NewCounter("ladder_advice_calls_total"),
+		calls:     s.NewCounter("ladder_store_calls_total"),
+		relayed:   s.NewCounter("ladder_store_calls_relayed_total"),
+		takeovers: s.NewCounter("ladder_takeovers_total"),
+		accept:    s.NewHistogram("ladder_accept_seconds"),
+		commit:    s.NewHistogram("ladder_commit_seconds"),
+		ask:       s.NewHistogram("ladder_advice_seconds"),
+		start:     s.NewHistogram("ladder_start_seconds"),
+		plan:      s.NewHistogram("ladder_plan_seconds"),
+	}
+}
+
+func (s *stats) handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		s.set.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
+}
+
+// Reload takes over settings that may have changed while the VM runs: its bounds,
+// which the next term uses. Its addresses stay.
+func (v *VM) Reload(s *platform.Settings) {
+	v.bounds.Store(&s.Bounds)
+	v.log.Info("settings are read again")
+}
