Finish a gang's step once, and use the stored roster after a takeover

Ruled out for (2): the takeover itself; the log shows the store read 114 ms after the lead was won. Test for (1): TestJobRunsToItsEnd/a_gang_before_a_gang fails before.

--- a/ladderplan/planner.go
+++ b/ladderplan/planner.go
@@ -52,7 +52,7 @@
 	certain bool
 	// roster holds the workers that the store lists as in use.
 	roster map[string]bool
-	dirty   map[string]*job
+	dirty  map[string]*job
 	advisers
 	orders Orders
 	// deposed is true once a worker or the store obeys a newer leader.
@@ -255,6 +255,7 @@
 	if s.spec.Gang {
 		members = s.tasks
 	}
+	before := s.done
 	for _, m := range members {
 		if m.done {
 			continue
@@ -271,8 +272,8 @@
 		}
 	}
 	p.dirty[j.spec.ID] = j
-	if !s.finished() {
-		return
+	if !s.finished() || s.done == before {
+		return // The other members of a gang end after the first.
 	}
 	s.round.left--
 	p.openSteps(now, s.round)
--- /dev/null
+++ b/ladderplan/planner_test.go
@@ -0,0 +1,200 @@
+package ladderplan
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lacewingladder/ladderflow"
+	"lacewingladder/ladderlog"
+)
+
+const (
+	testQueue   = "booths"
+	testService = "fitting"
+	fence       = 100
+)
+
+// bed is a planner with workers that the test plays itself.
+type bed struct {
+	t       *testing.T
+	planner *Planner
+	now     time.Time
+	clock   map[string]time.Duration
+	ends    map[string]int64
+	orders  Orders
+}
+
+// newBed returns a planner that leads and has seen the given number of workers.
+func newBed(t *testing.T, workers int) *bed {
+	b := &bed{t: t, now: time.UnixMilli(1_000_000), clock: map[string]time.Duration{}, ends: map[string]int64{}}
+	b.planner = newPlanner(b.now)
+	b.planner.SetFleet(&ladderflow.Fleet{Version: 1, Queues: []ladderflow.Queue{{
+		Name: testQueue, Service: testService, Attempts: 2, Stretch: 2, Goal: time.Second,
+	}}})
+	b.list(workers)
+	roster := map[string]bool{}
+	for i := range workers {
+		roster[testWorker(i).ID] = true
+		b.look(testWorker(i).ID, ladderflow.Look{})
+	}
+	b.planner.SetRoster(roster)
+	return b
+}
+
+func newPlanner(now time.Time) *Planner {
+	return New(Options{
+		Fence: fence, Hold: 6 * time.Second, Elected: now, Former: 2 * time.Second, StopTime: time.Second,
+		Remembered: time.Minute, Remote: 2, Log: ladderlog.Discard().Part("plan"),
+	})
+}
+
+func testWorker(i int) ladderflow.Worker {
+	return ladderflow.Worker{
+		ID: fmt.Sprintf("w%d", i), Service: testService, Capacity: ladderflow.Size{Processor: 8000, Memory: 8000},
+		Labels: []string{"a", fmt.Sprintf("r%d", i/4)},
+	}
+}
+
+// list makes the store list the first workers.
+func (b *bed) list(n int) {
+	list := make([]ladderflow.Worker, n)
+	for i := range list {
+		list[i] = testWorker(i)
+	}
+	b.planner.SetWorkers(b.now, list)
+}
+
+// pass lets time go by.
+func (b *bed) pass(d time.Duration) {
+	b.now = b.now.Add(d)
+	for id := range b.clock {
+		b.clock[id] += d
+	}
+}
+
+// look lets a worker answer a look that was sent now.
+func (b *bed) look(id string, l ladderflow.Look) {
+	if _, ok := b.clock[id]; !ok {
+		b.clock[id] = time.Second
+	}
+	l.Clock = b.clock[id]
+	if l.Born == 0 {
+		l.Born = 1
+	}
+	b.planner.Looked(b.now, id, b.now, l)
+}
+
+// lookAll lets every worker list what it runs.
+func (b *bed) lookAll(running map[string][]ladderflow.LiveRun) {
+	for id := range b.clock {
+		b.look(id, ladderflow.Look{Running: running[id]})
+	}
+}
+
+// plan returns the planner's orders, and remembers them.
+func (b *bed) plan() Orders {
+	b.orders = b.planner.Plan(b.now, b.now, true)
+	return b.orders
+}
+
+// begin plans and answers all starts well.
+func (b *bed) begin() []StartOrder {
+	o := b.plan()
+	b.pass(time.Millisecond)
+	for _, s := range o.Starts {
+		b.planner.Started(b.now, s.Worker.ID, s.Run, Result{})
+	}
+	b.pass(time.Millisecond)
+	return o.Starts
+}
+
+// end lets a worker list the end of a run.
+func (b *bed) end(s StartOrder, how ladderflow.How) {
+	b.ends[s.Worker.ID]++
+	b.look(s.Worker.ID, ladderflow.Look{
+		Ended:   []ladderflow.EndedRun{{Number: b.ends[s.Worker.ID], Run: s.Run, How: how}},
+		Running: b.rest(s),
+	})
+}
+
+// rest returns what still runs on the worker of a run that ends.
+func (b *bed) rest(s StartOrder) []ladderflow.LiveRun {
+	var list []ladderflow.LiveRun
+	for name, x := range b.planner.workers[s.Worker.ID].runs {
+		if name != s.Run && x.phase != sent {
+			list = append(list, ladderflow.LiveRun{Run: name, Percent: 50})
+		}
+	}
+	return list
+}
+
+// save stores all that changed.
+func (b *bed) save() {
+	b.planner.Saved(b.planner.Unsaved())
+}
+
+func (b *bed) submit(id string, steps ...ladderflow.Step) {
+	b.planner.AddJob(b.now, testJob(b.now, id, steps...), false)
+}
+
+func testJob(now time.Time, id string, steps ...ladderflow.Step) *ladderflow.Job {
+	return &ladderflow.Job{ID: id, Queue: testQueue, Service: testService, Payload: "cut " + id, Steps: steps, Accepted: now}
+}
+
+func tasks(n int) ladderflow.Step {
+	return ladderflow.Step{
+		Tasks: n, Need: ladderflow.Size{Processor: 2000, Memory: 1000}, Estimate: time.Second,
+	}
+}
+
+func gangOf(n int) ladderflow.Step {
+	s := tasks(n)
+	s.Gang = true
+	return s
+}
+
+func TestJobRunsToItsEnd(t *testing.T) {
+	for name, c := range map[string]struct {
+		steps  []ladderflow.Step
+		starts []int
+	}{
+		"one task":            {[]ladderflow.Step{tasks(1)}, []int{1}},
+		"many tasks":          {[]ladderflow.Step{tasks(5)}, []int{5}},
+		"a step after a step": {[]ladderflow.Step{tasks(2), after(tasks(3), 0)}, []int{2, 3}},
+		"a gang before a gang": {
+			[]ladderflow.Step{gangOf(4), after(gangOf(2), 0)},
+			[]int{4, 2},
+		},
+		"two steps at once, and one after both": {
+			[]ladderflow.Step{tasks(1), tasks(2), after(tasks(1), 0, 1)},
+			[]int{3, 1},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBed(t, 2)
+			b.submit("a", c.steps...)
+			require.Equal(t, View{Known: true, State: ladderflow.Queued}, b.planner.View("a"))
+			for _, want := range c.starts {
+				starts := b.begin()
+				require.Len(t, starts, want)
+				require.Equal(t, ladderflow.Running, b.planner.View("a").State)
+				for _, s := range starts {
+					require.Equal(t, "cut a", s.Payload)
+					b.end(s, ladderflow.EndDone)
+				}
+			}
+			require.Equal(t, ladderflow.Running, b.planner.View("a").State, "an end is shown once it is stored")
+			b.save()
+			require.Equal(t, ladderflow.Done, b.planner.View("a").State)
+			require.Empty(t, b.begin())
+		})
+	}
+}
+
+func after(s ladderflow.Step, steps ...int) ladderflow.Step {
+	s.After = steps
+	return s
+}
--- a/laddervm/term.go
+++ b/laddervm/term.go
@@ -212,6 +212,7 @@
 		t.planner.Inherit(w)
 		t.roster[w.ID] = true
 	}
+	t.planner.SetRoster(t.roster)
 	t.loaded = true
 	t.setWorkers(list)
 	t.log.Info("store is read", "jobs", len(c.Jobs), "records", len(c.Records), "cancelled", len(c.Cancelled),
