--- a/ladderplan/advice.go
+++ b/ladderplan/advice.go
@@ -114,19 +114,23 @@
 	return (firstShare*weight + float64(a.allowed[queue])) / float64(weight+a.named[queue])
 }
 
-// mayBeAdvised reports whether a worker is allowed, or may be.
-func (f *field) mayBeAdvised(w *worker) bool {
-	return f.queue == nil || f.queue.Advice == nil || !f.step.tickets.denied[w.spec.ID]
+// askForTasks asks about workers for the step's waiting tasks, where tickets are
+// missing.
+func (f *field) askForTasks() {
+	if f.queue != nil && f.queue.Advice != nil && f.step.waiting > 0 && f.mayAsk() {
+		f.askAbout(f.toAsk())
+	}
 }
 
-// ask asks about workers for the step's waiting tasks, where tickets are missing.
-func (f *field) ask() {
+func (f *field) mayAsk() bool {
 	t := &f.step.tickets
-	if f.queue == nil || f.queue.Advice == nil || t.asking || f.now.Before(t.next) {
-		return
-	}
-	names := f.toAsk()
-	if len(names) == 0 {
+	return !t.asking && !f.now.Before(t.next)
+}
+
+// askAbout asks about workers, unless a question of the step is under way.
+func (f *field) askAbout(names []string) {
+	t := &f.step.tickets
+	if len(names) == 0 || !f.mayAsk() {
 		return
 	}
 	cost := f.queue.Advice.Cost(len(names))
--- a/ladderplan/model.go
+++ b/ladderplan/model.go
@@ -15,9 +15,10 @@
 	saved ladderflow.State
 	// inherited is true for a job that an earlier leader may have known.
 	inherited bool
-	// begun is true once a task was ordered to start.
-	begun  bool
-	rounds map[int]*round
+	// begun is true once a task was ordered to start, the first time at started.
+	begun   bool
+	started time.Time
+	rounds  map[int]*round
 	// closed holds the rounds that have ended well, and next is the first round
 	// that has not been opened.
 	closed map[int]bool
--- a/ladderplan/place.go
+++ b/ladderplan/place.go
@@ -58,14 +58,13 @@
 		if k.class > 0 {
 			f.reserved = reserved
 		}
-		if !s.spec.Gang {
+		switch {
+		case !s.spec.Gang:
 			f.placeTasks()
-		} else if !f.placeGang() && k.class < 3 && gangs < maxReserved {
+			f.askForTasks()
+		case !f.placeGang() && gangs < maxReserved:
 			gangs++
-			f.reserve(reserved)
-		}
-		if s.waiting > 0 {
-			f.ask()
+			f.awaitGang(reserved)
 		}
 	}
 }
@@ -218,7 +217,9 @@
 		began: f.now, moved: f.now, percent: -1, pace: 100,
 	}
 	w.add(x)
-	f.step.round.job.begun = true
+	if j := f.step.round.job; !j.begun {
+		j.begun, j.started = true, f.now
+	}
 	ticket := ""
 	if f.queue != nil && f.queue.Advice != nil {
 		ticket = f.step.tickets.rows[w.spec.ID].text
@@ -229,139 +230,6 @@
 	})
 }
 
-// choice is a worker with the number of a gang's members that it takes.
-type choice struct {
-	worker *worker
-	slots  int
-}
-
-// choices returns the workers that can take members of a gang now, those that take
-// most first.
-func (f *field) choices(allowed func(*worker) bool) []choice {
-	var list []choice
-	for _, w := range f.planner.workers {
-		if !f.usable(w) || !allowed(w) || f.reserved[w] || w.strikes > 0 {
-			continue
-		}
-		if n := f.slots(w); n > 0 {
-			list = append(list, choice{w, n})
-		}
-	}
-	slices.SortFunc(list, func(a, b choice) int {
-		return cmp.Or(cmp.Compare(b.slots, a.slots),
-			cmp.Compare(leftover(a.worker, f.step.spec.Charge()), leftover(b.worker, f.step.spec.Charge())),
-			cmp.Compare(a.worker.spec.ID, b.worker.spec.ID))
-	})
-	return list
-}
-
-// placeGang starts all members of a gang, or none.
-func (f *field) placeGang() bool {
-	s := f.step
-	for _, t := range s.tasks {
-		if !t.idle() {
-			return true // An earlier attempt is still being cleared away.
-		}
-	}
-	list := f.choices(f.advised)
-	if s.spec.OneRack {
-		if one := f.oneRack(list); one != nil || !f.mayScatter() {
-			list = one
-		}
-	}
-	total := 0
-	for _, c := range list {
-		total += c.slots
-	}
-	if total < len(s.tasks) {
-		return false
-	}
-	number := s.gang.run + 1
-	for _, t := range s.tasks {
-		number = max(number, t.number+1)
-	}
-	s.gang.run = number
-	i := 0
-	for _, c := range list {
-		for range c.slots {
-			if i == len(s.tasks) {
-				return true
-			}
-			f.start(s.tasks[i], c.worker, number, s.gang.saved)
-			i++
-		}
-	}
-	return true
-}
-
-// oneRack returns the choices of the rack that holds the whole gang, or nil.
-func (f *field) oneRack(list []choice) []choice {
-	racks := map[string][]choice{}
-	totals := map[string]int{}
-	for _, c := range list {
-		r := c.worker.rack()
-		racks[r] = append(racks[r], c)
-		totals[r] += c.slots
-	}
-	found := ""
-	for r, n := range totals {
-		if n >= len(f.step.tasks) && (found == "" || n < totals[found] || n == totals[found] && r < found) {
-			found = r
-		}
-	}
-	return racks[found]
-}
-
-// mayScatter reports whether a gang for one rack may run on several: when no rack
-// could hold it, or when waiting longer costs more than the slower run.
-func (f *field) mayScatter() bool {
-	racks := map[string]int{}
-	for _, w := range f.planner.workers {
-		if w.spec.Service == f.service && w.has(f.step.spec.Label) {
-			racks[w.rack()] += f.step.spec.Charge().Times(w.spec.Capacity, f.step.spec.Tasks)
-		}
-	}
-	for _, n := range racks {
-		if n >= len(f.step.tasks) {
-			waited := f.now.Sub(f.step.since)
-			return float64(waited) > (f.planner.options.Remote-1)*float64(f.step.spec.Estimate)
-		}
-	}
-	return true
-}
-
-// reserve keeps workers for a gang that does not fit yet: those that will have the
-// room soonest, until they hold all of it.
-func (f *field) reserve(reserved map[*worker]bool) {
-	type soon struct {
-		worker *worker
-		slots  int
-		at     time.Duration
-	}
-	var list []soon
-	for _, w := range f.planner.workers {
-		if !f.usable(w) || reserved[w] || w.strikes > 0 || !f.mayBeAdvised(w) {
-			continue
-		}
-		all := f.step.spec.Charge().Times(w.spec.Capacity, len(f.step.tasks))
-		if all == 0 {
-			continue
-		}
-		list = append(list, soon{w, all, f.planner.emptyIn(f.now, w)})
-	}
-	slices.SortFunc(list, func(a, b soon) int {
-		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.worker.spec.ID, b.worker.spec.ID))
-	})
-	need := len(f.step.tasks)
-	for _, c := range list {
-		if need <= 0 {
-			return
-		}
-		reserved[c.worker] = true
-		need -= c.slots
-	}
-}
-
 // emptyIn returns how long the longest run on a worker should still take.
 func (p *Planner) emptyIn(now time.Time, w *worker) time.Duration {
 	var longest time.Duration
--- a/ladderplan/planner.go
+++ b/ladderplan/planner.go
@@ -196,7 +196,8 @@
 	j.state, j.ended = state, now
 	p.dirty[j.spec.ID] = j
 	p.log.Info("job ended", "job", j.spec.ID, "queue", j.spec.Queue, "state", state,
-		"after", now.Sub(j.spec.Accepted).Round(time.Millisecond))
+		"after", now.Sub(j.spec.Accepted).Round(time.Millisecond), "aim", p.aim(j).Round(time.Millisecond),
+		"waited", j.started.Sub(j.spec.Accepted).Round(time.Millisecond))
 	for _, r := range j.rounds {
 		for _, s := range r.steps {
 			for _, t := range s.tasks {
--- a/ladderplan/planner_test.go
+++ b/ladderplan/planner_test.go
@@ -198,3 +198,18 @@
 	s.After = steps
 	return s
 }
+
+// TestLateGangStillStarts plays a gang that failed often and is worth nothing any
+// more: it must not wait for ever for tickets.
+func TestLateGangStillStarts(t *testing.T) {
+	b := newBed(t, 2)
+	b.planner.fleet.Queues[0].Advice = &ladderflow.Advice{Base: 10 * time.Millisecond, Valid: 2 * time.Second}
+	b.planner.SetVMs([]string{"e1"})
+	b.submit("a", gangOf(3))
+	b.pass(time.Minute)
+	b.lookAll(nil)
+	asks := b.plan().Asks
+	require.Len(t, asks, 1)
+	b.planner.Advised(b.now, asks[0], []ladderflow.Ticket{{Worker: "w0", Text: "x"}}, 2*time.Second, false)
+	require.Len(t, b.begin(), 3)
+}
--- a/laddervm/save.go
+++ b/laddervm/save.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	// saveGap is the least time between two transactions of the leader: at most 40
-	// a second, a tenth of what the store takes.
-	saveGap = 25 * time.Millisecond
+	// saveGap is the least time between two transactions of the leader: at most 17
+	// a second, whatever the load.
+	saveGap = 60 * time.Millisecond
 	// saveRetry is the time to the next try after one that failed.
 	saveRetry = 80 * time.Millisecond
 )
