Meet the store through one client, and play the platform in tests

Cause: the direct path had a store client of its own, in another protocol, beside package platform's.

--- a/ladderdemo/fleet.go
+++ b/ladderdemo/fleet.go
@@ -25,6 +25,7 @@
 	"lacewingladder/ladderserver"
 	"lacewingladder/laddersettings"
 	"lacewingladder/ladderstand"
+	"lacewingladder/platform"
 )
 
 // Token is the operators' token of a demo's fleet.
@@ -230,10 +231,10 @@
 	if err != nil {
 		return err
 	}
-	reply := f.Platform.Store().Txn(ladderplatform.TxnQuery{Success: []ladderplatform.Op{
-		{Put: &ladderplatform.PutQuery{Key: []byte(ladderserver.ConfigKey), Value: value}},
-	}})
-	if !reply.Succeeded {
+	reply := f.Platform.Store().Txn(platform.Txn{
+		Writes: []platform.Write{{Key: ladderserver.ConfigKey, Value: value}},
+	})
+	if !reply.Done {
 		return errors.New("the configuration was not taken")
 	}
 	return nil
--- a/ladderplatform/list.go
+++ b/ladderplatform/list.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/netip"
+	"time"
 
 	"lacewingladder/ladderfinding"
 	"lacewingladder/laddermodel"
@@ -25,6 +28,13 @@
 	Accelerators int    `json:"accelerators,omitempty"`
 }
 
+const (
+	// callTime bounds one call for the list.
+	callTime = 2 * time.Second
+	// maxList bounds the list in bytes.
+	maxList = 8 << 20
+)
+
 // Lister is a client of the platform's list of VMs. Create one with [NewLister].
 type Lister struct {
 	url  string
@@ -33,7 +43,7 @@
 
 // NewLister returns a client of the list at an address.
 func NewLister(address netip.AddrPort) *Lister {
-	return &Lister{url: "http://" + address.String() + "/vms", http: newHTTP()}
+	return &Lister{url: "http://" + address.String() + "/vms", http: &http.Client{}}
 }
 
 // Close closes idle connections.
@@ -50,8 +60,16 @@
 		return laddermodel.Listing{}, findings, err
 	}
 	var vms []VM
-	if err := receive(l.http, request, &vms); err != nil {
-		return laddermodel.Listing{}, findings, err
+	response, err := l.http.Do(request)
+	if err != nil {
+		return laddermodel.Listing{}, findings, fmt.Errorf("list of VMs: %w", err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return laddermodel.Listing{}, findings, fmt.Errorf("list of VMs: status %d", response.StatusCode)
+	}
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxList)).Decode(&vms); err != nil {
+		return laddermodel.Listing{}, findings, fmt.Errorf("list of VMs: %w", err)
 	}
 	return toListing(vms, &findings), findings, nil
 }
--- a/ladderserver/configuration.go
+++ b/ladderserver/configuration.go
@@ -11,7 +11,7 @@
 
 	"lacewingladder/ladderconfig"
 	"lacewingladder/laddermessage"
-	"lacewingladder/ladderplatform"
+	"lacewingladder/platform"
 )
 
 const (
@@ -148,13 +148,13 @@
 
 // read returns the version in the store and its entry's revision.
 func (c *configuration) read(ctx context.Context) (v ladderconfig.Version, modified int64, ok bool, err error) {
-	e, ok, err := c.server.store.Get(ctx, ConfigKey)
+	e, ok, err := c.server.store.client.Get(ctx, ConfigKey)
 	c.server.storeOK.Store(err == nil)
 	if err != nil || !ok {
 		return v, 0, false, err
 	}
 	v, err = decodeVersion(e.Value)
-	return v, e.Modified, err == nil, err
+	return v, e.Changed, err == nil, err
 }
 
 // apply makes a document the next version. Base is the number of the version on
@@ -182,9 +182,9 @@
 	if err != nil {
 		return v, err
 	}
-	done, _, err := c.server.store.Commit(ctx, ladderplatform.Txn{
-		If:   []ladderplatform.Condition{{Key: ConfigKey, Modified: modified}},
-		Puts: []ladderplatform.Put{{Key: ConfigKey, Value: value}},
+	done, _, err := c.server.store.Commit(ctx, platform.Txn{
+		If:     []platform.Condition{{Key: ConfigKey, Changed: modified}},
+		Writes: []platform.Write{{Key: ConfigKey, Value: value}},
 	})
 	if done && err == nil {
 		c.offer(ctx, v)
@@ -230,6 +230,10 @@
 func (c *configuration) watch(ctx context.Context) error {
 	watching, cancel := context.WithCancel(ctx)
 	defer cancel()
+	_, revision, err := c.server.store.List(ctx, ConfigKey, 0)
+	if err != nil {
+		return err
+	}
 	v, modified, ok, err := c.read(ctx)
 	if err != nil {
 		return err
@@ -237,9 +241,9 @@
 	c.compare(ctx, v, modified, ok)
 	stop := time.AfterFunc(watchTime, cancel)
 	defer stop.Stop()
-	return c.server.store.Watch(watching, ConfigKey, modified+1, func(e ladderplatform.Entry) {
+	return c.server.store.Watch(watching, ConfigKey, revision, func(e platform.Item) {
 		if v, err := decodeVersion(e.Value); err == nil {
-			c.compare(ctx, v, e.Modified, true)
+			c.compare(ctx, v, e.Changed, true)
 		}
 	})
 }
@@ -264,9 +268,9 @@
 	if err != nil {
 		return
 	}
-	done, _, err := c.server.store.Commit(ctx, ladderplatform.Txn{
-		If:   []ladderplatform.Condition{{Key: ConfigKey, Modified: modified}},
-		Puts: []ladderplatform.Put{{Key: ConfigKey, Value: value}},
+	done, _, err := c.server.store.Commit(ctx, platform.Txn{
+		If:     []platform.Condition{{Key: ConfigKey, Changed: modified}},
+		Writes: []platform.Write{{Key: ConfigKey, Value: value}},
 	})
 	c.log.Warn("store held an older version", "stored", stored.Number, "held", held.Number, "repaired", done, "err", err)
 }
--- a/ladderserver/jobs.go
+++ b/ladderserver/jobs.go
@@ -15,7 +15,7 @@
 	"lacewingladder/ladderjob"
 	"lacewingladder/laddermessage"
 	"lacewingladder/laddermodel"
-	"lacewingladder/ladderplatform"
+	"lacewingladder/platform"
 )
 
 const (
@@ -43,7 +43,7 @@
 
 // write is one write that waits to be committed.
 type write struct {
-	put  ladderplatform.Put
+	put  platform.Write
 	done chan error
 }
 
@@ -65,7 +65,7 @@
 	if err != nil {
 		return "", err
 	}
-	put := ladderplatform.Put{Key: jobPrefix + job.ID, Value: value}
+	put := platform.Write{Key: jobPrefix + job.ID, Value: value}
 	if key != "" {
 		err = j.create(ctx, put)
 	} else {
@@ -95,15 +95,15 @@
 }
 
 // create writes a job unless it is there already.
-func (j *jobs) create(ctx context.Context, put ladderplatform.Put) error {
+func (j *jobs) create(ctx context.Context, put platform.Write) error {
 	for range commitTries {
-		_, _, err := j.server.store.Commit(ctx, ladderplatform.Txn{
-			If: []ladderplatform.Condition{{Key: put.Key}}, Puts: []ladderplatform.Put{put},
+		_, _, err := j.server.store.Commit(ctx, platform.Txn{
+			If: []platform.Condition{{Key: put.Key}}, Writes: []platform.Write{put},
 		})
 		if err == nil {
 			return nil
 		}
-		if errors.Is(err, ladderplatform.ErrRefused) {
+		if refused(err) {
 			return errors.Join(laddergate.ErrStore, err)
 		}
 	}
@@ -111,7 +111,7 @@
 }
 
 // commit makes a write durable together with others.
-func (j *jobs) commit(ctx context.Context, put ladderplatform.Put) error {
+func (j *jobs) commit(ctx context.Context, put platform.Write) error {
 	w := write{put: put, done: make(chan error, 1)}
 	select {
 	case j.writes <- w:
@@ -148,16 +148,16 @@
 }
 
 func (j *jobs) commitGroup(ctx context.Context, group []write) error {
-	var t ladderplatform.Txn
+	var t platform.Txn
 	for _, w := range group {
-		t.Puts = append(t.Puts, w.put)
+		t.Writes = append(t.Writes, w.put)
 	}
 	for range commitTries {
 		_, _, err := j.server.store.Commit(ctx, t)
 		if err == nil {
 			return nil
 		}
-		if errors.Is(err, ladderplatform.ErrRefused) {
+		if refused(err) {
 			return errors.Join(laddergate.ErrStore, err)
 		}
 	}
@@ -166,7 +166,7 @@
 
 // View implements laddergate.Jobs.
 func (j *jobs) View(ctx context.Context, id string) (ladderjob.View, error) {
-	e, ok, err := j.server.store.Get(ctx, jobPrefix+id)
+	e, ok, err := j.server.store.client.Get(ctx, jobPrefix+id)
 	if err != nil {
 		return ladderjob.View{}, errors.Join(laddergate.ErrStore, err)
 	}
@@ -208,7 +208,7 @@
 	if !ok || owner != member {
 		return laddergate.ErrNoJob
 	}
-	if err := j.commit(ctx, ladderplatform.Put{Key: cancelPrefix + id, Value: []byte(member)}); err != nil {
+	if err := j.commit(ctx, platform.Write{Key: cancelPrefix + id, Value: []byte(member)}); err != nil {
 		return err
 	}
 	j.notify(ctx)
--- a/ladderserver/leader.go
+++ b/ladderserver/leader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strings"
 	"sync"
 	"time"
@@ -11,8 +12,8 @@
 	"lacewingladder/ladderjob"
 	"lacewingladder/laddermessage"
 	"lacewingladder/laddermodel"
-	"lacewingladder/ladderplatform"
 	"lacewingladder/ladderqueue"
+	"lacewingladder/platform"
 )
 
 const (
@@ -158,7 +159,7 @@
 
 // elect finds out who leads, and takes the lead when nobody does.
 func (l *leader) elect(ctx context.Context) {
-	e, ok, err := l.server.store.Get(ctx, leaderKey)
+	e, ok, err := l.server.store.client.Get(ctx, leaderKey)
 	l.server.storeOK.Store(err == nil)
 	if err != nil {
 		return
@@ -171,13 +172,13 @@
 		return
 	}
 	now := l.server.clock.Now()
-	lease, err := l.server.store.Grant(ctx, leaderLease)
+	lease, _, err := l.server.store.client.Grant(ctx, leaderLease)
 	if err != nil {
 		return
 	}
-	done, revision, err := l.server.store.Commit(ctx, ladderplatform.Txn{
-		If:   []ladderplatform.Condition{{Key: leaderKey}},
-		Puts: []ladderplatform.Put{{Key: leaderKey, Value: []byte(l.server.settings.Name), Lease: lease}},
+	done, revision, err := l.server.store.Commit(ctx, platform.Txn{
+		If:     []platform.Condition{{Key: leaderKey}},
+		Writes: []platform.Write{{Key: leaderKey, Value: []byte(l.server.settings.Name), Lease: lease}},
 	})
 	if err != nil || !done {
 		return
@@ -226,15 +227,15 @@
 		return
 	}
 	l.end(t, "the VM is leaving")
-	_, _, _ = l.server.store.Commit(ctx, ladderplatform.Txn{
-		If:      []ladderplatform.Condition{t.own()},
+	_, _, _ = l.server.store.Commit(ctx, platform.Txn{
+		If:      []platform.Condition{t.own()},
 		Deletes: []string{leaderKey},
 	})
 }
 
 // own is the condition that the term still stands in the store.
-func (t *term) own() ladderplatform.Condition {
-	return ladderplatform.Condition{Key: leaderKey, Modified: t.created, Creation: true}
+func (t *term) own() platform.Condition {
+	return platform.Condition{Key: leaderKey, Changed: t.created}
 }
 
 // turn does what is due in a term.
@@ -265,9 +266,10 @@
 
 // renew prolongs the leader's lease. It returns false when the term has ended.
 func (l *leader) renew(ctx context.Context, now time.Time, t *term) bool {
-	alive, err := l.server.store.Alive(ctx, t.lease)
-	l.server.storeOK.Store(err == nil)
-	if err == nil && !alive {
+	err := l.server.store.client.Renew(ctx, t.lease)
+	lapsed := errors.Is(err, platform.ErrNoLease)
+	l.server.storeOK.Store(err == nil || lapsed)
+	if lapsed {
 		l.end(t, "the lease lapsed")
 		return false
 	}
@@ -319,13 +321,13 @@
 	if len(records) == 0 {
 		return
 	}
-	txn := ladderplatform.Txn{If: []ladderplatform.Condition{t.own()}}
+	txn := platform.Txn{If: []platform.Condition{t.own()}}
 	for _, r := range records {
 		value, err := ladderjob.Encode(r)
 		if err != nil {
 			continue
 		}
-		txn.Puts = append(txn.Puts, ladderplatform.Put{Key: jobPrefix + r.Job.ID, Value: value})
+		txn.Writes = append(txn.Writes, platform.Write{Key: jobPrefix + r.Job.ID, Value: value})
 	}
 	done, _, err := l.server.store.Commit(ctx, txn)
 	if err != nil {
@@ -350,7 +352,7 @@
 	if len(jobs)+len(cancellations) == 0 {
 		return
 	}
-	txn := ladderplatform.Txn{If: []ladderplatform.Condition{t.own()}}
+	txn := platform.Txn{If: []platform.Condition{t.own()}}
 	for _, id := range jobs {
 		txn.Deletes = append(txn.Deletes, jobPrefix+id, cancelPrefix+id)
 	}
--- a/ladderserver/server.go
+++ b/ladderserver/server.go
@@ -53,7 +53,7 @@
 	logs        *ladderlog.Logs
 	incarnation string
 
-	store    *ladderplatform.Store
+	store    *store
 	lister   *ladderplatform.Lister
 	workers  *ladderworker.Client
 	peers    *peers
@@ -108,7 +108,7 @@
 	s := &Server{
 		settings: o.Settings, clock: o.Clock, logs: o.Logs,
 		incarnation: ulid.MustNew(ulid.Timestamp(o.Clock.Now()), rand.Reader).String(),
-		store:       ladderplatform.NewStore(o.Settings.Store),
+		store:       newStore(o.Settings.Store),
 		lister:      ladderplatform.NewLister(o.Settings.List),
 		workers:     ladderworker.NewClient(),
 		control:     make(chan func(), 1024),
@@ -262,7 +262,7 @@
 		s.peers.client.Close()
 	}
 	s.workers.Close()
-	s.store.Close()
+	s.store.calls.direct.Forget(s.settings.Store)
 	s.lister.Close()
 	if s.peerServer != nil {
 		s.peerServer.Close()
--- a/ladderstand/platform.go
+++ b/ladderstand/platform.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -81,21 +80,7 @@
 // Handler returns the platform's HTTP interface.
 func (p *Platform) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v3/kv/range", call(p, func(q ladderplatform.RangeQuery) (any, bool) {
-		return p.store.Range(q), false
-	}))
-	mux.HandleFunc("POST /v3/kv/txn", call(p, func(q ladderplatform.TxnQuery) (any, bool) {
-		return p.store.Txn(q), true
-	}))
-	mux.HandleFunc("POST /v3/lease/grant", call(p, func(q ladderplatform.LeaseQuery) (any, bool) {
-		ttl := time.Duration(q.TTL) * time.Second
-		return ladderplatform.LeaseReply{ID: p.store.Grant(ttl), TTL: q.TTL}, true
-	}))
-	mux.HandleFunc("POST /v3/lease/keepalive", call(p, func(q ladderplatform.LeaseQuery) (any, bool) {
-		ttl := p.store.Alive(q.ID)
-		return ladderplatform.AliveReply{Result: ladderplatform.LeaseReply{ID: q.ID, TTL: int64(ttl / time.Second)}}, true
-	}))
-	mux.HandleFunc("POST /v3/watch", p.watch)
+	p.storeRoutes(mux)
 	mux.HandleFunc("GET /vms", func(w http.ResponseWriter, _ *http.Request) {
 		if p.down.Load() {
 			http.Error(w, "down", http.StatusServiceUnavailable)
@@ -113,67 +98,11 @@
 	return mux
 }
 
-// call serves one call of the store, as the switches let it.
-func call[Q any](p *Platform, serve func(Q) (reply any, write bool)) http.HandlerFunc {
-	return func(w http.ResponseWriter, r *http.Request) {
-		p.mu.Lock()
-		p.calls++
-		p.mu.Unlock()
-		if p.down.Load() {
-			http.Error(w, "down", http.StatusServiceUnavailable)
-			return
-		}
-		time.Sleep(time.Duration(p.slow.Load()))
-		var q Q
-		if err := json.NewDecoder(io.LimitReader(r.Body, maxBody)).Decode(&q); err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
-			return
-		}
-		reply, write := serve(q)
-		if write && p.lost.Load() {
-			http.Error(w, "the answer was lost", http.StatusGatewayTimeout)
-			return
-		}
-		writeJSON(w, reply)
-	}
-}
-
-// watch streams the changes of one key.
-func (p *Platform) watch(w http.ResponseWriter, r *http.Request) {
+// count counts a call.
+func (p *Platform) count() {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.calls++
-	p.mu.Unlock()
-	var q ladderplatform.WatchQuery
-	err := json.NewDecoder(io.LimitReader(r.Body, maxBody)).Decode(&q)
-	if err != nil || p.down.Load() {
-		http.Error(w, fmt.Sprint(errors.Join(err, errors.New("no watch"))), http.StatusServiceUnavailable)
-		return
-	}
-	encoder := json.NewEncoder(w)
-	from := max(1, q.Create.Start)
-	check := time.NewTicker(watchCheck)
-	defer check.Stop()
-	_ = http.NewResponseController(w).Flush()
-	for {
-		events, revision, changed := p.store.Changes(string(q.Create.Key), from)
-		if len(events) > 0 {
-			from = revision + 1
-			if encoder.Encode(ladderplatform.WatchReply{Result: ladderplatform.WatchResult{
-				Header: ladderplatform.Header{Revision: revision}, Events: events,
-			}}) != nil || http.NewResponseController(w).Flush() != nil {
-				return
-			}
-		}
-		select {
-		case <-changed:
-		case <-check.C:
-			if p.down.Load() {
-				return
-			}
-		case <-r.Context().Done():
-			return
-		}
-	}
 }
 
 // watchCheck is how often a watch sees if the platform went down.
@@ -189,7 +118,8 @@
 }
 
 // set turns switches: POST /switch?down=true, lost=true, slow=200ms, lag=10s,
-// save=true or restore=true.
+// forget=true, save=true or
+// restore=true.
 func (p *Platform) set(w http.ResponseWriter, r *http.Request) {
 	for name, values := range r.URL.Query() {
 		on := values[0] == "true"
@@ -209,6 +139,8 @@
 			} else {
 				p.lag.Store(int64(d))
 			}
+		case "forget":
+			p.store.Forget()
 		case "save":
 			p.store.Save()
 		case "restore":
--- a/ladderstand/store.go
+++ b/ladderstand/store.go
@@ -7,9 +7,12 @@
 	"time"
 
 	"lacewingladder/ladderclock"
-	"lacewingladder/ladderplatform"
+	"lacewingladder/platform"
 )
 
+// maxHistory is how many changes a [Store] remembers for watches.
+const maxHistory = 100_000
+
 // Store is a small key-value store with transactions, leases and watches. It is
 // safe for concurrent use.
 type Store struct {
@@ -17,12 +20,15 @@
 
 	mu       sync.Mutex
 	revision int64
-	pairs    map[string]ladderplatform.Pair
-	leases   map[int64]*lease
-	next     int64
-	changed  chan struct{}
+	items    map[string]platform.Item
+	history  []platform.Item
+	// oldest is the revision behind which all changes are remembered.
+	oldest  int64
+	leases  map[int64]*lease
+	next    int64
+	changed chan struct{}
 	// saved is a state to which the store can fall back.
-	saved map[string]ladderplatform.Pair
+	saved map[string]platform.Item
 }
 
 type lease struct {
@@ -33,63 +39,100 @@
 // NewStore returns an empty store.
 func NewStore(clock ladderclock.Clock) *Store {
 	return &Store{
-		clock: clock, pairs: map[string]ladderplatform.Pair{}, leases: map[int64]*lease{},
-		changed: make(chan struct{}),
+		clock: clock, items: map[string]platform.Item{}, leases: map[int64]*lease{},
+		changed: make(chan struct{}), revision: 1, oldest: 1,
 	}
 }
 
-// Range answers a range query.
-func (s *Store) Range(q ladderplatform.RangeQuery) ladderplatform.RangeReply {
+// Get returns an item, and the store's revision.
+func (s *Store) Get(key string) (platform.Item, bool, int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
-	reply := ladderplatform.RangeReply{Header: ladderplatform.Header{Revision: s.revision}}
-	for key, p := range s.pairs {
-		in := key == string(q.Key)
-		if len(q.End) > 0 {
-			in = key >= string(q.Key) && (key < string(q.End) || q.End[0] == 0)
-		}
-		if in && p.Modified >= q.MinModified {
-			reply.Pairs = append(reply.Pairs, p)
+	item, ok := s.items[key]
+	return item, ok, s.revision
+}
+
+// Range returns at most limit items behind a key whose keys begin with prefix.
+func (s *Store) Range(prefix, after string, limit int) platform.Page {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	page := platform.Page{Revision: s.revision}
+	for key, item := range s.items {
+		if strings.HasPrefix(key, prefix) && key > after {
+			page.Items = append(page.Items, item)
 		}
 	}
-	sort.Slice(reply.Pairs, func(i, j int) bool { return string(reply.Pairs[i].Key) < string(reply.Pairs[j].Key) })
-	return reply
+	sort.Slice(page.Items, func(i, j int) bool { return page.Items[i].Key < page.Items[j].Key })
+	if len(page.Items) > limit {
+		page.Items, page.More = page.Items[:limit], true
+	}
+	return page
+}
+
+// Outcome is what became of a transaction.
+type Outcome struct {
+	Done     bool
+	NoLease  bool
+	Revision int64
+	// Found are the items of the conditions, where one did not hold.
+	Found []platform.Item
 }
 
 // Txn carries out a transaction.
-func (s *Store) Txn(q ladderplatform.TxnQuery) ladderplatform.TxnReply {
+func (s *Store) Txn(t platform.Txn) Outcome {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
-	for _, c := range q.Compare {
-		p := s.pairs[string(c.Key)]
-		if (c.Target == "CREATE" && p.Created != c.Created) || (c.Target != "CREATE" && p.Modified != c.Modified) {
-			return ladderplatform.TxnReply{Header: ladderplatform.Header{Revision: s.revision}}
+	held := true
+	var found []platform.Item
+	for _, c := range t.If {
+		item, ok := s.items[c.Key]
+		if !ok {
+			item = platform.Item{Key: c.Key}
 		}
+		found = append(found, item)
+		held = held && item.Changed == c.Changed
 	}
-	if len(q.Success) > 0 {
-		s.revision++
+	if !held {
+		return Outcome{Revision: s.revision, Found: found}
 	}
-	for _, op := range q.Success {
-		if op.Put != nil {
-			s.put(*op.Put)
+	for _, w := range t.Writes {
+		if w.Lease != 0 && s.leases[w.Lease] == nil {
+			return Outcome{NoLease: true, Revision: s.revision}
 		}
-		if op.Delete != nil {
-			delete(s.pairs, string(op.Delete.Key))
+	}
+	s.revision++
+	for _, w := range t.Writes {
+		item := s.items[w.Key]
+		if item.Created == 0 {
+			item.Created = s.revision
 		}
+		item.Key, item.Value, item.Changed, item.Lease = w.Key, w.Value, s.revision, w.Lease
+		s.items[w.Key] = item
+		s.record(item)
+	}
+	for _, key := range t.Deletes {
+		s.remove(key)
 	}
 	s.wake()
-	return ladderplatform.TxnReply{Header: ladderplatform.Header{Revision: s.revision}, Succeeded: true}
+	return Outcome{Done: true, Revision: s.revision}
 }
 
-func (s *Store) put(q ladderplatform.PutQuery) {
-	p, ok := s.pairs[string(q.Key)]
-	if !ok {
-		p.Created = s.revision
+func (s *Store) remove(key string) {
+	if _, ok := s.items[key]; ok {
+		delete(s.items, key)
+		s.record(platform.Item{Key: key, Changed: s.revision, Deleted: true})
+	}
+}
+
+func (s *Store) record(item platform.Item) {
+	s.history = append(s.history, item)
+	if len(s.history) > maxHistory {
+		s.oldest = s.history[0].Changed
+		s.history = s.history[1:]
 	}
-	p.Key, p.Value, p.Modified, p.Lease = q.Key, q.Value, s.revision, q.Lease
-	s.pairs[string(q.Key)] = p
 }
 
 // Grant returns a new lease.
@@ -101,8 +144,8 @@
 	return s.next
 }
 
-// Alive prolongs a lease and returns its length, or zero when it has ended.
-func (s *Store) Alive(id int64) time.Duration {
+// Renew prolongs a lease and returns its length, or zero when it has ended.
+func (s *Store) Renew(id int64) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
@@ -114,17 +157,44 @@
 	return l.ttl
 }
 
-// Changes returns the events of a key from a revision on, and a channel that is
-// closed at the next change of the store.
-func (s *Store) Changes(key string, from int64) ([]ladderplatform.WatchEvent, int64, <-chan struct{}) {
+// End ends a lease. It is false when there is none.
+func (s *Store) End(id int64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
-	var events []ladderplatform.WatchEvent
-	if p, ok := s.pairs[key]; ok && p.Modified >= from {
-		events = append(events, ladderplatform.WatchEvent{Pair: p})
+	l, ok := s.leases[id]
+	if ok {
+		l.expires = s.clock.Now()
+		s.expire()
 	}
-	return events, s.revision, s.changed
+	return ok
+}
+
+// Changes returns the changes of keys that begin with prefix behind a revision, and
+// a channel that is closed at the next change of the store. It is false when that
+// history is gone.
+func (s *Store) Changes(prefix string, after int64) ([]platform.Item, int64, <-chan struct{}, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	if after < s.oldest {
+		return nil, s.revision, s.changed, false
+	}
+	first := sort.Search(len(s.history), func(i int) bool { return s.history[i].Changed > after })
+	var events []platform.Item
+	for _, item := range s.history[first:] {
+		if strings.HasPrefix(item.Key, prefix) {
+			events = append(events, item)
+		}
+	}
+	return events, s.revision, s.changed, true
+}
+
+// Forget drops the history of changes.
+func (s *Store) Forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.oldest = nil, s.revision
 }
 
 // Save remembers the present state, and Restore falls back to it. Restored keys
@@ -132,9 +202,9 @@
 func (s *Store) Save() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.saved = map[string]ladderplatform.Pair{}
-	for k, p := range s.pairs {
-		s.saved[k] = p
+	s.saved = map[string]platform.Item{}
+	for k, item := range s.items {
+		s.saved[k] = item
 	}
 }
 
@@ -143,10 +213,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	s.pairs = map[string]ladderplatform.Pair{}
-	for k, p := range s.saved {
-		p.Modified = s.revision
-		s.pairs[k] = p
+	for k := range s.items {
+		if _, ok := s.saved[k]; !ok {
+			s.remove(k)
+		}
+	}
+	for k, item := range s.saved {
+		item.Changed = s.revision
+		s.items[k] = item
+		s.record(item)
 	}
 	s.wake()
 }
@@ -159,10 +234,11 @@
 			continue
 		}
 		delete(s.leases, id)
-		for k, p := range s.pairs {
-			if p.Lease == id && p.Lease != 0 {
+		for k, item := range s.items {
+			if item.Lease == id {
 				s.revision++
-				delete(s.pairs, k)
+				s.remove(k)
+				s.wake()
 			}
 		}
 	}
@@ -175,14 +251,9 @@
 
 // Keys returns the keys that begin with prefix, in order.
 func (s *Store) Keys(prefix string) []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	var keys []string
-	for k := range s.pairs {
-		if strings.HasPrefix(k, prefix) {
-			keys = append(keys, k)
-		}
+	for _, item := range s.Range(prefix, "", maxHistory).Items {
+		keys = append(keys, item.Key)
 	}
-	sort.Strings(keys)
 	return keys
 }
