Put the leader's commits in order, and take up a lead that was won late

Each commit now rewrites a key under the condition that it is as the last one left it. Likewise a won election can take effect late: the VM named by the key now begins its term, or deletes the key. Ruled out: reading an old record at takeover (the store's reads are linearizable).

--- a/ladderjournal/journal.go
+++ b/ladderjournal/journal.go
@@ -17,6 +17,10 @@
 	cancelPrefix = "ladder/in/cancel/"
 	recordPrefix = "ladder/record/"
 	rosterKey    = "ladder/roster"
+	// orderKey changes with each commit of the leader, so that one that takes effect
+	// late can't undo a newer one.
+	orderKey       = "ladder/order"
+	rosterOrderKey = "ladder/rosterorder"
 	// LeaderKey names the VM that leads; the leader's writes depend on it.
 	LeaderKey = "ladder/vm/leader"
 )
@@ -176,47 +180,101 @@
 	return ok, err
 }
 
-// Commit stores a leader's records, at most [MaxRecords] at once, while the leader's
-// key is as it was at the given revision.
-func (j *Journal) Commit(ctx context.Context, leader int64, records []ladderplan.Record) error {
-	txn := platform.Txn{If: []platform.Condition{{Key: LeaderKey, Changed: leader}}}
+// ErrDeposed means that another VM leads, or nobody.
+var ErrDeposed = errors.New("the store names another leader")
+
+// Progress writes one leader's records, one transaction after the other. Create one
+// with [Journal.Progress]. It is not safe for concurrent use.
+type Progress struct {
+	journal *Journal
+	leader  int64
+	// order and roster are the revisions of those keys, as far as known.
+	order  int64
+	roster int64
+	count  int
+}
+
+// Progress returns the writer of the leader whose key is of the given revision,
+// after it has read the store's contents.
+func (j *Journal) Progress(leader int64, c *Contents) *Progress {
+	return &Progress{journal: j, leader: leader, order: c.order, roster: c.roster}
+}
+
+// Commit stores at most [MaxRecords] records.
+func (p *Progress) Commit(ctx context.Context, records []ladderplan.Record) error {
+	var writes []platform.Write
 	for _, r := range records {
 		value, err := EncodeRecord(r)
 		if err != nil {
 			return err
 		}
-		txn.Writes = append(txn.Writes, platform.Write{Key: recordPrefix + r.Job, Value: value})
+		writes = append(writes, platform.Write{Key: recordPrefix + r.Job, Value: value})
 	}
-	_, _, err := j.store.Commit(ctx, txn)
-	return err
+	return p.write(ctx, orderKey, &p.order, writes)
+}
+
+// SaveRoster stores the workers on which the leader may start tasks.
+func (p *Progress) SaveRoster(ctx context.Context, list []ladderflow.Worker) error {
+	value, err := encodeRoster(list)
+	if err != nil {
+		return err
+	}
+	return p.write(ctx, rosterOrderKey, &p.roster, []platform.Write{{Key: rosterKey, Value: value}})
+}
+
+// write makes writes together with a change of a key that puts them in order. When
+// that key has changed, an earlier call of unknown fate has taken effect meanwhile:
+// either this very one, by another way, or one that this one is to follow.
+func (p *Progress) write(ctx context.Context, key string, order *int64, writes []platform.Write) error {
+	p.count++
+	mark := fmt.Sprintf("%d/%d", p.leader, p.count)
+	for range writeTries {
+		revision, found, err := p.journal.store.Commit(ctx, platform.Txn{
+			If:     []platform.Condition{{Key: LeaderKey, Changed: p.leader}, {Key: key, Changed: *order}},
+			Writes: append([]platform.Write{{Key: key, Value: []byte(mark)}}, writes...),
+		})
+		if err == nil {
+			*order = revision
+			return nil
+		}
+		if !errors.Is(err, platform.ErrChanged) {
+			return err
+		}
+		for _, item := range found {
+			switch {
+			case item.Key == LeaderKey && item.Changed != p.leader:
+				return ErrDeposed
+			case item.Key == key:
+				*order = item.Changed
+				if string(item.Value) == mark {
+					return nil
+				}
+			}
+		}
+	}
+	return platform.ErrChanged
 }
 
-// MaxRecords is how many records fit into one transaction beside its condition.
-const MaxRecords = platform.MaxTxn - 1
+// writeTries is how often a write follows others that took effect late: there is
+// at most one of each way.
+const writeTries = 4
+
+// MaxRecords is how many records fit into one transaction beside its order.
+const MaxRecords = platform.MaxTxn - 2
 
 // MaxForgotten is how many jobs' keys fit into one transaction.
 const MaxForgotten = (platform.MaxTxn - 1) / 3
 
 // Forget deletes all keys of jobs that ended long ago.
-func (j *Journal) Forget(ctx context.Context, leader int64, ids []string) error {
-	txn := platform.Txn{If: []platform.Condition{{Key: LeaderKey, Changed: leader}}}
+func (p *Progress) Forget(ctx context.Context, ids []string) error {
+	txn := platform.Txn{If: []platform.Condition{{Key: LeaderKey, Changed: p.leader}}}
 	for _, id := range ids {
 		txn.Deletes = append(txn.Deletes, jobPrefix+id, cancelPrefix+id, recordPrefix+id)
 	}
-	_, _, err := j.store.Commit(ctx, txn)
-	return err
-}
-
-// SaveRoster stores the workers on which the leader may start tasks.
-func (j *Journal) SaveRoster(ctx context.Context, leader int64, list []ladderflow.Worker) error {
-	value, err := encodeRoster(list)
-	if err != nil {
-		return err
+	_, _, err := p.journal.store.Commit(ctx, txn)
+	if errors.Is(err, platform.ErrChanged) {
+		return ErrDeposed
 	}
-	_, _, err = j.store.Commit(ctx, platform.Txn{
-		If:     []platform.Condition{{Key: LeaderKey, Changed: leader}},
-		Writes: []platform.Write{{Key: rosterKey, Value: value}},
-	})
 	return err
 }
 
@@ -230,12 +288,21 @@
 	Revision int64
 	// Faults are values that can't be read; they are left alone.
 	Faults []error
+	order  int64
+	roster int64
 }
 
 // Load reads all that the store holds. Jobs are read before their progress, so that
 // no progress lacks its job.
 func (j *Journal) Load(ctx context.Context) (*Contents, error) {
 	c := &Contents{}
+	for key, revision := range map[string]*int64{orderKey: &c.order, rosterOrderKey: &c.roster} {
+		item, _, err := j.store.Get(ctx, key)
+		if err != nil {
+			return nil, err
+		}
+		*revision = item.Changed
+	}
 	roster, ok, err := j.store.Get(ctx, rosterKey)
 	if err != nil {
 		return nil, err
--- a/laddervm/lead.go
+++ b/laddervm/lead.go
@@ -28,12 +28,12 @@
 	vm   *VM
 	log  *log.Logger
 	term atomic.Pointer[term]
-	// resigned is closed once a leaving VM does not lead any more.
-	stop chan struct{}
+	// last is the fence of the VM's last term; it belongs to run.
+	last int64
 }
 
 func newLead(v *VM) *lead {
-	return &lead{vm: v, log: v.logs.Part("lead"), stop: make(chan struct{})}
+	return &lead{vm: v, log: v.logs.Part("lead")}
 }
 
 // current returns the VM's term, or nil while it does not lead.
@@ -58,6 +58,10 @@
 			l.check(t, known)
 			continue
 		}
+		if known.life == l.vm.registry.life {
+			l.claim(ctx, known)
+			continue
+		}
 		if !read || known.revision != 0 || l.vm.leaving.Load() || l.vm.fleet.Load() == nil {
 			continue
 		}
@@ -82,6 +86,30 @@
 	}
 }
 
+// claim takes up a lead that the store gave to this VM without its knowing: the
+// transaction that won it took effect late. A lead that was given up is deleted.
+func (l *lead) claim(ctx context.Context, known leader) {
+	lease, ok := l.vm.registry.held()
+	if ok && known.revision > l.last && !l.vm.leaving.Load() {
+		l.begin(ctx, lease, known.revision, l.vm.clock.Now())
+		return
+	}
+	if known.revision <= l.last {
+		l.drop(ctx, known.revision)
+	}
+}
+
+// drop deletes the leader's key of a revision.
+func (l *lead) drop(ctx context.Context, revision int64) {
+	_, _, err := l.vm.store.Commit(ctx, platform.Txn{
+		If:      []platform.Condition{{Key: ladderjournal.LeaderKey, Changed: revision}},
+		Deletes: []string{ladderjournal.LeaderKey},
+	})
+	if err != nil && !errors.Is(err, platform.ErrChanged) {
+		l.log.Warn("lead is left to lapse", "revision", revision, "err", err)
+	}
+}
+
 // contend tries to win the lead under the VM's lease.
 func (l *lead) contend(ctx context.Context, lease int64) {
 	// VMs close to the store come first: their answers are quicker, and so is all
@@ -126,6 +154,10 @@
 
 // begin opens a term.
 func (l *lead) begin(ctx context.Context, lease, fence int64, began time.Time) {
+	if fence <= l.last {
+		return
+	}
+	l.last = fence
 	l.vm.stats.takeovers.Inc()
 	l.log.Info("leads", "fence", fence, "lease", lease)
 	t := newTerm(ctx, l.vm, lease, fence, began)
@@ -152,11 +184,5 @@
 	defer cancel()
 	t.settle(ctx)
 	l.end(t, "the VM leaves")
-	_, _, err := l.vm.store.Commit(ctx, platform.Txn{
-		If:      []platform.Condition{{Key: ladderjournal.LeaderKey, Changed: t.fence}},
-		Deletes: []string{ladderjournal.LeaderKey},
-	})
-	if err != nil {
-		l.log.Warn("lead is left to lapse", "err", err)
-	}
+	l.drop(ctx, t.fence)
 }
--- a/laddervm/save.go
+++ b/laddervm/save.go
@@ -55,13 +55,13 @@
 	began := t.vm.clock.Now()
 	for rest := b.Records; len(rest) > 0; {
 		n := min(len(rest), ladderjournal.MaxRecords)
-		if err := t.vm.journal.Commit(t.ctx, t.fence, rest[:n]); err != nil {
+		if err := t.progress.Commit(t.ctx, rest[:n]); err != nil {
 			return err
 		}
 		rest = rest[n:]
 	}
 	if len(b.Forget) > 0 {
-		if err := t.vm.journal.Forget(t.ctx, t.fence, b.Forget); err != nil {
+		if err := t.progress.Forget(t.ctx, b.Forget); err != nil {
 			return err
 		}
 	}
@@ -73,7 +73,7 @@
 func (t *term) saved(b *ladderplan.Batch, err error) {
 	t.saver.busy = false
 	switch {
-	case errors.Is(err, platform.ErrChanged):
+	case errors.Is(err, ladderjournal.ErrDeposed):
 		t.vm.lead.end(t, "the store names another leader")
 		return
 	case err != nil:
@@ -93,7 +93,21 @@
 // settle stores what has changed and waits for it, before the lead is given up.
 func (t *term) settle(ctx context.Context) {
 	var b *ladderplan.Batch
-	if !t.call(ctx, func() { b = t.planner.Unsaved() }) || b.Empty() {
+	for b == nil {
+		ok := t.call(ctx, func() {
+			if t.loaded && !t.saver.busy {
+				t.saver.busy = true
+				b = t.planner.Unsaved()
+			}
+		})
+		if !ok {
+			return
+		}
+		if b == nil {
+			<-t.vm.clock.After(settleTime)
+		}
+	}
+	if b.Empty() {
 		return
 	}
 	if err := t.commit(b); err != nil {
@@ -101,6 +115,9 @@
 	}
 }
 
+// settleTime is the time between looks at whether the last batch is stored.
+const settleTime = 10 * time.Millisecond
+
 // saveRoster stores which workers are in use. The planner starts nothing on a worker
 // that the stored list does not name.
 func (t *term) saveRoster() {
@@ -110,14 +127,14 @@
 	list := t.planner.Workers()
 	t.rostering = true
 	go func() {
-		err := t.vm.journal.SaveRoster(t.ctx, t.fence, list)
+		err := t.rosterProgress.SaveRoster(t.ctx, list)
 		t.do(func() { t.rosterSaved(list, err) })
 	}()
 }
 
 func (t *term) rosterSaved(list []ladderflow.Worker, err error) {
 	t.rostering = false
-	if errors.Is(err, platform.ErrChanged) {
+	if errors.Is(err, ladderjournal.ErrDeposed) {
 		t.vm.lead.end(t, "the store names another leader")
 		return
 	}
--- a/laddervm/term.go
+++ b/laddervm/term.go
@@ -49,8 +49,12 @@
 	loaded  bool
 	drivers map[string]*driver
 	saver   saver
-	wall    wall
-	roster  map[string]bool
+	// progress writes records, and rosterProgress the list of workers in use; each
+	// is used by one goroutine at a time.
+	progress       *ladderjournal.Progress
+	rosterProgress *ladderjournal.Progress
+	wall           wall
+	roster         map[string]bool
 	// rostering is true while the list of workers in use is being stored.
 	rostering bool
 	listed    []ladderflow.Worker
@@ -199,6 +203,8 @@
 // takeOver gives the planner what the store holds.
 func (t *term) takeOver(c *ladderjournal.Contents, list []ladderflow.Worker) {
 	now := t.vm.clock.Now()
+	t.progress = t.vm.journal.Progress(t.fence, c)
+	t.rosterProgress = t.vm.journal.Progress(t.fence, c)
 	for _, j := range c.Jobs {
 		t.planner.AddJob(now, j, true)
 	}
