Count a failed run by its number, in whatever order ends are heard

Cause: a new leader hears workers in any order. Ruled out: a lost record; the log shows fails=1 stored, run 3 counted as the second. Also: a transaction holds 32 entries in all, conditions included; the stand-in counts so too now. Batches of 29 records, 10 jobs. Tests: TestFailuresCountInAnyOrder, TestFullBatches; TestUnseenWorker*, TestTwoRunsOfOneTask for the takeover.

--- a/ladderjournal/codec.go
+++ b/ladderjournal/codec.go
@@ -136,8 +136,7 @@
 	_      struct{} `cbor:",toarray"`
 	Done   bool
 	Tasks  []taskWire
-	Fails  int
-	Closed int
+	Failed []int
 	Saved  string
 }
 
@@ -147,7 +146,7 @@
 	Done   bool
 	Number int
 	Closed int
-	Fails  int
+	Failed []int
 	Saved  string
 }
 
@@ -157,10 +156,10 @@
 	for _, x := range r.Rounds {
 		rw := roundWire{Index: x.Index}
 		for _, s := range x.Steps {
-			sw := progressWire{Done: s.Done, Fails: s.Fails, Closed: s.Closed, Saved: s.Saved}
+			sw := progressWire{Done: s.Done, Failed: s.Failed, Saved: s.Saved}
 			for _, t := range s.Tasks {
 				sw.Tasks = append(sw.Tasks, taskWire{
-					Index: t.Index, Done: t.Done, Number: t.Number, Closed: t.Closed, Fails: t.Fails, Saved: t.Saved,
+					Index: t.Index, Done: t.Done, Number: t.Number, Closed: t.Closed, Failed: t.Failed, Saved: t.Saved,
 				})
 			}
 			rw.Steps = append(rw.Steps, sw)
@@ -180,10 +179,10 @@
 	for _, x := range w.Rounds {
 		rr := ladderplan.RoundRecord{Index: x.Index}
 		for _, s := range x.Steps {
-			sr := ladderplan.StepRecord{Done: s.Done, Fails: s.Fails, Closed: s.Closed, Saved: s.Saved}
+			sr := ladderplan.StepRecord{Done: s.Done, Failed: s.Failed, Saved: s.Saved}
 			for _, t := range s.Tasks {
 				sr.Tasks = append(sr.Tasks, ladderplan.TaskRecord{
-					Index: t.Index, Done: t.Done, Number: t.Number, Closed: t.Closed, Fails: t.Fails, Saved: t.Saved,
+					Index: t.Index, Done: t.Done, Number: t.Number, Closed: t.Closed, Failed: t.Failed, Saved: t.Saved,
 				})
 			}
 			rr.Steps = append(rr.Steps, sr)
--- a/ladderjournal/journal.go
+++ b/ladderjournal/journal.go
@@ -64,8 +64,9 @@
 	Err      error
 }
 
-// MaxSubmissions is how many jobs fit into one transaction, each with two conditions.
-const MaxSubmissions = platform.MaxTxn / 2
+// MaxSubmissions is how many jobs fit into one transaction, each with two
+// conditions and a write.
+const MaxSubmissions = platform.MaxTxn / 3
 
 // Accept stores jobs together, and fills in what became of each. Those that the
 // store knew already are left out and the rest is tried again.
@@ -260,7 +261,7 @@
 const writeTries = 4
 
 // MaxRecords is how many records fit into one transaction beside its order.
-const MaxRecords = platform.MaxTxn - 2
+const MaxRecords = platform.MaxTxn - 3
 
 // MaxForgotten is how many jobs' keys fit into one transaction.
 const MaxForgotten = (platform.MaxTxn - 1) / 3
--- a/ladderjournal/journal_test.go
+++ b/ladderjournal/journal_test.go
@@ -55,6 +55,9 @@
 		}
 		return 0, nil, errSilent
 	}
+	if len(t.If)+len(t.Writes)+len(t.Deletes) > platform.MaxTxn {
+		return 0, nil, errors.New("too many entries")
+	}
 	o := s.store.Txn(t)
 	if !o.Done {
 		return 0, o.Found, platform.ErrChanged
@@ -189,8 +192,8 @@
 	r := ladderplan.Record{
 		Job: ids[1], State: ladderflow.Running, Closed: []int{0},
 		Rounds: []ladderplan.RoundRecord{{Index: 1, Steps: []ladderplan.StepRecord{
-			{Done: true, Fails: 1, Closed: 2, Saved: "s"},
-			{Tasks: []ladderplan.TaskRecord{{Index: 4, Done: true, Number: 3, Closed: 2, Fails: 1, Saved: "x"}}},
+			{Done: true, Failed: []int{2}, Saved: "s"},
+			{Tasks: []ladderplan.TaskRecord{{Index: 4, Done: true, Number: 3, Closed: 2, Failed: []int{2}, Saved: "x"}}},
 		}}},
 	}
 	require.NoError(t, p.Commit(ctx, []ladderplan.Record{r}))
@@ -221,3 +224,22 @@
 	require.NoError(t, err)
 	require.Empty(t, c.Jobs)
 }
+
+// TestFullBatches writes as much at once as the package allows.
+func TestFullBatches(t *testing.T) {
+	ctx := context.Background()
+	s := newShelf()
+	j := New(s)
+	p := j.Progress(s.lead(), &Contents{})
+	require.NoError(t, p.Commit(ctx, make([]ladderplan.Record, MaxRecords)))
+	require.NoError(t, p.Forget(ctx, make([]string, MaxForgotten)))
+	var ids []string
+	for i := range MaxSubmissions {
+		ids = append(ids, fmt.Sprint(i))
+	}
+	list := submissions(ids...)
+	j.Accept(ctx, list)
+	for _, x := range list {
+		require.Equal(t, Stored, x.Outcome, x.Err)
+	}
+}
--- a/ladderplan/model.go
+++ b/ladderplan/model.go
@@ -63,12 +63,10 @@
 
 // gang is what the members of a gang share.
 type gang struct {
-	run    int
-	fails  int
-	closed int
+	run int
+	// failed holds the numbers of the runs that have failed.
+	failed []int
 	saved  string
-	// breaking is true while the runs of a broken attempt are being stopped.
-	breaking bool
 }
 
 func (s *step) ref() ladderflow.StepRef {
@@ -86,7 +84,9 @@
 	// has ended or can't be under way.
 	number int
 	closed int
-	fails  int
+	// failed holds the numbers of the runs that have failed. Their ends may be
+	// listed more than once, and in any order.
+	failed []int
 	saved  string
 	runs   []*run
 }
--- a/ladderplan/planner.go
+++ b/ladderplan/planner.go
@@ -1,6 +1,7 @@
 package ladderplan
 
 import (
+	"slices"
 	"time"
 
 	"lacewingladder/ladderflow"
@@ -220,7 +221,6 @@
 	if j != nil {
 		t = j.find(e.Run.Task)
 	}
-	known := t != nil && e.Run.Number <= t.closed
 	if x != nil {
 		w.remove(x)
 	}
@@ -240,7 +240,6 @@
 	case e.How == ladderflow.EndDone:
 		w.praise()
 		p.endedWell(now, t)
-	case known && x == nil:
 	case e.How == ladderflow.EndFailed:
 		p.endedBadly(now, w, t, e.Run.Number)
 	}
@@ -291,23 +290,19 @@
 // endedBadly counts a failed run, and fails the job after the last attempt.
 func (p *Planner) endedBadly(now time.Time, w *worker, t *task, number int) {
 	s, j := t.step, t.step.round.job
-	w.blame(now, j.spec.ID)
-	fails := 0
+	failed := &t.failed
 	if s.spec.Gang {
-		if number <= s.gang.closed {
-			return
-		}
-		s.gang.closed = number
-		s.gang.fails++
-		fails = s.gang.fails
-	} else {
-		t.fails++
-		fails = t.fails
+		failed = &s.gang.failed
 	}
+	if t.done || slices.Contains(*failed, number) {
+		return
+	}
+	*failed = append(*failed, number)
+	w.blame(now, j.spec.ID)
 	p.dirty[j.spec.ID] = j
 	attempts := p.attempts(j)
-	p.log.Info("run failed", "task", t.name(), "run", number, "worker", w.spec.ID, "fails", fails, "attempts", attempts)
-	if fails >= attempts {
+	p.log.Info("run failed", "task", t.name(), "run", number, "worker", w.spec.ID, "fails", len(*failed), "attempts", attempts)
+	if len(*failed) >= attempts {
 		p.finish(now, j, ladderflow.Failed)
 	}
 }
--- a/ladderplan/record.go
+++ b/ladderplan/record.go
@@ -1,6 +1,7 @@
 package ladderplan
 
 import (
+	"slices"
 	"time"
 
 	"lacewingladder/ladderflow"
@@ -29,9 +30,8 @@
 	// Done is true when all tasks have ended well.
 	Done  bool
 	Tasks []TaskRecord
-	// Fails, Closed and Saved are those of a gang as a whole.
-	Fails  int
-	Closed int
+	// Failed and Saved are those of a gang as a whole.
+	Failed []int
 	Saved  string
 }
 
@@ -41,7 +41,8 @@
 	Done   bool
 	Number int
 	Closed int
-	Fails  int
+	// Failed holds the numbers of the runs that failed.
+	Failed []int
 	Saved  string
 }
 
@@ -124,14 +125,14 @@
 }
 
 func (s *step) record() StepRecord {
-	r := StepRecord{Done: s.finished(), Fails: s.gang.fails, Closed: s.gang.closed, Saved: s.gang.saved}
+	r := StepRecord{Done: s.finished(), Failed: slices.Clone(s.gang.failed), Saved: s.gang.saved}
 	if r.Done {
 		return r
 	}
 	for _, t := range s.tasks {
 		if t.done || t.number > 0 {
 			r.Tasks = append(r.Tasks, TaskRecord{
-				Index: t.index, Done: t.done, Number: t.number, Closed: t.closed, Fails: t.fails, Saved: t.saved,
+				Index: t.index, Done: t.done, Number: t.number, Closed: t.closed, Failed: slices.Clone(t.failed), Saved: t.saved,
 			})
 		}
 	}
@@ -177,7 +178,7 @@
 			break
 		}
 		s := r.steps[i]
-		s.gang = gang{fails: sr.Fails, closed: sr.Closed, saved: sr.Saved, run: sr.Closed}
+		s.gang = gang{failed: sr.Failed, saved: sr.Saved}
 		for _, t := range s.tasks {
 			if sr.Done {
 				t.done = true
@@ -189,7 +190,7 @@
 			}
 			begun = true
 			t := s.tasks[tr.Index]
-			t.done, t.number, t.closed, t.fails, t.saved = tr.Done, tr.Number, tr.Closed, tr.Fails, tr.Saved
+			t.done, t.number, t.closed, t.failed, t.saved = tr.Done, tr.Number, tr.Closed, tr.Failed, tr.Saved
 		}
 		s.done, s.waiting = 0, 0
 		for _, t := range s.tasks {
--- /dev/null
+++ b/ladderplan/takeover_test.go
@@ -0,0 +1,120 @@
+package ladderplan
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lacewingladder/ladderflow"
+)
+
+// heir returns the planner of the next leader, which has read the store and has not
+// seen any worker yet.
+func (b *bed) heir(jobs []*ladderflow.Job, records []Record, roster int) *bed {
+	next := &bed{t: b.t, now: b.now, clock: map[string]time.Duration{}, ends: b.ends}
+	for id, c := range b.clock {
+		next.clock[id] = c
+	}
+	next.planner = newPlanner(b.now)
+	next.planner.SetFleet(b.planner.fleet)
+	for _, j := range jobs {
+		next.planner.AddJob(next.now, j, true)
+	}
+	for _, r := range records {
+		next.planner.Restore(next.now, r)
+	}
+	ids := map[string]bool{}
+	for i := range roster {
+		next.planner.Inherit(testWorker(i))
+		ids[testWorker(i).ID] = true
+	}
+	next.planner.SetRoster(ids)
+	next.list(roster)
+	return next
+}
+
+// TestFailuresCountInAnyOrder lets a new leader hear of a task's failed runs in
+// another order than they had: each counts once.
+func TestFailuresCountInAnyOrder(t *testing.T) {
+	for name, steps := range map[string][]ladderflow.Step{"a task": {tasks(1)}, "a gang": {gangOf(2)}} {
+		t.Run(name, func(t *testing.T) {
+			b := newBed(t, 3)
+			b.planner.fleet.Queues[0].Attempts = 3
+			j := testJob(b.now, "a", steps...)
+			next := b.heir([]*ladderflow.Job{j}, []Record{j0(j)}, 3)
+			fail := func(worker string, n int64, run int) {
+				next.look(worker, ladderflow.Look{Ended: []ladderflow.EndedRun{{
+					Number: n, Run: ladderflow.Run{Task: ladderflow.Task{Job: "a"}, Number: run}, How: ladderflow.EndFailed,
+				}}})
+			}
+			fail("w2", 1, 3)
+			require.Empty(t, next.plan().Starts)
+			fail("w1", 1, 2)
+			require.Equal(t, ladderflow.Failed, next.planner.jobs["a"].state)
+		})
+	}
+}
+
+// j0 is the record of a job whose first run has failed and is stored.
+func j0(j *ladderflow.Job) Record {
+	r := Record{Job: j.ID, State: ladderflow.Running, Rounds: []RoundRecord{{Steps: []StepRecord{{}}}}}
+	s := &r.Rounds[0].Steps[0]
+	if j.Steps[0].Gang {
+		s.Failed = []int{1}
+		return r
+	}
+	s.Tasks = []TaskRecord{{Number: 1, Closed: 1, Failed: []int{1}}}
+	return r
+}
+
+// TestUnseenWorkerHoldsBackItsTasks keeps tasks back that may run on a worker which
+// the new leader has not seen, and no others.
+func TestUnseenWorkerHoldsBackItsTasks(t *testing.T) {
+	b := newBed(t, 2)
+	j := testJob(b.now, "a", tasks(2))
+	next := b.heir([]*ladderflow.Job{j}, nil, 2)
+	next.look("w0", ladderflow.Look{Running: []ladderflow.LiveRun{{Run: ladderflow.Run{Task: ladderflow.Task{Job: "a"}, Number: 4}}}})
+	next.submit("b", tasks(1))
+	starts := next.begin()
+	require.Len(t, starts, 1, "the new job does not wait")
+	require.Equal(t, "b", starts[0].Run.Task.Job)
+
+	// The unseen worker turns out to run the other task.
+	next.look("w1", ladderflow.Look{Running: []ladderflow.LiveRun{{Run: ladderflow.Run{Task: ladderflow.Task{Job: "a", Index: 1}, Number: 2}}}})
+	require.Empty(t, next.begin())
+	next.look("w0", ladderflow.Look{
+		Running: []ladderflow.LiveRun{{Run: starts[0].Run}},
+		Ended:   []ladderflow.EndedRun{{Number: 1, Run: ladderflow.Run{Task: ladderflow.Task{Job: "a"}, Number: 4}, How: ladderflow.EndFailed}},
+	})
+	starts = next.begin()
+	require.Len(t, starts, 1)
+	require.Equal(t, 5, starts[0].Run.Number)
+}
+
+// TestUnseenWorkerLapses lets the tasks go once no earlier leader's lease can stand.
+func TestUnseenWorkerLapses(t *testing.T) {
+	b := newBed(t, 2)
+	next := b.heir([]*ladderflow.Job{testJob(b.now, "a", tasks(1))}, nil, 2)
+	for passed := time.Duration(0); passed < 8*time.Second; passed += time.Second {
+		next.look("w0", ladderflow.Look{})
+		require.Empty(t, next.plan().Starts, "after %v", passed)
+		next.pass(time.Second)
+	}
+	next.pass(time.Second)
+	next.look("w0", ladderflow.Look{})
+	require.Len(t, next.plan().Starts, 1)
+}
+
+// TestTwoRunsOfOneTask stops the second of two runs that a new leader finds.
+func TestTwoRunsOfOneTask(t *testing.T) {
+	b := newBed(t, 2)
+	next := b.heir([]*ladderflow.Job{testJob(b.now, "a", tasks(1))}, nil, 2)
+	for i, id := range []string{"w0", "w1"} {
+		next.look(id, ladderflow.Look{Running: []ladderflow.LiveRun{{Run: ladderflow.Run{Task: ladderflow.Task{Job: "a"}, Number: i + 1}}}})
+	}
+	o := next.plan()
+	require.Empty(t, o.Starts)
+	require.Len(t, o.Stops, 1)
+	require.Equal(t, "w1", o.Stops[0].Worker.ID)
+}
--- a/ladderstand/wire.go
+++ b/ladderstand/wire.go
@@ -135,7 +135,7 @@
 	if err := json.NewDecoder(io.LimitReader(r.Body, maxBody)).Decode(&t); err != nil {
 		return http.StatusBadRequest, err.Error()
 	}
-	if len(t.Expect) > platform.MaxTxn || len(t.Writes)+len(t.Deletes) > platform.MaxTxn {
+	if len(t.Expect)+len(t.Writes)+len(t.Deletes) > platform.MaxTxn {
 		return http.StatusBadRequest, "too many entries"
 	}
 	o := p.store.Txn(t.txn())
