Refuse new jobs at once while the store answers nothing, and carry out waves of upkeep

The carrier now knows how long calls have gone unanswered; past 350 ms, or four usual answers, the gate answers 503 with Retry-After, and nothing is sent. Waves: ladderwave decides which machine goes down next (the cap, time left, tasks that must stay); the term carries it out.

--- a/ladderjournal/journal.go
+++ b/ladderjournal/journal.go
@@ -1,6 +1,7 @@
 package ladderjournal
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -279,6 +280,19 @@
 	return err
 }
 
+// Report writes what others read of the leader's work, unless it stands there.
+func (j *Journal) Report(ctx context.Context, leader int64, key string, value []byte) error {
+	item, _, err := j.store.Get(ctx, key)
+	if err != nil || bytes.Equal(item.Value, value) {
+		return err
+	}
+	_, _, err = j.store.Commit(ctx, platform.Txn{
+		If:     []platform.Condition{{Key: LeaderKey, Changed: leader}, {Key: key, Changed: item.Changed}},
+		Writes: []platform.Write{{Key: key, Value: value}},
+	})
+	return err
+}
+
 // Contents is all that the store holds.
 type Contents struct {
 	Jobs      []*ladderflow.Job
--- a/ladderplan/model.go
+++ b/ladderplan/model.go
@@ -163,6 +163,8 @@
 	blamed  map[string]bool
 	// leaves is when a draining worker may be gone.
 	leaves time.Time
+	// going is until when a worker counts as ordered down.
+	going time.Time
 }
 
 func newWorker(spec ladderflow.Worker) *worker {
--- a/ladderplan/place.go
+++ b/ladderplan/place.go
@@ -131,7 +131,8 @@
 
 // usable reports whether a worker takes new tasks at all.
 func (f *field) usable(w *worker) bool {
-	return w.listed && w.fenced && f.planner.roster[w.spec.ID] && !w.failing && w.leaves.IsZero() && !f.now.Before(w.avoid) &&
+	return w.listed && w.fenced && f.planner.roster[w.spec.ID] && !w.failing && w.leaves.IsZero() && !f.now.Before(w.avoid) && !f.now.Before(w.going) &&
+		!f.planner.emptying[w.spec.ID] &&
 		f.now.Sub(w.heard) < silence && w.spec.Service == f.service && w.has(f.step.spec.Label) &&
 		(w.strikes == 0 || len(w.runs) == 0)
 }
--- a/ladderplan/planner.go
+++ b/ladderplan/planner.go
@@ -53,6 +53,8 @@
 	certain bool
 	// roster holds the workers that the store lists as in use.
 	roster map[string]bool
+	// emptying holds the workers that are to be emptied for upkeep.
+	emptying map[string]bool
 	dirty  map[string]*job
 	advisers
 	orders Orders
--- a/ladderstand/platform.go
+++ b/ladderstand/platform.go
@@ -21,6 +21,7 @@
 
 	down atomic.Bool
 	lost atomic.Bool
+	mute atomic.Bool
 	slow atomic.Int64
 	lag  atomic.Int64
 
@@ -117,7 +118,7 @@
 	p.SetVM(vm)
 }
 
-// set turns switches: POST /switch?down=true, lost=true, slow=200ms, lag=10s,
+// set turns switches: POST /switch?down=true, lost=true, mute=true, slow=200ms, lag=10s,
 // forget=true, save=true or
 // restore=true.
 func (p *Platform) set(w http.ResponseWriter, r *http.Request) {
@@ -129,6 +130,8 @@
 			p.down.Store(on)
 		case "lost":
 			p.lost.Store(on)
+		case "mute":
+			p.mute.Store(on)
 		case "slow", "lag":
 			if err != nil {
 				http.Error(w, err.Error(), http.StatusBadRequest)
--- a/ladderstand/wire.go
+++ b/ladderstand/wire.go
@@ -158,6 +158,12 @@
 			http.Error(w, "down", http.StatusServiceUnavailable)
 			return
 		}
+		if p.mute.Load() {
+			// The body is read so that the server notices when the caller leaves.
+			_, _ = io.Copy(io.Discard, r.Body)
+			<-r.Context().Done()
+			return
+		}
 		time.Sleep(time.Duration(p.slow.Load()))
 		status, reply := serve(r)
 		if write && p.lost.Load() {
@@ -185,6 +191,10 @@
 	check := time.NewTicker(watchCheck)
 	defer check.Stop()
 	for last := false; ; {
+		if p.mute.Load() {
+			<-r.Context().Done()
+			return
+		}
 		if p.down.Load() {
 			http.Error(w, "down", http.StatusServiceUnavailable)
 			return
--- a/laddertest/flow_test.go
+++ b/laddertest/flow_test.go
@@ -404,6 +404,26 @@
 	require.Equal(t, "gone", f.state(f.vms[0], "/fit/00000000000000aa"))
 }
 
+// TestFlowStoreSilent lets the store answer nothing: once that is noticed, new jobs
+// are refused at once, as never run, and served as soon as it answers again.
+func TestFlowStoreSilent(t *testing.T) {
+	f := startFlow(t, 1, nil)
+	f.flip("mute=true")
+	time.Sleep(1200 * time.Millisecond)
+	for i := range 3 {
+		began := time.Now()
+		status, body, header := f.call(f.vms[i], http.MethodPost, fmt.Sprintf("/fit/%016x", f.jobs.Add(1)), `{"spec":"cut","steps":`+twoTasks+`}`)
+		require.Equal(t, http.StatusServiceUnavailable, status, body)
+		require.Equal(t, "1", header.Get("Retry-After"))
+		require.Less(t, time.Since(began), 100*time.Millisecond)
+	}
+	f.flip("mute=false")
+	require.Eventually(t, func() bool {
+		status, _, _ := f.call(f.vms[0], http.MethodPost, fmt.Sprintf("/fit/%016x", f.jobs.Add(1)), `{"spec":"cut","steps":`+twoTasks+`}`)
+		return status == http.StatusOK
+	}, 1500*time.Millisecond, 20*time.Millisecond)
+}
+
 func (f *flow) flip(setting string) {
 	f.t.Helper()
 	response, err := f.client.Post("http://"+f.address+"/switch?"+setting, "", nil)
--- a/laddervm/carrier.go
+++ b/laddervm/carrier.go
@@ -13,8 +13,13 @@
 )
 
 const (
-	// callTime bounds one call to the store, a slow one included.
-	callTime = 1200 * time.Millisecond
+	// callTime bounds one call to the store, and callFactor how many times the usual
+	// answer's time that is at least, since the store may be slow.
+	callTime   = 600 * time.Millisecond
+	callFactor = 4
+	// outTime is how long the store must have left calls unanswered to count as out.
+	// New jobs are refused at once then: a call could only add one of unknown fate.
+	outTime = 350 * time.Millisecond
 	// watchSlack is how long after its wait a watch is given up.
 	watchSlack = 800 * time.Millisecond
 	// hedgeTime is after how long without an answer a call is also sent through a
@@ -40,6 +45,8 @@
 	// bad is until when a peer is not used.
 	bad  map[string]time.Time
 	next int
+	// unanswered is when the first call since the last useful answer was made.
+	unanswered time.Time
 }
 
 func newCarrier(v *VM) *carrier { return &carrier{vm: v, bad: map[string]time.Time{}} }
@@ -59,10 +66,7 @@
 // Carry implements [platform.Carrier].
 func (c *carrier) Carry(ctx context.Context, to netip.AddrPort, call platform.Call) (platform.Reply, error) {
 	c.vm.stats.calls.Inc()
-	within := callTime
-	if call.Wait > 0 {
-		within = call.Wait + watchSlack
-	}
+	within := c.begin(call)
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	results := make(chan answer, 2)
@@ -75,7 +79,7 @@
 	} else {
 		own()
 	}
-	hedge := c.vm.clock.After(c.hedge(within))
+	hedge := c.vm.clock.After(c.hedge(call, within))
 	var last answer
 	unknown := false
 	for pending > 0 {
@@ -83,6 +87,7 @@
 		case a := <-results:
 			pending--
 			if a.useful() {
+				c.answered()
 				return a.reply, nil
 			}
 			unknown = unknown || a.err != nil && !errors.Is(a.err, platform.ErrUnsent)
@@ -104,11 +109,39 @@
 	return last.reply, last.err
 }
 
+// begin takes note of a call and returns how long it may take.
+func (c *carrier) begin(call platform.Call) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if call.Wait > 0 {
+		return call.Wait + watchSlack
+	}
+	if c.unanswered.IsZero() {
+		c.unanswered = c.vm.clock.Now()
+	}
+	return max(callTime, callFactor*c.usual)
+}
+
+// answered takes note of a useful answer.
+func (c *carrier) answered() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unanswered = time.Time{}
+}
+
+// out reports whether the store has answered nothing for a while.
+func (c *carrier) out() bool {
+	now := c.vm.clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.unanswered.IsZero() && now.Sub(c.unanswered) > max(outTime, callFactor*c.usual)
+}
+
 // hedge returns after how long a call is also sent the other way.
-func (c *carrier) hedge(within time.Duration) time.Duration {
+func (c *carrier) hedge(call platform.Call, within time.Duration) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if within > callTime {
+	if call.Wait > 0 {
 		return within
 	}
 	return max(hedgeTime, hedgeFactor*c.usual)
@@ -138,6 +171,10 @@
 			c.vm.log.Warn("store does not serve this VM", "status", reply.Status, "err", err)
 		}
 		c.shun = now.Add(shunTime)
+		if errors.Is(err, context.DeadlineExceeded) && call.Wait == 0 {
+			// A store that is slower than calls may take must get them to take longer.
+			c.usual += time.Duration(smoothing * float64(now.Sub(began)-c.usual))
+		}
 	}
 	c.mu.Unlock()
 	if err != nil {
--- a/laddervm/gate.go
+++ b/laddervm/gate.go
@@ -53,7 +53,7 @@
 
 // gate returns the handler of callers' requests.
 func (v *VM) gate() http.Handler {
-	filters := []filter{v.configured, routed, v.bounded, v.serve}
+	filters := []filter{v.configured, routed, v.bounded, v.stored, v.serve}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		ctx, cancel := context.WithTimeout(r.Context(), deadline(r))
 		defer cancel()
@@ -143,6 +143,15 @@
 	return true
 }
 
+// stored refuses what must be written while the store answers nothing.
+func (v *VM) stored(x *exchange) bool {
+	if x.request.Method != http.MethodGet && v.carrier.out() {
+		x.later(http.StatusServiceUnavailable, soonest, "the store does not answer now")
+		return false
+	}
+	return true
+}
+
 // serve answers what the filters before let through.
 func (v *VM) serve(x *exchange) bool {
 	method := x.request.Method
@@ -213,6 +222,10 @@
 		x.answer(http.StatusOK, platform.FormatState(state))
 		return
 	}
+	if v.carrier.out() {
+		x.later(http.StatusServiceUnavailable, soonest, "the job's state is not known now")
+		return
+	}
 	state, ok, err := v.journal.Lookup(x.ctx, x.rest)
 	switch {
 	case err != nil:
--- a/laddervm/term.go
+++ b/laddervm/term.go
@@ -55,6 +55,8 @@
 	rosterProgress *ladderjournal.Progress
 	wall           wall
 	roster         map[string]bool
+	// waves holds the numbers of the waves that this term carries out.
+	waves map[int64]bool
 	// rostering is true while the list of workers in use is being stored.
 	rostering bool
 	listed    []ladderflow.Worker
@@ -63,7 +65,7 @@
 func newTerm(ctx context.Context, v *VM, lease, fence int64, began time.Time) *term {
 	t := &term{
 		vm: v, log: v.logs.Part("term"), lease: lease, fence: fence, began: began,
-		inbox: make(chan func(), inboxSize), drivers: map[string]*driver{}, roster: map[string]bool{},
+		inbox: make(chan func(), inboxSize), drivers: map[string]*driver{}, roster: map[string]bool{}, waves: map[int64]bool{},
 	}
 	t.ctx, t.cancel = context.WithCancel(ctx)
 	b := v.bounds.Load()
@@ -221,6 +223,7 @@
 	t.planner.SetRoster(t.roster)
 	t.loaded = true
 	t.setWorkers(list)
+	t.beginWaves()
 	t.log.Info("store is read", "jobs", len(c.Jobs), "records", len(c.Records), "cancelled", len(c.Cancelled),
 		"roster", len(c.Roster), "workers", len(list), "took", now.Sub(t.began).Round(time.Millisecond))
 }
--- a/laddervm/vm.go
+++ b/laddervm/vm.go
@@ -52,18 +52,21 @@
 	log      *log.Logger
 	logs     *ladderlog.Logs
 
-	direct  *platform.Direct
-	carrier *carrier
-	store   *platform.Store
-	workers *platform.Workers
-	advice  *platform.Advice
-	journal *ladderjournal.Journal
+	direct   *platform.Direct
+	carrier  *carrier
+	store    *platform.Store
+	workers  *platform.Workers
+	advice   *platform.Advice
+	machines *platform.Machines
+	journal  *ladderjournal.Journal
 
 	keys     *keys
 	registry *registry
 	peers    *ladderpeer.Client
 	server   *ladderpeer.Server
 	fleet    atomic.Pointer[ladderflow.Fleet]
+	wavesMu  sync.Mutex
+	waves    map[int64]ladderflow.Wave
 	writer   *writer
 	lead     *lead
 	stats    *stats
@@ -83,13 +86,14 @@
 		o.Boot = ladderclock.System{}
 	}
 	s := o.Settings
-	v := &VM{settings: s, metrics: o.Metrics, clock: o.Clock, boot: o.Boot, logs: o.Logs, log: o.Logs.Part("vm"), stats: newStats()}
+	v := &VM{waves: map[int64]ladderflow.Wave{}, settings: s, metrics: o.Metrics, clock: o.Clock, boot: o.Boot, logs: o.Logs, log: o.Logs.Part("vm"), stats: newStats()}
 	v.bounds.Store(&s.Bounds)
 	v.direct = platform.NewDirect(dialTime)
 	v.carrier = newCarrier(v)
 	v.store = platform.NewStore(v.carrier, s.Store)
 	v.workers = platform.NewWorkers(v.direct)
 	v.advice = platform.NewAdvice(v.direct, s.Advice)
+	v.machines = platform.NewMachines(v.direct, s.Machines)
 	v.journal = ladderjournal.New(v.store)
 	v.registry = newRegistry(v)
 	v.writer = newWriter(v)
@@ -129,7 +133,7 @@
 		}
 	}()
 	for _, f := range []func(context.Context){
-		v.watchFleet, v.registry.watch, v.registry.keep, v.lead.run, v.writer.run,
+		v.watchOperators, v.registry.watch, v.registry.keep, v.lead.run, v.writer.run,
 	} {
 		v.wait.Go(func() { f(serving) })
 	}
