Lead under a short lease of its own, and go on through an outage of the store

The lead has a lease of 1.2 s of its own. A leader goes on for 4 s past it while the store serves neither it nor a peer; the next one waits that much longer for workers that it can't reach. An end is shown after 300 ms without the store.

--- a/ladderplan/planner.go
+++ b/ladderplan/planner.go
@@ -55,7 +55,7 @@
 	roster map[string]bool
 	// emptying holds the workers that are to be emptied for upkeep.
 	emptying map[string]bool
-	dirty  map[string]*job
+	dirty    map[string]*job
 	advisers
 	orders Orders
 	// deposed is true once a worker or the store obeys a newer leader.
@@ -356,14 +356,22 @@
 	State ladderflow.State
 }
 
-// View returns a job's state. An end is shown once the store holds it.
-func (p *Planner) View(id string) View {
+// showTime is how long an end is kept back for the store, which is several times
+// what a transaction takes. While the store is out longer than that, callers learn
+// of the end all the same: the workers still list it, so the next leader would too.
+const showTime = 300 * time.Millisecond
+
+// View returns a job's state. An end is shown once the store holds it, or has not
+// taken it for a while.
+func (p *Planner) View(now time.Time, id string) View {
 	j, ok := p.jobs[id]
 	switch {
 	case !ok:
 		return View{}
 	case j.saved.Final():
 		return View{Known: true, State: j.saved}
+	case j.state.Final() && now.Sub(j.ended) > showTime:
+		return View{Known: true, State: j.state}
 	case j.begun:
 		return View{Known: true, State: ladderflow.Running}
 	}
--- a/ladderplan/planner_test.go
+++ b/ladderplan/planner_test.go
@@ -176,19 +176,19 @@
 		t.Run(name, func(t *testing.T) {
 			b := newBed(t, 2)
 			b.submit("a", c.steps...)
-			require.Equal(t, View{Known: true, State: ladderflow.Queued}, b.planner.View("a"))
+			require.Equal(t, View{Known: true, State: ladderflow.Queued}, b.planner.View(b.now, "a"))
 			for _, want := range c.starts {
 				starts := b.begin()
 				require.Len(t, starts, want)
-				require.Equal(t, ladderflow.Running, b.planner.View("a").State)
+				require.Equal(t, ladderflow.Running, b.planner.View(b.now, "a").State)
 				for _, s := range starts {
 					require.Equal(t, "cut a", s.Payload)
 					b.end(s, ladderflow.EndDone)
 				}
 			}
-			require.Equal(t, ladderflow.Running, b.planner.View("a").State, "an end is shown once it is stored")
+			require.Equal(t, ladderflow.Running, b.planner.View(b.now, "a").State, "an end is shown once it is stored")
 			b.save()
-			require.Equal(t, ladderflow.Done, b.planner.View("a").State)
+			require.Equal(t, ladderflow.Done, b.planner.View(b.now, "a").State)
 			require.Empty(t, b.begin())
 		})
 	}
@@ -213,3 +213,20 @@
 	b.planner.Advised(b.now, asks[0], []ladderflow.Ticket{{Worker: "w0", Text: "x"}}, 2*time.Second, false)
 	require.Len(t, b.begin(), 3)
 }
+
+// TestEndIsShownWhileStoreIsOut keeps an end back for the store, but not for long.
+func TestEndIsShownWhileStoreIsOut(t *testing.T) {
+	b := newBed(t, 1)
+	b.submit("a", tasks(1))
+	b.end(b.begin()[0], ladderflow.EndDone)
+	batch := b.planner.Unsaved()
+	require.Equal(t, ladderflow.Running, b.planner.View(b.now, "a").State)
+	b.planner.NotSaved(batch)
+	b.pass(showTime + time.Millisecond)
+	require.Equal(t, ladderflow.Done, b.planner.View(b.now, "a").State)
+	next, _ := b.planner.Look(b.now, "w0")
+	require.Zero(t, next.Noted, "the worker goes on listing the end")
+	b.save()
+	next, _ = b.planner.Look(b.now, "w0")
+	require.EqualValues(t, 1, next.Noted)
+}
--- a/laddervm/carrier.go
+++ b/laddervm/carrier.go
@@ -17,8 +17,9 @@
 	// answer's time that is at least, since the store may be slow.
 	callTime   = 600 * time.Millisecond
 	callFactor = 4
-	// outTime is how long the store must have left calls unanswered to count as out.
-	// New jobs are refused at once then: a call could only add one of unknown fate.
+	// outTime is how long the store must have served no call to count as out, and to
+	// have answered none to count as silent. New jobs are refused at once while it is
+	// silent: a call could only add one of unknown fate.
 	outTime = 350 * time.Millisecond
 	// watchSlack is how long after its wait a watch is given up.
 	watchSlack = 800 * time.Millisecond
@@ -45,7 +46,9 @@
 	// bad is until when a peer is not used.
 	bad  map[string]time.Time
 	next int
-	// unanswered is when the first call since the last useful answer was made.
+	// unserved is when the first call since the last useful answer was made, and
+	// unanswered since the last answer of any kind.
+	unserved   time.Time
 	unanswered time.Time
 }
 
@@ -86,8 +89,8 @@
 		select {
 		case a := <-results:
 			pending--
+			c.answered(a)
 			if a.useful() {
-				c.answered()
 				return a.reply, nil
 			}
 			unknown = unknown || a.err != nil && !errors.Is(a.err, platform.ErrUnsent)
@@ -116,25 +119,45 @@
 	if call.Wait > 0 {
 		return call.Wait + watchSlack
 	}
+	now := c.vm.clock.Now()
+	if c.unserved.IsZero() {
+		c.unserved = now
+	}
 	if c.unanswered.IsZero() {
-		c.unanswered = c.vm.clock.Now()
+		c.unanswered = now
 	}
 	return max(callTime, callFactor*c.usual)
 }
 
-// answered takes note of a useful answer.
-func (c *carrier) answered() {
+// answered takes note of what became of a call.
+func (c *carrier) answered(a answer) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.unanswered = time.Time{}
+	if a.useful() {
+		c.unserved = time.Time{}
+	}
+	if a.err == nil {
+		c.unanswered = time.Time{}
+	}
 }
 
-// out reports whether the store has answered nothing for a while.
+// out reports whether the store has served nothing for a while.
 func (c *carrier) out() bool {
-	now := c.vm.clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.unanswered.IsZero() && now.Sub(c.unanswered) > max(outTime, callFactor*c.usual)
+	return c.long(c.unserved)
+}
+
+// silent reports whether the store has answered nothing for a while.
+func (c *carrier) silent() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.long(c.unanswered)
+}
+
+// long reports whether a time is set and a while ago. The lock is held.
+func (c *carrier) long(since time.Time) bool {
+	return !since.IsZero() && c.vm.clock.Now().Sub(since) > max(outTime, callFactor*c.usual)
 }
 
 // hedge returns after how long a call is also sent the other way.
--- a/laddervm/lead.go
+++ b/laddervm/lead.go
@@ -17,6 +17,11 @@
 const (
 	// contendTime spreads the VMs that want to lead, so that one is usually first.
 	contendTime = 12 * time.Millisecond
+	// leadLease is the length of the leader's lease: how long nothing starts after the
+	// leader has died without a word.
+	leadLease = 1200 * time.Millisecond
+	// leadRenew is the time between its renewals, so that three may fail.
+	leadRenew = 270 * time.Millisecond
 	// electTime is the time between tries to lead when nothing was heard.
 	electTime = 500 * time.Millisecond
 	// resignTime bounds the giving up of the lead by a VM that leaves.
@@ -28,12 +33,14 @@
 	vm   *VM
 	log  *log.Logger
 	term atomic.Pointer[term]
+	// lease is the one under which the leader's key stands.
+	lease *lease
 	// last is the fence of the VM's last term; it belongs to run.
 	last int64
 }
 
 func newLead(v *VM) *lead {
-	return &lead{vm: v, log: v.logs.Part("lead")}
+	return &lead{vm: v, log: v.logs.Part("lead"), lease: newLease(v, leadLease)}
 }
 
 // current returns the VM's term, or nil while it does not lead.
@@ -65,9 +72,7 @@
 		if !read || known.revision != 0 || l.vm.leaving.Load() || l.vm.fleet.Load() == nil {
 			continue
 		}
-		if lease, ok := l.vm.registry.held(); ok {
-			l.contend(ctx, lease)
-		}
+		l.contend(ctx)
 	}
 	if t := l.current(); t != nil {
 		l.end(t, "the VM stops")
@@ -81,22 +86,17 @@
 		l.end(t, "another VM leads")
 	case known.revision == 0 && l.vm.registry.knew(t.fence):
 		l.end(t, "the leader's key is gone")
-	case l.vm.registry.leaseNow() != t.lease:
-		l.end(t, "the lease has ended")
 	}
 }
 
 // claim takes up a lead that the store gave to this VM without its knowing: the
 // transaction that won it took effect late. A lead that was given up is deleted.
 func (l *lead) claim(ctx context.Context, known leader) {
-	lease, ok := l.vm.registry.held()
-	if ok && known.revision > l.last && !l.vm.leaving.Load() {
-		l.begin(ctx, lease, known.revision, l.vm.clock.Now())
+	if known.revision > l.last && !l.vm.leaving.Load() {
+		l.begin(ctx, known.revision, l.vm.clock.Now())
 		return
 	}
-	if known.revision <= l.last {
-		l.drop(ctx, known.revision)
-	}
+	l.drop(ctx, known.revision)
 }
 
 // drop deletes the leader's key of a revision.
@@ -110,8 +110,8 @@
 	}
 }
 
-// contend tries to win the lead under the VM's lease.
-func (l *lead) contend(ctx context.Context, lease int64) {
+// contend tries to win the lead under a lease of its own.
+func (l *lead) contend(ctx context.Context) {
 	// VMs close to the store come first: their answers are quicker, and so is all
 	// that they will lead.
 	wait := 2*l.vm.carrier.usualTime() + time.Duration(rand.Int64N(int64(contendTime)))
@@ -124,6 +124,11 @@
 		return
 	}
 	began := l.vm.clock.Now()
+	lease, err := l.lease.grant(ctx)
+	if err != nil {
+		l.log.Warn("lease for the lead was not granted", "err", err)
+		return
+	}
 	revision, found, err := l.vm.store.Commit(ctx, platform.Txn{
 		If:     []platform.Condition{{Key: ladderjournal.LeaderKey}},
 		Writes: []platform.Write{{Key: ladderjournal.LeaderKey, Value: l.vm.registry.entry(), Lease: lease}},
@@ -141,28 +146,49 @@
 			}
 			l.vm.registry.setLeader(leader{name: p.name, life: p.life, revision: item.Changed})
 			if p.life == l.vm.registry.life && item.Lease == lease {
-				l.begin(ctx, lease, item.Changed, began)
+				l.begin(ctx, item.Changed, began)
 			}
 		}
 	case err != nil:
 		l.log.Warn("lead was not won", "err", err)
 	default:
 		l.vm.registry.setLeader(leader{name: l.vm.settings.Name, life: l.vm.registry.life, revision: revision})
-		l.begin(ctx, lease, revision, began)
+		l.begin(ctx, revision, began)
 	}
 }
 
 // begin opens a term.
-func (l *lead) begin(ctx context.Context, lease, fence int64, began time.Time) {
+func (l *lead) begin(ctx context.Context, fence int64, began time.Time) {
 	if fence <= l.last {
 		return
 	}
 	l.last = fence
 	l.vm.stats.takeovers.Inc()
-	l.log.Info("leads", "fence", fence, "lease", lease)
-	t := newTerm(ctx, l.vm, lease, fence, began)
+	l.log.Info("leads", "fence", fence, "lease", l.lease.current())
+	t := newTerm(ctx, l.vm, l.lease, fence, began)
 	l.term.Store(t)
 	go t.run()
+	go l.keep(t)
+}
+
+// keep renews the leader's lease as long as a term lasts.
+func (l *lead) keep(t *term) {
+	for t.ctx.Err() == nil {
+		wait := leadRenew
+		err := l.lease.renew(t.ctx)
+		if errors.Is(err, platform.ErrNoLease) {
+			l.end(t, "the lease has ended")
+			return
+		}
+		if err != nil && t.ctx.Err() == nil {
+			wait = retryTime
+			l.log.Warn("leader's lease is not renewed", "left", l.lease.left().Round(time.Millisecond), "err", err)
+		}
+		select {
+		case <-t.ctx.Done():
+		case <-l.vm.clock.After(wait):
+		}
+	}
 }
 
 // end closes a term.
--- a/laddervm/registry.go
+++ b/laddervm/registry.go
@@ -21,15 +21,14 @@
 const (
 	vmPrefix    = "ladder/vm/"
 	entryPrefix = "ladder/vm/entry/"
-	// leaseTime is the length of a VM's lease: how long the lead stands still after
-	// the leader has died without a word.
-	leaseTime = 2 * time.Second
-	// renewTime is the time between renewals, so that three may fail.
-	renewTime = 450 * time.Millisecond
+	// entryLease is the length of the lease of a VM's entry: how long peers count on
+	// a VM that has died without a word.
+	entryLease = 3 * time.Second
+	// entryRenew is the time between its renewals, so that several may fail, and an
+	// outage of the store is noticed within a second.
+	entryRenew = 600 * time.Millisecond
 	// retryTime is the time to the next try of a call to the store that failed.
 	retryTime = 150 * time.Millisecond
-	// leaseMargin is by how much the VM believes its lease to be shorter.
-	leaseMargin = 100 * time.Millisecond
 	// watchTime is how long one watch waits. A watch that went silent costs that
 	// much and its slack, and a change must be known within 2.5 s.
 	watchTime = 1200 * time.Millisecond
@@ -67,14 +66,14 @@
 	read   bool
 	// seen is the highest revision of the leader's key that the watch has shown.
 	seen    int64
-	lease   int64
-	until   time.Duration
+	lease   *lease
 	changed chan struct{}
 }
 
 func newRegistry(v *VM) *registry {
 	return &registry{
 		vm: v, log: v.logs.Part("registry"), life: ulid.Make().String(), peers: map[string]peer{},
+		lease:   newLease(v, entryLease),
 		changed: make(chan struct{}, 1),
 	}
 }
@@ -160,14 +159,6 @@
 	return r.leader, r.read
 }
 
-// held returns the VM's lease while it certainly stands.
-func (r *registry) held() (int64, bool) {
-	now := r.vm.boot.SinceBoot()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.lease, r.lease != 0 && now < r.until
-}
-
 func (r *registry) signal() {
 	select {
 	case r.changed <- struct{}{}:
@@ -178,18 +169,15 @@
 // keep registers the VM and renews its lease until ctx ends.
 func (r *registry) keep(ctx context.Context) {
 	for ctx.Err() == nil {
-		wait := renewTime
-		lease, _ := r.held()
-		var err error
-		if lease == 0 {
+		wait := entryRenew
+		err := r.lease.renew(ctx)
+		if errors.Is(err, platform.ErrNoLease) {
 			err = r.register(ctx)
-		} else {
-			err = r.renew(ctx, lease)
 		}
 		if err != nil {
 			wait = retryTime
 			if ctx.Err() == nil {
-				r.log.Warn("lease is not renewed", "lease", lease, "err", err)
+				r.log.Warn("entry's lease is not renewed", "err", err)
 			}
 		}
 		select {
@@ -201,57 +189,21 @@
 
 // register takes a new lease and writes the VM's entry under it.
 func (r *registry) register(ctx context.Context) error {
-	began := r.vm.boot.SinceBoot()
-	lease, length, err := r.vm.store.Grant(ctx, max(leaseTime, r.vm.settings.ShortestLease))
+	id, err := r.lease.grant(ctx)
 	if err != nil {
 		return err
 	}
 	_, _, err = r.vm.store.Commit(ctx, platform.Txn{
-		Writes: []platform.Write{{Key: entryPrefix + r.vm.settings.Name, Value: r.entry(), Lease: lease}},
+		Writes: []platform.Write{{Key: entryPrefix + r.vm.settings.Name, Value: r.entry(), Lease: id}},
 	})
 	if err != nil {
-		return err
+		return errors.Join(err, r.lease.end(ctx))
 	}
-	r.log.Info("is registered", "lease", lease, "length", length)
-	r.mu.Lock()
-	r.lease, r.until = lease, began+length-leaseMargin
-	r.mu.Unlock()
+	r.log.Info("is registered", "lease", id)
 	r.signal()
 	return nil
 }
 
-func (r *registry) renew(ctx context.Context, lease int64) error {
-	began := r.vm.boot.SinceBoot()
-	err := r.vm.store.Renew(ctx, lease)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.lease != lease {
-		return err
-	}
-	if errors.Is(err, platform.ErrNoLease) {
-		r.lease, r.until = 0, 0
-		r.signal()
-	}
-	if err == nil {
-		r.until = began + max(leaseTime, r.vm.settings.ShortestLease) - leaseMargin
-	}
-	return err
-}
-
-// leave ends the VM's lease, with its entry.
-func (r *registry) leave(ctx context.Context) {
-	r.mu.Lock()
-	lease := r.lease
-	r.lease, r.until = 0, 0
-	r.mu.Unlock()
-	if lease == 0 {
-		return
-	}
-	if err := r.vm.store.End(ctx, lease); err != nil {
-		r.log.Warn("lease is left to lapse", "lease", lease, "err", err)
-	}
-}
-
 // watch follows the entries of all VMs and the leader's key until ctx ends.
 func (r *registry) watch(ctx context.Context) {
 	follow(ctx, r.vm, vmPrefix, follower{
@@ -413,10 +365,3 @@
 	defer r.mu.Unlock()
 	return r.seen >= revision
 }
-
-// leaseNow returns the VM's lease, whether or not it still stands, or zero.
-func (r *registry) leaseNow() int64 {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.lease
-}
--- a/laddervm/term.go
+++ b/laddervm/term.go
@@ -18,7 +18,11 @@
 	// holdTime is how long a worker's lease lasts from each look. It outlasts a
 	// takeover (the lease of the leader, the reading of the store and one look) and
 	// frees the tasks of a worker that is gone for good as soon as that allows.
-	holdTime = 6 * time.Second
+	holdTime = 5 * time.Second
+	// outageTime is for how long a leader whose lease may have ended goes on while
+	// the store answers neither it nor any peer: nobody can have won the lead since.
+	// A next leader waits that long for workers that it can't reach.
+	outageTime = 4 * time.Second
 	// planGap is the least time between two plans, in which events gather.
 	planGap = 2 * time.Millisecond
 	// turnTime is the longest time between two plans: some things become due by
@@ -38,7 +42,7 @@
 type term struct {
 	vm      *VM
 	log     *log.Logger
-	lease   int64
+	lease   *lease
 	fence   int64
 	began   time.Time
 	ctx     context.Context
@@ -62,7 +66,7 @@
 	listed    []ladderflow.Worker
 }
 
-func newTerm(ctx context.Context, v *VM, lease, fence int64, began time.Time) *term {
+func newTerm(ctx context.Context, v *VM, lease *lease, fence int64, began time.Time) *term {
 	t := &term{
 		vm: v, log: v.logs.Part("term"), lease: lease, fence: fence, began: began,
 		inbox: make(chan func(), inboxSize), drivers: map[string]*driver{}, roster: map[string]bool{}, waves: map[int64]bool{},
@@ -70,7 +74,7 @@
 	t.ctx, t.cancel = context.WithCancel(ctx)
 	b := v.bounds.Load()
 	t.planner = ladderplan.New(ladderplan.Options{
-		Fence: fence, Hold: min(holdTime, b.LongestHold), Elected: began, Former: leaseTime,
+		Fence: fence, Hold: min(holdTime, b.LongestHold), Elected: began, Former: leadLease + outageTime,
 		StopTime: b.StopTime, Remembered: b.Remembered, Remote: b.Remote, Checkpoint: b.Checkpoint,
 		Log: v.logs.Part("plan"),
 	})
@@ -105,12 +109,17 @@
 	return false
 }
 
-// valid reports whether the VM may still order as the leader.
+// valid reports whether the VM may still order starts as the leader. The fences of
+// the workers guard what is decided here by a clock.
 func (t *term) valid() bool {
-	lease, ok := t.vm.registry.held()
-	return ok && lease == t.lease && t.ctx.Err() == nil
+	left := t.lease.left()
+	return t.ctx.Err() == nil && (left > 0 || left > -outageTime && t.vm.carrier.out())
 }
 
+// sure reports whether the VM certainly leads. Orders to machines need that, since
+// nothing guards them.
+func (t *term) sure() bool { return t.ctx.Err() == nil && t.lease.left() > 0 }
+
 // run is the control goroutine.
 func (t *term) run() {
 	go t.load()
@@ -282,6 +291,6 @@
 }
 
 func (t *term) state(id string) laddermessage.Message {
-	v := t.planner.View(id)
+	v := t.planner.View(t.vm.clock.Now(), id)
 	return laddermessage.StateIs{Known: v.Known, State: string(v.State)}
 }
--- a/laddervm/upkeep.go
+++ b/laddervm/upkeep.go
@@ -73,7 +73,7 @@
 
 // stepWave orders down what may go now, one machine after the other.
 func (t *term) stepWave(w *ladderwave.Wave, now time.Time) {
-	for t.valid() {
+	for t.sure() {
 		down, worker := "", ""
 		t.call(t.ctx, func() {
 			var empty []string
--- a/laddervm/vm.go
+++ b/laddervm/vm.go
@@ -146,7 +146,9 @@
 	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastTime)
 	defer cancel()
 	err = errors.Join(callers.Shutdown(last), balancer.Shutdown(last), measures.Shutdown(last))
-	v.registry.leave(last)
+	if err := v.registry.lease.end(last); err != nil {
+		v.log.Warn("entry is left to lapse", "err", err)
+	}
 	stop()
 	v.peers.Close()
 	v.server.Close()
