--- a/ladderplan/gang.go
+++ b/ladderplan/gang.go
@@ -17,7 +17,7 @@
 func (f *field) choices(allowed func(*worker) bool) []choice {
 	var list []choice
 	for _, w := range f.planner.workers {
-		if !f.usable(w) || !allowed(w) || f.reserved[w] || w.strikes > 0 {
+		if !f.usable(w) || !allowed(w) || f.reserved[w] || w.struck(f.now) {
 			continue
 		}
 		if n := f.slots(w); n > 0 {
@@ -138,6 +138,12 @@
 		return
 	}
 	soon := total >= len(f.step.tasks)
+	if !soon && f.mayAsk() {
+		if names := f.explore(len(f.step.tasks) - total); len(names) > 0 {
+			f.askAbout(names)
+			return
+		}
+	}
 	if !soon {
 		// Workers that are empty sooner have the room sooner.
 		slices.SortStableFunc(list, func(a, b prospect) int { return cmp.Compare(a.empty, b.empty) })
@@ -161,12 +167,34 @@
 	f.askAbout(names)
 }
 
+// explore returns workers with room now of which it is not known whether they are
+// allowed, if enough of them should be to make up what is missing.
+func (f *field) explore(missing int) []string {
+	if f.queue == nil || f.queue.Advice == nil {
+		return nil
+	}
+	t := &f.step.tickets
+	var names []string
+	slots := 0
+	for _, w := range f.planner.workers {
+		if n := f.slots(w); n > 0 && f.usable(w) && !f.known(w) && !t.denied[w.spec.ID] && !w.struck(f.now) {
+			names = append(names, w.spec.ID)
+			slots += n
+		}
+	}
+	if f.planner.advisers.share(f.queue.Name)*float64(slots) < float64(missing) {
+		return nil
+	}
+	slices.Sort(names)
+	return names[:min(len(names), most)]
+}
+
 // prospects returns the workers that are known to be allowed, those that will have
 // the most room first.
 func (f *field) prospects(reserved map[*worker]bool, horizon time.Duration) []prospect {
 	var list []prospect
 	for _, w := range f.planner.workers {
-		if !f.usable(w) || reserved[w] || w.strikes > 0 || !f.known(w) {
+		if !f.usable(w) || reserved[w] || w.struck(f.now) || !f.known(w) {
 			continue
 		}
 		list = append(list, prospect{w, f.slotsIn(w, horizon), f.planner.emptyIn(f.now, w)})
--- a/ladderplan/health.go
+++ b/ladderplan/health.go
@@ -15,6 +15,9 @@
 	// further strike up to maxAvoid. A worker that is well again is found soon.
 	avoidTime = time.Second
 	maxAvoid  = 4 * time.Second
+	// forgiveTime is how long after it may be used again a worker that was struck is
+	// tried with single tasks only, when none of them ends.
+	forgiveTime = 4 * time.Second
 	// blamedJobs is how many jobs' runs must fail on a worker, with no good end
 	// between, before it is avoided. One job alone may be at fault itself.
 	blamedJobs = 2
@@ -75,6 +78,11 @@
 	w.strikes++
 }
 
+// struck reports whether a worker was struck lately and has not proved itself since.
+func (w *worker) struck(now time.Time) bool {
+	return w.strikes > 0 && now.Before(w.avoid.Add(forgiveTime))
+}
+
 // blame counts a failed run against a worker.
 func (w *worker) blame(now time.Time, job string) {
 	w.blamed[job] = true
--- a/ladderplan/look.go
+++ b/ladderplan/look.go
@@ -199,6 +199,10 @@
 			return
 		}
 	} else {
+		if j != nil && r.Run.Task.Step < len(j.spec.Steps) {
+			// The job has ended, but what runs of it still takes its room.
+			x.size = j.spec.Steps[r.Run.Task.Step].Charge()
+		}
 		w.add(x)
 	}
 	p.stop(now, x, "nobody needs it")
--- a/ladderplan/place.go
+++ b/ladderplan/place.go
@@ -134,7 +134,8 @@
 	return w.listed && w.fenced && f.planner.roster[w.spec.ID] && !w.failing && w.leaves.IsZero() && !f.now.Before(w.avoid) && !f.now.Before(w.going) &&
 		!f.planner.emptying[w.spec.ID] &&
 		f.now.Sub(w.heard) < silence && w.spec.Service == f.service && w.has(f.step.spec.Label) &&
-		(w.strikes == 0 || len(w.runs) == 0)
+		(w.spec.Born == 0 || w.spec.Born == w.born) &&
+		(!w.struck(f.now) || len(w.runs) == 0)
 }
 
 // advised reports whether a worker may run the step now.
--- a/ladderplan/takeover_test.go
+++ b/ladderplan/takeover_test.go
@@ -118,3 +118,38 @@
 	require.Len(t, o.Stops, 1)
 	require.Equal(t, "w1", o.Stops[0].Worker.ID)
 }
+
+// TestStoppingRunsOfEndedJobsCount lets a new leader find runs of a job that has
+// ended: their room counts until they are gone.
+func TestStoppingRunsOfEndedJobsCount(t *testing.T) {
+	b := newBed(t, 1)
+	j := testJob(b.now, "a", tasks(4))
+	next := b.heir([]*ladderflow.Job{j}, []Record{{Job: "a", State: ladderflow.Cancelled}}, 1)
+	var running []ladderflow.LiveRun
+	for i := range 4 {
+		running = append(running, ladderflow.LiveRun{Run: ladderflow.Run{Task: ladderflow.Task{Job: "a", Index: i}, Number: 1}})
+	}
+	next.look("w0", ladderflow.Look{Running: running})
+	next.submit("b", tasks(1))
+	o := next.plan()
+	require.Len(t, o.Stops, 4)
+	require.Empty(t, o.Starts, "the worker is full")
+	next.pass(time.Millisecond)
+	next.look("w0", ladderflow.Look{Running: running[1:]})
+	require.Len(t, next.plan().Starts, 1)
+}
+
+// TestNewLifeOfOtherKind keeps a worker unused from its new life on until it has
+// said how large it is now.
+func TestNewLifeOfOtherKind(t *testing.T) {
+	b := newBed(t, 1)
+	b.look("w0", ladderflow.Look{Born: 7})
+	b.submit("a", tasks(4))
+	small := testWorker(0)
+	small.Born, small.Capacity.Processor = 1, 8000
+	b.planner.SetWorkers(b.now, []ladderflow.Worker{small})
+	require.Empty(t, b.plan().Starts)
+	small.Born, small.Capacity.Processor = 7, 2000
+	b.planner.SetWorkers(b.now, []ladderflow.Worker{small})
+	require.Len(t, b.plan().Starts, 1)
+}
