--- a/ladderplan/health.go
+++ b/ladderplan/health.go
@@ -38,6 +38,9 @@
 		if x.phase != live || t == nil || t.step.spec.Lasting || x.pace < 100 || !t.step.round.job.live() {
 			continue
 		}
+		if x.percent >= 100 {
+			continue // A member of a gang that has done its work waits for the others.
+		}
 		limit := stallTime + time.Duration(stallShare*float64(t.step.spec.Estimate))
 		if t.step.spec.Gang {
 			limit *= 2 // A member may still wait for the others.
--- /dev/null
+++ b/ladderplan/health_test.go
@@ -0,0 +1,64 @@
+package ladderplan
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lacewingladder/ladderflow"
+)
+
+// TestStandingStill plays looks at a run whose progress does not grow.
+func TestStandingStill(t *testing.T) {
+	for name, c := range map[string]struct {
+		step    ladderflow.Step
+		percent int
+		lasts   time.Duration
+		stopped bool
+	}{
+		"a task that stands still":                  {tasks(1), 40, 2 * time.Second, true},
+		"a task that has stood still only briefly":  {tasks(1), 40, time.Second, false},
+		"a gang's member that waits for the others": {gangOf(1), 100, 8 * time.Second, false},
+		"a gang that stands still":                  {gangOf(1), 40, 4 * time.Second, true},
+		"a lasting task":                            {ladderflow.Step{Tasks: 1, Lasting: true}, 100, 8 * time.Second, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBed(t, 2)
+			b.submit("a", c.step)
+			s := b.begin()[0]
+			live := []ladderflow.LiveRun{{Run: s.Run, Percent: c.percent}}
+			b.look(s.Worker.ID, ladderflow.Look{Running: live})
+			for passed := time.Duration(0); passed < c.lasts; passed += time.Second / 2 {
+				b.pass(time.Second / 2)
+				b.look(s.Worker.ID, ladderflow.Look{Running: live})
+			}
+			require.Equal(t, c.stopped, len(b.plan().Stops) > 0)
+		})
+	}
+}
+
+// TestWorkerThatFailsAll avoids a worker on which several jobs fail, and not one that
+// a single job fails on again and again.
+func TestWorkerThatFailsAll(t *testing.T) {
+	for name, c := range map[string]struct {
+		jobs  []string
+		avoid bool
+	}{
+		"several jobs":  {[]string{"a", "b"}, true},
+		"one job alone": {[]string{"a", "a"}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBed(t, 1)
+			for _, id := range c.jobs {
+				b.submit(id, tasks(1))
+				for _, s := range b.begin() {
+					if s.Run.Task.Job == id {
+						b.end(s, ladderflow.EndFailed)
+					}
+				}
+			}
+			require.Equal(t, c.avoid, b.planner.workers["w0"].struck(b.now))
+		})
+	}
+}
