Settle orders without an answer sooner, and gather the workers' heartbeats

Cause: a worker's entry changes with each heartbeat, so the leader's watch of 48 workers returned 25 times a second; and an order without an answer was held for 350 ms, its stop for another 900 ms. Orders are given up after 180 ms, a stop is sent again at once. Tests: TestStartWithoutAnswer, TestRefusals, TestRoom, TestPlacement.

--- a/ladderplan/order.go
+++ b/ladderplan/order.go
@@ -87,6 +87,9 @@
 	switch {
 	case r.Refusal == ladderflow.RefusedFence:
 		p.deposed = true
+	case (r.Unknown || r.Unsent) && !w.failing:
+		x.stopSent = time.Time{}
+		p.stop(now, x, "its stop was not answered")
 	case r.good() || r.Refusal == ladderflow.RefusedOld:
 		if x.stopped.IsZero() {
 			x.stopped = now
--- a/laddervm/carrier.go
+++ b/laddervm/carrier.go
@@ -68,7 +68,7 @@
 
 // Carry implements [platform.Carrier].
 func (c *carrier) Carry(ctx context.Context, to netip.AddrPort, call platform.Call) (platform.Reply, error) {
-	c.vm.stats.calls.Inc()
+	c.vm.stats.call(call.Kind)
 	within := c.begin(call)
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
--- a/laddervm/drive.go
+++ b/laddervm/drive.go
@@ -21,8 +21,9 @@
 	// unsavedTime is how long the next look waits for the ends of the last one to be
 	// stored; until then the worker would list them again at once.
 	unsavedTime = 400 * time.Millisecond
-	// orderTime bounds an order to a worker: some ways between regions and a start.
-	orderTime = 350 * time.Millisecond
+	// orderTime bounds an order to a worker: several ways between regions. An order
+	// that took longer shows in the next look.
+	orderTime = 180 * time.Millisecond
 	// consultSlack is how long after its cost a question for advice is given up.
 	consultSlack = 700 * time.Millisecond
 )
--- a/laddervm/save.go
+++ b/laddervm/save.go
@@ -187,10 +187,15 @@
 	return list
 }
 
+// workersTime is the time between two watches of the workers' entries, which change
+// with each heartbeat. A worker that leaves must get no task after 2.5 s.
+const workersTime = 500 * time.Millisecond
+
 // workerFollower keeps the list of workers as the store has it.
 func (t *term) workerFollower() follower {
 	byID := map[string]ladderflow.Worker{}
 	return follower{
+		pause: workersTime,
 		reset: func(items []platform.Item, _ int64) {
 			clear(byID)
 			list := t.parseWorkers(items, byID)
--- a/laddervm/vm.go
+++ b/laddervm/vm.go
@@ -187,7 +187,6 @@
 	ends      *metrics.Counter
 	looks     *metrics.Counter
 	asks      *metrics.Counter
-	calls     *metrics.Counter
 	relayed   *metrics.Counter
 	takeovers *metrics.Counter
 	accept    *metrics.Histogram
@@ -207,7 +206,6 @@
 		ends:      s.NewCounter("ladder_ends_total"),
 		looks:     s.NewCounter("ladder_looks_total"),
 		asks:      s.NewCounter("ladder_advice_calls_total"),
-		calls:     s.NewCounter("ladder_store_calls_total"),
 		relayed:   s.NewCounter("ladder_store_calls_relayed_total"),
 		takeovers: s.NewCounter("ladder_takeovers_total"),
 		accept:    s.NewHistogram("ladder_accept_seconds"),
@@ -218,6 +216,11 @@
 	}
 }
 
+// call counts a call to the store.
+func (s *stats) call(kind string) {
+	s.set.GetOrCreateCounter(`ladder_store_calls_total{kind="` + kind + `"}`).Inc()
+}
+
 func (s *stats) handler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		s.set.WritePrometheus(w)
