Bound the orders under way, and notice at once that the lead is lost

Orders are now at most 32 at once, their time counts from their sending and follows the usual answer's, and one extra look at a worker is under way at a time. Second: the store leaves out keys that do not exist, so a commit of a leader whose key was gone was tried four times and never understood. Tests: TestDeposedLeaderWritesNothing (nobody leads) fails before.

--- a/ladderjournal/journal.go
+++ b/ladderjournal/journal.go
@@ -242,16 +242,17 @@
 		if !errors.Is(err, platform.ErrChanged) {
 			return err
 		}
+		// The store may leave out a key that does not exist.
+		now := map[string]platform.Item{}
 		for _, item := range found {
-			switch {
-			case item.Key == LeaderKey && item.Changed != p.leader:
-				return ErrDeposed
-			case item.Key == key:
-				*order = item.Changed
-				if string(item.Value) == mark {
-					return nil
-				}
-			}
+			now[item.Key] = item
+		}
+		if now[LeaderKey].Changed != p.leader {
+			return ErrDeposed
+		}
+		*order = now[key].Changed
+		if string(now[key].Value) == mark {
+			return nil
 		}
 	}
 	return platform.ErrChanged
--- a/ladderjournal/journal_test.go
+++ b/ladderjournal/journal_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -60,7 +61,9 @@
 	}
 	o := s.store.Txn(t)
 	if !o.Done {
-		return 0, o.Found, platform.ErrChanged
+		// Like the platform's store, leave out what does not exist.
+		found := slices.DeleteFunc(o.Found, func(i platform.Item) bool { return i.Changed == 0 })
+		return 0, found, platform.ErrChanged
 	}
 	return o.Revision, nil, nil
 }
@@ -120,6 +123,8 @@
 	s := newShelf()
 	j := New(s)
 	old := j.Progress(s.lead(), &Contents{})
+	s.store.Txn(platform.Txn{Deletes: []string{LeaderKey}})
+	require.ErrorIs(t, old.Commit(ctx, record("a", ladderflow.Failed)), ErrDeposed, "nobody leads")
 	fresh := j.Progress(s.lead(), &Contents{})
 	require.ErrorIs(t, old.Commit(ctx, record("a", ladderflow.Failed)), ErrDeposed)
 	require.ErrorIs(t, old.SaveRoster(ctx, nil), ErrDeposed)
--- a/laddervm/carrier.go
+++ b/laddervm/carrier.go
@@ -13,10 +13,9 @@
 )
 
 const (
-	// callTime bounds one call to the store, and callFactor how many times the usual
-	// answer's time that is at least, since the store may be slow.
-	callTime   = 600 * time.Millisecond
-	callFactor = 4
+	// callTime bounds one call to the store, and slowTime one to a store that is slow.
+	callTime = 600 * time.Millisecond
+	slowTime = 3 * time.Second
 	// outTime is how long the store must have served no call to count as out, and to
 	// have answered none to count as silent. New jobs are refused at once while it is
 	// silent: a call could only add one of unknown fate.
@@ -24,13 +23,10 @@
 	// watchSlack is how long after its wait a watch is given up.
 	watchSlack = 800 * time.Millisecond
 	// hedgeTime is after how long without an answer a call is also sent through a
-	// peer, and hedgeFactor how many times the usual answer's time that is at least.
-	hedgeTime   = 120 * time.Millisecond
-	hedgeFactor = 4
+	// peer, at least.
+	hedgeTime = 120 * time.Millisecond
 	// shunTime is how long the straight way is left alone after it failed.
 	shunTime = 700 * time.Millisecond
-	// smoothing is the weight of a new answer in the usual answer's time.
-	smoothing = 0.2
 )
 
 // carrier carries calls to the store, straight or through a peer. All writes that
@@ -38,9 +34,9 @@
 type carrier struct {
 	vm *VM
 
+	usual usual
+
 	mu sync.Mutex
-	// usual is the smoothed time of an answer.
-	usual time.Duration
 	// shun is until when calls go through a peer first.
 	shun time.Time
 	// bad is until when a peer is not used.
@@ -126,7 +122,7 @@
 	if c.unanswered.IsZero() {
 		c.unanswered = now
 	}
-	return max(callTime, callFactor*c.usual)
+	return c.usual.within(callTime, slowTime)
 }
 
 // answered takes note of what became of a call.
@@ -157,17 +153,15 @@
 
 // long reports whether a time is set and a while ago. The lock is held.
 func (c *carrier) long(since time.Time) bool {
-	return !since.IsZero() && c.vm.clock.Now().Sub(since) > max(outTime, callFactor*c.usual)
+	return !since.IsZero() && c.vm.clock.Now().Sub(since) > c.usual.within(outTime, slowTime)
 }
 
 // hedge returns after how long a call is also sent the other way.
 func (c *carrier) hedge(call platform.Call, within time.Duration) time.Duration {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	if call.Wait > 0 {
 		return within
 	}
-	return max(hedgeTime, hedgeFactor*c.usual)
+	return c.usual.within(hedgeTime, slowTime)
 }
 
 func (c *carrier) shunned(now time.Time) bool {
@@ -186,7 +180,7 @@
 	switch {
 	case a.useful():
 		if call.Wait == 0 {
-			c.usual += time.Duration(smoothing * float64(now.Sub(began)-c.usual))
+			c.usual.took(now.Sub(began))
 		}
 		c.shun = time.Time{}
 	case !errors.Is(err, context.Canceled):
@@ -195,8 +189,7 @@
 		}
 		c.shun = now.Add(shunTime)
 		if errors.Is(err, context.DeadlineExceeded) && call.Wait == 0 {
-			// A store that is slower than calls may take must get them to take longer.
-			c.usual += time.Duration(smoothing * float64(now.Sub(began)-c.usual))
+			c.usual.took(now.Sub(began))
 		}
 	}
 	c.mu.Unlock()
@@ -261,10 +254,3 @@
 
 // maxCarry bounds a call that is made for a peer: the longest watch and its slack.
 const maxCarry = 35 * time.Second
-
-// usualTime returns the smoothed time of an answer of the store.
-func (c *carrier) usualTime() time.Duration {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.usual
-}
--- a/laddervm/drive.go
+++ b/laddervm/drive.go
@@ -21,9 +21,14 @@
 	// unsavedTime is how long the next look waits for the ends of the last one to be
 	// stored; until then the worker would list them again at once.
 	unsavedTime = 400 * time.Millisecond
-	// orderTime bounds an order to a worker: several ways between regions. An order
-	// that took longer shows in the next look.
+	// orderTime bounds an order to a worker, several ways between regions, and
+	// slowOrder one while the answers are slow. An order that took longer shows in the
+	// next look.
 	orderTime = 180 * time.Millisecond
+	slowOrder = time.Second
+	// maxOrders bounds the orders that are under way at once. A leader that sent all
+	// that a takeover brings at once would keep itself too busy to read the answers.
+	maxOrders = 32
 	// consultSlack is how long after its cost a question for advice is given up.
 	consultSlack = 700 * time.Millisecond
 )
@@ -36,6 +41,8 @@
 	// due is when a look that waits for the store is made anyway.
 	due     time.Time
 	waiting bool
+	// extra is true while a look beside the driver's own is under way.
+	extra bool
 }
 
 // setWorkers takes over the workers that the store lists, and drives each.
@@ -159,19 +166,23 @@
 		go t.askAdvice(a)
 	}
 	for _, id := range o.Looks {
-		if d, ok := t.drivers[id]; ok {
-			go t.extraLook(d.worker)
+		if d, ok := t.drivers[id]; ok && !d.extra {
+			d.extra = true
+			go t.extraLook(d)
 		}
 	}
 }
 
 // extraLook looks at a worker beside its driver, without waiting or prolonging.
-func (t *term) extraLook(w ladderflow.Worker) {
+func (t *term) extraLook(d *driver) {
+	w := d.worker
 	sent, l, err := t.lookOnce(t.ctx, w, platform.Hold{Fence: t.fence})
-	if err != nil {
-		return // The driver's own look will tell.
-	}
-	t.do(func() { t.planner.Looked(t.vm.clock.Now(), w.ID, sent, l) })
+	t.do(func() {
+		d.extra = false
+		if err == nil { // Otherwise the driver's own look will tell.
+			t.planner.Looked(t.vm.clock.Now(), w.ID, sent, l)
+		}
+	})
 }
 
 // result says what an order's answer means.
@@ -182,37 +193,55 @@
 	}
 }
 
+// send carries out one order once there are few enough under way. The time that it
+// has counts from then.
+func (t *term) send(order func(ctx context.Context) (ladderflow.Refusal, error)) ladderplan.Result {
+	select {
+	case t.slots <- struct{}{}:
+		defer func() { <-t.slots }()
+	case <-t.ctx.Done():
+		return ladderplan.Result{Unsent: true}
+	}
+	ctx, cancel := context.WithTimeout(t.ctx, t.orders.within(orderTime, slowOrder))
+	defer cancel()
+	began := t.vm.clock.Now()
+	r := result(order(ctx))
+	t.orders.took(t.vm.clock.Now().Sub(began))
+	return r
+}
+
 func (t *term) start(s ladderplan.StartOrder) {
-	r := ladderplan.Result{Unsent: true}
 	began := t.vm.clock.Now()
-	if t.valid() {
-		ctx, cancel := context.WithTimeout(t.ctx, orderTime)
-		defer cancel()
-		r = result(t.vm.workers.Start(ctx, s.Worker.Address, s.Worker.ID, ladderflow.Start{
+	r := t.send(func(ctx context.Context) (ladderflow.Refusal, error) {
+		if !t.valid() {
+			return ladderflow.NotRefused, platform.ErrUnsent
+		}
+		return t.vm.workers.Start(ctx, s.Worker.Address, s.Worker.ID, ladderflow.Start{
 			Run: s.Run, Payload: s.Payload, Saved: s.Saved, Ticket: s.Ticket, Until: s.Until, Fence: t.fence,
-		}))
-		t.vm.stats.starts.Inc()
-		t.vm.stats.start.UpdateDuration(began)
-	}
+		})
+	})
+	t.vm.stats.starts.Inc()
+	t.vm.stats.start.UpdateDuration(began)
 	t.log.Info("start", "task", s.Run.Task, "run", s.Run.Number, "worker", s.Worker.ID,
 		"refusal", r.Refusal, "unsent", r.Unsent, "unknown", r.Unknown)
 	t.do(func() { t.planner.Started(t.vm.clock.Now(), s.Worker.ID, s.Run, r) })
 }
 
 func (t *term) stop(s ladderplan.StopOrder) {
-	ctx, cancel := context.WithTimeout(t.ctx, orderTime)
-	defer cancel()
-	r := result(t.vm.workers.Stop(ctx, s.Worker.Address, s.Worker.ID, s.Run, t.fence))
+	r := t.send(func(ctx context.Context) (ladderflow.Refusal, error) {
+		return t.vm.workers.Stop(ctx, s.Worker.Address, s.Worker.ID, s.Run, t.fence)
+	})
 	t.log.Info("stop", "task", s.Run.Task, "run", s.Run.Number, "worker", s.Worker.ID,
 		"refusal", r.Refusal, "unsent", r.Unsent, "unknown", r.Unknown)
 	t.do(func() { t.planner.Stopped(t.vm.clock.Now(), s.Worker.ID, s.Run, r) })
 }
 
 func (t *term) pace(s ladderplan.PaceOrder) {
-	ctx, cancel := context.WithTimeout(t.ctx, orderTime)
-	defer cancel()
-	refusal, err := t.vm.workers.Pace(ctx, s.Worker.Address, s.Worker.ID, s.Run, s.Percent, t.fence)
-	t.log.Info("pace", "task", s.Run.Task, "worker", s.Worker.ID, "percent", s.Percent, "refusal", refusal, "err", err)
+	r := t.send(func(ctx context.Context) (ladderflow.Refusal, error) {
+		return t.vm.workers.Pace(ctx, s.Worker.Address, s.Worker.ID, s.Run, s.Percent, t.fence)
+	})
+	t.log.Info("pace", "task", s.Run.Task, "run", s.Run.Number, "worker", s.Worker.ID, "percent", s.Percent,
+		"refusal", r.Refusal, "unsent", r.Unsent, "unknown", r.Unknown)
 }
 
 // askAdvice puts a question to the advice service, through a peer or straight.
--- a/laddervm/lead.go
+++ b/laddervm/lead.go
@@ -114,7 +114,7 @@
 func (l *lead) contend(ctx context.Context) {
 	// VMs close to the store come first: their answers are quicker, and so is all
 	// that they will lead.
-	wait := 2*l.vm.carrier.usualTime() + time.Duration(rand.Int64N(int64(contendTime)))
+	wait := 2*l.vm.carrier.usual.value() + time.Duration(rand.Int64N(int64(contendTime)))
 	select {
 	case <-ctx.Done():
 		return
--- a/laddervm/term.go
+++ b/laddervm/term.go
@@ -53,6 +53,9 @@
 	loaded  bool
 	drivers map[string]*driver
 	saver   saver
+	// slots bounds the orders under way, and orders is the usual time of an answer.
+	slots  chan struct{}
+	orders usual
 	// progress writes records, and rosterProgress the list of workers in use; each
 	// is used by one goroutine at a time.
 	progress       *ladderjournal.Progress
@@ -69,7 +72,7 @@
 func newTerm(ctx context.Context, v *VM, lease *lease, fence int64, began time.Time) *term {
 	t := &term{
 		vm: v, log: v.logs.Part("term"), lease: lease, fence: fence, began: began,
-		inbox: make(chan func(), inboxSize), drivers: map[string]*driver{}, roster: map[string]bool{}, waves: map[int64]bool{},
+		inbox: make(chan func(), inboxSize), slots: make(chan struct{}, maxOrders), drivers: map[string]*driver{}, roster: map[string]bool{}, waves: map[int64]bool{},
 	}
 	t.ctx, t.cancel = context.WithCancel(ctx)
 	b := v.bounds.Load()
