Bound the log's lines without blocking, and shun VMs that could not be reached

Cause: a VM that starts while the store is out has a key that nobody knows; each question to it cost both sides a TLS handshake, 40 a second from each VM, and as many log lines. A VM that could not be reached is not called for 250 ms; lines of one message are bounded and what is left out is counted; a slow reader of the log drops lines instead of holding a VM up. Tests: TestLimited, TestQueueNeverBlocks.

--- a/laddercommand/entry.go
+++ b/laddercommand/entry.go
@@ -54,7 +54,9 @@
 	if settings.MemoryLimit > 0 {
 		debug.SetMemoryLimit(settings.MemoryLimit * memoryShare / 100)
 	}
-	logs := ladderlog.New(e.out, e.level)
+	lines := ladderlog.NewQueue(e.out)
+	defer lines.Close()
+	logs := ladderlog.New(lines, e.level)
 	vm, err := laddervm.New(laddervm.Options{Settings: settings, Logs: logs, Metrics: uint16(e.metrics)})
 	if err != nil {
 		return e.fail(err)
--- a/laddervm/carrier.go
+++ b/laddervm/carrier.go
@@ -207,7 +207,7 @@
 	}
 	c.vm.stats.relayed.Inc()
 	go func() {
-		m, err := c.vm.peers.Call(ctx, peer.address, laddermessage.Carry{To: to, Call: call, Within: within})
+		m, err := c.vm.registry.call(ctx, peer, laddermessage.Carry{To: to, Call: call, Within: within})
 		a := answer{err: err}
 		if r, ok := m.(laddermessage.Carried); ok {
 			a.reply = r.Reply
--- a/laddervm/drive.go
+++ b/laddervm/drive.go
@@ -255,7 +255,7 @@
 	if a.VM == t.vm.settings.Name {
 		m = t.vm.consult(ctx, question)
 	} else if p, ok := t.vm.registry.find(a.VM); ok {
-		m, err = t.vm.peers.Call(ctx, p.address, question)
+		m, err = t.vm.registry.call(ctx, p, question)
 	}
 	c, _ := m.(laddermessage.Consulted)
 	t.vm.stats.asks.Inc()
--- a/laddervm/lead.go
+++ b/laddervm/lead.go
@@ -7,10 +7,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/charmbracelet/log"
-
 	"lacewingladder/ladderflow"
 	"lacewingladder/ladderjournal"
+	"lacewingladder/ladderlog"
 	"lacewingladder/platform"
 )
 
@@ -31,7 +30,7 @@
 // lead wins the lead when nobody has it, and keeps the term in which it does.
 type lead struct {
 	vm   *VM
-	log  *log.Logger
+	log  *ladderlog.Logger
 	term atomic.Pointer[term]
 	// lease is the one under which the leader's key stands.
 	lease *lease
@@ -40,7 +39,7 @@
 }
 
 func newLead(v *VM) *lead {
-	return &lead{vm: v, log: v.logs.Part("lead"), lease: newLease(v, leadLease)}
+	return &lead{vm: v, log: v.logs.Limited("lead", v.clock), lease: newLease(v, leadLease)}
 }
 
 // current returns the VM's term, or nil while it does not lead.
--- a/laddervm/registry.go
+++ b/laddervm/registry.go
@@ -10,11 +10,13 @@
 	"sync"
 	"time"
 
-	"github.com/charmbracelet/log"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/oklog/ulid/v2"
 
 	"lacewingladder/ladderjournal"
+	"lacewingladder/ladderlog"
+	"lacewingladder/laddermessage"
+	"lacewingladder/ladderpeer"
 	"lacewingladder/platform"
 )
 
@@ -58,7 +60,7 @@
 // registry keeps the VM's lease and entry, and knows its peers and who leads.
 type registry struct {
 	vm   *VM
-	log  *log.Logger
+	log  *ladderlog.Logger
 	life string
 
 	mu     sync.Mutex
@@ -66,14 +68,16 @@
 	leader leader
 	read   bool
 	// seen is the highest revision of the leader's key that the watch has shown.
-	seen    int64
+	seen int64
+	// shunned is until when each life of a VM is not called.
+	shunned map[string]time.Time
 	lease   *lease
 	changed chan struct{}
 }
 
 func newRegistry(v *VM) *registry {
 	return &registry{
-		vm: v, log: v.logs.Part("registry"), life: ulid.Make().String(), peers: map[string]peer{},
+		vm: v, log: v.logs.Limited("registry", v.clock), life: ulid.Make().String(), peers: map[string]peer{}, shunned: map[string]time.Time{},
 		lease:   newLease(v, entryLease),
 		changed: make(chan struct{}, 1),
 	}
@@ -275,6 +279,7 @@
 	}
 	for old, o := range r.peers {
 		if !o.gone.IsZero() && now.Sub(o.gone) > trustTime {
+			delete(r.shunned, o.life)
 			delete(r.peers, old)
 		}
 	}
@@ -290,6 +295,29 @@
 	}
 }
 
+// shunPeer is how long a VM that could not be reached is not called: it may be dead,
+// or have begun a life whose key the store has not shown yet, and each try costs both
+// sides a handshake.
+const shunPeer = 250 * time.Millisecond
+
+// call sends a message to a peer, unless it could not be reached just now.
+func (r *registry) call(ctx context.Context, p peer, m laddermessage.Message) (laddermessage.Message, error) {
+	now := r.vm.clock.Now()
+	r.mu.Lock()
+	shunned := now.Before(r.shunned[p.life])
+	r.mu.Unlock()
+	if shunned {
+		return nil, fmt.Errorf("peer %s could not be reached just now: %w", p.name, ladderpeer.ErrUnsent)
+	}
+	reply, err := r.vm.peers.Call(ctx, p.address, m)
+	if errors.Is(err, ladderpeer.ErrUnsent) && ctx.Err() == nil {
+		r.mu.Lock()
+		r.shunned[p.life] = r.vm.clock.Now().Add(shunPeer)
+		r.mu.Unlock()
+	}
+	return reply, err
+}
+
 // follower takes in what lies below a prefix of the store.
 type follower struct {
 	// reset takes in all items, change those that have changed since.
--- a/laddervm/submit.go
+++ b/laddervm/submit.go
@@ -161,7 +161,7 @@
 		if !ok {
 			return nil, false
 		}
-		reply, err = v.peers.Call(ctx, p.address, m)
+		reply, err = v.registry.call(ctx, p, m)
 	}
 	if err != nil {
 		v.log.Debug("leader did not answer", "leader", l.name, "err", err)
--- a/laddervm/term.go
+++ b/laddervm/term.go
@@ -5,10 +5,9 @@
 	"errors"
 	"time"
 
-	"github.com/charmbracelet/log"
-
 	"lacewingladder/ladderflow"
 	"lacewingladder/ladderjournal"
+	"lacewingladder/ladderlog"
 	"lacewingladder/laddermessage"
 	"lacewingladder/ladderplan"
 	"lacewingladder/platform"
@@ -41,7 +40,7 @@
 // of run; all else reaches it through do.
 type term struct {
 	vm      *VM
-	log     *log.Logger
+	log     *ladderlog.Logger
 	lease   *lease
 	fence   int64
 	began   time.Time
@@ -71,7 +70,7 @@
 
 func newTerm(ctx context.Context, v *VM, lease *lease, fence int64, began time.Time) *term {
 	t := &term{
-		vm: v, log: v.logs.Part("term"), lease: lease, fence: fence, began: began,
+		vm: v, log: v.logs.Limited("term", v.clock), lease: lease, fence: fence, began: began,
 		inbox: make(chan func(), inboxSize), slots: make(chan struct{}, maxOrders), drivers: map[string]*driver{}, roster: map[string]bool{}, waves: map[int64]bool{},
 	}
 	t.ctx, t.cancel = context.WithCancel(ctx)
@@ -79,7 +78,7 @@
 	t.planner = ladderplan.New(ladderplan.Options{
 		Fence: fence, Hold: min(holdTime, b.LongestHold), Elected: began, Former: leadLease + outageTime,
 		StopTime: b.StopTime, Remembered: b.Remembered, Remote: b.Remote, Checkpoint: b.Checkpoint,
-		Log: v.logs.Part("plan"),
+		Log: v.logs.Limited("plan", v.clock),
 	})
 	t.planner.SetFleet(v.fleet.Load())
 	return t
--- a/laddervm/vm.go
+++ b/laddervm/vm.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/charmbracelet/log"
 	"github.com/rotisserie/eris"
 
 	"lacewingladder/ladderclock"
@@ -49,7 +48,7 @@
 	settings *platform.Settings
 	clock    ladderclock.Clock
 	boot     ladderclock.Boot
-	log      *log.Logger
+	log      *ladderlog.Logger
 	logs     *ladderlog.Logs
 
 	direct   *platform.Direct
@@ -86,7 +85,7 @@
 		o.Boot = ladderclock.System{}
 	}
 	s := o.Settings
-	v := &VM{waves: map[int64]ladderflow.Wave{}, settings: s, metrics: o.Metrics, clock: o.Clock, boot: o.Boot, logs: o.Logs, log: o.Logs.Part("vm"), stats: newStats()}
+	v := &VM{waves: map[int64]ladderflow.Wave{}, settings: s, metrics: o.Metrics, clock: o.Clock, boot: o.Boot, logs: o.Logs, log: o.Logs.Limited("vm", o.Clock), stats: newStats()}
 	v.bounds.Store(&s.Bounds)
 	v.direct = platform.NewDirect(dialTime)
 	v.carrier = newCarrier(v)
