--- a/ladderplan/advice.go
+++ b/ladderplan/advice.go
@@ -130,7 +130,7 @@
 // askAbout asks about workers, unless a question of the step is under way.
 func (f *field) askAbout(names []string) {
 	t := &f.step.tickets
-	if len(names) == 0 || !f.mayAsk() {
+	if len(names) == 0 || f.queue == nil || f.queue.Advice == nil || !f.mayAsk() {
 		return
 	}
 	cost := f.queue.Advice.Cost(len(names))
--- a/ladderplan/gang_test.go
+++ b/ladderplan/gang_test.go
@@ -44,3 +44,16 @@
 	b.lookAll(nil)
 	require.Len(t, b.plan().Starts, 3)
 }
+
+// TestGangWithoutAdvice lets a gang of a queue that needs no advice wait for room.
+func TestGangWithoutAdvice(t *testing.T) {
+	b := newBed(t, 1)
+	b.submit("a", tasks(4))
+	first := b.begin()
+	b.submit("b", gangOf(4))
+	require.Empty(t, b.begin())
+	for _, s := range first {
+		b.end(s, ladderflow.EndDone)
+	}
+	require.Len(t, b.begin(), 4)
+}
--- a/ladderplan/look.go
+++ b/ladderplan/look.go
@@ -111,12 +111,14 @@
 	if !ok {
 		return
 	}
-	if l.Born != w.born {
+	if l.Born != w.born || w.lived.IsZero() {
 		p.reborn(now, w, l.Born)
 	}
 	w.clock, w.heard, w.failing = l.Clock, now, false
 	if !w.fenced {
 		w.fenced = true
+		// An earlier leader may have given the longest lease there is just now.
+		w.until = max(w.until, l.Clock+p.options.Longest)
 		p.log.Debug("worker is held", "worker", id, "fence", p.options.Fence, "running", len(l.Running))
 	}
 	present := make(map[ladderflow.Run]bool, len(l.Running))
@@ -150,7 +152,7 @@
 		p.dropTickets(w.spec.ID)
 		w.avoid, w.strikes = now, 0
 	}
-	w.born, w.seen, w.noted, w.until = born, 0, 0, 0
+	w.born, w.seen, w.noted, w.until, w.lived = born, 0, 0, 0, now
 }
 
 // listed takes in a run that a worker has.
--- a/ladderplan/model.go
+++ b/ladderplan/model.go
@@ -143,6 +143,8 @@
 	// fenced is true once the worker answered under this leader's fence.
 	fenced bool
 	born   int64
+	// lived is when the worker's present life was first seen.
+	lived time.Time
 	// clock is the worker's clock at the time heard, and until the highest time
 	// that was sent as the end of its lease.
 	clock time.Duration
--- a/ladderplan/order_test.go
+++ b/ladderplan/order_test.go
@@ -13,6 +13,8 @@
 func TestStartWithoutAnswer(t *testing.T) {
 	begin := func(t *testing.T) (*bed, StartOrder) {
 		b := newBed(t, 2)
+		b.pass(5 * time.Second) // Leases of an earlier leader have run out.
+		b.lookAll(nil)
 		b.submit("a", tasks(1))
 		s := b.plan().Starts[0]
 		b.pass(200 * time.Millisecond)
--- a/ladderplan/place.go
+++ b/ladderplan/place.go
@@ -26,13 +26,29 @@
 	latest time.Time
 }
 
-// Plan returns what to order now. Wall is the time of day. Nothing starts unless
-// the lead is certain.
-func (p *Planner) Plan(now, wall time.Time, leads bool) Orders {
+// Right is what a leader may do at a moment.
+type Right int
+
+const (
+	// NoRight means that another VM may lead.
+	NoRight Right = iota
+	// Likely means that the lease may have ended, but that nobody can have won the
+	// lead as far as can be told. Workers' lives that were not seen before are left
+	// alone then: they know no fence that could refuse a start.
+	Likely
+	// Sure means that the lease stands.
+	Sure
+)
+
+// Plan returns what to order now. Wall is the time of day.
+func (p *Planner) Plan(now, wall time.Time, right Right) Orders {
 	p.lapse(now)
 	p.openTimed(now, wall)
 	p.retire(now)
-	if leads {
+	if right == Sure {
+		p.sure = now
+	}
+	if right != NoRight {
 		p.place(now)
 		p.setPaces(now)
 	}
@@ -134,7 +150,7 @@
 	return w.listed && w.fenced && f.planner.roster[w.spec.ID] && !w.failing && w.leaves.IsZero() && !f.now.Before(w.avoid) && !f.now.Before(w.going) &&
 		!f.planner.emptying[w.spec.ID] &&
 		f.now.Sub(w.heard) < silence && w.spec.Service == f.service && w.has(f.step.spec.Label) &&
-		(w.spec.Born == 0 || w.spec.Born == w.born) &&
+		!w.lived.After(f.planner.sure) && (w.spec.Born == 0 || w.spec.Born == w.born) &&
 		(!w.struck(f.now) || len(w.runs) == 0)
 }
 
--- a/ladderplan/planner.go
+++ b/ladderplan/planner.go
@@ -20,6 +20,8 @@
 	Fence int64
 	// Hold is how long a worker's lease lasts from each look.
 	Hold time.Duration
+	// Longest bounds the lease that any leader may give a worker.
+	Longest time.Duration
 	// Elected is when the lead was won, and Former how long after that an earlier
 	// leader may still believe that it leads.
 	Elected time.Time
@@ -60,6 +62,8 @@
 	orders Orders
 	// deposed is true once a worker or the store obeys a newer leader.
 	deposed bool
+	// sure is when the lead was last sure.
+	sure time.Time
 	// dueRetire is when ended jobs are next looked through.
 	dueRetire time.Time
 }
--- a/ladderplan/planner_test.go
+++ b/ladderplan/planner_test.go
@@ -46,7 +46,7 @@
 
 func newPlanner(now time.Time) *Planner {
 	return New(Options{
-		Fence: fence, Hold: 6 * time.Second, Elected: now, Former: 2 * time.Second, StopTime: time.Second,
+		Fence: fence, Hold: 6 * time.Second, Longest: 10 * time.Second, Elected: now, Former: 2 * time.Second, StopTime: time.Second,
 		Remembered: time.Minute, Remote: 2, Log: ladderlog.Discard().Part("plan"),
 	})
 }
@@ -96,7 +96,7 @@
 
 // plan returns the planner's orders, and remembers them.
 func (b *bed) plan() Orders {
-	b.orders = b.planner.Plan(b.now, b.now, true)
+	b.orders = b.planner.Plan(b.now, b.now, Sure)
 	return b.orders
 }
 
--- a/ladderplan/takeover_test.go
+++ b/ladderplan/takeover_test.go
@@ -153,3 +153,21 @@
 	b.planner.SetWorkers(b.now, []ladderflow.Worker{small})
 	require.Len(t, b.plan().Starts, 1)
 }
+
+// TestSilentAfterFirstLook lets a worker answer a new leader once and then no more:
+// the lease that an earlier leader gave may still stand.
+func TestSilentAfterFirstLook(t *testing.T) {
+	b := newBed(t, 2)
+	next := b.heir([]*ladderflow.Job{testJob(b.now, "a", tasks(1))}, nil, 2)
+	next.look("w0", ladderflow.Look{Running: []ladderflow.LiveRun{{Run: ladderflow.Run{Task: ladderflow.Task{Job: "a"}, Number: 1}}}})
+	next.look("w1", ladderflow.Look{})
+	next.planner.LookFailed("w0", false)
+	for passed := time.Duration(0); passed < 6*time.Second; passed += time.Second / 2 {
+		require.Empty(t, next.plan().Starts, "after %v", passed)
+		next.pass(time.Second / 2)
+		next.look("w1", ladderflow.Look{})
+	}
+	next.pass(6 * time.Second)
+	next.look("w1", ladderflow.Look{})
+	require.Len(t, next.plan().Starts, 1)
+}
--- a/laddervm/drive.go
+++ b/laddervm/drive.go
@@ -213,7 +213,7 @@
 func (t *term) start(s ladderplan.StartOrder) {
 	began := t.vm.clock.Now()
 	r := t.send(func(ctx context.Context) (ladderflow.Refusal, error) {
-		if !t.valid() {
+		if t.right() == ladderplan.NoRight {
 			return ladderflow.NotRefused, platform.ErrUnsent
 		}
 		return t.vm.workers.Start(ctx, s.Worker.Address, s.Worker.ID, ladderflow.Start{
--- a/laddervm/term.go
+++ b/laddervm/term.go
@@ -76,7 +76,7 @@
 	t.ctx, t.cancel = context.WithCancel(ctx)
 	b := v.bounds.Load()
 	t.planner = ladderplan.New(ladderplan.Options{
-		Fence: fence, Hold: min(holdTime, b.LongestHold), Elected: began, Former: leadLease + outageTime,
+		Fence: fence, Hold: min(holdTime, b.LongestHold), Longest: b.LongestHold, Elected: began, Former: leadLease + outageTime,
 		StopTime: b.StopTime, Remembered: b.Remembered, Remote: b.Remote, Checkpoint: b.Checkpoint,
 		Log: v.logs.Limited("plan", v.clock),
 	})
@@ -111,17 +111,21 @@
 	return false
 }
 
-// valid reports whether the VM may still order starts as the leader. The fences of
-// the workers guard what is decided here by a clock.
-func (t *term) valid() bool {
+// right says what the VM may order as the leader. The fences of the workers guard what
+// is decided here by a clock.
+func (t *term) right() ladderplan.Right {
 	left := t.lease.left()
-	return t.ctx.Err() == nil && (left > 0 || left > -outageTime && t.vm.carrier.out())
+	switch {
+	case t.ctx.Err() != nil:
+		return ladderplan.NoRight
+	case left > 0:
+		return ladderplan.Sure
+	case left > -outageTime && t.vm.carrier.out():
+		return ladderplan.Likely
+	}
+	return ladderplan.NoRight
 }
 
-// sure reports whether the VM certainly leads. Orders to machines need that, since
-// nothing guards them.
-func (t *term) sure() bool { return t.ctx.Err() == nil && t.lease.left() > 0 }
-
 // run is the control goroutine.
 func (t *term) run() {
 	go t.load()
@@ -167,7 +171,7 @@
 	}
 	now := t.vm.clock.Now()
 	t.planner.SetVMs(t.vmNames())
-	o := t.planner.Plan(now, t.wall.now(now), t.valid())
+	o := t.planner.Plan(now, t.wall.now(now), t.right())
 	t.vm.stats.plan.UpdateDuration(now)
 	t.order(o)
 	t.save()
--- a/laddervm/upkeep.go
+++ b/laddervm/upkeep.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lacewingladder/ladderflow"
+	"lacewingladder/ladderplan"
 	"lacewingladder/ladderwave"
 	"lacewingladder/platform"
 )
@@ -73,7 +74,8 @@
 
 // stepWave orders down what may go now, one machine after the other.
 func (t *term) stepWave(w *ladderwave.Wave, now time.Time) {
-	for t.sure() {
+	// Nothing guards machines but the lease, so it must certainly stand.
+	for t.right() == ladderplan.Sure {
 		down, worker := "", ""
 		t.call(t.ctx, func() {
 			var empty []string
