--- a/laddercommand/command.go
+++ b/laddercommand/command.go
@@ -49,7 +49,7 @@
 	for _, x := range []subcommands.Command{&submit{client: client{streams: s}}, &cancel{client: client{streams: s}}} {
 		c.Register(x, "callers")
 	}
-	for _, x := range []subcommands.Command{&replay{streams: s}, &demo{streams: s}, &report{streams: s}} {
+	for _, x := range []subcommands.Command{&simulate{streams: s}, &replay{streams: s}, &demo{streams: s}, &report{streams: s}} {
 		c.Register(x, "trying it out")
 	}
 	return c
--- a/ladderplan/place.go
+++ b/ladderplan/place.go
@@ -113,6 +113,20 @@
 	k := rank{step: s, latest: s.round.due.Add(aim - rest)}
 	q, ok := p.queue(j)
 	urgent := ok && q.Priority == 0 || s.spec.Lasting
+	switch p.options.Order {
+	case ByArrival:
+		return rank{step: s, latest: s.since}
+	case ByPriority:
+		if ok {
+			k.class = q.Priority
+		}
+		k.latest = s.since
+		return k
+	case ByDeadline:
+		return rank{step: s, latest: s.round.due.Add(aim)}
+	case ByLength:
+		return rank{step: s, latest: time.UnixMilli(0).Add(s.spec.Estimate)}
+	}
 	switch {
 	case now.Add(rest).After(s.round.due.Add(lateFactor * aim)):
 		k.class = 3
--- a/ladderplan/planner.go
+++ b/ladderplan/planner.go
@@ -35,8 +35,25 @@
 	// Checkpoint is the work between two checkpoints.
 	Checkpoint time.Duration
 	Log        Log
+	// Order says which steps come first. It defaults to ByAim.
+	Order Order
 }
 
+// Order is a rule for which steps come first.
+type Order int
+
+const (
+	// ByAim puts urgent jobs first, then those that can still be in time, by the
+	// latest time to begin, then late ones, and last those that are worth nothing.
+	ByAim Order = iota
+	// ByArrival, ByPriority, ByDeadline and ByLength are what ByAim is compared with:
+	// first come first served, strict priority, earliest aim and shortest first.
+	ByArrival
+	ByPriority
+	ByDeadline
+	ByLength
+)
+
 // Planner decides which task starts where. Create one with [New].
 type Planner struct {
 	options Options
@@ -392,3 +409,9 @@
 	}
 	return n
 }
+
+// Ended reports whether a job has come to its end, stored or not.
+func (p *Planner) Ended(id string) bool {
+	j, ok := p.jobs[id]
+	return ok && !j.live()
+}
--- a/ladderyaml/reader.go
+++ b/ladderyaml/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"strconv"
 	"strings"
@@ -332,3 +333,16 @@
 	_, ok := r.fields[name]
 	return ok
 }
+
+// Number returns a number, at least zero.
+func (r *Reader) Number(standard float64) float64 {
+	if !r.Present() {
+		return standard
+	}
+	f, err := strconv.ParseFloat(r.Text(), 64)
+	if err != nil || f < 0 || f > math.MaxInt32 {
+		r.Fault("%q is not a number, at least zero", r.Text())
+		return standard
+	}
+	return f
+}
