--- a/laddercodec/codec.go
+++ b/laddercodec/codec.go
@@ -173,8 +173,9 @@
 		return decode(body, func(w string) (laddermessage.Fault, error) {
 			return laddermessage.Fault{Reason: w}, nil
 		})
+	default:
+		return decodeFlow(k, body)
 	}
-	return decodeFlow(k, body)
 }
 
 // decode reads a wire value and maps it to its message.
--- a/laddercodec/flow.go
+++ b/laddercodec/flow.go
@@ -153,8 +153,9 @@
 				Reply: platform.Reply{Status: w.Status, Body: w.Body}, Unsent: w.Unsent, Failed: w.Failed,
 			}, nil
 		})
+	default:
+		return nil, fmt.Errorf("a message of kind %d is unknown", k)
 	}
-	return nil, fmt.Errorf("a message of kind %d is unknown", k)
 }
 
 func toConsulted(w consultedWire) (laddermessage.Consulted, error) {
--- a/ladderjournal/codec.go
+++ b/ladderjournal/codec.go
@@ -67,8 +67,12 @@
 // flags returns the bit of each property of a step.
 func flags(s *ladderflow.Step) []flag {
 	return []flag{
-		{flagCheckpoints, &s.Checkpoints}, {flagGang, &s.Gang}, {flagOneRack, &s.OneRack},
-		{flagCopies, &s.Copies}, {flagLasting, &s.Lasting}, {flagFiller, &s.Filler},
+		{flagCheckpoints, &s.Checkpoints},
+		{flagGang, &s.Gang},
+		{flagOneRack, &s.OneRack},
+		{flagCopies, &s.Copies},
+		{flagLasting, &s.Lasting},
+		{flagFiller, &s.Filler},
 	}
 }
 
--- a/ladderload/job.go
+++ b/ladderload/job.go
@@ -25,25 +25,26 @@
 // draw returns a new job of a queue.
 func (p *play) draw(q *Queue, n int) *job {
 	j := &job{queue: q, came: p.now, begun: -1}
+	random := p.arrivals[q.Name]
 	spec := &ladderflow.Job{
 		ID: fmt.Sprintf("%08x%08x", xxhash.Sum64String(q.Name)&math.MaxUint32, n), Queue: q.Name, Service: service,
 		Accepted: p.time(),
 	}
 	steps := 1
-	for float64(steps) < q.Steps && p.random.Float64() < q.Steps-float64(steps) {
+	for float64(steps) < q.Steps && random.Float64() < q.Steps-float64(steps) {
 		steps++
 	}
 	for i := range steps {
-		work := max(0.05, p.drawFrom(q.Work))
+		work := max(0.05, drawFrom(random, q.Work))
 		j.works = append(j.works, time.Duration(work*float64(time.Second)))
 		s := ladderflow.Step{
-			Tasks: max(1, int(p.drawFrom(q.Width)+0.5)),
+			Tasks: max(1, int(drawFrom(random, q.Width)+0.5)),
 			Need: ladderflow.Size{
-				Processor: min(p.load.Workers.Size.Processor, max(100, int(1000*p.drawFrom(q.Cores)))),
-				Memory:    min(p.load.Workers.Size.Memory, max(16, int(1024*p.drawFrom(q.Memory)))),
+				Processor: min(p.load.Workers.Size.Processor, max(100, int(1000*drawFrom(random, q.Cores)))),
+				Memory:    min(p.load.Workers.Size.Memory, max(16, int(1024*drawFrom(random, q.Memory)))),
 			},
-			Estimate: time.Duration(work * math.Exp(q.Off*p.random.NormFloat64()) * float64(time.Second)),
-			Gang:     p.random.Float64() < q.Gangs,
+			Estimate: time.Duration(work * math.Exp(q.Off*random.NormFloat64()) * float64(time.Second)),
+			Gang:     random.Float64() < q.Gangs,
 		}
 		if i > 0 {
 			s.After = []int{i - 1}
--- a/ladderload/play.go
+++ b/ladderload/play.go
@@ -7,6 +7,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"lacewingladder/ladderflow"
 	"lacewingladder/ladderlog"
 	"lacewingladder/ladderplan"
@@ -59,15 +61,18 @@
 
 // play is the state of one play.
 type play struct {
-	load    *Load
-	random  *rand.Rand
-	planner *ladderplan.Planner
-	start   time.Time
-	now     time.Duration
-	queue   events
-	seq     int
-	workers map[string]*worker
-	jobs    map[string]*job
+	load *Load
+	// arrivals draws the jobs of each queue, apart from all that the planner decides,
+	// so that every rule meets the same load; fates draws which runs fail.
+	arrivals map[string]*rand.Rand
+	seed     uint64
+	planner  *ladderplan.Planner
+	start    time.Time
+	now      time.Duration
+	queue    events
+	seq      int
+	workers  map[string]*worker
+	jobs     map[string]*job
 	// lines is until when each VM's line of questions is taken.
 	lines   map[string]time.Duration
 	planned bool
@@ -79,7 +84,7 @@
 // Play plays a load under a seed and a rule for the order of steps.
 func Play(l *Load, seed uint64, order ladderplan.Order) *Result {
 	p := &play{
-		load: l, random: rand.New(rand.NewPCG(seed, seed)), start: time.UnixMilli(0), workers: map[string]*worker{},
+		load: l, arrivals: map[string]*rand.Rand{}, seed: seed, start: time.UnixMilli(0), workers: map[string]*worker{},
 		jobs: map[string]*job{}, lines: map[string]time.Duration{}, result: newResult(l, seed, order),
 	}
 	p.planner = ladderplan.New(ladderplan.Options{
@@ -89,6 +94,8 @@
 	p.planner.SetFleet(fleet(l))
 	p.addWorkers()
 	for i := range l.Queues {
+		name := l.Queues[i].Name
+		p.arrivals[name] = rand.New(rand.NewPCG(seed, xxhash.Sum64String(name)))
 		p.arrive(&l.Queues[i], 0)
 	}
 	end := l.Length + l.Rest
@@ -210,9 +217,10 @@
 	p.after(orderTime/2, func() { p.planner.Started(p.time(), s.Worker.ID, s.Run, ladderplan.Result{}); p.wake() })
 	takes := j.work(s.Run.Task, w.speed)
 	how := ladderflow.EndDone
-	if p.random.Float64() < j.queue.Fails {
+	fate := rand.New(rand.NewPCG(p.seed, xxhash.Sum64String(fmt.Sprint(s.Run))))
+	if fate.Float64() < j.queue.Fails {
 		how = ladderflow.EndFailed
-		takes = time.Duration(p.random.Float64() * float64(takes))
+		takes = time.Duration(fate.Float64() * float64(takes))
 	}
 	p.after(takes, func() { p.end(w, s.Run, how) })
 }
@@ -285,7 +293,7 @@
 			rate *= b.Times
 		}
 	}
-	gap := time.Duration(p.random.ExpFloat64() / max(rate, 1e-9) * float64(time.Second))
+	gap := time.Duration(p.arrivals[q.Name].ExpFloat64() / max(rate, 1e-9) * float64(time.Second))
 	if p.now+gap > p.load.Length {
 		return
 	}
@@ -298,11 +306,11 @@
 	})
 }
 
-// draw returns a value of a distribution.
-func (p *play) drawFrom(s Spread) float64 {
+// drawFrom returns a value of a distribution.
+func drawFrom(random *rand.Rand, s Spread) float64 {
 	v := s.Mean
 	if s.Spread > 0 {
-		v *= math.Exp(s.Spread*p.random.NormFloat64() - s.Spread*s.Spread/2)
+		v *= math.Exp(s.Spread*random.NormFloat64() - s.Spread*s.Spread/2)
 	}
 	if s.Most > 0 {
 		v = min(v, s.Most)
--- a/ladderplan/advice.go
+++ b/ladderplan/advice.go
@@ -82,7 +82,7 @@
 
 // SetVMs names the VMs that can ask for advice.
 func (p *Planner) SetVMs(names []string) {
-	p.advisers.names = slices.Sorted(slices.Values(names))
+	p.names = slices.Sorted(slices.Values(names))
 }
 
 // pick returns the VM with the shortest line for a question. It is false when a
@@ -134,7 +134,7 @@
 		return
 	}
 	cost := f.queue.Advice.Cost(len(names))
-	vm, ok := f.planner.advisers.pick(f.now, cost)
+	vm, ok := f.planner.pick(f.now, cost)
 	if !ok {
 		return
 	}
@@ -178,7 +178,7 @@
 		return cmp.Or(-cmp.Compare(b2i(a.known), b2i(b.known)), -cmp.Compare(a.slots, b.slots),
 			cmp.Compare(a.worker.spec.ID, b.worker.spec.ID))
 	})
-	share := f.planner.advisers.share(f.queue.Name)
+	share := f.planner.share(f.queue.Name)
 	var names []string
 	for _, c := range list {
 		if len(names) >= most || need <= 0 && len(names) >= fewest {
@@ -204,10 +204,10 @@
 // Advised takes in an answer of the advice service. Valid is zero when there was none.
 func (p *Planner) Advised(now time.Time, a Ask, allowed []ladderflow.Ticket, valid time.Duration, refused bool) {
 	if valid == 0 {
-		p.advisers.broken[a.VM] = now.Add(brokenTime)
+		p.broken[a.VM] = now.Add(brokenTime)
 	}
 	if refused {
-		p.advisers.busy[a.VM] = now.Add(a.Cost)
+		p.busy[a.VM] = now.Add(a.Cost)
 	}
 	j := p.jobs[a.Step.Job]
 	if j == nil || j.rounds[a.Step.Round] == nil {
@@ -231,8 +231,8 @@
 			t.denied[w] = true
 		}
 	}
-	p.advisers.named[j.spec.Queue] += len(a.Workers)
-	p.advisers.allowed[j.spec.Queue] += len(allowed)
+	p.named[j.spec.Queue] += len(a.Workers)
+	p.allowed[j.spec.Queue] += len(allowed)
 }
 
 // dropTickets forgets all tickets for a worker, whose life has ended.
--- a/ladderplan/gang.go
+++ b/ladderplan/gang.go
@@ -182,7 +182,7 @@
 			slots += n
 		}
 	}
-	if f.planner.advisers.share(f.queue.Name)*float64(slots) < float64(missing) {
+	if f.planner.share(f.queue.Name)*float64(slots) < float64(missing) {
 		return nil
 	}
 	slices.Sort(names)
--- a/ladderplan/health.go
+++ b/ladderplan/health.go
@@ -139,11 +139,9 @@
 			if t == nil || !t.step.spec.Filler || x.phase != live || now.Sub(x.over) < paceTime {
 				continue
 			}
-			next := x.pace
+			next := min(100, x.pace+paceStep)
 			if pressed {
 				next = x.pace / 2
-			} else {
-				next = min(100, x.pace+paceStep)
 			}
 			if next == x.pace {
 				continue
--- a/ladderplan/place.go
+++ b/ladderplan/place.go
@@ -126,6 +126,7 @@
 		return rank{step: s, latest: s.round.due.Add(aim)}
 	case ByLength:
 		return rank{step: s, latest: time.UnixMilli(0).Add(s.spec.Estimate)}
+	case ByAim:
 	}
 	switch {
 	case now.Add(rest).After(s.round.due.Add(lateFactor * aim)):
--- a/ladderplan/planner.go
+++ b/ladderplan/planner.go
@@ -46,11 +46,14 @@
 	// ByAim puts urgent jobs first, then those that can still be in time, by the
 	// latest time to begin, then late ones, and last those that are worth nothing.
 	ByAim Order = iota
-	// ByArrival, ByPriority, ByDeadline and ByLength are what ByAim is compared with:
-	// first come first served, strict priority, earliest aim and shortest first.
+	// ByArrival serves first what came first. This rule and those below are what
+	// ByAim is compared with.
 	ByArrival
+	// ByPriority serves first what the operators rank first.
 	ByPriority
+	// ByDeadline serves first what should end first.
 	ByDeadline
+	// ByLength serves the shortest first.
 	ByLength
 )
 
--- a/ladderproof/flow_world_test.go
+++ b/ladderproof/flow_world_test.go
@@ -365,6 +365,7 @@
 			w.failed[key] = map[int]bool{}
 		}
 		w.failed[key][e.Run.Number] = true
+	default: // Other ends say nothing of the task's own work.
 	}
 }
 
--- a/laddertest/flow_test.go
+++ b/laddertest/flow_test.go
@@ -334,7 +334,7 @@
 // TestFlowLeaderKilled kills the leader while tasks run: they go on, are started no
 // second time, and new jobs are served by the next leader.
 func TestFlowLeaderKilled(t *testing.T) {
-	f := startFlow(t, 3, func(_ ladderflow.Run, payload string) (time.Duration, bool) {
+	f := startFlow(t, 3, func(ladderflow.Run, string) (time.Duration, bool) {
 		return 1500 * time.Millisecond, false
 	})
 	var paths []string
