Keep urgent tasks off the workers that gangs wait for, where others will do

Cause: urgent tasks kept filling the workers that were being emptied for a gang. They prefer others now, and eight gangs may wait in place of four.

--- a/ladderplan/place.go
+++ b/ladderplan/place.go
@@ -13,7 +13,7 @@
 	lateFactor = 3
 	// maxReserved is how many gangs may keep workers for themselves at once. More
 	// would leave too many workers waiting half empty.
-	maxReserved = 4
+	maxReserved = 8
 	// briefTime is how long a task may take that uses room which a gang waits for.
 	briefTime = 1200 * time.Millisecond
 )
@@ -74,6 +74,7 @@
 		if k.class > 0 {
 			f.reserved = reserved
 		}
+		f.kept = p.kept
 		switch {
 		case !s.spec.Gang:
 			f.placeTasks()
@@ -83,6 +84,7 @@
 			f.awaitGang(reserved)
 		}
 	}
+	p.kept = reserved
 }
 
 // ranked returns the open steps with waiting tasks, first what should start first.
@@ -158,6 +160,9 @@
 	service  string
 	now      time.Time
 	reserved map[*worker]bool
+	// kept holds the workers that gangs waited for at the last plan. Urgent tasks may
+	// take them, but prefer others.
+	kept map[*worker]bool
 }
 
 // usable reports whether a worker takes new tasks at all.
@@ -219,7 +224,10 @@
 		}
 		v := leftover(w, f.step.spec.Charge())
 		if f.step.spec.Rack != "" && !w.has(f.step.spec.Rack) {
-			v += 10
+			v += rackWeight
+		}
+		if f.kept[w] {
+			v += keptWeight
 		}
 		if found == nil || v < least || v == least && w.spec.ID < found.spec.ID {
 			found, least = w, v
@@ -228,6 +236,13 @@
 	return found
 }
 
+const (
+	// keptWeight puts workers that gangs wait for behind all others, and rackWeight
+	// those away from the step's data behind these: what is left over is at most 6.
+	keptWeight = 10
+	rackWeight = 20
+)
+
 // leftover returns how much of a worker stays free once a task is on it, from 0 to
 // 2, with what only one kind of resource has left counted twice.
 func leftover(w *worker, need ladderflow.Size) float64 {
--- a/ladderplan/planner.go
+++ b/ladderplan/planner.go
@@ -80,6 +80,8 @@
 	dirty    map[string]*job
 	advisers
 	orders Orders
+	// kept holds the workers that gangs waited for at the last plan.
+	kept map[*worker]bool
 	// deposed is true once a worker or the store obeys a newer leader.
 	deposed bool
 	// sure is when the lead was last sure.
