Count when each member of a gang will have its room

Cause: workers were kept by when they would be empty, though a gang needs only some of each. Openings are listed by time now; a gang keeps the workers of the earliest ones, and asks for tickets when the last of them is near.

--- a/ladderplan/gang.go
+++ b/ladderplan/gang.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"lacewingladder/ladderflow"
 )
 
 // choice is a worker with the number of a gang's members that it takes.
@@ -107,64 +109,96 @@
 	return true
 }
 
-// prospect is a worker with the members of a gang that it could take soon.
-type prospect struct {
+// opening is room for one member of a gang on a worker, and how long until it is there
+// if nothing else starts on the worker.
+type opening struct {
 	worker *worker
-	slots  int
-	// empty is how long until nothing runs on the worker any more.
-	empty time.Duration
+	after  time.Duration
 }
 
 // awaitGang keeps workers for a gang that does not fit yet, and asks for their
 // tickets early enough to be there when the room is.
 func (f *field) awaitGang(reserved map[*worker]bool) {
 	t := &f.step.tickets
-	if f.queue != nil && f.queue.Advice != nil && len(t.rows) == 0 {
+	advised := f.queue != nil && f.queue.Advice != nil
+	if advised && len(t.rows) == 0 {
 		f.askForTasks()
 		return
 	}
-	horizon := time.Duration(0)
-	if f.queue != nil && f.queue.Advice != nil {
-		horizon = f.queue.Advice.Cost(len(f.step.tasks))
-	}
-	list := f.prospects(reserved, horizon)
-	total, most := 0, 0
-	for _, c := range list {
-		total += c.slots
-		most += f.step.spec.Charge().Times(c.worker.spec.Capacity, len(f.step.tasks))
-	}
-	if most < len(f.step.tasks) {
-		f.askForTasks() // The workers known to be allowed can never hold the gang.
+	need := len(f.step.tasks)
+	list := f.openings(reserved)
+	if len(list) < need {
+		f.askForTasks() // The workers known to be allowed can not hold the gang.
 		return
 	}
-	soon := total >= len(f.step.tasks)
+	list = list[:need]
+	horizon := time.Duration(0)
+	if advised {
+		horizon = f.queue.Advice.Cost(need)
+	}
+	soon := list[need-1].after <= horizon
 	if !soon && f.mayAsk() {
-		if names := f.explore(len(f.step.tasks) - total); len(names) > 0 {
+		now := 0
+		for _, o := range list {
+			now += b2i(o.after == 0)
+		}
+		if names := f.explore(need - now); len(names) > 0 {
 			f.askAbout(names)
 			return
 		}
 	}
-	if !soon {
-		// Workers that are empty sooner have the room sooner.
-		slices.SortStableFunc(list, func(a, b prospect) int { return cmp.Compare(a.empty, b.empty) })
-	}
-	need := len(f.step.tasks)
 	var names []string
-	for _, c := range list {
-		if need <= 0 {
-			break
+	for _, o := range list {
+		id := o.worker.spec.ID
+		if soon && !t.valid(id, f.now.Add(horizon)) && !slices.Contains(names, id) {
+			names = append(names, id)
+		}
+		reserved[o.worker] = true
+	}
+	f.askAbout(names)
+}
+
+// openings returns the room for members of a gang on workers that are known to be
+// allowed, first what is there soonest.
+func (f *field) openings(reserved map[*worker]bool) []opening {
+	var list []opening
+	for _, w := range f.planner.workers {
+		if f.usable(w) && !reserved[w] && !w.struck(f.now) && f.known(w) {
+			list = append(list, f.openingsOn(w)...)
 		}
-		reserved[c.worker] = true
-		if soon {
-			need -= c.slots
-		} else {
-			need -= f.step.spec.Charge().Times(c.worker.spec.Capacity, len(f.step.tasks))
+	}
+	slices.SortFunc(list, func(a, b opening) int {
+		return cmp.Or(cmp.Compare(a.after, b.after), cmp.Compare(a.worker.spec.ID, b.worker.spec.ID))
+	})
+	return list
+}
+
+// openingsOn returns the room for members of a gang on one worker, as its runs end.
+func (f *field) openingsOn(w *worker) []opening {
+	limit := len(f.step.tasks)
+	if f.step.spec.Spread > 0 {
+		limit = min(limit, f.step.spec.Spread-f.step.on[w])
+	}
+	type end struct {
+		after time.Duration
+		size  ladderflow.Size
+	}
+	ends := []end{{}}
+	for _, x := range w.runs {
+		if x.task != nil && !x.task.step.spec.Lasting {
+			ends = append(ends, end{x.rest(f.now), x.size})
 		}
-		if soon && !t.valid(c.worker.spec.ID, f.now.Add(horizon)) {
-			names = append(names, c.worker.spec.ID)
+	}
+	slices.SortFunc(ends, func(a, b end) int { return cmp.Compare(a.after, b.after) })
+	var list []opening
+	free := w.free
+	for _, e := range ends {
+		free = free.Plus(e.size)
+		for n := f.step.spec.Charge().Times(free, max(limit, 0)); len(list) < n; {
+			list = append(list, opening{w, e.after})
 		}
 	}
-	f.askAbout(names)
+	return list
 }
 
 // explore returns workers with room now of which it is not known whether they are
@@ -189,23 +223,6 @@
 	return names[:min(len(names), most)]
 }
 
-// prospects returns the workers that are known to be allowed, those that will have
-// the most room first.
-func (f *field) prospects(reserved map[*worker]bool, horizon time.Duration) []prospect {
-	var list []prospect
-	for _, w := range f.planner.workers {
-		if !f.usable(w) || reserved[w] || w.struck(f.now) || !f.known(w) {
-			continue
-		}
-		list = append(list, prospect{w, f.slotsIn(w, horizon), f.planner.emptyIn(f.now, w)})
-	}
-	slices.SortFunc(list, func(a, b prospect) int {
-		return cmp.Or(cmp.Compare(b.slots, a.slots), cmp.Compare(a.empty, b.empty),
-			cmp.Compare(a.worker.spec.ID, b.worker.spec.ID))
-	})
-	return list
-}
-
 // known reports whether a worker is known to be allowed for the step.
 func (f *field) known(w *worker) bool {
 	if f.queue == nil || f.queue.Advice == nil {
@@ -214,20 +231,3 @@
 	_, ok := f.step.tickets.rows[w.spec.ID]
 	return ok
 }
-
-// slotsIn returns how many tasks of the step a worker should be able to take after
-// a while, if nothing else starts there.
-func (f *field) slotsIn(w *worker, after time.Duration) int {
-	s := f.step.spec
-	free := w.free
-	for _, x := range w.runs {
-		if x.task != nil && !x.task.step.spec.Lasting && x.rest(f.now) <= after {
-			free = free.Plus(x.size)
-		}
-	}
-	limit := s.Tasks
-	if s.Spread > 0 {
-		limit = min(limit, s.Spread-f.step.on[w])
-	}
-	return s.Charge().Times(free, max(limit, 0))
-}
--- a/ladderplan/place.go
+++ b/ladderplan/place.go
@@ -278,15 +278,6 @@
 	})
 }
 
-// emptyIn returns how long the longest run on a worker should still take.
-func (p *Planner) emptyIn(now time.Time, w *worker) time.Duration {
-	var longest time.Duration
-	for _, x := range w.runs {
-		longest = max(longest, x.rest(now))
-	}
-	return longest
-}
-
 // rest returns how long a run should still take, by its progress where that is
 // known and by its estimate otherwise.
 func (x *run) rest(now time.Time) time.Duration {
