--- a/ladderplan/gang.go
+++ b/ladderplan/gang.go
@@ -14,12 +14,17 @@
 	slots  int
 }
 
+func taken(reserved map[*worker]time.Duration, w *worker) bool {
+	_, ok := reserved[w]
+	return ok
+}
+
 // choices returns the workers that can take members of a gang now, those that take
 // most first.
 func (f *field) choices(allowed func(*worker) bool) []choice {
 	var list []choice
 	for _, w := range f.planner.workers {
-		if !f.usable(w) || !allowed(w) || f.reserved[w] || w.struck(f.now) {
+		if !f.usable(w) || !allowed(w) || taken(f.reserved, w) || w.struck(f.now) {
 			continue
 		}
 		if n := f.slots(w); n > 0 {
@@ -118,7 +123,7 @@
 
 // awaitGang keeps workers for a gang that does not fit yet, and asks for their
 // tickets early enough to be there when the room is.
-func (f *field) awaitGang(reserved map[*worker]bool) {
+func (f *field) awaitGang(reserved map[*worker]time.Duration) {
 	t := &f.step.tickets
 	advised := f.queue != nil && f.queue.Advice != nil
 	if advised && len(t.rows) == 0 {
@@ -153,17 +158,17 @@
 		if soon && !t.valid(id, f.now.Add(horizon)) && !slices.Contains(names, id) {
 			names = append(names, id)
 		}
-		reserved[o.worker] = true
+		reserved[o.worker] = list[need-1].after
 	}
 	f.askAbout(names)
 }
 
 // openings returns the room for members of a gang on workers that are known to be
 // allowed, first what is there soonest.
-func (f *field) openings(reserved map[*worker]bool) []opening {
+func (f *field) openings(reserved map[*worker]time.Duration) []opening {
 	var list []opening
 	for _, w := range f.planner.workers {
-		if f.usable(w) && !reserved[w] && !w.struck(f.now) && f.known(w) {
+		if f.usable(w) && !taken(reserved, w) && !w.struck(f.now) && f.known(w) {
 			list = append(list, f.openingsOn(w)...)
 		}
 	}
--- a/ladderplan/place.go
+++ b/ladderplan/place.go
@@ -14,8 +14,10 @@
 	// maxReserved is how many gangs may keep workers for themselves at once. More
 	// would leave too many workers waiting half empty.
 	maxReserved = 8
-	// briefTime is how long a task may take that uses room which a gang waits for.
-	briefTime = 1200 * time.Millisecond
+	// backfill times a task's estimate must fit before a gang starts for the task to
+	// use room that the gang waits for. Estimates may be off
+	// by half.
+	backfill = 2
 )
 
 // rank says which steps come first.
@@ -59,7 +61,7 @@
 
 // place starts what can start, in the order of rank.
 func (p *Planner) place(now time.Time) {
-	reserved := map[*worker]bool{}
+	reserved := map[*worker]time.Duration{}
 	gangs := 0
 	for _, k := range p.ranked(now) {
 		s := k.step
@@ -154,15 +156,16 @@
 
 // field is the choice of workers for one step.
 type field struct {
-	planner  *Planner
-	step     *step
-	queue    *ladderflow.Queue
-	service  string
-	now      time.Time
-	reserved map[*worker]bool
+	planner *Planner
+	step    *step
+	queue   *ladderflow.Queue
+	service string
+	now     time.Time
+	// reserved holds the workers that gangs wait for, and in how long they start there.
+	reserved map[*worker]time.Duration
 	// kept holds the workers that gangs waited for at the last plan. Urgent tasks may
 	// take them, but prefer others.
-	kept map[*worker]bool
+	kept map[*worker]time.Duration
 }
 
 // usable reports whether a worker takes new tasks at all.
@@ -193,8 +196,9 @@
 func (f *field) placeTasks() {
 	var candidates []*worker
 	for _, w := range f.planner.workers {
-		brief := f.step.spec.Estimate <= briefTime
-		if f.usable(w) && f.advised(w) && f.slots(w) > 0 && (brief || !f.reserved[w]) {
+		start, waited := f.reserved[w]
+		brief := backfill*float64(f.step.spec.Estimate) <= float64(start)
+		if f.usable(w) && f.advised(w) && f.slots(w) > 0 && (!waited || brief) {
 			candidates = append(candidates, w)
 		}
 	}
@@ -226,7 +230,7 @@
 		if f.step.spec.Rack != "" && !w.has(f.step.spec.Rack) {
 			v += rackWeight
 		}
-		if f.kept[w] {
+		if _, ok := f.kept[w]; ok {
 			v += keptWeight
 		}
 		if found == nil || v < least || v == least && w.spec.ID < found.spec.ID {
--- a/ladderplan/planner.go
+++ b/ladderplan/planner.go
@@ -81,7 +81,7 @@
 	advisers
 	orders Orders
 	// kept holds the workers that gangs waited for at the last plan.
-	kept map[*worker]bool
+	kept map[*worker]time.Duration
 	// deposed is true once a worker or the store obeys a newer leader.
 	deposed bool
 	// sure is when the lead was last sure.
