Explain a job and show the fleet from the command line

'lacewingladder explain JOB' says why a job waits, where it runs and what failed; 'top' shows queues, workers and the leader. Any VM answers at its metrics address, and asks the leader. -json gives a machine's form. Test: TestFlowExplains.

--- a/laddercodec/flow.go
+++ b/laddercodec/flow.go
@@ -23,6 +23,8 @@
 	kindConsulted
 	kindCarry
 	kindCarried
+	kindTell
+	kindTold
 )
 
 type acceptedWire struct {
@@ -37,6 +39,12 @@
 	State string
 }
 
+type tellWire struct {
+	_    struct{} `cbor:",toarray"`
+	Job  string
+	JSON bool
+}
+
 type consultWire struct {
 	_       struct{} `cbor:",toarray"`
 	Job     string
@@ -89,6 +97,10 @@
 		return kindCounted, m.Pending, true
 	case laddermessage.NotLeading:
 		return kindNotLeading, struct{}{}, true
+	case laddermessage.Tell:
+		return kindTell, tellWire{Job: m.Job, JSON: m.JSON}, true
+	case laddermessage.Told:
+		return kindTold, stateWire{Known: m.Known, State: m.Text}, true
 	case laddermessage.Consult:
 		return kindConsult, consultWire{Job: m.Step.Job, Round: m.Step.Round, Step: m.Step.Step, Workers: m.Workers}, true
 	case laddermessage.Consulted:
@@ -143,6 +155,14 @@
 				Step: ladderflow.StepRef{Job: w.Job, Round: w.Round, Step: w.Step}, Workers: w.Workers,
 			}, nil
 		})
+	case kindTell:
+		return decode(body, func(w tellWire) (laddermessage.Tell, error) {
+			return laddermessage.Tell{Job: w.Job, JSON: w.JSON}, nil
+		})
+	case kindTold:
+		return decode(body, func(w stateWire) (laddermessage.Told, error) {
+			return laddermessage.Told{Known: w.Known, Text: w.State}, nil
+		})
 	case kindConsulted:
 		return decode(body, toConsulted)
 	case kindCarry:
--- a/laddercommand/command.go
+++ b/laddercommand/command.go
@@ -33,8 +33,8 @@
 }
 
 // New returns a commander with all subcommands, for the flags of a program.
-func New(top *flag.FlagSet, out, err io.Writer) *subcommands.Commander {
-	c := subcommands.NewCommander(top, "lacewingladder")
+func New(flags *flag.FlagSet, out, err io.Writer) *subcommands.Commander {
+	c := subcommands.NewCommander(flags, "lacewingladder")
 	c.Output, c.Error = out, err
 	s := streams{out: out, err: err}
 	c.Register(c.HelpCommand(), "")
@@ -43,7 +43,10 @@
 	for _, x := range []subcommands.Command{&entry{streams: s}, &serve{streams: s}, &check{streams: s}, &keys{streams: s}} {
 		c.Register(x, "an entry VM")
 	}
-	for _, x := range []subcommands.Command{&apply{client: client{streams: s}}, &status{client: client{streams: s}}, &drain{client: client{streams: s}}} {
+	for _, x := range []subcommands.Command{
+		&apply{client: client{streams: s}}, &status{client: client{streams: s}}, &drain{client: client{streams: s}},
+		&explain{asking: asking{streams: s}}, &top{asking: asking{streams: s}},
+	} {
 		c.Register(x, "operators")
 	}
 	for _, x := range []subcommands.Command{&submit{client: client{streams: s}}, &cancel{client: client{streams: s}}} {
--- a/laddermessage/message.go
+++ b/laddermessage/message.go
@@ -207,3 +207,17 @@
 	Unsent bool
 	Failed bool
 }
+
+// Tell asks the leader for a text: why a job is where it is or, without a job, how the
+// fleet is. It is answered by [Told], or by [NotLeading].
+type Tell struct {
+	Job string
+	// JSON asks for a machine's form.
+	JSON bool
+}
+
+// Told is a text for an operator.
+type Told struct {
+	Known bool
+	Text  string
+}
--- /dev/null
+++ b/ladderplan/explain.go
@@ -0,0 +1,241 @@
+package ladderplan
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"lacewingladder/ladderflow"
+)
+
+// Explanation says where a job stands, and why.
+type Explanation struct {
+	Job    string
+	Queue  string
+	State  ladderflow.State
+	Age    time.Duration
+	Aim    time.Duration
+	Stored bool
+	Steps  []StepExplanation
+}
+
+// StepExplanation says where a step of a job stands.
+type StepExplanation struct {
+	Round, Step                   int
+	Tasks, Done, Running, Waiting int
+	Need                          ladderflow.Size
+	Why                           string
+	Allowed, Denied               int
+	Runs                          []string
+	Failed                        []string
+}
+
+// Explain returns what is known of a job. It is false for an unknown one.
+func (p *Planner) Explain(now time.Time, id string) (Explanation, bool) {
+	j, ok := p.jobs[id]
+	if !ok {
+		return Explanation{}, false
+	}
+	e := Explanation{
+		Job: id, Queue: j.spec.Queue, State: j.state, Age: now.Sub(j.spec.Accepted), Aim: p.aim(j),
+		Stored: j.saved == j.state,
+	}
+	if j.live() && j.begun {
+		e.State = ladderflow.Running
+	}
+	for _, r := range j.rounds {
+		for _, s := range r.steps {
+			e.Steps = append(e.Steps, p.explainStep(now, s))
+		}
+	}
+	slices.SortFunc(e.Steps, func(a, b StepExplanation) int {
+		return cmp.Or(cmp.Compare(a.Round, b.Round), cmp.Compare(a.Step, b.Step))
+	})
+	return e, true
+}
+
+func (p *Planner) explainStep(now time.Time, s *step) StepExplanation {
+	e := StepExplanation{
+		Round: s.round.index, Step: s.index, Tasks: len(s.tasks), Done: s.done, Waiting: s.waiting,
+		Need: s.spec.Need, Allowed: len(s.tickets.rows), Denied: len(s.tickets.denied),
+	}
+	for _, t := range s.tasks {
+		for _, x := range t.runs {
+			e.Running++
+			e.Runs = append(e.Runs, fmt.Sprintf("task %d run %d on %s: %s, %d%%, for %v",
+				t.index, x.name.Number, x.worker.spec.ID, x.phase, max(x.percent, 0), now.Sub(x.began).Round(time.Millisecond)))
+		}
+		for _, n := range t.failed {
+			e.Failed = append(e.Failed, fmt.Sprintf("task %d run %d", t.index, n))
+		}
+	}
+	for _, n := range s.gang.failed {
+		e.Failed = append(e.Failed, fmt.Sprintf("gang run %d", n))
+	}
+	e.Why = p.why(now, s)
+	return e
+}
+
+// why says what the waiting tasks of a step wait for.
+func (p *Planner) why(now time.Time, s *step) string {
+	if s.waiting == 0 {
+		return ""
+	}
+	if !s.open {
+		return fmt.Sprintf("waits for the end of steps %v", s.spec.After)
+	}
+	if !p.certain && s.round.job.inherited {
+		return fmt.Sprintf("an earlier leader may have started it on %d workers that were not seen yet", len(p.unheard))
+	}
+	q, _ := p.queue(s.round.job)
+	f := field{planner: p, step: s, queue: q, service: p.service(s.round.job), now: now}
+	usable, advised, slots := 0, 0, 0
+	for _, w := range p.workers {
+		if !f.usable(w) {
+			continue
+		}
+		usable++
+		if f.advised(w) {
+			advised++
+			slots += f.slots(w)
+		}
+	}
+	switch {
+	case usable == 0:
+		return "no worker takes such tasks now"
+	case s.tickets.asking:
+		return fmt.Sprintf("asks for advice; %d of %d workers hold a ticket", advised, usable)
+	case advised == 0:
+		return fmt.Sprintf("none of %d workers holds a ticket", usable)
+	case s.spec.Gang && slots < len(s.tasks):
+		return fmt.Sprintf("the gang needs room for %d; %d workers with tickets have room for %d", len(s.tasks), advised, slots)
+	case slots == 0:
+		return fmt.Sprintf("%d workers with tickets have no room", advised)
+	}
+	return "its turn comes at the next plan"
+}
+
+// String returns an explanation as text.
+func (e Explanation) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "job %s in queue %s: %s for %v, aim %v, stored %v\n", e.Job, e.Queue, e.State,
+		e.Age.Round(time.Millisecond), e.Aim.Round(time.Millisecond), e.Stored)
+	for _, s := range e.Steps {
+		fmt.Fprintf(&b, "  round %d step %d: %d tasks of %v, %d done, %d running, %d waiting; allowed on %d workers, denied on %d\n",
+			s.Round, s.Step, s.Tasks, s.Need, s.Done, s.Running, s.Waiting, s.Allowed, s.Denied)
+		if s.Why != "" {
+			fmt.Fprintf(&b, "    waits: %s\n", s.Why)
+		}
+		for _, r := range s.Runs {
+			fmt.Fprintf(&b, "    %s\n", r)
+		}
+		if len(s.Failed) > 0 {
+			fmt.Fprintf(&b, "    failed: %s\n", strings.Join(s.Failed, ", "))
+		}
+	}
+	return b.String()
+}
+
+// String returns what is known of a run in one word.
+func (p phase) String() string {
+	return [...]string{sent: "sent", unsure: "unsure", live: "running", stopping: "stopping"}[p]
+}
+
+// Overview is the state of the whole fleet.
+type Overview struct {
+	Fence   int64
+	Certain bool
+	Queues  []QueueOverview
+	Workers []WorkerOverview
+}
+
+// QueueOverview counts the jobs of a queue.
+type QueueOverview struct {
+	Name                          string
+	Waiting, Running, Done, Ended int
+}
+
+// WorkerOverview is what is known of a worker.
+type WorkerOverview struct {
+	ID     string
+	Zone   string
+	Runs   int
+	Free   ladderflow.Size
+	Size   ladderflow.Size
+	Heard  time.Duration
+	Status string
+}
+
+// Overview returns the state of the whole fleet.
+func (p *Planner) Overview(now time.Time) Overview {
+	o := Overview{Fence: p.options.Fence, Certain: p.certain}
+	byQueue := map[string]*QueueOverview{}
+	for _, j := range p.jobs {
+		q, ok := byQueue[j.spec.Queue]
+		if !ok {
+			q = &QueueOverview{Name: j.spec.Queue}
+			byQueue[j.spec.Queue] = q
+		}
+		switch {
+		case j.state == ladderflow.Done:
+			q.Done++
+		case !j.live():
+			q.Ended++
+		case j.begun:
+			q.Running++
+		default:
+			q.Waiting++
+		}
+	}
+	for _, q := range byQueue {
+		o.Queues = append(o.Queues, *q)
+	}
+	for _, w := range p.workers {
+		o.Workers = append(o.Workers, WorkerOverview{
+			ID: w.spec.ID, Zone: w.spec.Zone, Runs: len(w.runs), Free: w.free, Size: w.spec.Capacity,
+			Heard: now.Sub(w.heard), Status: w.status(now, p.roster[w.spec.ID]),
+		})
+	}
+	slices.SortFunc(o.Queues, func(a, b QueueOverview) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(o.Workers, func(a, b WorkerOverview) int { return strings.Compare(a.ID, b.ID) })
+	return o
+}
+
+// status says in a few words whether a worker takes tasks, and if not, why.
+func (w *worker) status(now time.Time, rostered bool) string {
+	switch {
+	case !w.fenced:
+		return "not seen by this leader"
+	case w.failing:
+		return "does not answer"
+	case !w.listed:
+		return "not listed"
+	case !rostered:
+		return "not in the roster yet"
+	case !w.leaves.IsZero():
+		return "leaving"
+	case now.Before(w.avoid):
+		return "avoided"
+	case w.struck(now):
+		return "on trial"
+	}
+	return "ready"
+}
+
+// String returns an overview as a table.
+func (o Overview) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "leader's fence %d, earlier runs known: %v\n", o.Fence, o.Certain)
+	fmt.Fprintf(&b, "%-16s %8s %8s %8s %8s\n", "queue", "waiting", "running", "done", "ended")
+	for _, q := range o.Queues {
+		fmt.Fprintf(&b, "%-16s %8d %8d %8d %8d\n", q.Name, q.Waiting, q.Running, q.Done, q.Ended)
+	}
+	fmt.Fprintf(&b, "%-16s %-14s %5s %-22s %-22s %9s %s\n", "worker", "zone", "runs", "free", "size", "heard", "status")
+	for _, w := range o.Workers {
+		fmt.Fprintf(&b, "%-16s %-14s %5d %-22v %-22v %9v %s\n", w.ID, w.Zone, w.Runs, w.Free, w.Size,
+			w.Heard.Round(time.Millisecond), w.Status)
+	}
+	return b.String()
+}
--- a/laddertest/flow_test.go
+++ b/laddertest/flow_test.go
@@ -453,6 +453,26 @@
 	}
 }
 
+// TestFlowExplains asks any VM why a job waits, and for the fleet's state.
+func TestFlowExplains(t *testing.T) {
+	f := startFlow(t, 1, func(ladderflow.Run, string) (time.Duration, bool) { return time.Minute, false })
+	running := f.submit(f.vms[0], "/regrade/", `[{"count":1,"cpu":8000,"memMb":100,"estimateMs":20}]`)
+	f.await(running, "running", 3*time.Second)
+	waiting := f.submit(f.vms[0], "/regrade/", twoTasks)
+	f.await(waiting, "queued", 3*time.Second)
+	tell := func(args ...string) string {
+		out, err := exec.Command(filepath.Join(programs, "lacewingladder"), args...).CombinedOutput()
+		require.NoError(t, err, string(out))
+		return string(out)
+	}
+	for _, v := range f.vms {
+		require.Contains(t, tell("explain", "-to", v.metrics, waiting[len("/regrade/"):]), "1 workers with tickets have no room")
+		require.Contains(t, tell("explain", "-to", v.metrics, running[len("/regrade/"):]), "task 0 run 1 on w0: running")
+		require.Contains(t, tell("top", "-to", v.metrics), "ready")
+	}
+	require.True(t, json.Valid([]byte(tell("top", "-json", "-to", f.vms[0].metrics))))
+}
+
 // TestFlowConfiguration changes the queues: each VM serves and drops them in time.
 func TestFlowConfiguration(t *testing.T) {
 	f := startFlow(t, 1, nil)
--- /dev/null
+++ b/laddervm/tell.go
@@ -0,0 +1,68 @@
+package laddervm
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"lacewingladder/laddermessage"
+)
+
+// tellTime bounds a question of an operator to the leader.
+const tellTime = 2 * time.Second
+
+// tell answers an operator's question.
+func (t *term) tell(m laddermessage.Tell) laddermessage.Message {
+	now := t.vm.clock.Now()
+	var answer fmt.Stringer
+	if m.Job == "" {
+		answer = t.planner.Overview(now)
+	} else {
+		e, ok := t.planner.Explain(now, m.Job)
+		if !ok {
+			return laddermessage.Told{}
+		}
+		answer = e
+	}
+	if !m.JSON {
+		return laddermessage.Told{Known: true, Text: answer.String()}
+	}
+	text, err := json.Marshal(answer)
+	if err != nil {
+		t.log.Error("answer can not be encoded", "err", err)
+		return laddermessage.Told{}
+	}
+	return laddermessage.Told{Known: true, Text: string(text)}
+}
+
+// operators returns the handler for metrics and for operators' questions: GET /top
+// and GET /explain/JOB, each with ?json=true for a machine's form.
+func (v *VM) operators() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		v.stats.set.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
+	mux.HandleFunc("GET /top", v.serveTell)
+	mux.HandleFunc("GET /explain/{job}", v.serveTell)
+	return mux
+}
+
+func (v *VM) serveTell(w http.ResponseWriter, r *http.Request) {
+	m := laddermessage.Tell{Job: strings.ToLower(r.PathValue("job")), JSON: r.URL.Query().Get("json") == "true"}
+	reply, ok := v.askLeader(r.Context(), m, tellTime)
+	told, is := reply.(laddermessage.Told)
+	switch {
+	case !ok || !is:
+		http.Error(w, "no leader answers now", http.StatusServiceUnavailable)
+	case !told.Known:
+		http.Error(w, "the leader knows no such job", http.StatusNotFound)
+	default:
+		// An operator that has left can't be told anything more.
+		_, _ = fmt.Fprint(w, told.Text)
+	}
+}
--- a/laddervm/term.go
+++ b/laddervm/term.go
@@ -281,6 +281,8 @@
 		return t.ask(ctx, func() laddermessage.Message {
 			return laddermessage.Counted{Pending: t.planner.Pending(m.Queue)}
 		}), nil
+	case laddermessage.Tell:
+		return t.ask(ctx, func() laddermessage.Message { return t.tell(m) }), nil
 	}
 	return nil, errors.New("the message is not for a leader")
 }
--- a/laddervm/vm.go
+++ b/laddervm/vm.go
@@ -122,7 +122,7 @@
 	if err != nil {
 		return err
 	}
-	measures, err := v.listen(netip.AddrPortFrom(v.settings.Address, v.metrics), v.stats.handler())
+	measures, err := v.listen(netip.AddrPortFrom(v.settings.Address, v.metrics), v.operators())
 	if err != nil {
 		return err
 	}
@@ -220,13 +220,6 @@
 	s.set.GetOrCreateCounter(`ladder_store_calls_total{kind="` + kind + `"}`).Inc()
 }
 
-func (s *stats) handler() http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		s.set.WritePrometheus(w)
-		metrics.WriteProcessMetrics(w)
-	})
-}
-
 // Reload takes over settings that may have changed while the VM runs: its bounds,
 // which the next term uses. Its addresses stay.
 func (v *VM) Reload(s *platform.Settings) {
