Notice a silent store whatever is given up meanwhile, and a dead worker by its successor

The patience is now that of the moment at which the silence began. Ruled out: the load of the machine alone. Test: TestSilence plays it without a clock. A 421 frees its tasks at once. Third: one VM did not end within the grace time; giving up the lead now runs beside the rest, which takes 5 s at most.

--- a/ladderplan/look.go
+++ b/ladderplan/look.go
@@ -1,6 +1,8 @@
 package ladderplan
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"lacewingladder/ladderflow"
@@ -215,9 +217,9 @@
 	switch {
 	case x.phase == sent:
 	case x.answered && x.settled.Before(sentAt):
-		p.lost(now, w, x, "the worker does not have it any more")
+		p.lost(now, w, "the worker does not have it any more", x)
 	case x.phase == stopping && !x.stopped.IsZero() && x.stopped.Before(sentAt):
-		p.lost(now, w, x, "it was stopped before it began")
+		p.lost(now, w, "it was stopped before it began", x)
 	case x.phase == unsure && x.settled.Before(sentAt):
 		p.stop(now, x, "its start was not answered")
 	case x.phase == stopping && !x.answered && x.stopped.IsZero():
@@ -225,12 +227,16 @@
 	}
 }
 
-// lost takes in that a run is gone without a listed end.
-func (p *Planner) lost(now time.Time, w *worker, x *run, why string) {
-	p.log.Info("run is lost", "task", x.name.Task, "run", x.name.Number, "worker", w.spec.ID, "why", why)
-	w.remove(x)
-	if t := x.task; t != nil && t.step.spec.Gang && t.step.round.job.live() {
-		p.breakGang(now, t.step)
+// lost takes in that runs of a worker are gone without a listed end.
+func (p *Planner) lost(now time.Time, w *worker, why string, runs ...*run) {
+	for _, x := range runs {
+		p.log.Info("run is lost", "task", x.name.Task, "run", x.name.Number, "worker", w.spec.ID, "why", why)
+		w.remove(x)
+	}
+	for _, x := range runs {
+		if t := x.task; t != nil && t.step.spec.Gang && t.step.round.job.live() {
+			p.breakGang(now, t.step)
+		}
 	}
 }
 
@@ -244,13 +250,22 @@
 	}
 }
 
+// Gone takes in that a worker has certainly ended: another answers at its address.
+func (p *Planner) Gone(now time.Time, id string) {
+	w, ok := p.workers[id]
+	if !ok {
+		return
+	}
+	w.failing = true
+	delete(p.unheard, id)
+	p.lost(now, w, "another worker answers at its address", slices.Collect(maps.Values(w.runs))...)
+}
+
 // lapse gives up the runs on workers whose lease has certainly ended.
 func (p *Planner) lapse(now time.Time) {
 	for id, w := range p.workers {
 		if w.failing && w.fenced && len(w.runs) > 0 && p.lapsed(now, w) {
-			for _, x := range w.runs {
-				p.lost(now, w, x, "the worker's lease has lapsed")
-			}
+			p.lost(now, w, "its lease has lapsed", slices.Collect(maps.Values(w.runs))...)
 		}
 		if !w.listed && len(w.runs) == 0 && !p.unheard[id] && now.Sub(w.heard) > silence {
 			delete(p.workers, id)
--- a/ladderplan/order_test.go
+++ b/ladderplan/order_test.go
@@ -151,3 +151,18 @@
 		})
 	}
 }
+
+// TestAnotherLifeAtTheAddress frees the tasks of a worker at once when another one
+// answers in its place.
+func TestAnotherLifeAtTheAddress(t *testing.T) {
+	b := newBed(t, 2)
+	b.submit("a", gangOf(5))
+	starts := b.begin()
+	require.Len(t, starts, 5)
+	gone := starts[0].Worker.ID
+	b.planner.Gone(b.now, gone)
+	require.Empty(t, b.planner.workers[gone].runs)
+	for _, s := range b.plan().Stops {
+		require.NotEqual(t, gone, s.Worker.ID, "the rest of the gang is stopped")
+	}
+}
--- a/laddervm/carrier.go
+++ b/laddervm/carrier.go
@@ -44,8 +44,8 @@
 	next int
 	// unserved is when the first call since the last useful answer was made, and
 	// unanswered since the last answer of any kind.
-	unserved   time.Time
-	unanswered time.Time
+	unserved   silence
+	unanswered silence
 }
 
 func newCarrier(v *VM) *carrier { return &carrier{vm: v, bad: map[string]time.Time{}} }
@@ -115,13 +115,9 @@
 	if call.Wait > 0 {
 		return call.Wait + watchSlack
 	}
-	now := c.vm.clock.Now()
-	if c.unserved.IsZero() {
-		c.unserved = now
-	}
-	if c.unanswered.IsZero() {
-		c.unanswered = now
-	}
+	now, patience := c.vm.clock.Now(), c.usual.within(outTime, slowTime)
+	c.unserved.begin(now, patience)
+	c.unanswered.begin(now, patience)
 	return c.usual.within(callTime, slowTime)
 }
 
@@ -130,10 +126,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if a.useful() {
-		c.unserved = time.Time{}
+		c.unserved.end()
 	}
 	if a.err == nil {
-		c.unanswered = time.Time{}
+		c.unanswered.end()
 	}
 }
 
@@ -141,19 +137,14 @@
 func (c *carrier) out() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.long(c.unserved)
+	return c.unserved.long(c.vm.clock.Now())
 }
 
 // silent reports whether the store has answered nothing for a while.
 func (c *carrier) silent() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.long(c.unanswered)
-}
-
-// long reports whether a time is set and a while ago. The lock is held.
-func (c *carrier) long(since time.Time) bool {
-	return !since.IsZero() && c.vm.clock.Now().Sub(since) > c.usual.within(outTime, slowTime)
+	return c.unanswered.long(c.vm.clock.Now())
 }
 
 // hedge returns after how long a call is also sent the other way.
--- a/laddervm/drive.go
+++ b/laddervm/drive.go
@@ -133,6 +133,9 @@
 		return
 	}
 	if err != nil {
+		if errors.Is(err, platform.ErrOtherLife) {
+			t.planner.Gone(t.vm.clock.Now(), d.worker.ID)
+		}
 		t.planner.LookFailed(d.worker.ID, errors.Is(err, platform.ErrFenced))
 		t.log.Debug("worker did not answer", "worker", d.worker.ID, "err", err)
 		t.vm.direct.Forget(d.worker.Address)
--- /dev/null
+++ b/laddervm/silence_test.go
@@ -0,0 +1,78 @@
+package laddervm
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestSilence lets several calls at once be given up: what the usual answer takes grows
+// by that, and the silence is noticed all the same.
+func TestSilence(t *testing.T) {
+	var u usual
+	var s silence
+	now := time.UnixMilli(0)
+	s.begin(now, u.within(outTime, slowTime))
+	for range 4 {
+		now = now.Add(outTime / 4)
+		s.begin(now, u.within(outTime, slowTime))
+		u.took(callTime)
+	}
+	require.Greater(t, u.within(outTime, slowTime), outTime)
+	require.False(t, s.long(now))
+	require.True(t, s.long(now.Add(time.Millisecond)))
+	s.end()
+	require.False(t, s.long(now.Add(time.Hour)))
+}
+
+func TestUsual(t *testing.T) {
+	var u usual
+	require.Equal(t, outTime, u.within(outTime, slowTime))
+	for range 50 {
+		u.took(time.Second)
+	}
+	require.Greater(t, u.within(outTime, slowTime), 2*time.Second)
+	for range 50 {
+		u.took(time.Hour)
+	}
+	require.Equal(t, slowTime, u.within(outTime, slowTime))
+}
+
+// TestWall lets the time of day jump ahead and back again.
+func TestWall(t *testing.T) {
+	var w wall
+	start := time.Now()
+	require.WithinDuration(t, start, w.now(start), time.Millisecond)
+	for i := range 20 {
+		now := start.Add(time.Duration(i) * wallGap)
+		require.WithinDuration(t, now, w.now(now), time.Millisecond)
+	}
+}
+
+// TestKeys accepts what is registered and nothing else.
+func TestKeys(t *testing.T) {
+	known := map[string]bool{}
+	trusts := func(hash string) bool { return known[hash] }
+	a, err := newKeys(trusts)
+	require.NoError(t, err)
+	b, err := newKeys(trusts)
+	require.NoError(t, err)
+	require.NotEqual(t, a.hash, b.hash)
+	for name, c := range map[string]struct {
+		register []string
+		ok       bool
+	}{
+		"both are registered":      {[]string{a.hash, b.hash}, true},
+		"the caller is a stranger": {[]string{b.hash}, false},
+		"the server is a stranger": {[]string{a.hash}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			clear(known)
+			for _, h := range c.register {
+				known[h] = true
+			}
+			require.Equal(t, c.ok, shake(t, a, b))
+		})
+	}
+}
--- a/laddervm/vm.go
+++ b/laddervm/vm.go
@@ -28,8 +28,10 @@
 	// rotateTime is how long a leaving VM goes on serving: the balancer asks once
 	// a second and takes a VM out after two misses.
 	rotateTime = 2500 * time.Millisecond
-	// lastTime bounds the answers that are still under way after that.
-	lastTime = 2 * time.Second
+	// lastTime bounds the answers that are still under way after that, and endTime the
+	// ending of the VM's lease. All of it stays below the platform's time of grace.
+	lastTime = 2200 * time.Millisecond
+	endTime  = 300 * time.Millisecond
 )
 
 // Options are what a [VM] is made of.
@@ -139,13 +141,15 @@
 	<-ctx.Done()
 	v.leaving.Store(true)
 	v.log.Info("is told to leave")
-	v.lead.resign()
+	v.wait.Go(v.lead.resign)
 	callers.SetKeepAlivesEnabled(false)
 	<-v.clock.After(rotateTime)
 	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastTime)
 	defer cancel()
 	err = errors.Join(callers.Shutdown(last), balancer.Shutdown(last), measures.Shutdown(last))
-	if err := v.registry.lease.end(last); err != nil {
+	ending, done := context.WithTimeout(context.WithoutCancel(ctx), endTime)
+	defer done()
+	if err := v.registry.lease.end(ending); err != nil {
 		v.log.Warn("entry is left to lapse", "err", err)
 	}
 	stop()
