--- a/ladderjob/job.go
+++ b/ladderjob/job.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"lacewingladder/ladderconfig"
+	"lacewingladder/ladderflow"
 	"lacewingladder/laddermodel"
 	"lacewingladder/ladderyaml"
 )
@@ -31,21 +32,18 @@
 	Submitted time.Time
 }
 
-// State is where a job stands.
-type State string
+// State is where a job stands. It is the same for jobs of both kinds.
+type State = ladderflow.State
 
 // The states of a job.
 const (
-	Queued    State = "queued"
-	Running   State = "running"
-	Done      State = "done"
-	Failed    State = "failed"
-	Cancelled State = "cancelled"
+	Queued    = ladderflow.Queued
+	Running   = ladderflow.Running
+	Done      = ladderflow.Done
+	Failed    = ladderflow.Failed
+	Cancelled = ladderflow.Cancelled
 )
 
-// Final reports whether a state is an end.
-func (s State) Final() bool { return s == Done || s == Failed || s == Cancelled }
-
 // View is what callers see of a job.
 type View struct {
 	Job   Job
