Try a failed task on another worker first

A task prefers workers on which it has not failed; a gang those on which no member has. Test: TestRetryElsewhere fails before. Log lines say what became of a submission in a word.

--- a/ladderjournal/journal.go
+++ b/ladderjournal/journal.go
@@ -57,6 +57,13 @@
 	Unsettled
 )
 
+// String returns an outcome in one word.
+func (o Outcome) String() string {
+	return [...]string{
+		Stored: "stored", Known: "known", Overtaken: "overtaken", Rejected: "rejected", Unsettled: "unsettled",
+	}[o]
+}
+
 // Submission is a job that is to be stored, with what became of it.
 type Submission struct {
 	Job      *ladderflow.Job
--- a/ladderplan/gang.go
+++ b/ladderplan/gang.go
@@ -31,8 +31,10 @@
 			list = append(list, choice{w, n})
 		}
 	}
+	shunned := f.step.gang.shunned
 	slices.SortFunc(list, func(a, b choice) int {
-		return cmp.Or(cmp.Compare(b.slots, a.slots),
+		return cmp.Or(cmp.Compare(b2i(shunned[a.worker.spec.ID]), b2i(shunned[b.worker.spec.ID])),
+			cmp.Compare(b.slots, a.slots),
 			cmp.Compare(leftover(a.worker, f.step.spec.Charge()), leftover(b.worker, f.step.spec.Charge())),
 			cmp.Compare(a.worker.spec.ID, b.worker.spec.ID))
 	})
--- a/ladderplan/health_test.go
+++ b/ladderplan/health_test.go
@@ -62,3 +62,27 @@
 		})
 	}
 }
+
+// TestRetryElsewhere lets a task fail: its next run goes to another worker while
+// there is one, and to the same one otherwise.
+func TestRetryElsewhere(t *testing.T) {
+	for name, step := range map[string]ladderflow.Step{"a task": tasks(1), "a gang": gangOf(2)} {
+		t.Run(name, func(t *testing.T) {
+			b := newBed(t, 2)
+			b.planner.fleet.Queues[0].Attempts = 9
+			b.submit("a", step)
+			used := map[string]bool{}
+			for range 2 {
+				s := b.begin()
+				require.NotEmpty(t, s)
+				require.False(t, used[s[0].Worker.ID], "it failed there before")
+				used[s[0].Worker.ID] = true
+				b.end(s[0], ladderflow.EndFailed)
+				for _, x := range s[1:] {
+					b.end(x, ladderflow.EndBroken)
+				}
+			}
+			require.NotEmpty(t, b.begin(), "no other worker is left")
+		})
+	}
+}
--- a/ladderplan/model.go
+++ b/ladderplan/model.go
@@ -66,7 +66,9 @@
 	run int
 	// failed holds the numbers of the runs that have failed.
 	failed []int
-	saved  string
+	// shunned holds the workers on which a member failed.
+	shunned map[string]bool
+	saved   string
 }
 
 func (s *step) ref() ladderflow.StepRef {
@@ -87,8 +89,10 @@
 	// failed holds the numbers of the runs that have failed. Their ends may be
 	// listed more than once, and in any order.
 	failed []int
-	saved  string
-	runs   []*run
+	// shunned holds the workers on which it failed; others are tried first.
+	shunned map[string]bool
+	saved   string
+	runs    []*run
 }
 
 func (t *task) name() ladderflow.Task {
--- a/ladderplan/place.go
+++ b/ladderplan/place.go
@@ -209,7 +209,7 @@
 		if !t.idle() {
 			continue
 		}
-		w := f.best(candidates)
+		w := f.best(candidates, t.shunned)
 		if w == nil {
 			return
 		}
@@ -217,9 +217,9 @@
 	}
 }
 
-// best returns the candidate that is left most evenly full, and prefers those in
-// the rack of the step's data.
-func (f *field) best(candidates []*worker) *worker {
+// best returns the candidate that is left most evenly full. It prefers those in the
+// rack of the step's data, and those on which the task has not failed yet.
+func (f *field) best(candidates []*worker, shunned map[string]bool) *worker {
 	var found *worker
 	var least float64
 	for _, w := range candidates {
@@ -230,6 +230,9 @@
 		if f.step.spec.Rack != "" && !w.has(f.step.spec.Rack) {
 			v += rackWeight
 		}
+		if shunned[w.spec.ID] {
+			v += shunWeight
+		}
 		if _, ok := f.kept[w]; ok {
 			v += keptWeight
 		}
@@ -241,10 +244,12 @@
 }
 
 const (
-	// keptWeight puts workers that gangs wait for behind all others, and rackWeight
-	// those away from the step's data behind these: what is left over is at most 6.
+	// keptWeight puts workers that gangs wait for behind all others, rackWeight those
+	// away from the step's data behind these, and shunWeight those on which the task
+	// has failed behind all: what is left over is at most 6.
 	keptWeight = 10
 	rackWeight = 20
+	shunWeight = 40
 )
 
 // leftover returns how much of a worker stays free once a task is on it, from 0 to
--- a/ladderplan/planner.go
+++ b/ladderplan/planner.go
@@ -235,14 +235,18 @@
 // endedBadly counts a failed run, and fails the job after the last attempt.
 func (p *Planner) endedBadly(now time.Time, w *worker, t *task, number int) {
 	s, j := t.step, t.step.round.job
-	failed := &t.failed
+	failed, shunned := &t.failed, &t.shunned
 	if s.spec.Gang {
-		failed = &s.gang.failed
+		failed, shunned = &s.gang.failed, &s.gang.shunned
 	}
 	if t.done || slices.Contains(*failed, number) {
 		return
 	}
 	*failed = append(*failed, number)
+	if *shunned == nil {
+		*shunned = map[string]bool{}
+	}
+	(*shunned)[w.spec.ID] = true
 	w.blame(now, j.spec.ID)
 	p.dirty[j.spec.ID] = j
 	attempts := p.attempts(j)
