--- a/ladderplan/health.go
+++ b/ladderplan/health.go
@@ -136,7 +136,7 @@
 		}
 		for _, x := range w.runs {
 			t := x.task
-			if t == nil || !t.step.spec.Filler || x.phase != live || now.Sub(x.over) < paceTime {
+			if t == nil || !t.step.spec.Filler || x.phase != live || now.Sub(x.paced) < paceTime {
 				continue
 			}
 			next := min(100, x.pace+paceStep)
@@ -146,7 +146,7 @@
 			if next == x.pace {
 				continue
 			}
-			x.pace, x.over = next, now
+			x.pace, x.paced = next, now
 			p.orders.Paces = append(p.orders.Paces, PaceOrder{Worker: w.spec, Run: x.name, Percent: next})
 		}
 	}
--- a/ladderplan/health_test.go
+++ b/ladderplan/health_test.go
@@ -86,3 +86,60 @@
 		})
 	}
 }
+
+// TestDrainingWorker lets a worker announce that it leaves: it gets no new task, and
+// what will not end in time is stopped so that it can go on elsewhere.
+func TestDrainingWorker(t *testing.T) {
+	for name, c := range map[string]struct {
+		step  ladderflow.Step
+		stops int
+	}{
+		"a short task ends there":   {tasks(1), 0},
+		"a long task is stopped":    {ladderflow.Step{Tasks: 1, Estimate: time.Minute}, 1},
+		"a lasting task is stopped": {ladderflow.Step{Tasks: 1, Lasting: true}, 1},
+		"a long gang is stopped":    {ladderflow.Step{Tasks: 2, Gang: true, Estimate: time.Minute}, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBed(t, 1)
+			b.submit("a", c.step)
+			require.Len(t, b.begin(), c.step.Tasks)
+			leaving := testWorker(0)
+			leaving.Draining, leaving.Leaves = true, 4*time.Second
+			b.planner.SetWorkers(b.now, []ladderflow.Worker{leaving})
+			b.submit("b", tasks(1))
+			o := b.plan()
+			require.Empty(t, o.Starts)
+			require.Len(t, o.Stops, c.stops)
+		})
+	}
+}
+
+// TestPaces slows a filler beside a serving task whose tail comes close to its
+// target, and lets it go again.
+func TestPaces(t *testing.T) {
+	b := newBed(t, 1)
+	serving := ladderflow.Step{Tasks: 1, Need: ladderflow.Size{Processor: 1000}, Lasting: true, Target: 100 * time.Millisecond}
+	b.submit("serving", serving)
+	b.submit("filler", ladderflow.Step{Tasks: 1, Need: ladderflow.Size{Processor: 4000}, Filler: true, Estimate: time.Hour})
+	starts := b.begin()
+	require.Len(t, starts, 2)
+	pace := func(tail time.Duration) []PaceOrder {
+		b.pass(time.Second)
+		var running []ladderflow.LiveRun
+		for i, s := range starts {
+			running = append(running, ladderflow.LiveRun{Run: s.Run, Percent: int(b.now.Unix()) % 100, Tail: tail * time.Duration(1-min(i, 1))})
+			if s.Run.Task.Job == "serving" {
+				running[i].Tail = tail
+			}
+		}
+		b.look("w0", ladderflow.Look{Running: running})
+		return b.plan().Paces
+	}
+	require.Empty(t, pace(50*time.Millisecond))
+	slowed := pace(95 * time.Millisecond)
+	require.Len(t, slowed, 1)
+	require.Equal(t, "filler", slowed[0].Run.Task.Job)
+	require.Equal(t, 50, slowed[0].Percent)
+	require.Equal(t, 25, pace(95 * time.Millisecond)[0].Percent)
+	require.Equal(t, 35, pace(20 * time.Millisecond)[0].Percent)
+}
--- a/ladderplan/model.go
+++ b/ladderplan/model.go
@@ -136,7 +136,8 @@
 	moved   time.Time
 	pace    int
 	tail    time.Duration
-	over    time.Time
+	// paced is when the pace was last changed.
+	paced time.Time
 }
 
 // worker is a worker with its room.
