--- a/ladderplan/advice.go
+++ b/ladderplan/advice.go
@@ -117,8 +117,13 @@
 // askForTasks asks about workers for the step's waiting tasks, where tickets are
 // missing.
 func (f *field) askForTasks() {
-	if f.queue != nil && f.queue.Advice != nil && f.step.waiting > 0 && f.mayAsk() {
-		f.askAbout(f.toAsk())
+	if f.queue == nil || f.queue.Advice == nil || f.step.waiting == 0 || !f.mayAsk() {
+		return
+	}
+	names := f.toAsk()
+	f.askAbout(names)
+	if len(names) == 0 {
+		f.step.tickets.next = f.now.Add(settledTime)
 	}
 }
 
@@ -153,7 +158,7 @@
 	need := float64(f.step.waiting)
 	soon := f.now.Add(f.queue.Advice.Cost(fewest))
 	var list []candidate
-	for _, w := range f.planner.workers {
+	for _, w := range f.pool() {
 		if !f.usable(w) || t.denied[w.spec.ID] {
 			continue
 		}
@@ -203,6 +208,7 @@
 
 // Advised takes in an answer of the advice service. Valid is zero when there was none.
 func (p *Planner) Advised(now time.Time, a Ask, allowed []ladderflow.Ticket, valid time.Duration, refused bool) {
+	p.moved = true
 	if valid == 0 {
 		p.broken[a.VM] = now.Add(brokenTime)
 	}
--- a/ladderplan/explain.go
+++ b/ladderplan/explain.go
@@ -92,7 +92,8 @@
 	q, _ := p.queue(s.round.job)
 	f := field{planner: p, step: s, queue: q, service: p.service(s.round.job), now: now}
 	usable, advised, slots := 0, 0, 0
-	for _, w := range p.workers {
+	p.refresh(now)
+	for _, w := range f.pool() {
 		if !f.usable(w) {
 			continue
 		}
--- a/ladderplan/gang.go
+++ b/ladderplan/gang.go
@@ -23,8 +23,8 @@
 // most first.
 func (f *field) choices(allowed func(*worker) bool) []choice {
 	var list []choice
-	for _, w := range f.planner.workers {
-		if !f.usable(w) || !allowed(w) || taken(f.reserved, w) || w.struck(f.now) {
+	for _, w := range f.pool() {
+		if !f.usable(w) || !allowed(w) || taken(f.reserved, w) || w.trial {
 			continue
 		}
 		if n := f.slots(w); n > 0 {
@@ -169,8 +169,8 @@
 // allowed, first what is there soonest.
 func (f *field) openings(reserved map[*worker]time.Duration) []opening {
 	var list []opening
-	for _, w := range f.planner.workers {
-		if f.usable(w) && !taken(reserved, w) && !w.struck(f.now) && f.known(w) {
+	for _, w := range f.pool() {
+		if f.usable(w) && !taken(reserved, w) && !w.trial && f.known(w) {
 			list = append(list, f.openingsOn(w)...)
 		}
 	}
@@ -217,8 +217,8 @@
 	t := &f.step.tickets
 	var names []string
 	slots := 0
-	for _, w := range f.planner.workers {
-		if n := f.slots(w); n > 0 && f.usable(w) && !f.known(w) && !t.denied[w.spec.ID] && !w.struck(f.now) {
+	for _, w := range f.pool() {
+		if n := f.slots(w); n > 0 && f.usable(w) && !f.known(w) && !t.denied[w.spec.ID] && !w.trial {
 			names = append(names, w.spec.ID)
 			slots += n
 		}
--- a/ladderplan/health.go
+++ b/ladderplan/health.go
@@ -123,6 +123,10 @@
 // setPaces slows fillers beside lasting tasks that come close to their target, and
 // lets them go again.
 func (p *Planner) setPaces(now time.Time) {
+	if now.Sub(p.paced) < paceLook {
+		return
+	}
+	p.paced = now
 	for _, w := range p.workers {
 		pressed, serving := false, false
 		for _, x := range w.runs {
@@ -156,6 +160,8 @@
 	// paceNear is at which part of its target, in hundredths, a serving task's tail
 	// makes the fillers beside it slower.
 	paceNear = 85
+	// paceLook is the time between looks at all paces.
+	paceLook = 100 * time.Millisecond
 	// paceTime is the least time between two changes of one run's pace: a change
 	// shows in a tail over half a second.
 	paceTime = 700 * time.Millisecond
--- a/ladderplan/look.go
+++ b/ladderplan/look.go
@@ -20,6 +20,7 @@
 
 // SetWorkers takes over the workers that the platform's store lists.
 func (p *Planner) SetWorkers(now time.Time, list []ladderflow.Worker) {
+	p.moved = true
 	listed := map[string]bool{}
 	for _, spec := range list {
 		listed[spec.ID] = true
@@ -60,7 +61,7 @@
 
 // SetRoster names the workers that the store lists as in use. Nothing starts on
 // others, since the next leader would not know of it.
-func (p *Planner) SetRoster(ids map[string]bool) { p.roster = ids }
+func (p *Planner) SetRoster(ids map[string]bool) { p.roster, p.moved = ids, true }
 
 // update takes over what a worker says of itself.
 func (w *worker) update(spec ladderflow.Worker) {
@@ -118,7 +119,7 @@
 	}
 	w.clock, w.heard, w.failing = l.Clock, now, false
 	if !w.fenced {
-		w.fenced = true
+		w.fenced, p.moved = true, true
 		// An earlier leader may have given the longest lease there is just now.
 		w.until = max(w.until, l.Clock+p.options.Longest)
 		p.log.Debug("worker is held", "worker", id, "fence", p.options.Fence, "running", len(l.Running))
@@ -229,6 +230,7 @@
 
 // lost takes in that runs of a worker are gone without a listed end.
 func (p *Planner) lost(now time.Time, w *worker, why string, runs ...*run) {
+	p.moved = true
 	for _, x := range runs {
 		p.log.Info("run is lost", "task", x.name.Task, "run", x.name.Number, "worker", w.spec.ID, "why", why)
 		w.remove(x)
@@ -276,7 +278,7 @@
 	}
 	limit := p.options.Elected.Add(p.options.Former + p.options.Hold*(100+drift)/100 + lapseMargin)
 	if len(p.unheard) == 0 || now.After(limit) {
-		p.certain = true
+		p.certain, p.moved = true, true
 		p.log.Info("all runs of earlier leaders are known", "unheard", len(p.unheard),
 			"after", now.Sub(p.options.Elected).Round(time.Millisecond))
 		clear(p.unheard)
--- a/ladderplan/model.go
+++ b/ladderplan/model.go
@@ -167,7 +167,9 @@
 	// spoke against it lately.
 	avoid   time.Time
 	strikes int
-	blamed  map[string]bool
+	// trial is true at a plan while the worker takes one task at a time.
+	trial  bool
+	blamed map[string]bool
 	// leaves is when a draining worker may be gone.
 	leaves time.Time
 	// going is until when a worker counts as ordered down.
--- a/ladderplan/order.go
+++ b/ladderplan/order.go
@@ -53,6 +53,7 @@
 
 // notStarted takes in that a worker did nothing.
 func (p *Planner) notStarted(now time.Time, w *worker, x *run, r Result) {
+	p.moved = true
 	p.log.Info("start was refused", "task", x.name.Task, "run", x.name.Number, "worker", w.spec.ID,
 		"reason", r.Refusal, "unsent", r.Unsent)
 	w.remove(x)
--- a/ladderplan/place.go
+++ b/ladderplan/place.go
@@ -11,6 +11,9 @@
 const (
 	// lateFactor times a job's aim is when its end is worth nothing any more.
 	lateFactor = 3
+	// settledTime is the time between two placements when nothing has happened that
+	// lets a task start but that time has passed.
+	settledTime = 20 * time.Millisecond
 	// maxReserved is how many gangs may keep workers for themselves at once. More
 	// would leave too many workers waiting half empty.
 	maxReserved = 8
@@ -51,7 +54,10 @@
 		p.sure = now
 	}
 	if right != NoRight {
-		p.place(now)
+		if p.moved || now.Sub(p.placed) >= settledTime {
+			p.moved, p.placed = false, now
+			p.place(now)
+		}
 		p.setPaces(now)
 	}
 	o := p.orders
@@ -61,6 +67,7 @@
 
 // place starts what can start, in the order of rank.
 func (p *Planner) place(now time.Time) {
+	p.refresh(now)
 	reserved := map[*worker]time.Duration{}
 	gangs := 0
 	for _, k := range p.ranked(now) {
@@ -168,13 +175,43 @@
 	kept map[*worker]time.Duration
 }
 
-// usable reports whether a worker takes new tasks at all.
+// refresh finds out which workers take new tasks at all, by service. It is done once
+// for each plan, since every step looks through them.
+func (p *Planner) refresh(now time.Time) {
+	for name := range p.pools {
+		p.pools[name] = p.pools[name][:0]
+	}
+	for _, w := range p.workers {
+		if p.takes(now, w) {
+			w.trial = w.struck(now)
+			p.pools[w.spec.Service] = append(p.pools[w.spec.Service], w)
+		}
+	}
+	for _, list := range p.pools {
+		slices.SortFunc(list, func(a, b *worker) int { return cmp.Compare(a.spec.ID, b.spec.ID) })
+	}
+}
+
+// takes reports whether a worker takes new tasks at all.
+func (p *Planner) takes(now time.Time, w *worker) bool {
+	switch {
+	case !w.listed, !w.fenced, w.failing, !w.leaves.IsZero(), now.Sub(w.heard) >= silence:
+		return false
+	case now.Before(w.avoid), now.Before(w.going), p.emptying[w.spec.ID], !p.roster[w.spec.ID]:
+		return false
+	case w.lived.After(p.sure):
+		return false
+	}
+	return w.spec.Born == 0 || w.spec.Born == w.born
+}
+
+// pool returns the workers that take new tasks of the step's service.
+func (f *field) pool() []*worker { return f.planner.pools[f.service] }
+
+// usable reports whether a worker of the pool takes tasks of the step. One that was
+// struck takes one at a time.
 func (f *field) usable(w *worker) bool {
-	return w.listed && w.fenced && f.planner.roster[w.spec.ID] && !w.failing && w.leaves.IsZero() && !f.now.Before(w.avoid) && !f.now.Before(w.going) &&
-		!f.planner.emptying[w.spec.ID] &&
-		f.now.Sub(w.heard) < silence && w.spec.Service == f.service && w.has(f.step.spec.Label) &&
-		!w.lived.After(f.planner.sure) && (w.spec.Born == 0 || w.spec.Born == w.born) &&
-		(!w.struck(f.now) || len(w.runs) == 0)
+	return w.has(f.step.spec.Label) && (!w.trial || len(w.runs) == 0)
 }
 
 // advised reports whether a worker may run the step now.
@@ -195,7 +232,7 @@
 // placeTasks starts as many single tasks as there is room for.
 func (f *field) placeTasks() {
 	var candidates []*worker
-	for _, w := range f.planner.workers {
+	for _, w := range f.pool() {
 		start, waited := f.reserved[w]
 		brief := backfill*float64(f.step.spec.Estimate) <= float64(start)
 		if f.usable(w) && f.advised(w) && f.slots(w) > 0 && (!waited || brief) {
--- a/ladderplan/planner.go
+++ b/ladderplan/planner.go
@@ -16,6 +16,8 @@
 	// cancelled holds cancellations of jobs that are not known yet.
 	cancelled map[string]time.Time
 	workers   map[string]*worker
+	// pools holds the workers that take new tasks at this plan, by service.
+	pools map[string][]*worker
 	// open holds the steps that may have tasks to start.
 	open  []*step
 	timed []*job
@@ -34,6 +36,12 @@
 	kept map[*worker]time.Duration
 	// deposed is true once a worker or the store obeys a newer leader.
 	deposed bool
+	// moved is true once something has happened that may let a task start, and placed
+	// is when tasks were last placed.
+	moved  bool
+	placed time.Time
+	// paced is when paces were last looked at.
+	paced time.Time
 	// sure is when the lead was last sure.
 	sure time.Time
 	// dueRetire is when ended jobs are next looked through.
@@ -44,7 +52,7 @@
 func New(o Options) *Planner {
 	return &Planner{
 		options: o, log: o.Log, jobs: map[string]*job{}, cancelled: map[string]time.Time{},
-		workers: map[string]*worker{}, unheard: map[string]bool{}, dirty: map[string]*job{},
+		workers: map[string]*worker{}, pools: map[string][]*worker{}, unheard: map[string]bool{}, dirty: map[string]*job{},
 		advisers: newAdvisers(),
 	}
 }
@@ -53,11 +61,12 @@
 func (p *Planner) Deposed() bool { return p.deposed }
 
 // SetFleet takes over a version of the configuration.
-func (p *Planner) SetFleet(f *ladderflow.Fleet) { p.fleet = f }
+func (p *Planner) SetFleet(f *ladderflow.Fleet) { p.fleet, p.moved = f, true }
 
 // AddJob takes in a job that the store holds. Inherited jobs may have been known
 // to an earlier leader.
 func (p *Planner) AddJob(now time.Time, spec *ladderflow.Job, inherited bool) {
+	p.moved = true
 	if _, ok := p.jobs[spec.ID]; ok {
 		return
 	}
@@ -89,6 +98,7 @@
 
 // openRound opens a round and those of its steps that come after no other.
 func (p *Planner) openRound(now time.Time, j *job, index int, due time.Time) {
+	p.moved = true
 	r := j.open(index, due)
 	j.next = max(j.next, index+1)
 	p.openSteps(now, r)
@@ -160,6 +170,7 @@
 
 // endRun takes in the end of a run, once for each run.
 func (p *Planner) endRun(now time.Time, w *worker, e ladderflow.EndedRun) {
+	p.moved = true
 	x := w.runs[e.Run]
 	j := p.jobs[e.Run.Task.Job]
 	var t *task
--- a/laddervm/term.go
+++ b/laddervm/term.go
@@ -22,8 +22,12 @@
 	// the store answers neither it nor any peer: nobody can have won the lead since.
 	// A next leader waits that long for workers that it can't reach.
 	outageTime = 4 * time.Second
-	// planGap is the least time between two plans, in which events gather.
-	planGap = 2 * time.Millisecond
+	// planGap is the least time between two plans, in which events gather, and longGap
+	// the most. Between them a plan is followed by planRest times its own time, so
+	// that a large fleet does not take the leader's whole processor for planning.
+	planGap  = 2 * time.Millisecond
+	longGap  = 80 * time.Millisecond
+	planRest = 3
 	// turnTime is the longest time between two plans: some things become due by
 	// time alone, such as lapsed leases and rounds.
 	turnTime = 60 * time.Millisecond
@@ -48,6 +52,8 @@
 	cancel  context.CancelFunc
 	inbox   chan func()
 	planner *ladderplan.Planner
+	// gap is the time to the next plan.
+	gap time.Duration
 	// loaded is true once the planner knows what the store holds.
 	loaded  bool
 	drivers map[string]*driver
@@ -151,7 +157,7 @@
 
 // drain runs the events that wait, and those that come within a short time.
 func (t *term) drain() {
-	gap := t.vm.clock.After(planGap)
+	gap := t.vm.clock.After(t.gap)
 	for {
 		select {
 		case f := <-t.inbox:
@@ -173,6 +179,7 @@
 	t.planner.SetVMs(t.vmNames())
 	o := t.planner.Plan(now, t.wall.now(now), t.right())
 	t.vm.stats.plan.UpdateDuration(now)
+	t.gap = min(max(planGap, planRest*t.vm.clock.Now().Sub(now)), longGap)
 	t.order(o)
 	t.save()
 }
