Go round to workers whose straight way fails; say once that a dependency is lost and regained

Cause: a leader that lost the path to some workers alone let their leases lapse, though peers reached them. Calls to such a worker go through one peer after the other for 2 s each; each call goes one way only, so no order is doubled.

--- a/laddervm/carrier.go
+++ b/laddervm/carrier.go
@@ -39,6 +39,8 @@
 	mu sync.Mutex
 	// shun is until when calls go through a peer first.
 	shun time.Time
+	// lost is since when the straight way fails, or zero.
+	lost time.Time
 	// bad is until when a peer is not used.
 	bad  map[string]time.Time
 	next int
@@ -174,8 +176,13 @@
 			c.usual.took(now.Sub(began))
 		}
 		c.shun = time.Time{}
+		if !c.lost.IsZero() {
+			c.vm.log.Info("store serves this VM again", "after", now.Sub(c.lost).Round(time.Millisecond))
+			c.lost = time.Time{}
+		}
 	case !errors.Is(err, context.Canceled):
-		if !now.Before(c.shun) {
+		if c.lost.IsZero() {
+			c.lost = now
 			c.vm.log.Warn("store does not serve this VM", "status", reply.Status, "err", err)
 		}
 		c.shun = now.Add(shunTime)
--- a/laddervm/lead.go
+++ b/laddervm/lead.go
@@ -172,6 +172,7 @@
 
 // keep renews the leader's lease as long as a term lasts.
 func (l *lead) keep(t *term) {
+	lost := false
 	for t.ctx.Err() == nil {
 		wait := leadRenew
 		err := l.lease.renew(t.ctx)
@@ -181,8 +182,13 @@
 		}
 		if err != nil && t.ctx.Err() == nil {
 			wait = retryTime
-			l.log.Warn("leader's lease is not renewed", "left", l.lease.left().Round(time.Millisecond), "err", err)
+			if !lost {
+				l.log.Warn("leader's lease is not renewed", "left", l.lease.left().Round(time.Millisecond), "err", err)
+			}
+		} else if lost {
+			l.log.Info("leader's lease is renewed again", "left", l.lease.left().Round(time.Millisecond))
 		}
+		lost = err != nil
 		select {
 		case <-t.ctx.Done():
 		case <-l.vm.clock.After(wait):
--- a/laddervm/registry.go
+++ b/laddervm/registry.go
@@ -173,6 +173,7 @@
 
 // keep registers the VM and renews its lease until ctx ends.
 func (r *registry) keep(ctx context.Context) {
+	lost := false
 	for ctx.Err() == nil {
 		wait := entryRenew
 		err := r.lease.renew(ctx)
@@ -181,10 +182,13 @@
 		}
 		if err != nil {
 			wait = retryTime
-			if ctx.Err() == nil {
+			if ctx.Err() == nil && !lost {
 				r.log.Warn("entry's lease is not renewed", "err", err)
 			}
+		} else if lost {
+			r.log.Info("entry's lease is renewed again", "lease", r.lease.current())
 		}
+		lost = err != nil
 		select {
 		case <-ctx.Done():
 		case <-r.vm.clock.After(wait):
--- /dev/null
+++ b/laddervm/route.go
@@ -0,0 +1,113 @@
+package laddervm
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"sync"
+	"time"
+
+	"lacewingladder/laddermessage"
+	"lacewingladder/platform"
+)
+
+const (
+	// detourTime is how long calls to a worker go through a peer before the straight
+	// way is tried again.
+	detourTime = 2 * time.Second
+	// orderWithin bounds a call that has no deadline.
+	orderWithin = 5 * time.Second
+)
+
+// routes remembers to which workers the straight way fails, and through which peer
+// they are called meanwhile. It is safe for concurrent use.
+type routes struct {
+	mu sync.Mutex
+	by map[netip.AddrPort]detour
+}
+
+// detour is a way round to a worker.
+type detour struct {
+	peer  string
+	until time.Time
+}
+
+// pick returns the peer through which a worker is called, or "" for the straight way.
+func (r *routes) pick(now time.Time, to netip.AddrPort) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	d, ok := r.by[to]
+	if !ok || !now.Before(d.until) {
+		return ""
+	}
+	return d.peer
+}
+
+// failed takes in that a way to a worker has failed, and chooses the next one: each
+// peer in turn, and then the straight way again.
+func (r *routes) failed(now time.Time, to netip.AddrPort, via string, peers []string) {
+	next := 0
+	for i, p := range peers {
+		if p == via {
+			next = i + 1
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if next >= len(peers) {
+		delete(r.by, to)
+		return
+	}
+	r.by[to] = detour{peer: peers[next], until: now.Add(detourTime)}
+}
+
+// workerCarrier carries calls to workers, each by one way only: what became of a call
+// that got no answer is for the planner to find out.
+type workerCarrier struct {
+	vm     *VM
+	routes routes
+}
+
+func newWorkerCarrier(v *VM) *workerCarrier {
+	return &workerCarrier{vm: v, routes: routes{by: map[netip.AddrPort]detour{}}}
+}
+
+// Carry implements [platform.Carrier].
+func (c *workerCarrier) Carry(ctx context.Context, to netip.AddrPort, call platform.Call) (platform.Reply, error) {
+	via := c.routes.pick(c.vm.clock.Now(), to)
+	reply, err := c.carry(ctx, to, call, via)
+	if err == nil || errors.Is(ctx.Err(), context.Canceled) {
+		return reply, err
+	}
+	var names []string
+	for _, p := range c.vm.registry.others() {
+		names = append(names, p.name)
+	}
+	c.routes.failed(c.vm.clock.Now(), to, via, names)
+	return reply, err
+}
+
+func (c *workerCarrier) carry(ctx context.Context, to netip.AddrPort, call platform.Call, via string) (platform.Reply, error) {
+	p, ok := c.vm.registry.find(via)
+	if via == "" || !ok {
+		return c.vm.direct.Carry(ctx, to, call)
+	}
+	within := orderWithin
+	if end, ok := ctx.Deadline(); ok {
+		within = time.Until(end)
+	}
+	m, err := c.vm.registry.call(ctx, p, laddermessage.Carry{To: to, Call: call, Within: within})
+	if err != nil {
+		return platform.Reply{}, err
+	}
+	r, ok := m.(laddermessage.Carried)
+	switch {
+	case !ok:
+		return platform.Reply{}, errors.New("the peer did not carry the call")
+	case r.Unsent:
+		return platform.Reply{}, platform.ErrUnsent
+	case r.Failed:
+		return platform.Reply{}, errors.New("the worker did not answer the peer")
+	}
+	return r.Reply, nil
+}
--- a/laddervm/save.go
+++ b/laddervm/save.go
@@ -23,6 +23,8 @@
 type saver struct {
 	busy bool
 	last time.Time
+	// lost is since when batches fail, or zero.
+	lost time.Time
 }
 
 func (s *saver) idle() bool { return !s.busy }
@@ -77,12 +79,20 @@
 		t.vm.lead.end(t, "the store names another leader")
 		return
 	case err != nil:
-		t.log.Warn("progress is not stored", "records", len(b.Records), "err", err)
+		if t.saver.lost.IsZero() {
+			t.saver.lost = t.vm.clock.Now()
+			t.log.Warn("progress is not stored", "records", len(b.Records), "err", err)
+		}
 		t.planner.NotSaved(b)
 		t.saver.busy = true
 		time.AfterFunc(saveRetry, func() { t.do(func() { t.saver.busy = false; t.save() }) })
 		return
 	}
+	if !t.saver.lost.IsZero() {
+		t.log.Info("progress is stored again", "records", len(b.Records),
+			"after", t.vm.clock.Now().Sub(t.saver.lost).Round(time.Millisecond))
+		t.saver.lost = time.Time{}
+	}
 	t.planner.Saved(b)
 	for _, d := range t.drivers {
 		t.lookOn(d.ctx, d)
--- a/laddervm/vm.go
+++ b/laddervm/vm.go
@@ -92,7 +92,7 @@
 	v.direct = platform.NewDirect(dialTime)
 	v.carrier = newCarrier(v)
 	v.store = platform.NewStore(v.carrier, s.Store)
-	v.workers = platform.NewWorkers(v.direct)
+	v.workers = platform.NewWorkers(newWorkerCarrier(v))
 	v.advice = platform.NewAdvice(v.direct, s.Advice)
 	v.machines = platform.NewMachines(v.direct, s.Machines)
 	v.journal = ladderjournal.New(v.store)
