--- a/ladderdemo/jobs.go
+++ b/ladderdemo/jobs.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -34,19 +32,43 @@
 	jobLook = 10 * time.Millisecond
 )
 
-// jobsConfig is the operators' configuration of [RunJobs].
-const jobsConfig = `{"version":1,"routes":[
- {"name":"checks","host":"demo.example","prefix":"/checks/","service":"pool","attempts":3,"stretchFactor":2,"goalMs":400,"priority":0,"advice":{"decideMs":2,"periodMs":0.1,"validMs":2000}},
- {"name":"regrades","host":"demo.example","prefix":"/regrades/","service":"pool","attempts":2,"stretchFactor":3,"goalMs":2000,"priority":1}],
- "services":[{"name":"pool"}]}`
+// jobsFleet is the operators' configuration of [RunJobs].
+var jobsFleet = &ladderflow.Fleet{
+	Version: 1, Services: map[string]ladderflow.Service{"pool": {Name: "pool"}},
+	Queues: []ladderflow.Queue{
+		{
+			Name: "checks", Host: jobsHost, Prefix: "/checks/", Service: "pool", Attempts: 3, Stretch: 2,
+			Goal:   400 * time.Millisecond,
+			Advice: &ladderflow.Advice{Base: 2 * time.Millisecond, PerWorker: 100 * time.Microsecond, Valid: 2 * time.Second},
+		},
+		{
+			Name: "regrades", Host: jobsHost, Prefix: "/regrades/", Service: "pool", Priority: 1, Attempts: 2, Stretch: 3,
+			Goal: 2 * time.Second,
+		},
+	},
+}
+
+const jobsHost = "demo.example"
 
 // jobKinds are the jobs that are handed in, in turn.
-var jobKinds = []struct{ prefix, steps string }{
-	{"/checks/", `[{"count":2,"cpu":1000,"memMb":256,"estimateMs":50}]`},
-	{"/regrades/", `[{"count":4,"cpu":4000,"memMb":1024,"estimateMs":200,"gang":true}]`},
-	{"/regrades/", `[{"count":6,"cpu":1000,"memMb":256,"estimateMs":100},{"count":1,"cpu":1000,"memMb":256,"estimateMs":50,"after":[0]}]`},
+var jobKinds = []struct {
+	prefix string
+	steps  []ladderflow.Step
+}{
+	{"/checks/", []ladderflow.Step{{Tasks: 2, Need: small, Estimate: 50 * time.Millisecond}}},
+	{"/regrades/", []ladderflow.Step{{Tasks: 4, Need: large, Estimate: 200 * time.Millisecond, Gang: true}}},
+	{"/regrades/", []ladderflow.Step{
+		{Tasks: 6, Need: small, Estimate: 100 * time.Millisecond},
+		{Tasks: 1, Need: small, Estimate: 50 * time.Millisecond, After: []int{0}},
+	}},
 }
 
+// The sizes of the demo's tasks.
+var (
+	small = ladderflow.Size{Processor: 1000, Memory: 256}
+	large = ladderflow.Size{Processor: 4000, Memory: 1024}
+)
+
 // JobsReport is what [RunJobs] has seen.
 type JobsReport struct {
 	Jobs, Done int
@@ -118,7 +140,7 @@
 			return err
 		}
 	}
-	s.fleet.Platform.Store().Txn(platform.Txn{Writes: []platform.Write{{Key: platform.FleetKey, Value: []byte(jobsConfig)}}})
+	s.fleet.Platform.Store().Txn(platform.Txn{Writes: []platform.Write{{Key: platform.FleetKey, Value: platform.FormatFleet(jobsFleet)}}})
 	for i := range jobVMs {
 		if err := s.startVM(ctx, fmt.Sprintf("e%d", i), store, advice, logs); err != nil {
 			return err
@@ -198,7 +220,7 @@
 // end. It returns zero for a job that is lost.
 func (s *stand) run(ctx context.Context, i int) time.Duration {
 	kind := jobKinds[i%len(jobKinds)]
-	body := `{"spec":"cut the jacket","steps":` + kind.steps + `}`
+	body := string(platform.FormatJob(&ladderflow.Job{Payload: "cut the jacket", Steps: kind.steps}))
 	path, began, taken := kind.prefix+jobID(i), time.Now(), false
 	for n := i; time.Since(began) < jobLimit; n++ {
 		caller := s.callers[n%len(s.callers)]
@@ -206,7 +228,7 @@
 			status, _, err := s.call(ctx, http.MethodPost, caller, path, body)
 			taken = err == nil && status == http.StatusOK
 		} else if status, answer, err := s.call(ctx, http.MethodGet, caller, path, ""); err == nil && status == http.StatusOK {
-			if state(answer) == "done" {
+			if state, err := platform.ParseState(answer); err == nil && state == ladderflow.Done {
 				return time.Since(began)
 			}
 		}
@@ -215,31 +237,21 @@
 	return 0
 }
 
-func state(answer string) string {
-	var a struct {
-		State string `json:"state"`
-	}
-	if json.Unmarshal([]byte(answer), &a) != nil {
-		return "" // Not a state; the caller asks again.
-	}
-	return a.State
-}
-
-func (s *stand) call(ctx context.Context, method, caller, path, body string) (int, string, error) {
+func (s *stand) call(ctx context.Context, method, caller, path, body string) (int, []byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, jobCall)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, method, "http://"+caller+path, strings.NewReader(body))
 	if err != nil {
-		return 0, "", err
+		return 0, nil, err
 	}
-	r.Host = "demo.example"
+	r.Host = jobsHost
 	response, err := http.DefaultClient.Do(r)
 	if err != nil {
-		return 0, "", err
+		return 0, nil, err
 	}
 	defer func() { _ = response.Body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(response.Body, 1<<20))
-	return response.StatusCode, string(data), errors.Join(err)
+	return response.StatusCode, data, err
 }
 
 // twice returns how many tasks of a job began more than once.
