Bound leaving by the platform's grace, and drop fields that nothing reads

Cause: the times of leaving were made for a grace of 6 s; a platform with a shorter one would kill the VM in them. They are shares of it now. Settings, options and fields that were decoded but not read are gone. Test: TestLeaveTimes.

--- a/ladderplan/look.go
+++ b/ladderplan/look.go
@@ -85,7 +85,6 @@
 	Until time.Duration
 	// Waiting is true while ends are listed that the store does not hold yet.
 	Waiting bool
-	Busy    bool
 }
 
 // Look returns how to look at a worker next. It is false for an unknown worker.
@@ -94,7 +93,7 @@
 	if !ok {
 		return NextLook{}, false
 	}
-	n := NextLook{Noted: w.noted, Waiting: w.seen > w.noted, Busy: len(w.runs) > 0}
+	n := NextLook{Noted: w.noted, Waiting: w.seen > w.noted}
 	if w.fenced && !w.failing {
 		n.Until = p.lease(now, w)
 	}
--- a/ladderplan/options.go
+++ b/ladderplan/options.go
@@ -31,9 +31,7 @@
 	Remembered time.Duration
 	// Remote times a task's work away from its data.
 	Remote float64
-	// Checkpoint is the work between two checkpoints.
-	Checkpoint time.Duration
-	Log        Log
+	Log    Log
 	// Order says which steps come first. It defaults to ByAim.
 	Order Order
 }
--- a/laddervm/carrier.go
+++ b/laddervm/carrier.go
@@ -56,7 +56,6 @@
 type answer struct {
 	reply platform.Reply
 	err   error
-	own   bool
 }
 
 // useful reports whether the store itself has answered the call.
@@ -168,7 +167,7 @@
 	began := c.vm.clock.Now()
 	reply, err := c.vm.direct.Carry(ctx, to, call)
 	now := c.vm.clock.Now()
-	a := answer{reply: reply, err: err, own: true}
+	a := answer{reply: reply, err: err}
 	c.mu.Lock()
 	switch {
 	case a.useful():
--- a/laddervm/drive.go
+++ b/laddervm/drive.go
@@ -47,7 +47,6 @@
 
 // setWorkers takes over the workers that the store lists, and drives each.
 func (t *term) setWorkers(list []ladderflow.Worker) {
-	t.listed = list
 	if !t.loaded {
 		return
 	}
--- a/laddervm/silence_test.go
+++ b/laddervm/silence_test.go
@@ -76,3 +76,16 @@
 		})
 	}
 }
+
+// TestLeaveTimes stays below the platform's time of grace, whatever it is.
+func TestLeaveTimes(t *testing.T) {
+	for name, grace := range map[string]time.Duration{"long": time.Minute, "usual": 6 * time.Second, "short": 2 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			rotate, answer := leaveTimes(grace)
+			require.Less(t, rotate+answer, grace*4/5)
+			require.Positive(t, rotate)
+		})
+	}
+	rotate, answer := leaveTimes(0)
+	require.Equal(t, rotateTime+lastTime, rotate+answer)
+}
--- a/laddervm/term.go
+++ b/laddervm/term.go
@@ -71,19 +71,20 @@
 	waves map[int64]bool
 	// rostering is true while the list of workers in use is being stored.
 	rostering bool
-	listed    []ladderflow.Worker
 }
 
 func newTerm(ctx context.Context, v *VM, lease *lease, fence int64, began time.Time) *term {
 	t := &term{
 		vm: v, log: v.logs.Limited("term", v.clock), lease: lease, fence: fence, began: began,
-		inbox: make(chan func(), inboxSize), slots: make(chan struct{}, maxOrders), drivers: map[string]*driver{}, roster: map[string]bool{}, waves: map[int64]bool{},
+		inbox: make(chan func(), inboxSize), slots: make(chan struct{}, maxOrders),
+		drivers: map[string]*driver{}, roster: map[string]bool{}, waves: map[int64]bool{},
 	}
 	t.ctx, t.cancel = context.WithCancel(ctx)
 	b := v.bounds.Load()
 	t.planner = ladderplan.New(ladderplan.Options{
-		Fence: fence, Hold: min(holdTime, b.LongestHold), Longest: b.LongestHold, Elected: began, Former: leadLease + outageTime,
-		StopTime: b.StopTime, Remembered: b.Remembered, Remote: b.Remote, Checkpoint: b.Checkpoint,
+		Fence: fence, Hold: min(holdTime, b.LongestHold), Longest: b.LongestHold,
+		Elected: began, Former: leadLease + outageTime,
+		StopTime: b.StopTime, Remembered: b.Remembered, Remote: b.Remote,
 		Log: v.logs.Limited("plan", v.clock),
 	})
 	t.planner.SetFleet(v.fleet.Load())
--- a/laddervm/vm.go
+++ b/laddervm/vm.go
@@ -29,9 +29,13 @@
 	// a second and takes a VM out after two misses.
 	rotateTime = 2500 * time.Millisecond
 	// lastTime bounds the answers that are still under way after that, and endTime the
-	// ending of the VM's lease. All of it stays below the platform's time of grace.
+	// ending of the VM's lease.
 	lastTime = 2200 * time.Millisecond
 	endTime  = 300 * time.Millisecond
+	// rotateShare and lastShare bound the first two by the platform's time of grace, in
+	// hundredths, so that the rest of it is left for a slow VM.
+	rotateShare = 42
+	lastShare   = 37
 )
 
 // Options are what a [VM] is made of.
@@ -143,8 +147,9 @@
 	v.log.Info("is told to leave")
 	v.wait.Go(v.lead.resign)
 	callers.SetKeepAlivesEnabled(false)
-	<-v.clock.After(rotateTime)
-	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastTime)
+	rotate, answer := leaveTimes(v.bounds.Load().Grace)
+	<-v.clock.After(rotate)
+	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), answer)
 	defer cancel()
 	err = errors.Join(callers.Shutdown(last), balancer.Shutdown(last), measures.Shutdown(last))
 	ending, done := context.WithTimeout(context.WithoutCancel(ctx), endTime)
@@ -159,6 +164,15 @@
 	return nil
 }
 
+// leaveTimes returns for how long a leaving VM goes on serving, and how long the answers
+// under way may take then. A platform that states no grace gives enough.
+func leaveTimes(grace time.Duration) (rotate, answer time.Duration) {
+	if grace <= 0 {
+		return rotateTime, lastTime
+	}
+	return min(rotateTime, grace*rotateShare/100), min(lastTime, grace*lastShare/100)
+}
+
 // listen serves HTTP at an address.
 func (v *VM) listen(address netip.AddrPort, h http.Handler) (*http.Server, error) {
 	l, err := net.Listen("tcp", address.String())
