--- a/ladderplan/model.go
+++ b/ladderplan/model.go
@@ -57,6 +57,8 @@
 	tickets tickets
 	// on counts the step's runs on each worker.
 	on map[*worker]int
+	// preempted is when other tasks last made room for the step.
+	preempted time.Time
 	// since is when the step first waited.
 	since time.Time
 }
--- a/ladderplan/place.go
+++ b/ladderplan/place.go
@@ -88,6 +88,7 @@
 		case !s.spec.Gang:
 			f.placeTasks()
 			f.askForTasks()
+			f.preempt()
 		case !f.placeGang() && gangs < maxReserved:
 			gangs++
 			f.awaitGang(reserved)
--- /dev/null
+++ b/ladderplan/preempt.go
@@ -0,0 +1,82 @@
+package ladderplan
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"lacewingladder/ladderflow"
+)
+
+const (
+	// preemptAfter is how long an urgent task waits for room before others make it:
+	// many tasks end by themselves in that time.
+	preemptAfter = 150 * time.Millisecond
+	// preemptGap is the time between two preemptions for one step: the room of the last
+	// one must come back before it is known that more is needed.
+	preemptGap = 250 * time.Millisecond
+)
+
+// preempt lets tasks of less urgent queues make room for an urgent task that has
+// waited: tasks that go on from a checkpoint elsewhere, the least processors first.
+func (f *field) preempt() {
+	s := f.step
+	if s.waiting == 0 || f.queue == nil || f.queue.Priority > 0 || s.spec.Gang ||
+		f.now.Sub(s.since) < preemptAfter || f.now.Sub(s.preempted) < preemptGap {
+		return
+	}
+	var victims []*run
+	least := 0
+	for _, w := range f.pool() {
+		if !f.usable(w) || !f.advised(w) {
+			continue
+		}
+		list, cost, ok := f.victims(w)
+		if ok && (victims == nil || cost < least) {
+			victims, least = list, cost
+		}
+	}
+	for _, x := range victims {
+		f.planner.log.Info("run makes room", "task", x.name.Task, "run", x.name.Number, "worker", x.worker.spec.ID, "for", s.ref())
+		f.planner.stop(f.now, x, "an urgent task takes its room")
+		s.preempted = f.now
+	}
+}
+
+// victims returns the fewest runs of a worker whose end makes room for one task, and
+// their processors. It is false when there are none, or when some are ending already.
+func (f *field) victims(w *worker) ([]*run, int, bool) {
+	var able []*run
+	for _, x := range w.runs {
+		if x.phase == stopping {
+			return nil, 0, false
+		}
+		if x.phase == live && f.yields(x) {
+			able = append(able, x)
+		}
+	}
+	slices.SortFunc(able, func(a, b *run) int {
+		return cmp.Or(cmp.Compare(b.size.Processor, a.size.Processor), cmp.Compare(a.name.Task.Job, b.name.Task.Job),
+			cmp.Compare(a.name.Task.Index, b.name.Task.Index))
+	})
+	need, free, cost := f.step.spec.Charge(), w.free, 0
+	for i, x := range able {
+		free = free.Plus(x.size)
+		cost += x.size.Processor
+		if need.Fits(free) {
+			return able[:i+1], cost, true
+		}
+	}
+	return nil, 0, false
+}
+
+// yields reports whether a run can go on elsewhere and is less urgent.
+func (f *field) yields(x *run) bool {
+	if x.task == nil {
+		return false
+	}
+	s := x.task.step
+	q, ok := f.planner.queue(s.round.job)
+	return ok && q.Priority > f.queue.Priority && s.spec.Checkpoints && !s.spec.Gang && !s.spec.Lasting &&
+		x.size != ladderflow.Size{}
+}
