Name each life of a VM so that no other can share it

Cause: a life was named by a ULID whose entropy is seeded by the time of the process's start. A life now holds the VM's name and chance from the system; a writer's mark has a token of its own. Ruled out: preemption, the order of commits, the reading of records. Tests: TestLives, TestMarksAreNotShared (fails before).

--- a/ladderjournal/journal.go
+++ b/ladderjournal/journal.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/rand"
 	"errors"
 	"fmt"
 	"strings"
@@ -200,13 +201,15 @@
 	// order and roster are the revisions of those keys, as far as known.
 	order  int64
 	roster int64
-	count  int
+	// token and count make the mark of each write, which no other writer repeats.
+	token string
+	count int
 }
 
 // Progress returns the writer of the leader whose key is of the given revision,
 // after it has read the store's contents.
 func (j *Journal) Progress(leader int64, c *Contents) *Progress {
-	return &Progress{journal: j, leader: leader, order: c.order, roster: c.roster}
+	return &Progress{journal: j, leader: leader, order: c.order, roster: c.roster, token: rand.Text()}
 }
 
 // Commit stores at most [MaxRecords] records.
@@ -236,7 +239,7 @@
 // either this very one, by another way, or one that this one is to follow.
 func (p *Progress) write(ctx context.Context, key string, order *int64, writes []platform.Write) error {
 	p.count++
-	mark := fmt.Sprintf("%d/%d", p.leader, p.count)
+	mark := fmt.Sprintf("%s/%d", p.token, p.count)
 	for range writeTries {
 		revision, found, err := p.journal.store.Commit(ctx, platform.Txn{
 			If:     []platform.Condition{{Key: LeaderKey, Changed: p.leader}, {Key: key, Changed: *order}},
--- a/ladderjournal/journal_test.go
+++ b/ladderjournal/journal_test.go
@@ -248,3 +248,18 @@
 		require.Equal(t, Stored, x.Outcome, x.Err)
 	}
 }
+
+// TestMarksAreNotShared lets two writers believe that they hold the same lead: the
+// second must not take the first one's write for its own.
+func TestMarksAreNotShared(t *testing.T) {
+	ctx := context.Background()
+	s := newShelf()
+	j := New(s)
+	leader := s.lead()
+	a, b := j.Progress(leader, &Contents{}), j.Progress(leader, &Contents{})
+	require.NoError(t, a.Commit(ctx, record("a", ladderflow.Done)))
+	require.NoError(t, b.Commit(ctx, record("b", ladderflow.Done)))
+	c, err := j.Load(ctx)
+	require.NoError(t, err)
+	require.Len(t, c.Records, 2)
+}
--- a/laddervm/registry.go
+++ b/laddervm/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"errors"
 	"fmt"
 	"net/netip"
@@ -75,9 +76,16 @@
 	changed chan struct{}
 }
 
+// newLife returns a name for one life of a VM. It holds the VM's own name, and chance
+// from the system: two VMs that start at the same instant must never share it, since
+// each takes the leader's key that names its life for its own.
+func newLife(name string) string {
+	return name + "/" + ulid.MustNew(ulid.Now(), rand.Reader).String()
+}
+
 func newRegistry(v *VM) *registry {
 	return &registry{
-		vm: v, log: v.logs.Limited("registry", v.clock), life: ulid.Make().String(), peers: map[string]peer{}, shunned: map[string]time.Time{},
+		vm: v, log: v.logs.Limited("registry", v.clock), life: newLife(v.settings.Name), peers: map[string]peer{}, shunned: map[string]time.Time{},
 		lease:   newLease(v, entryLease),
 		changed: make(chan struct{}, 1),
 	}
--- a/laddervm/silence_test.go
+++ b/laddervm/silence_test.go
@@ -1,6 +1,7 @@
 package laddervm
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -89,3 +90,16 @@
 	rotate, answer := leaveTimes(0)
 	require.Equal(t, rotateTime+lastTime, rotate+answer)
 }
+
+// TestLives names each life of each VM apart, however many begin at once.
+func TestLives(t *testing.T) {
+	seen := map[string]bool{}
+	for range 200 {
+		for _, name := range []string{"e1", "e2"} {
+			life := newLife(name)
+			require.False(t, seen[life], life)
+			require.True(t, strings.HasPrefix(life, name+"/"), "no other VM can draw it")
+			seen[life] = true
+		}
+	}
+}
