Let gangs that are too large for their workers hold up nobody

Cause: at most eight gangs that do not fit yet are looked after at a plan, those first that should begin first. Gangs that no set of their workers could ever hold were counted among the eight, for as long as they were known, so that every other gang that needs advice waited behind them for ever. Ruled out: shunned workers and stuck questions (the log shows no question and no start of the job after its third failure). TestGangTooLargeForItsWorkers fails without the check in place.

--- a/ladderplan/gang.go
+++ b/ladderplan/gang.go
@@ -80,6 +80,44 @@
 	return true
 }
 
+// recountTime is the time between two looks at whether a gang that is too large fits
+// on the workers after all: workers come, and answers of the advice service.
+const recountTime = 500 * time.Millisecond
+
+// holdable reports whether the workers of the step could hold the whole gang if they
+// were empty. A gang that is too large for them must not stand in the way of others.
+func (f *field) holdable() bool {
+	g := &f.step.gang
+	if f.now.Before(g.recount) {
+		return false
+	}
+	room := 0
+	for _, w := range f.planner.workers {
+		if !w.listed || w.spec.Service != f.service || !w.has(f.step.spec.Label) || f.step.tickets.denied[w.spec.ID] {
+			continue
+		}
+		room += f.step.most(w)
+		if room >= len(f.step.tasks) {
+			return true
+		}
+	}
+	if g.recount.IsZero() {
+		f.planner.log.Info("gang is too large for the workers that may run it", "step", f.step.ref(),
+			"members", len(f.step.tasks), "room", room)
+	}
+	g.recount = f.now.Add(recountTime)
+	return false
+}
+
+// most returns how many tasks of the step an empty worker holds.
+func (s *step) most(w *worker) int {
+	limit := len(s.tasks)
+	if s.spec.Spread > 0 {
+		limit = min(limit, s.spec.Spread)
+	}
+	return s.spec.Charge().Times(w.spec.Capacity, limit)
+}
+
 // oneRack returns the choices of the rack that holds the whole gang, or nil.
 func (f *field) oneRack(list []choice) []choice {
 	racks := map[string][]choice{}
--- a/ladderplan/gang_test.go
+++ b/ladderplan/gang_test.go
@@ -1,6 +1,7 @@
 package ladderplan
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -57,3 +58,56 @@
 	}
 	require.Len(t, b.begin(), 4)
 }
+
+// TestGangTooLargeForItsWorkers hands in more gangs that no set of workers can hold
+// than may reserve workers at once: a gang behind them that fits starts all the same.
+func TestGangTooLargeForItsWorkers(t *testing.T) {
+	for name, large := range map[string]ladderflow.Step{
+		"too many members": gangOf(9),
+		"label of one worker": func() ladderflow.Step {
+			s := gangOf(5)
+			s.Label = "r1"
+			return s
+		}(),
+		"one on each worker": func() ladderflow.Step {
+			s := gangOf(3)
+			s.Spread = 1
+			s.Label = "r0"
+			s.Need.Processor = 5000
+			s.Tasks = 5
+			return s
+		}(),
+	} {
+		t.Run(name, func(t *testing.T) {
+			workers := 2
+			if large.Label != "" {
+				workers = 5
+			}
+			b := newBed(t, workers)
+			b.planner.fleet.Queues[0].Advice = &ladderflow.Advice{Base: 10 * time.Millisecond, Valid: 2 * time.Second}
+			b.planner.SetVMs([]string{"e1"})
+			for i := range maxReserved + 1 {
+				b.submit(fmt.Sprintf("large%d", i), large)
+			}
+			b.pass(time.Millisecond)
+			b.submit("small", gangOf(2))
+			for range 100 {
+				o := b.plan()
+				if len(o.Starts) > 0 {
+					require.Equal(t, "small", o.Starts[0].Run.Task.Job)
+					return
+				}
+				b.pass(settledTime)
+				for _, a := range o.Asks {
+					var allowed []ladderflow.Ticket
+					for _, w := range a.Workers {
+						allowed = append(allowed, ladderflow.Ticket{Worker: w, Text: "x"})
+					}
+					b.planner.Advised(b.now, a, allowed, 2*time.Second, false)
+				}
+				b.lookAll(nil)
+			}
+			t.Fatal("the small gang never starts")
+		})
+	}
+}
--- a/ladderplan/model.go
+++ b/ladderplan/model.go
@@ -71,6 +71,8 @@
 	// shunned holds the workers on which a member failed.
 	shunned map[string]bool
 	saved   string
+	// recount is when a gang that was too large for the workers is next compared with them.
+	recount time.Time
 }
 
 func (s *step) ref() ladderflow.StepRef {
--- a/ladderplan/place.go
+++ b/ladderplan/place.go
@@ -89,7 +89,7 @@
 			f.placeTasks()
 			f.askForTasks()
 			f.preempt()
-		case !f.placeGang() && gangs < maxReserved:
+		case !f.placeGang() && gangs < maxReserved && f.holdable():
 			gangs++
 			f.awaitGang(reserved)
 		}
