--- a/ladderload/play.go
+++ b/ladderload/play.go
@@ -1,10 +1,13 @@
 package ladderload
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -59,6 +62,14 @@
 	looking bool
 }
 
+// listed returns what runs on the worker, in an order that repeats.
+func (w *worker) listed() []ladderflow.Run {
+	return slices.SortedFunc(maps.Keys(w.running), func(a, b ladderflow.Run) int {
+		return cmp.Or(cmp.Compare(a.Task.Job, b.Task.Job), cmp.Compare(a.Task.Step, b.Task.Step),
+			cmp.Compare(a.Task.Index, b.Task.Index), cmp.Compare(a.Number, b.Number))
+	})
+}
+
 // play is the state of one play.
 type play struct {
 	load *Load
@@ -165,7 +176,8 @@
 		w.ended = w.ended[1:]
 	}
 	l := ladderflow.Look{Born: 1, Clock: p.now, Ended: w.ended}
-	for name, began := range w.running {
+	for _, name := range w.listed() {
+		began := w.running[name]
 		whole := p.jobs[name.Task.Job].work(name.Task, w.speed)
 		percent := 100 * float64(p.now-began) / float64(max(whole, 1))
 		l.Running = append(l.Running, ladderflow.LiveRun{Run: name, Percent: int(min(percent, 99))})
@@ -250,7 +262,7 @@
 	p.after(lookTime, func() {
 		w.looking = false
 		l := ladderflow.Look{Born: 1, Clock: p.now, Ended: w.ended}
-		for name := range w.running {
+		for _, name := range w.listed() {
 			l.Running = append(l.Running, ladderflow.LiveRun{Run: name, Percent: 50})
 		}
 		p.planner.Looked(p.time(), w.spec.ID, p.time(), l)
--- a/ladderload/result.go
+++ b/ladderload/result.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -56,7 +57,8 @@
 // finish counts what each job has earned.
 func (p *play) finish() {
 	earned, owed := 0.0, 0.0
-	for _, j := range p.jobs {
+	for _, id := range slices.Sorted(maps.Keys(p.jobs)) {
+		j := p.jobs[id]
 		i := slices.IndexFunc(p.result.Queues, func(q QueueResult) bool { return q.Name == j.queue.Name })
 		q := &p.result.Queues[i]
 		q.Jobs++
--- a/ladderplan/advice.go
+++ b/ladderplan/advice.go
@@ -39,25 +39,61 @@
 
 // tickets is what is known of a step's workers.
 type tickets struct {
-	rows   map[string]ticket
+	// rows holds the workers that are known to be allowed, by their ids, and denied
+	// those that are not.
+	rows   []ticket
 	denied map[string]bool
 	asking bool
 	next   time.Time
 }
 
+// ticket allows a step on a worker until a time.
 type ticket struct {
-	text  string
-	until time.Time
+	worker string
+	text   string
+	until  time.Time
 }
 
+// find returns a worker's place among the rows. It is false when the worker has none.
+func (t *tickets) find(worker string) (int, bool) {
+	return slices.BinarySearchFunc(t.rows, worker, func(k ticket, id string) int { return cmp.Compare(k.worker, id) })
+}
+
+// known reports whether a worker is known to be allowed.
+func (t *tickets) known(worker string) bool {
+	_, ok := t.find(worker)
+	return ok
+}
+
+// valid reports whether a worker's ticket can be used at a time.
 func (t *tickets) valid(worker string, now time.Time) bool {
-	return now.Before(t.rows[worker].until)
+	i, ok := t.find(worker)
+	return ok && now.Before(t.rows[i].until)
+}
+
+// text returns a worker's ticket as its orders carry it.
+func (t *tickets) text(worker string) string {
+	i, ok := t.find(worker)
+	if !ok {
+		return ""
+	}
+	return t.rows[i].text
+}
+
+// put takes in a ticket.
+func (t *tickets) put(k ticket) {
+	i, ok := t.find(k.worker)
+	if ok {
+		t.rows[i] = k
+		return
+	}
+	t.rows = slices.Insert(t.rows, i, k)
 }
 
 // drop forgets a ticket, but not that the worker is allowed.
 func (t *tickets) drop(worker string) {
-	if _, ok := t.rows[worker]; ok {
-		t.rows[worker] = ticket{}
+	if i, ok := t.find(worker); ok {
+		t.rows[i] = ticket{worker: worker}
 	}
 }
 
@@ -117,7 +153,7 @@
 // askForTasks asks about workers for the step's waiting tasks, where tickets are
 // missing.
 func (f *field) askForTasks() {
-	if f.queue == nil || f.queue.Advice == nil || f.step.waiting == 0 || !f.mayAsk() {
+	if !f.needsTickets() || f.step.waiting == 0 || !f.mayAsk() {
 		return
 	}
 	names := f.toAsk()
@@ -135,7 +171,7 @@
 // askAbout asks about workers, unless a question of the step is under way.
 func (f *field) askAbout(names []string) {
 	t := &f.step.tickets
-	if len(names) == 0 || f.queue == nil || f.queue.Advice == nil || !f.mayAsk() {
+	if len(names) == 0 || !f.needsTickets() || !f.mayAsk() {
 		return
 	}
 	cost := f.queue.Advice.Cost(len(names))
@@ -167,7 +203,7 @@
 			need -= float64(n)
 			continue
 		}
-		_, known := t.rows[w.spec.ID]
+		known := t.known(w.spec.ID)
 		if !known && n == 0 && f.step.spec.Charge().Times(w.spec.Capacity, 1) == 0 {
 			continue
 		}
@@ -226,14 +262,14 @@
 		t.next = now.Add(askAgain)
 		return
 	}
-	if t.rows == nil {
-		t.rows, t.denied = map[string]ticket{}, map[string]bool{}
+	if t.denied == nil {
+		t.denied = map[string]bool{}
 	}
 	for _, x := range allowed {
-		t.rows[x.Worker] = ticket{text: x.Text, until: now.Add(valid - ticketMargin)}
+		t.put(ticket{worker: x.Worker, text: x.Text, until: now.Add(valid - ticketMargin)})
 	}
 	for _, w := range a.Workers {
-		if _, ok := t.rows[w]; !ok {
+		if !t.known(w) {
 			t.denied[w] = true
 		}
 	}
--- a/ladderplan/explain.go
+++ b/ladderplan/explain.go
@@ -94,11 +94,12 @@
 	usable, advised, slots := 0, 0, 0
 	p.refresh(now)
 	for _, w := range f.pool() {
-		if !f.usable(w) {
-			continue
+		if f.usable(w) {
+			usable++
 		}
-		usable++
-		if f.advised(w) {
+	}
+	for _, w := range f.advised() {
+		if f.usable(w) {
 			advised++
 			slots += f.slots(w)
 		}
@@ -193,7 +194,7 @@
 	for _, q := range byQueue {
 		o.Queues = append(o.Queues, *q)
 	}
-	for _, w := range p.workers {
+	for _, w := range p.everyWorker() {
 		o.Workers = append(o.Workers, WorkerOverview{
 			ID: w.spec.ID, Zone: w.spec.Zone, Runs: len(w.runs), Free: w.free, Size: w.spec.Capacity,
 			Heard: now.Sub(w.heard), Status: w.status(now, p.roster[w.spec.ID]),
--- a/ladderplan/gang.go
+++ b/ladderplan/gang.go
@@ -21,10 +21,10 @@
 
 // choices returns the workers that can take members of a gang now, those that take
 // most first.
-func (f *field) choices(allowed func(*worker) bool) []choice {
+func (f *field) choices() []choice {
 	var list []choice
-	for _, w := range f.pool() {
-		if !f.usable(w) || !allowed(w) || taken(f.reserved, w) || w.trial {
+	for _, w := range f.advised() {
+		if !f.usable(w) || taken(f.reserved, w) || w.trial {
 			continue
 		}
 		if n := f.slots(w); n > 0 {
@@ -49,7 +49,7 @@
 			return true // An earlier attempt is still being cleared away.
 		}
 	}
-	list := f.choices(f.advised)
+	list := f.choices()
 	if s.spec.OneRack {
 		if one := f.oneRack(list); one != nil || !f.mayScatter() {
 			list = one
@@ -165,7 +165,7 @@
 // tickets early enough to be there when the room is.
 func (f *field) awaitGang(reserved map[*worker]time.Duration) {
 	t := &f.step.tickets
-	advised := f.queue != nil && f.queue.Advice != nil
+	advised := f.needsTickets()
 	if advised && len(t.rows) == 0 {
 		f.askForTasks()
 		return
@@ -207,8 +207,8 @@
 // allowed, first what is there soonest.
 func (f *field) openings(reserved map[*worker]time.Duration) []opening {
 	var list []opening
-	for _, w := range f.pool() {
-		if f.usable(w) && !taken(reserved, w) && !w.trial && f.known(w) {
+	for _, w := range f.allowed() {
+		if f.usable(w) && !taken(reserved, w) && !w.trial {
 			list = append(list, f.openingsOn(w)...)
 		}
 	}
@@ -224,20 +224,9 @@
 	if f.step.spec.Spread > 0 {
 		limit = min(limit, f.step.spec.Spread-f.step.on[w])
 	}
-	type end struct {
-		after time.Duration
-		size  ladderflow.Size
-	}
-	ends := []end{{}}
-	for _, x := range w.runs {
-		if x.task != nil && !x.task.step.spec.Lasting {
-			ends = append(ends, end{x.rest(f.now), x.size})
-		}
-	}
-	slices.SortFunc(ends, func(a, b end) int { return cmp.Compare(a.after, b.after) })
 	var list []opening
 	free := w.free
-	for _, e := range ends {
+	for _, e := range w.roomEnds(f.now, f.planner.turn) {
 		free = free.Plus(e.size)
 		for n := f.step.spec.Charge().Times(free, max(limit, 0)); len(list) < n; {
 			list = append(list, opening{w, e.after})
@@ -246,17 +235,43 @@
 	return list
 }
 
+// runEnd is the room that a run gives back, and how long until then.
+type runEnd struct {
+	after time.Duration
+	size  ladderflow.Size
+}
+
+// roomEnds returns when a worker's runs should end, first what ends first, after an
+// empty one for the room that is free. It is worked out once for each placement.
+func (w *worker) roomEnds(now time.Time, turn int64) []runEnd {
+	if w.endsTurn == turn {
+		return w.ends
+	}
+	w.ends = append(w.ends[:0], runEnd{})
+	for _, x := range w.order {
+		if x.task != nil && !x.task.step.spec.Lasting {
+			w.ends = append(w.ends, runEnd{x.rest(now), x.size})
+		}
+	}
+	slices.SortStableFunc(w.ends, func(a, b runEnd) int { return cmp.Compare(a.after, b.after) })
+	w.endsTurn = turn
+	return w.ends
+}
+
 // explore returns workers with room now of which it is not known whether they are
 // allowed, if enough of them should be to make up what is missing.
 func (f *field) explore(missing int) []string {
-	if f.queue == nil || f.queue.Advice == nil {
+	if !f.needsTickets() {
 		return nil
 	}
 	t := &f.step.tickets
 	var names []string
 	slots := 0
 	for _, w := range f.pool() {
-		if n := f.slots(w); n > 0 && f.usable(w) && !f.known(w) && !t.denied[w.spec.ID] && !w.trial {
+		if t.denied[w.spec.ID] || t.known(w.spec.ID) {
+			continue
+		}
+		if n := f.slots(w); n > 0 && f.usable(w) && !w.trial {
 			names = append(names, w.spec.ID)
 			slots += n
 		}
@@ -267,12 +282,3 @@
 	slices.Sort(names)
 	return names[:min(len(names), most)]
 }
-
-// known reports whether a worker is known to be allowed for the step.
-func (f *field) known(w *worker) bool {
-	if f.queue == nil || f.queue.Advice == nil {
-		return true
-	}
-	_, ok := f.step.tickets.rows[w.spec.ID]
-	return ok
-}
--- a/ladderplan/health.go
+++ b/ladderplan/health.go
@@ -33,7 +33,7 @@
 
 // watch finds runs on a worker that stand still.
 func (p *Planner) watch(now time.Time, w *worker) {
-	for _, x := range w.runs {
+	for _, x := range w.order {
 		t := x.task
 		if x.phase != live || t == nil || t.step.spec.Lasting || x.pace < 100 || !t.step.round.job.live() {
 			continue
@@ -64,7 +64,7 @@
 // alone reports whether nothing else moves on the worker of a run, so that the
 // worker is likely at fault.
 func (p *Planner) alone(now time.Time, w *worker, x *run) bool {
-	for _, o := range w.runs {
+	for _, o := range w.order {
 		if o != x && o.phase == live && now.Sub(o.moved) < stallTime && now.Sub(o.began) > stallTime {
 			return false
 		}
@@ -104,7 +104,7 @@
 // on elsewhere from its checkpoint.
 func (p *Planner) evacuate(now time.Time, w *worker) {
 	left := w.leaves.Sub(now)
-	for _, x := range w.runs {
+	for _, x := range w.order {
 		t := x.task
 		if t == nil || x.phase != live || !t.step.round.job.live() {
 			continue
@@ -127,9 +127,9 @@
 		return
 	}
 	p.paced = now
-	for _, w := range p.workers {
+	for _, w := range p.everyWorker() {
 		pressed, serving := false, false
-		for _, x := range w.runs {
+		for _, x := range w.order {
 			if t := x.task; t != nil && t.step.spec.Target > 0 {
 				serving = true
 				pressed = pressed || x.tail > t.step.spec.Target*paceNear/100
@@ -138,7 +138,7 @@
 		if !serving {
 			continue
 		}
-		for _, x := range w.runs {
+		for _, x := range w.order {
 			t := x.task
 			if t == nil || !t.step.spec.Filler || x.phase != live || now.Sub(x.paced) < paceTime {
 				continue
--- a/ladderplan/look.go
+++ b/ladderplan/look.go
@@ -1,7 +1,6 @@
 package ladderplan
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -26,8 +25,7 @@
 		listed[spec.ID] = true
 		w, ok := p.workers[spec.ID]
 		if !ok {
-			w = newWorker(spec)
-			p.workers[spec.ID] = w
+			w = p.addWorker(spec)
 		}
 		w.listed = true
 		w.update(spec)
@@ -40,13 +38,13 @@
 			w.leaves = time.Time{}
 		}
 	}
-	for id, w := range p.workers {
-		if listed[id] {
+	for _, w := range p.everyWorker() {
+		if listed[w.spec.ID] {
 			continue
 		}
 		w.listed = false
-		if len(w.runs) == 0 && !p.unheard[id] {
-			delete(p.workers, id)
+		if len(w.runs) == 0 && !p.unheard[w.spec.ID] {
+			p.dropWorker(w.spec.ID)
 		}
 	}
 }
@@ -54,7 +52,7 @@
 // Inherit names a worker on which an earlier leader may have started tasks.
 func (p *Planner) Inherit(spec ladderflow.Worker) {
 	if _, ok := p.workers[spec.ID]; !ok {
-		p.workers[spec.ID] = newWorker(spec)
+		p.addWorker(spec)
 	}
 	p.unheard[spec.ID] = true
 }
@@ -72,7 +70,7 @@
 // Workers returns the workers that must be looked at.
 func (p *Planner) Workers() []ladderflow.Worker {
 	list := make([]ladderflow.Worker, 0, len(p.workers))
-	for _, w := range p.workers {
+	for _, w := range p.everyWorker() {
 		list = append(list, w.spec)
 	}
 	return list
@@ -136,8 +134,8 @@
 	for _, r := range l.Running {
 		p.listed(now, w, r)
 	}
-	for name, x := range w.runs {
-		if !present[name] {
+	for _, x := range slices.Clone(w.order) {
+		if !present[x.name] {
 			p.absent(now, sent, w, x)
 		}
 	}
@@ -259,17 +257,17 @@
 	}
 	w.failing = true
 	delete(p.unheard, id)
-	p.lost(now, w, "another worker answers at its address", slices.Collect(maps.Values(w.runs))...)
+	p.lost(now, w, "another worker answers at its address", slices.Clone(w.order)...)
 }
 
 // lapse gives up the runs on workers whose lease has certainly ended.
 func (p *Planner) lapse(now time.Time) {
-	for id, w := range p.workers {
+	for _, w := range p.everyWorker() {
 		if w.failing && w.fenced && len(w.runs) > 0 && p.lapsed(now, w) {
-			p.lost(now, w, "its lease has lapsed", slices.Collect(maps.Values(w.runs))...)
+			p.lost(now, w, "its lease has lapsed", slices.Clone(w.order)...)
 		}
-		if !w.listed && len(w.runs) == 0 && !p.unheard[id] && now.Sub(w.heard) > silence {
-			delete(p.workers, id)
+		if !w.listed && len(w.runs) == 0 && !p.unheard[w.spec.ID] && now.Sub(w.heard) > silence {
+			p.dropWorker(w.spec.ID)
 		}
 	}
 	if p.certain {
--- a/ladderplan/model.go
+++ b/ladderplan/model.go
@@ -167,6 +167,13 @@
 	noted int64
 	free  ladderflow.Size
 	runs  map[ladderflow.Run]*run
+	// order holds the runs as they came, and ends when each should end, first what ends
+	// first, as of the placement endsTurn.
+	order    []*run
+	ends     []runEnd
+	endsTurn int64
+	// turn is the last placement at which the worker took new tasks.
+	turn int64
 	// avoid is until when the worker takes no new task, and strikes counts what
 	// spoke against it lately.
 	avoid   time.Time
@@ -198,6 +205,8 @@
 func (w *worker) add(r *run) {
 	r.worker = w
 	w.runs[r.name] = r
+	w.order = append(w.order, r)
+	w.endsTurn = 0
 	w.free = w.free.Minus(r.size)
 	if t := r.task; t != nil {
 		if t.idle() {
@@ -215,6 +224,8 @@
 		return
 	}
 	delete(w.runs, r.name)
+	w.order = slices.DeleteFunc(w.order, func(o *run) bool { return o == r })
+	w.endsTurn = 0
 	w.free = w.free.Plus(r.size)
 	t := r.task
 	if t == nil {
--- a/ladderplan/options.go
+++ b/ladderplan/options.go
@@ -32,6 +32,10 @@
 	// Remote times a task's work away from its data.
 	Remote float64
 	Log    Log
+	// MaxUnanswered bounds the starts that are sent and not answered yet. Zero sets no
+	// bound. What waits beyond it is decided later, when its turn and its tickets are
+	// known better.
+	MaxUnanswered int
 	// Order says which steps come first. It defaults to ByAim.
 	Order Order
 }
--- a/ladderplan/order.go
+++ b/ladderplan/order.go
@@ -22,8 +22,11 @@
 
 func (r Result) good() bool { return r.Refusal == ladderflow.NotRefused && !r.Unsent && !r.Unknown }
 
-// Started takes in the answer to a start.
+// Started takes in the answer to a start, or that none will come. It is called once for
+// each start.
 func (p *Planner) Started(now time.Time, worker string, name ladderflow.Run, r Result) {
+	p.moved = p.moved || p.full()
+	p.unanswered--
 	w, ok := p.workers[worker]
 	if !ok {
 		return
--- a/ladderplan/order_test.go
+++ b/ladderplan/order_test.go
@@ -72,6 +72,31 @@
 }
 
 // TestRefusals plays what a worker may answer to a start that it does not carry out.
+// TestStartsAreBounded lets no answer come: the planner keeps what would only wait to be
+// sent, and goes on with the first answers.
+func TestStartsAreBounded(t *testing.T) {
+	b := newBed(t, 4)
+	b.planner.options.MaxUnanswered = 3
+	b.submit("a", tasks(2))
+	b.submit("gang", gangOf(4))
+	b.pass(time.Millisecond)
+	b.submit("b", tasks(2))
+	first := b.plan().Starts
+	require.Len(t, first, 6, "a gang starts as a whole")
+	require.Empty(t, b.plan().Starts)
+	for i, s := range first {
+		r := Result{}
+		if i%2 == 0 {
+			r.Unknown = true
+		}
+		b.planner.Started(b.now, s.Worker.ID, s.Run, r)
+		if i < 3 {
+			require.Empty(t, b.plan().Starts, "%d are not answered yet", len(first)-i-1)
+		}
+	}
+	require.Len(t, b.plan().Starts, 2)
+}
+
 func TestRefusals(t *testing.T) {
 	for name, c := range map[string]struct {
 		result  Result
--- a/ladderplan/place.go
+++ b/ladderplan/place.go
@@ -79,6 +79,9 @@
 		if !p.certain && s.round.job.inherited {
 			continue
 		}
+		if p.full() {
+			break
+		}
 		f := field{planner: p, step: s, queue: q, service: p.service(s.round.job), now: now}
 		if k.class > 0 {
 			f.reserved = reserved
@@ -97,6 +100,12 @@
 	p.kept = reserved
 }
 
+// full reports whether as many starts are under way as may be. A gang may exceed the
+// bound, since its members must start together.
+func (p *Planner) full() bool {
+	return p.options.MaxUnanswered > 0 && p.unanswered >= p.options.MaxUnanswered
+}
+
 // ranked returns the open steps with waiting tasks, first what should start first.
 func (p *Planner) ranked(now time.Time) []rank {
 	kept := p.open[:0]
@@ -182,15 +191,13 @@
 	for name := range p.pools {
 		p.pools[name] = p.pools[name][:0]
 	}
-	for _, w := range p.workers {
+	p.turn++
+	for _, w := range p.everyWorker() {
 		if p.takes(now, w) {
-			w.trial = w.struck(now)
+			w.trial, w.turn = w.struck(now), p.turn
 			p.pools[w.spec.Service] = append(p.pools[w.spec.Service], w)
 		}
 	}
-	for _, list := range p.pools {
-		slices.SortFunc(list, func(a, b *worker) int { return cmp.Compare(a.spec.ID, b.spec.ID) })
-	}
 }
 
 // takes reports whether a worker takes new tasks at all.
@@ -215,9 +222,32 @@
 	return w.has(f.step.spec.Label) && (!w.trial || len(w.runs) == 0)
 }
 
-// advised reports whether a worker may run the step now.
-func (f *field) advised(w *worker) bool {
-	return f.queue == nil || f.queue.Advice == nil || f.step.tickets.valid(w.spec.ID, f.now)
+// needsTickets reports whether the step runs only where the advice service allows it.
+func (f *field) needsTickets() bool { return f.queue != nil && f.queue.Advice != nil }
+
+// allowed returns the workers of the pool that are known to be allowed for the step, in
+// the order of their ids.
+func (f *field) allowed() []*worker { return f.ticketed(time.Time{}) }
+
+// advised returns the workers of the pool that may run the step now.
+func (f *field) advised() []*worker { return f.ticketed(f.now) }
+
+// ticketed returns the workers of the pool whose tickets for the step end after a time.
+func (f *field) ticketed(after time.Time) []*worker {
+	if !f.needsTickets() {
+		return f.pool()
+	}
+	var list []*worker
+	for i := range f.step.tickets.rows {
+		k := &f.step.tickets.rows[i]
+		if !after.IsZero() && !after.Before(k.until) {
+			continue
+		}
+		if w := f.planner.workers[k.worker]; w != nil && w.turn == f.planner.turn && w.spec.Service == f.service {
+			list = append(list, w)
+		}
+	}
+	return list
 }
 
 // slots returns how many more tasks of the step a worker can take.
@@ -233,10 +263,10 @@
 // placeTasks starts as many single tasks as there is room for.
 func (f *field) placeTasks() {
 	var candidates []*worker
-	for _, w := range f.pool() {
+	for _, w := range f.advised() {
 		start, waited := f.reserved[w]
 		brief := backfill*float64(f.step.spec.Estimate) <= float64(start)
-		if f.usable(w) && f.advised(w) && f.slots(w) > 0 && (!waited || brief) {
+		if f.usable(w) && f.slots(w) > 0 && (!waited || brief) {
 			candidates = append(candidates, w)
 		}
 	}
@@ -247,6 +277,9 @@
 		if !t.idle() {
 			continue
 		}
+		if f.planner.full() {
+			return
+		}
 		w := f.best(candidates, t.shunned)
 		if w == nil {
 			return
@@ -312,12 +345,13 @@
 		began: f.now, moved: f.now, percent: -1, pace: 100,
 	}
 	w.add(x)
+	p.unanswered++
 	if j := f.step.round.job; !j.begun {
 		j.begun, j.started = true, f.now
 	}
 	ticket := ""
-	if f.queue != nil && f.queue.Advice != nil {
-		ticket = f.step.tickets.rows[w.spec.ID].text
+	if f.needsTickets() {
+		ticket = f.step.tickets.text(w.spec.ID)
 	}
 	p.orders.Starts = append(p.orders.Starts, StartOrder{
 		Worker: w.spec, Run: x.name, Payload: f.step.round.job.spec.Payload, Saved: saved,
--- a/ladderplan/planner.go
+++ b/ladderplan/planner.go
@@ -1,6 +1,7 @@
 package ladderplan
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -16,6 +17,9 @@
 	// cancelled holds cancellations of jobs that are not known yet.
 	cancelled map[string]time.Time
 	workers   map[string]*worker
+	// sorted holds the workers by id, or nil after one has come or gone: what is decided
+	// must not depend on the order of a map.
+	sorted []*worker
 	// pools holds the workers that take new tasks at this plan, by service.
 	pools map[string][]*worker
 	// open holds the steps that may have tasks to start.
@@ -40,6 +44,10 @@
 	// is when tasks were last placed.
 	moved  bool
 	placed time.Time
+	// turn counts the placements. Workers that take new tasks at one carry its number.
+	turn int64
+	// unanswered counts the starts without an answer.
+	unanswered int
 	// paced is when paces were last looked at.
 	paced time.Time
 	// sure is when the lead was last sure.
@@ -154,8 +162,8 @@
 	p.log.Info("job ended", "job", j.spec.ID, "queue", j.spec.Queue, "state", state,
 		"after", now.Sub(j.spec.Accepted).Round(time.Millisecond), "aim", p.aim(j).Round(time.Millisecond),
 		"waited", j.started.Sub(j.spec.Accepted).Round(time.Millisecond))
-	for _, r := range j.rounds {
-		for _, s := range r.steps {
+	for _, i := range slices.Sorted(maps.Keys(j.rounds)) {
+		for _, s := range j.rounds[i].steps {
 			for _, t := range s.tasks {
 				if t.done && s.spec.Gang {
 					continue // The members end together by themselves.
--- a/ladderplan/preempt.go
+++ b/ladderplan/preempt.go
@@ -27,8 +27,8 @@
 	}
 	var victims []*run
 	least := 0
-	for _, w := range f.pool() {
-		if !f.usable(w) || !f.advised(w) {
+	for _, w := range f.advised() {
+		if !f.usable(w) {
 			continue
 		}
 		list, cost, ok := f.victims(w)
@@ -47,7 +47,7 @@
 // their processors. It is false when there are none, or when some are ending already.
 func (f *field) victims(w *worker) ([]*run, int, bool) {
 	var able []*run
-	for _, x := range w.runs {
+	for _, x := range w.order {
 		if x.phase == stopping {
 			return nil, 0, false
 		}
--- a/ladderplan/upkeep.go
+++ b/ladderplan/upkeep.go
@@ -29,7 +29,7 @@
 	}
 	l := ladderwave.Load{}
 	here := map[*step]int{}
-	for _, x := range w.runs {
+	for _, x := range w.order {
 		l.Busy += max(1, x.size.Processor)
 		if x.task != nil && x.task.step.spec.Lasting && x.task.step.round.job.live() {
 			here[x.task.step]++
--- a/laddervm/drive.go
+++ b/laddervm/drive.go
@@ -27,8 +27,10 @@
 	orderTime = 180 * time.Millisecond
 	slowOrder = time.Second
 	// maxOrders bounds the orders that are under way at once. A leader that sent all
-	// that a takeover brings at once would keep itself too busy to read the answers.
-	maxOrders = 32
+	// that a takeover brings at once would keep itself too busy to read the answers. The
+	// bound is several times what 600 starts a second keep under way at 20 ms each, and
+	// leaves room for those that are never answered.
+	maxOrders = 64
 	// consultSlack is how long after its cost a question for advice is given up.
 	consultSlack = 700 * time.Millisecond
 )
--- a/laddervm/term.go
+++ b/laddervm/term.go
@@ -84,7 +84,7 @@
 	t.planner = ladderplan.New(ladderplan.Options{
 		Fence: fence, Hold: min(holdTime, b.LongestHold), Longest: b.LongestHold,
 		Elected: began, Former: leadLease + outageTime,
-		StopTime: b.StopTime, Remembered: b.Remembered, Remote: b.Remote,
+		MaxUnanswered: maxOrders, StopTime: b.StopTime, Remembered: b.Remembered, Remote: b.Remote,
 		Log: v.logs.Limited("plan", v.clock),
 	})
 	t.planner.SetFleet(v.fleet.Load())
