Let the strongest VM lead, and keep to a peer that reaches the store

Cause: on the grown sites three quarters of the VMs have 0.19 of a core, the leader needs 0.4 to 0.6, and any VM could win the lead. VMs register their processor; weak ones contend later, and a weak leader hands over once a VM of 1.5 times its strength has been there for 3 s. Calls to the store went through each peer in turn, so that with a third of the VMs turned away a third of the leader's renewals and commits failed; the peer that worked is kept now, and a third way is tried.

--- a/laddertest/flow_test.go
+++ b/laddertest/flow_test.go
@@ -38,6 +38,8 @@
 	vms      []*flowVM
 	client   *http.Client
 	jobs     atomic.Int64
+	// share is the processor of the VMs that start next, of one core.
+	share float64
 	// takes is how long a run takes; nil means briefly.
 	takes func(ladderflow.Run, string) (time.Duration, bool)
 }
@@ -61,7 +63,7 @@
 // startFlow starts a platform, workers and three entry VMs, and waits until they serve.
 func startFlow(t *testing.T, workers int, takes func(ladderflow.Run, string) (time.Duration, bool)) *flow {
 	t.Helper()
-	f := &flow{t: t, dir: t.TempDir(), client: &http.Client{Timeout: 5 * time.Second}, takes: takes}
+	f := &flow{t: t, share: 0.4, dir: t.TempDir(), client: &http.Client{Timeout: 5 * time.Second}, takes: takes}
 	f.platform = ladderstand.NewPlatform(ladderclock.System{})
 	f.address = f.serve(f.platform.Handler())
 	f.advice = f.serve((&ladderstand.Advice{Takes: 2 * time.Millisecond, Valid: 2 * time.Second}).Handler())
@@ -131,9 +133,9 @@
 bounds: {stableMs: 3000, graceS: 6, maxHoldMs: 10000, stopTimeoutMs: 900, gangTimeoutMs: 3000, status_s: 120, remoteFactor: 2}
 advice: %q
 platform: {addr: %q, writesPerS: 400, readsPerS: 2000, minTtlMs: 1000}
-limits: {memoryMb: 284}
+limits: {memoryMb: 284, cpuShare: %v, cores: 1}
 unknown: {stays: unread}
-`, name, v.callers, v.ready, first, first, f.advice, f.address)
+`, name, v.callers, v.ready, first, first, f.advice, f.address, f.share)
 	require.NoError(f.t, os.WriteFile(v.settings, []byte(text), 0o600))
 	f.vms = append(f.vms, v)
 	f.launch(v, name)
@@ -453,6 +455,25 @@
 	}
 }
 
+// TestFlowStrongestLeads adds a much stronger VM to three that serve: the lead goes to it
+// while jobs run, and each of these runs once.
+func TestFlowStrongestLeads(t *testing.T) {
+	f := startFlow(t, 3, nil)
+	path := f.submit(f.vms[0], "/regrade/", longTasks)
+	f.share = 0.8
+	f.startVM("strong")
+	f.awaitReady()
+	require.Eventually(t, func() bool {
+		l := f.leader()
+		return l != nil && l.name == "strong"
+	}, 10*time.Second, 50*time.Millisecond, "the strong VM does not lead")
+	f.await(path, "done", 8*time.Second)
+	f.await(f.submit(f.vms[1], "/fit/", gangThen), "done", 5*time.Second)
+	for i := range 4 {
+		require.Equal(t, 1, f.starts(path, 0, i))
+	}
+}
+
 // TestFlowExplains asks any VM why a job waits, and for the fleet's state.
 func TestFlowExplains(t *testing.T) {
 	f := startFlow(t, 1, func(ladderflow.Run, string) (time.Duration, bool) { return time.Minute, false })
--- a/laddervm/carrier.go
+++ b/laddervm/carrier.go
@@ -40,17 +40,17 @@
 	// shun is until when calls go through a peer first.
 	shun time.Time
 	// lost is since when the straight way fails, or zero.
-	lost time.Time
-	// bad is until when a peer is not used.
-	bad  map[string]time.Time
-	next int
+	lost   time.Time
+	relays relays
+	// probes counts the calls that were made while the store served nobody.
+	probes int
 	// unserved is when the first call since the last useful answer was made, and
 	// unanswered since the last answer of any kind.
 	unserved   silence
 	unanswered silence
 }
 
-func newCarrier(v *VM) *carrier { return &carrier{vm: v, bad: map[string]time.Time{}} }
+func newCarrier(v *VM) *carrier { return &carrier{vm: v, relays: relays{bad: map[string]time.Time{}}} }
 
 // answer is what became of one way of sending a call.
 type answer struct {
@@ -69,18 +69,28 @@
 	within := c.begin(call)
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
-	results := make(chan answer, 2)
-	now := c.vm.clock.Now()
-	own := func() { go c.straight(ctx, to, call, results) }
-	peer := func() bool { return c.through(ctx, to, call, within, results) }
-	pending, second := 1, peer
-	if c.shunned(now) && peer() {
-		second = func() bool { own(); return true }
-	} else {
-		own()
+	results := make(chan answer, maxWays)
+	used := map[string]bool{}
+	ways, most := c.ways()
+	pending, begun := 0, 0
+	// begin sends the call by the next way that there is.
+	begin := func() {
+		for len(ways) > 0 && begun < most && ctx.Err() == nil {
+			w := ways[0]
+			ways = ways[1:]
+			if w == straightWay {
+				go c.straight(ctx, to, call, results)
+			} else if !c.through(ctx, to, call, within, used, results) {
+				continue
+			}
+			pending++
+			begun++
+			return
+		}
 	}
+	begin()
 	hedge := c.vm.clock.After(c.hedge(call, within))
-	var last answer
+	last := answer{err: platform.ErrUnsent}
 	unknown := false
 	for pending > 0 {
 		select {
@@ -91,24 +101,53 @@
 				return a.reply, nil
 			}
 			unknown = unknown || a.err != nil && !errors.Is(a.err, platform.ErrUnsent)
-			if last.err != nil || last.reply.Status == 0 || a.err == nil {
+			if last.err != nil || a.err == nil {
 				last = a
 			}
+			begin()
 		case <-hedge:
 			hedge = nil
+			begin()
 		}
-		if second != nil && ctx.Err() == nil && second() {
-			pending++
-		}
-		second = nil
 	}
 	if unknown && last.err == nil {
 		// One way refused, and the other may have brought the call to the store.
-		return platform.Reply{}, errors.New("the store did not answer on one of two ways")
+		return platform.Reply{}, errors.New("the store did not answer on one of the ways")
 	}
 	return last.reply, last.err
 }
 
+// way is a way to the store.
+type way int
+
+const (
+	straightWay way = iota
+	peerWay
+)
+
+// maxWays is by how many ways a call is sent at most.
+const maxWays = 3
+
+// ways returns the ways by which a call is sent, each once those before have failed or
+// one is slow, and how many are used at most. While the store serves nobody each call
+// takes one way, in turn: more would only be counted.
+func (c *carrier) ways() (ways []way, most int) {
+	now := c.vm.clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.unserved.long(now):
+		c.probes++
+		if c.probes%2 == 0 {
+			return []way{peerWay, straightWay}, 1
+		}
+		return []way{straightWay}, 1
+	case now.Before(c.shun):
+		return []way{peerWay, peerWay, straightWay}, maxWays
+	}
+	return []way{straightWay, peerWay, peerWay}, maxWays
+}
+
 // begin takes note of a call and returns how long it may take.
 func (c *carrier) begin(call platform.Call) time.Duration {
 	c.mu.Lock()
@@ -156,12 +195,6 @@
 	return c.usual.within(hedgeTime, slowTime)
 }
 
-func (c *carrier) shunned(now time.Time) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return now.Before(c.shun)
-}
-
 // straight sends a call straight to the store.
 func (c *carrier) straight(ctx context.Context, to netip.AddrPort, call platform.Call, out chan<- answer) {
 	began := c.vm.clock.Now()
@@ -196,12 +229,16 @@
 	out <- a
 }
 
-// through sends a call through a peer. It is false when there is none.
-func (c *carrier) through(ctx context.Context, to netip.AddrPort, call platform.Call, within time.Duration, out chan<- answer) bool {
-	peer, ok := c.peer()
+// through sends a call through a peer that is not used for it yet. It is false when
+// there is none.
+func (c *carrier) through(
+	ctx context.Context, to netip.AddrPort, call platform.Call, within time.Duration, used map[string]bool, out chan<- answer,
+) bool {
+	peer, ok := c.peer(used)
 	if !ok {
 		return false
 	}
+	used[peer.name] = true
 	c.vm.stats.relayed.Inc()
 	go func() {
 		m, err := c.vm.registry.call(ctx, peer, laddermessage.Carry{To: to, Call: call, Within: within})
@@ -215,9 +252,9 @@
 				a.err = errors.New("the store did not answer the peer")
 			}
 		}
-		if !a.useful() && !errors.Is(err, context.Canceled) {
+		if !errors.Is(err, context.Canceled) {
 			c.mu.Lock()
-			c.bad[peer.name] = c.vm.clock.Now().Add(shunTime)
+			c.relays.took(c.vm.clock.Now(), peer.name, a.useful())
 			c.mu.Unlock()
 		}
 		out <- a
@@ -225,20 +262,20 @@
 	return true
 }
 
-// peer returns a peer that did not fail lately, each in turn.
-func (c *carrier) peer() (peer, bool) {
+// peer returns the peer through which a call is to be sent.
+func (c *carrier) peer(used map[string]bool) (peer, bool) {
 	list := c.vm.registry.others()
+	names := make([]string, len(list))
+	for i, p := range list {
+		names[i] = p.name
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := c.vm.clock.Now()
-	for range list {
-		c.next++
-		p := list[c.next%len(list)]
-		if !now.Before(c.bad[p.name]) {
-			return p, true
-		}
+	i, ok := c.relays.pick(c.vm.clock.Now(), names, used)
+	if !ok {
+		return peer{}, false
 	}
-	return peer{}, false
+	return list[i], true
 }
 
 // carryFor makes a call for a peer.
--- a/laddervm/lead.go
+++ b/laddervm/lead.go
@@ -34,12 +34,14 @@
 	term atomic.Pointer[term]
 	// lease is the one under which the leader's key stands.
 	lease *lease
+	// handed is when the VM last handed the lead over to a stronger one.
+	handed time.Time
 	// last is the fence of the VM's last term; it belongs to run.
 	last int64
 }
 
 func newLead(v *VM) *lead {
-	return &lead{vm: v, log: v.logs.Limited("lead", v.clock), lease: newLease(v, leadLease)}
+	return &lead{vm: v, handed: v.clock.Now().Add(-handedTime), log: v.logs.Limited("lead", v.clock), lease: newLease(v, leadLease)}
 }
 
 // current returns the VM's term, or nil while it does not lead.
@@ -85,9 +87,24 @@
 		l.end(t, "another VM leads")
 	case known.revision == 0 && l.vm.registry.knew(t.fence):
 		l.end(t, "the leader's key is gone")
+	case known.revision == t.fence:
+		l.yield(t)
 	}
 }
 
+// yield hands the lead over when a much stronger VM is there to take it.
+func (l *lead) yield(t *term) {
+	now := l.vm.clock.Now()
+	own := l.vm.settings.Processor
+	strongest := strongest(own, l.vm.registry.listed())
+	if l.lease.left() <= 0 || !tooWeak(own, strongest, now.Sub(t.began), now.Sub(l.handed)) {
+		return
+	}
+	l.log.Info("hands the lead over to a stronger VM", "own", own, "strongest", strongest)
+	l.handed = now
+	l.resign()
+}
+
 // claim takes up a lead that the store gave to this VM without its knowing: the
 // transaction that won it took effect late. A lead that was given up is deleted.
 func (l *lead) claim(ctx context.Context, known leader) {
@@ -113,7 +130,9 @@
 func (l *lead) contend(ctx context.Context) {
 	// VMs close to the store come first: their answers are quicker, and so is all
 	// that they will lead.
-	wait := 2*l.vm.carrier.usual.value() + time.Duration(rand.Int64N(int64(contendTime)))
+	own := l.vm.settings.Processor
+	wait := 2*l.vm.carrier.usual.value() + time.Duration(rand.Int64N(int64(contendTime))) +
+		weakness(own, strongest(own, l.vm.registry.listed()))
 	select {
 	case <-ctx.Done():
 		return
--- a/laddervm/registry.go
+++ b/laddervm/registry.go
@@ -47,6 +47,8 @@
 	life    string
 	address netip.AddrPort
 	hash    string
+	// strength is its processor, in thousandths of a core.
+	strength int
 	// gone is when its entry went, or zero.
 	gone time.Time
 }
@@ -98,12 +100,15 @@
 	Life    string
 	Address string
 	Hash    string
+	// Strength is the VM's processor, in thousandths of a core.
+	Strength int
 }
 
 func (r *registry) entry() []byte {
 	address := netip.AddrPortFrom(r.vm.settings.Address, r.vm.settings.FirstPort)
 	data, err := cbor.Marshal(entryWire{
 		Name: r.vm.settings.Name, Life: r.life, Address: address.String(), Hash: r.vm.keys.hash,
+		Strength: r.vm.settings.Processor,
 	})
 	if err != nil {
 		panic(err) // Strings can always be encoded.
@@ -117,7 +122,7 @@
 		return peer{}, err
 	}
 	address, err := netip.ParseAddrPort(w.Address)
-	return peer{name: w.Name, life: w.Life, address: address, hash: w.Hash}, err
+	return peer{name: w.Name, life: w.Life, address: address, hash: w.Hash, strength: w.Strength}, err
 }
 
 // trusts reports whether a key's hash is registered, or was a short while ago.
@@ -157,6 +162,11 @@
 	return listed
 }
 
+// listed returns the peers whose entries stand in the store.
+func (r *registry) listed() []peer {
+	return slices.DeleteFunc(r.others(), func(p peer) bool { return !p.gone.IsZero() })
+}
+
 // find returns a peer by its name.
 func (r *registry) find(name string) (peer, bool) {
 	r.mu.Lock()
--- a/laddervm/route_test.go
+++ b/laddervm/route_test.go
@@ -8,6 +8,39 @@
 	"github.com/stretchr/testify/require"
 )
 
+// TestRelays keeps to the peer that works, and goes on in turn from one that fails.
+func TestRelays(t *testing.T) {
+	r := relays{bad: map[string]time.Time{}}
+	now := time.UnixMilli(0)
+	names := []string{"e1", "e2", "e3"}
+	pick := func(used ...string) string {
+		m := map[string]bool{}
+		for _, u := range used {
+			m[u] = true
+		}
+		i, ok := r.pick(now, names, m)
+		if !ok {
+			return ""
+		}
+		return names[i]
+	}
+	first := pick()
+	r.took(now, first, false)
+	second := pick()
+	require.NotEqual(t, first, second, "a peer that failed is left out")
+	r.took(now, second, true)
+	for range 3 {
+		require.Equal(t, second, pick(), "what works is kept")
+	}
+	require.NotContains(t, []string{first, second}, pick(second), "each peer is used once for a call")
+	for _, n := range names {
+		r.took(now, n, false)
+	}
+	require.Empty(t, pick())
+	now = now.Add(shunTime)
+	require.Equal(t, second, pick())
+}
+
 // TestRoutes goes round each peer in turn, and back to the straight way.
 func TestRoutes(t *testing.T) {
 	r := routes{by: map[netip.AddrPort]detour{}}
--- /dev/null
+++ b/laddervm/strength.go
@@ -0,0 +1,41 @@
+package laddervm
+
+import "time"
+
+const (
+	// weakWait is how much longer a VM waits before it contends for the lead for each
+	// time that the strongest VM has its processor, and maxWeakWait the most: several
+	// answers of the store from another region, so that a strong VM there comes first.
+	weakWait    = 20 * time.Millisecond
+	maxWeakWait = 100 * time.Millisecond
+	// muchStronger is from how many tenths of the leader's processor on another VM should
+	// lead instead. What a leader does grows with the fleet, and VMs differ in size.
+	muchStronger = 15
+	// settledLead is how long a leader leads before it hands over to a stronger VM: VMs
+	// that began together are registered by then.
+	settledLead = 3 * time.Second
+	// handedTime is how long a VM that handed over keeps the lead when it wins it again:
+	// whoever is stronger did not take it.
+	handedTime = 30 * time.Second
+)
+
+// strongest returns the processor of the strongest of some VMs, in thousandths of a core.
+func strongest(own int, others []peer) int {
+	for _, p := range others {
+		own = max(own, p.strength)
+	}
+	return own
+}
+
+// weakness returns how much later than the strongest VM one contends for the lead.
+func weakness(own, strongest int) time.Duration {
+	if own <= 0 || strongest <= own {
+		return 0
+	}
+	return min(maxWeakWait, weakWait*time.Duration(strongest)/time.Duration(own)-weakWait)
+}
+
+// tooWeak reports whether a leader should hand over to a stronger VM.
+func tooWeak(own, strongest int, led, sinceHanded time.Duration) bool {
+	return own > 0 && strongest*10 >= own*muchStronger && led >= settledLead && sinceHanded >= handedTime
+}
