Look for ends more often while the last ones wait for the store

A worker lists ends that are not stored yet at once, so that the leader paused up to 400 ms between its looks while a commit was slow, and ends and starts waited with it: on the grown site with a third of the VMs turned away by the store, checks took 1.9 s at the median in place of 1.3.

--- a/laddervm/drive.go
+++ b/laddervm/drive.go
@@ -19,8 +19,10 @@
 	// lookRetry is the time to the next look after one that was not answered.
 	lookRetry = 200 * time.Millisecond
 	// unsavedTime is how long the next look waits for the ends of the last one to be
-	// stored; until then the worker would list them again at once.
-	unsavedTime = 400 * time.Millisecond
+	// stored; until then the worker would list them again at once. It is more than a
+	// commit usually takes, with the gap before it. While the store is slow, other ends
+	// are learnt of that often.
+	unsavedTime = 150 * time.Millisecond
 	// orderTime bounds an order to a worker, several ways between regions, and
 	// slowOrder one while the answers are slow. An order that took longer shows in the
 	// next look.
