--- a/ladderserver/store.go
+++ b/ladderserver/store.go
@@ -41,7 +41,7 @@
 }
 
 func newStore(address netip.AddrPort) *store {
-	c := &counter{direct: platform.NewDirect(storeDial)}
+	c := &counter{direct: platform.NewDirect(storeDial, 0)}
 	return &store{client: platform.NewStore(c, address), calls: c}
 }
 
--- a/laddervm/drive.go
+++ b/laddervm/drive.go
@@ -141,7 +141,7 @@
 		}
 		t.planner.LookFailed(d.worker.ID, errors.Is(err, platform.ErrFenced))
 		t.log.Debug("worker did not answer", "worker", d.worker.ID, "err", err)
-		t.vm.direct.Forget(d.worker.Address)
+		t.vm.orders.Forget(d.worker.Address)
 		time.AfterFunc(lookRetry, func() { t.do(func() { t.look(ctx, d) }) })
 		return
 	}
--- a/laddervm/vm.go
+++ b/laddervm/vm.go
@@ -25,6 +25,10 @@
 	// dialTime bounds the opening of a connection: several of the longest ways
 	// between regions, and less than a look's time.
 	dialTime = 400 * time.Millisecond
+	// workerConnections is how many connections to one worker are open at most: one for
+	// the look that waits there, and a few for orders. Each new one costs the worker a
+	// handshake, and what starts together on one worker can come one after the other.
+	workerConnections = 4
 	// rotateTime is how long a leaving VM goes on serving: the balancer asks once
 	// a second and takes a VM out after two misses.
 	rotateTime = 2500 * time.Millisecond
@@ -57,7 +61,9 @@
 	log      *ladderlog.Logger
 	logs     *ladderlog.Logs
 
-	direct   *platform.Direct
+	direct *platform.Direct
+	// orders carries the calls to workers.
+	orders   *platform.Direct
 	carrier  *carrier
 	store    *platform.Store
 	workers  *platform.Workers
@@ -93,7 +99,8 @@
 	s := o.Settings
 	v := &VM{waves: map[int64]ladderflow.Wave{}, settings: s, metrics: o.Metrics, clock: o.Clock, boot: o.Boot, logs: o.Logs, log: o.Logs.Limited("vm", o.Clock), stats: newStats()}
 	v.bounds.Store(&s.Bounds)
-	v.direct = platform.NewDirect(dialTime)
+	v.direct = platform.NewDirect(dialTime, 0)
+	v.orders = platform.NewDirect(dialTime, workerConnections)
 	v.carrier = newCarrier(v)
 	v.store = platform.NewStore(v.carrier, s.Store)
 	v.workers = platform.NewWorkers(newWorkerCarrier(v))
