--- a/laddervm/registry.go
+++ b/laddervm/registry.go
@@ -32,9 +32,11 @@
 	entryRenew = 600 * time.Millisecond
 	// retryTime is the time to the next try of a call to the store that failed.
 	retryTime = 150 * time.Millisecond
-	// watchTime is how long one watch waits. Each counts as a call, on every VM; that its
-	// connection went silent shows in the probes of the connection.
-	watchTime = 10 * time.Second
+	// watchTime is how long one watch waits. A store that drops its history may leave a
+	// waiting watch without an answer on a connection that lives, so that only the end of
+	// the wait shows it; that and its slack stay below the 3 s that the platform allows
+	// for a disruption.
+	watchTime = 2 * time.Second
 	// trustTime is how long the key of a VM whose entry is gone is accepted: an
 	// outage of the store takes entries away though the VMs run on.
 	trustTime = 30 * time.Second
