Let delegates hold the workers of a large fleet

Change: above 100 workers, the strongest VMs of each zone hold its racks. The leader decides as before; a delegate looks, prolongs and sends. Its right ends by its own clock, which the leader knows from the reports to err on the early side; a worker's lease counts as prolonged for as long as the delegate may do so; a look counts from when it certainly had not been asked for. A delegate that fails is given up for 4 s, its orders are of unknown fate, and others hold its workers. Tests: ladderdelegate, TestFlowDelegates (a delegate is killed under running tasks), TestFlowDeafWatches for the watches. The messages about jobs are in the codec's test now; they were not before. The tests' free ports lie below those of outgoing connections: with 120 workers one was taken between its choice and its use.

--- a/laddercodec/codec.go
+++ b/laddercodec/codec.go
@@ -107,6 +107,9 @@
 	if k, wire, ok := toFlowWire(m); ok {
 		return k, wire, nil
 	}
+	if k, wire, ok := toDelegateWire(m); ok {
+		return k, wire, nil
+	}
 	return 0, nil, fmt.Errorf("%s is not a message between entry VMs", reflect.TypeOf(m))
 }
 
--- a/laddercodec/codec_test.go
+++ b/laddercodec/codec_test.go
@@ -10,11 +10,13 @@
 	"lacewingladder/ladderclaim"
 	"lacewingladder/laddercodec"
 	"lacewingladder/ladderconfig"
+	"lacewingladder/ladderflow"
 	"lacewingladder/ladderholder"
 	"lacewingladder/ladderkey"
 	"lacewingladder/laddermessage"
 	"lacewingladder/laddermodel"
 	"lacewingladder/ladderplacement"
+	"lacewingladder/platform"
 )
 
 var (
@@ -57,8 +59,47 @@
 	"seen":    laddermessage.Seen{Known: true, State: "running", Reason: "why", Running: 1, Ended: 2},
 	"done":    laddermessage.Done{},
 	"fault":   laddermessage.Fault{Reason: "why"},
+
+	"accepted":    laddermessage.Accepted{Job: "j", Body: []byte("b")},
+	"cancelled":   laddermessage.Cancelled{Job: "j"},
+	"state of":    laddermessage.StateOf{Job: "j"},
+	"state is":    laddermessage.StateIs{Known: true, State: "done"},
+	"count":       laddermessage.Count{Queue: "q"},
+	"counted":     laddermessage.Counted{Pending: 3},
+	"not leading": laddermessage.NotLeading{},
+	"consult":     laddermessage.Consult{Step: ladderflow.StepRef{Job: "j", Round: 1, Step: 2}, Workers: []string{"w"}},
+	"consulted":   laddermessage.Consulted{Tickets: []ladderflow.Ticket{{Worker: "w", Text: "t"}}, Valid: time.Second, Refused: true},
+	"carry": laddermessage.Carry{To: address, Within: time.Second, Call: platform.Call{
+		Method: "POST", Path: "/p", Instance: "i", Holder: "h", Fence: 4, Body: []byte("b"),
+	}},
+	"carried": laddermessage.Carried{Reply: platform.Reply{Status: 200, Body: []byte("b")}, Unsent: true, Failed: true},
+	"tell":    laddermessage.Tell{Job: "j", JSON: true},
+	"told":    laddermessage.Told{Known: true, Text: "t"},
+	"errands": laddermessage.Errands{
+		Fence: 1, Valid: 2, Void: 3, Hold: 4, Within: 5,
+		Charges:   []laddermessage.Charge{{Worker: "w", Address: address, Noted: 6, Born: 7}},
+		Dismissed: []string{"v"},
+		Starts: []laddermessage.StartErrand{{Worker: "w", Address: address, Start: ladderflow.Start{
+			Run: run, Payload: "p", Saved: "s", Ticket: "t", Until: time.Second, Fence: 1,
+		}}},
+		Stops: []laddermessage.StopErrand{{Worker: "w", Address: address, Run: run}},
+		Paces: []laddermessage.PaceErrand{{Worker: "w", Address: address, Run: run, Percent: 40}},
+	},
+	"inquire": laddermessage.Inquire{Fence: 1, After: 2, Valid: 3, Wait: 4},
+	"report": laddermessage.Report{
+		Session: "s", Number: 1, Heard: 2, Clock: 3,
+		Looks: []laddermessage.LookReport{{Worker: "w", Sent: 4, Outcome: laddermessage.LookOtherLife, Look: ladderflow.Look{
+			Born: 5, Clock: 6, Running: []ladderflow.LiveRun{{Run: run, Saved: "s", Percent: 7, Tail: 8, Used: 9}},
+			Ended: []ladderflow.EndedRun{{Number: 1, Run: run, How: ladderflow.EndBroken, Saved: "s"}},
+		}}},
+		Results: []laddermessage.OrderReport{{
+			Worker: "w", Run: run, Stop: true, Refusal: ladderflow.RefusedOld, Unsent: true, Unknown: true, Took: time.Second,
+		}},
+	},
 }
 
+var run = ladderflow.Run{Task: ladderflow.Task{Job: "j", Round: 1, Step: 2, Index: 3}, Number: 4}
+
 func TestRoundTrip(t *testing.T) {
 	for name, m := range messages {
 		t.Run(name, func(t *testing.T) {
--- a/laddercodec/flow.go
+++ b/laddercodec/flow.go
@@ -1,7 +1,6 @@
 package laddercodec
 
 import (
-	"fmt"
 	"net/netip"
 	"time"
 
@@ -174,7 +173,7 @@
 			}, nil
 		})
 	default:
-		return nil, fmt.Errorf("a message of kind %d is unknown", k)
+		return decodeDelegate(k, body)
 	}
 }
 
--- a/ladderplan/look.go
+++ b/ladderplan/look.go
@@ -98,6 +98,23 @@
 	return n, true
 }
 
+// Noted returns the worker's present life and the highest of its ends that the store
+// holds.
+func (p *Planner) Noted(id string) (born, number int64) {
+	w, ok := p.workers[id]
+	if !ok {
+		return 0, 0
+	}
+	return w.born, w.noted
+}
+
+// Entrust takes in that another VM may prolong a worker's lease for a while.
+func (p *Planner) Entrust(now time.Time, id string, span time.Duration) {
+	if w, ok := p.workers[id]; ok && w.fenced {
+		w.until = max(w.until, w.clock+now.Sub(w.heard)+span+p.options.Hold)
+	}
+}
+
 // lease returns a new end for a worker's lease and remembers it.
 func (p *Planner) lease(now time.Time, w *worker) time.Duration {
 	u := w.clock + now.Sub(w.heard) + p.options.Hold
--- a/ladderstand/platform.go
+++ b/ladderstand/platform.go
@@ -22,6 +22,8 @@
 	down atomic.Bool
 	lost atomic.Bool
 	mute atomic.Bool
+	// deaf makes the watches that wait hear nothing more.
+	deaf atomic.Bool
 	slow atomic.Int64
 	lag  atomic.Int64
 
@@ -118,7 +120,7 @@
 	p.SetVM(vm)
 }
 
-// set turns switches: POST /switch?down=true, lost=true, mute=true, slow=200ms, lag=10s,
+// set turns switches: POST /switch?down=true, lost=true, mute=true, deaf=true, slow=200ms, lag=10s,
 // forget=true, save=true or
 // restore=true.
 func (p *Platform) set(w http.ResponseWriter, r *http.Request) {
@@ -132,6 +134,8 @@
 			p.lost.Store(on)
 		case "mute":
 			p.mute.Store(on)
+		case "deaf":
+			p.deaf.Store(on)
 		case "slow", "lag":
 			if err != nil {
 				http.Error(w, err.Error(), http.StatusBadRequest)
--- a/ladderstand/wire.go
+++ b/ladderstand/wire.go
@@ -190,7 +190,9 @@
 	end := time.After(time.Duration(wait) * time.Millisecond)
 	check := time.NewTicker(watchCheck)
 	defer check.Stop()
+	deaf := false
 	for last := false; ; {
+		deaf = deaf || p.deaf.Load()
 		if p.mute.Load() {
 			<-r.Context().Done()
 			return
@@ -200,10 +202,16 @@
 			return
 		}
 		events, revision, changed, ok := p.store.Changes(q.Get("prefix"), after)
+		if !ok && deaf && !last {
+			ok, changed = true, nil
+		}
 		if !ok {
 			http.Error(w, "the history is gone", http.StatusGone)
 			return
 		}
+		if deaf {
+			events, changed = nil, nil
+		}
 		if len(events) > 0 || last {
 			writeJSON(w, eventsJSON{Events: toItems(events), Revision: revision})
 			return
--- a/laddertest/cell_test.go
+++ b/laddertest/cell_test.go
@@ -13,6 +13,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -212,18 +213,36 @@
 	c.launch(e.process)
 }
 
+// lastPort is the last port that was given out. Ports are taken from below those that the
+// system gives to outgoing connections: one that was free a moment ago could otherwise be
+// such a connection's by the time its process opens it.
+var lastPort atomic.Int32
+
+const (
+	firstPort = 20_000
+	portSpan  = 10_000
+)
+
+// freePort returns an address that nobody uses.
 func freePort(t *testing.T, network string) string {
 	t.Helper()
-	if network == "udp" {
-		p, err := net.ListenPacket("udp", "127.0.0.1:0")
-		require.NoError(t, err)
-		defer func() { _ = p.Close() }()
-		return p.LocalAddr().String()
+	for range portSpan {
+		port := firstPort + (int(lastPort.Add(1))+17*os.Getpid())%portSpan
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		var open io.Closer
+		var err error
+		if network == "udp" {
+			open, err = net.ListenPacket("udp", address)
+		} else {
+			open, err = net.Listen("tcp", address)
+		}
+		if err == nil {
+			_ = open.Close()
+			return address
+		}
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	t.Fatal("no port is free")
+	return ""
 }
 
 // run runs a subcommand to its end and returns what it printed.
--- a/laddertest/flow_test.go
+++ b/laddertest/flow_test.go
@@ -474,6 +474,39 @@
 	}
 }
 
+// TestFlowDelegates serves a fleet that is too large for the leader alone. A VM that holds
+// workers is killed while their tasks run: what runs goes on, and nothing begins twice.
+func TestFlowDelegates(t *testing.T) {
+	f := startFlow(t, 120, func(r ladderflow.Run, _ string) (time.Duration, bool) {
+		if strings.HasSuffix(r.Task.Job, "01") {
+			return 4 * time.Second, false
+		}
+		return 20 * time.Millisecond, false
+	})
+	path := f.submit(f.vms[0], "/regrade/", `[{"count":200,"cpu":4000,"memMb":100,"estimateMs":1500}]`)
+	for range 10 {
+		f.await(f.submit(f.vms[1], "/fit/", gangThen), "done", 5*time.Second)
+	}
+	leader := f.leader()
+	log, err := os.ReadFile(leader.log)
+	require.NoError(t, err)
+	var delegate *flowVM
+	for _, v := range f.vms {
+		if v != leader && strings.Contains(string(log), "by="+v.name+" ") {
+			delegate = v
+		}
+	}
+	require.NotNil(t, delegate, "no other VM has carried out an order")
+	require.Equal(t, "running", f.state(leader, path))
+	delegate.signal(t, syscall.SIGKILL)
+	more := f.submit(leader, "/regrade/", `[{"count":100,"cpu":1000,"memMb":100,"estimateMs":100}]`)
+	f.await(path, "done", 15*time.Second)
+	f.await(more, "done", 15*time.Second)
+	for i := range 200 {
+		require.Equal(t, 1, f.starts(path, 0, i))
+	}
+}
+
 // TestFlowExplains asks any VM why a job waits, and for the fleet's state.
 func TestFlowExplains(t *testing.T) {
 	f := startFlow(t, 1, func(ladderflow.Run, string) (time.Duration, bool) { return time.Minute, false })
@@ -507,6 +540,18 @@
 	f.awaitStatus("/late/", http.StatusNotFound)
 }
 
+// TestFlowDeafWatches makes the store drop its history while the watches that wait hear
+// nothing of it, on connections that live: a configuration is in force in time all the same.
+func TestFlowDeafWatches(t *testing.T) {
+	f := startFlow(t, 1, nil)
+	f.flip("deaf=true")
+	time.Sleep(300 * time.Millisecond)
+	f.flip("deaf=false")
+	f.configure(4, `,{"name":"late","host":"fit.example","prefix":"/late/","service":"fitting","attempts":1,"stretchFactor":2}`)
+	f.flip("forget=true")
+	f.awaitStatus("/late/", http.StatusOK)
+}
+
 func (f *flow) awaitStatus(path string, want int) {
 	f.t.Helper()
 	require.Eventually(f.t, func() bool {
--- a/laddervm/drive.go
+++ b/laddervm/drive.go
@@ -47,6 +47,8 @@
 	waiting bool
 	// extra is true while a look beside the driver's own is under way.
 	extra bool
+	// link leads to the delegate that holds the worker, or is nil where the leader does.
+	link *link
 }
 
 // setWorkers takes over the workers that the store lists, and drives each.
@@ -66,25 +68,49 @@
 			continue
 		}
 		if ok {
-			d.cancel()
+			t.leave(d)
 		}
-		ctx, cancel := context.WithCancel(t.ctx)
-		d = &driver{worker: w, ctx: ctx, cancel: cancel}
+		d = &driver{worker: w, cancel: func() {}}
 		t.drivers[w.ID] = d
-		t.look(ctx, d)
 		fresh = fresh || !t.roster[w.ID]
 	}
 	for id, d := range t.drivers {
 		if !wanted[id] {
-			d.cancel()
-			delete(t.drivers, id)
+			t.leave(d)
 		}
 	}
+	t.assign()
 	if fresh {
 		t.saveRoster()
 	}
 }
 
+// leave ends the looks at a worker that is not driven any more.
+func (t *term) leave(d *driver) {
+	d.cancel()
+	if d.link != nil {
+		d.link.dismiss(d.worker.ID)
+	}
+	delete(t.drivers, d.worker.ID)
+}
+
+// drive begins the looks at a worker, by the leader itself or through a delegate.
+func (t *term) drive(d *driver, l *link) {
+	d.cancel()
+	if d.link != nil {
+		d.link.dismiss(d.worker.ID)
+	}
+	d.link = l
+	if l != nil {
+		d.ctx, d.cancel = nil, func() {}
+		l.charge(d)
+		return
+	}
+	d.ctx, d.cancel = context.WithCancel(t.ctx)
+	d.waiting = false
+	t.look(d.ctx, d)
+}
+
 // look makes a driver's next look and takes in its answer.
 func (t *term) look(ctx context.Context, d *driver) {
 	now := t.vm.clock.Now()
@@ -146,28 +172,46 @@
 		return
 	}
 	now := t.vm.clock.Now()
+	t.take(d, now, sent, l)
+	d.due = now.Add(unsavedTime)
+	// The ends are handed to the store first, so that the look can wait for it.
+	t.save()
+	t.look(ctx, d)
+}
+
+// take gives the planner a worker's account.
+func (t *term) take(d *driver, now, sent time.Time, l ladderflow.Look) {
 	t.vm.stats.ends.Add(len(l.Ended))
 	t.planner.Looked(now, d.worker.ID, sent, l)
-	d.due = now.Add(unsavedTime)
 	if !t.roster[d.worker.ID] {
 		t.saveRoster()
 	}
-	// The ends are handed to the store first, so that the look can wait for it.
-	t.save()
-	t.look(ctx, d)
 }
 
-// order sends out what the planner wants done.
+// order sends out what the planner wants done, itself or through delegates.
 func (t *term) order(o ladderplan.Orders) {
 	for _, s := range o.Starts {
+		if l := t.linkOf(s.Worker.ID); l != nil {
+			l.start(s)
+			continue
+		}
 		go t.start(s)
 	}
 	for _, s := range o.Stops {
+		if l := t.linkOf(s.Worker.ID); l != nil {
+			l.stop(s)
+			continue
+		}
 		go t.stop(s)
 	}
 	for _, s := range o.Paces {
+		if l := t.linkOf(s.Worker.ID); l != nil {
+			l.pace(s)
+			continue
+		}
 		go t.pace(s)
 	}
+	t.flush()
 	for _, a := range o.Asks {
 		go t.askAdvice(a)
 	}
@@ -226,20 +270,30 @@
 			Run: s.Run, Payload: s.Payload, Saved: s.Saved, Ticket: s.Ticket, Until: s.Until, Fence: t.fence,
 		})
 	})
-	t.vm.stats.starts.Inc()
 	t.vm.stats.start.UpdateDuration(began)
-	t.log.Info("start", "task", s.Run.Task, "run", s.Run.Number, "worker", s.Worker.ID,
+	t.do(func() { t.started(s.Worker.ID, s.Run, r, "") })
+}
+
+// started takes in the answer to a start, which came through the delegate named by, if any.
+func (t *term) started(worker string, run ladderflow.Run, r ladderplan.Result, by string) {
+	t.vm.stats.starts.Inc()
+	t.log.Info("start", "task", run.Task, "run", run.Number, "worker", worker, "by", by,
 		"refusal", r.Refusal, "unsent", r.Unsent, "unknown", r.Unknown)
-	t.do(func() { t.planner.Started(t.vm.clock.Now(), s.Worker.ID, s.Run, r) })
+	t.planner.Started(t.vm.clock.Now(), worker, run, r)
+}
+
+// stopped takes in the answer to a stop.
+func (t *term) stopped(worker string, run ladderflow.Run, r ladderplan.Result, by string) {
+	t.log.Info("stop", "task", run.Task, "run", run.Number, "worker", worker, "by", by,
+		"refusal", r.Refusal, "unsent", r.Unsent, "unknown", r.Unknown)
+	t.planner.Stopped(t.vm.clock.Now(), worker, run, r)
 }
 
 func (t *term) stop(s ladderplan.StopOrder) {
 	r := t.send(func(ctx context.Context) (ladderflow.Refusal, error) {
 		return t.vm.workers.Stop(ctx, s.Worker.Address, s.Worker.ID, s.Run, t.fence)
 	})
-	t.log.Info("stop", "task", s.Run.Task, "run", s.Run.Number, "worker", s.Worker.ID,
-		"refusal", r.Refusal, "unsent", r.Unsent, "unknown", r.Unknown)
-	t.do(func() { t.planner.Stopped(t.vm.clock.Now(), s.Worker.ID, s.Run, r) })
+	t.do(func() { t.stopped(s.Worker.ID, s.Run, r, "") })
 }
 
 func (t *term) pace(s ladderplan.PaceOrder) {
--- a/laddervm/save.go
+++ b/laddervm/save.go
@@ -95,8 +95,13 @@
 	}
 	t.planner.Saved(b)
 	for _, d := range t.drivers {
+		if d.link != nil {
+			d.link.note(d.worker.ID)
+			continue
+		}
 		t.lookOn(d.ctx, d)
 	}
+	t.flush()
 	t.save()
 }
 
--- a/laddervm/submit.go
+++ b/laddervm/submit.go
@@ -184,6 +184,16 @@
 		return v.carryFor(ctx, m), nil
 	case laddermessage.Consult:
 		return v.consult(ctx, m), nil
+	case laddermessage.Errands:
+		if v.delegate.Errands(m) {
+			return laddermessage.Done{}, nil
+		}
+		return laddermessage.NotLeading{}, nil
+	case laddermessage.Inquire:
+		if r, ok := v.delegate.Inquire(ctx, m); ok {
+			return r, nil
+		}
+		return laddermessage.NotLeading{}, nil
 	}
 	t := v.lead.current()
 	if t == nil {
--- a/laddervm/term.go
+++ b/laddervm/term.go
@@ -57,6 +57,10 @@
 	// loaded is true once the planner knows what the store holds.
 	loaded  bool
 	drivers map[string]*driver
+	// links lead to the delegates, by their lives, and spurned holds until when a VM is
+	// none after it has failed as one.
+	links   map[string]*link
+	spurned map[string]time.Time
 	saver   saver
 	// slots bounds the orders under way, and orders is the usual time of an answer.
 	slots  chan struct{}
@@ -77,12 +81,12 @@
 	t := &term{
 		vm: v, log: v.logs.Limited("term", v.clock), lease: lease, fence: fence, began: began,
 		inbox: make(chan func(), inboxSize), slots: make(chan struct{}, maxOrders),
-		drivers: map[string]*driver{}, roster: map[string]bool{}, waves: map[int64]bool{},
+		drivers: map[string]*driver{}, links: map[string]*link{}, spurned: map[string]time.Time{}, roster: map[string]bool{}, waves: map[int64]bool{},
 	}
 	t.ctx, t.cancel = context.WithCancel(ctx)
 	b := v.bounds.Load()
 	t.planner = ladderplan.New(ladderplan.Options{
-		Fence: fence, Hold: min(holdTime, b.LongestHold), Longest: b.LongestHold,
+		Fence: fence, Hold: t.hold(), Longest: b.LongestHold,
 		Elected: began, Former: leadLease + outageTime,
 		MaxUnanswered: maxOrders, StopTime: b.StopTime, Remembered: b.Remembered, Remote: b.Remote,
 		Log: v.logs.Limited("plan", v.clock),
@@ -133,6 +137,21 @@
 	return ladderplan.NoRight
 }
 
+// rightLeft returns for how long the VM may certainly still order as the leader, or, while
+// the store is out, as far as can be told.
+func (t *term) rightLeft() time.Duration {
+	switch t.right() {
+	case ladderplan.Sure:
+		return t.lease.left()
+	case ladderplan.Likely:
+		return t.lease.left() + outageTime
+	}
+	return 0
+}
+
+// hold is how long a worker's lease lasts from each look.
+func (t *term) hold() time.Duration { return min(holdTime, t.vm.bounds.Load().LongestHold) }
+
 // run is the control goroutine.
 func (t *term) run() {
 	go t.load()
--- a/laddervm/vm.go
+++ b/laddervm/vm.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"lacewingladder/ladderclock"
+	"lacewingladder/ladderdelegate"
 	"lacewingladder/ladderflow"
 	"lacewingladder/ladderjournal"
 	"lacewingladder/ladderlog"
@@ -80,6 +81,7 @@
 	waves    map[int64]ladderflow.Wave
 	writer   *writer
 	lead     *lead
+	delegate *ladderdelegate.Delegate
 	stats    *stats
 
 	metrics uint16
@@ -110,6 +112,7 @@
 	v.registry = newRegistry(v)
 	v.writer = newWriter(v)
 	v.lead = newLead(v)
+	v.delegate = ladderdelegate.New(v.workers, v.clock, v.boot, v.logs.Limited("delegate", v.clock))
 	var err error
 	if v.keys, err = newKeys(v.registry.trusts); err != nil {
 		return nil, eris.Wrap(err, "make the VM's key")
@@ -165,6 +168,7 @@
 		v.log.Warn("entry is left to lapse", "err", err)
 	}
 	stop()
+	v.delegate.Close()
 	v.peers.Close()
 	v.server.Close()
 	v.log.Info("stops", "err", err)
