--- a/ladderdelegate/assign.go
+++ b/ladderdelegate/assign.go
@@ -9,6 +9,9 @@
 	// FewWorkers is up to how many workers a leader holds alone. Each takes it about a
 	// look and two orders a second.
 	FewWorkers = 100
+	// keepShare is down to which share of that, in hundredths, delegates stay: workers
+	// come and go.
+	keepShare = 75
 	// maxHeld is how many workers one delegate holds, so that it spends less on them than
 	// a small VM spends on its callers.
 	maxHeld = 80
@@ -30,10 +33,14 @@
 
 // Assign returns the delegate of each worker. Workers without one are held by the leader
 // itself: all while they are few, and those of zones without a VM. A zone's racks are
-// spread over its strongest VMs.
-func Assign(workers []Held, vms []VM) map[string]string {
+// spread over its strongest VMs. Delegated tells whether there are delegates already.
+func Assign(workers []Held, vms []VM, delegated bool) map[string]string {
 	by := map[string]string{}
-	if len(workers) <= FewWorkers {
+	few := FewWorkers
+	if delegated {
+		few = FewWorkers * keepShare / 100
+	}
+	if len(workers) <= few {
 		return by
 	}
 	zones := map[string][]Held{}
--- a/ladderdelegate/assign_test.go
+++ b/ladderdelegate/assign_test.go
@@ -16,6 +16,15 @@
 	return list
 }
 
+// TestFewWorkers does not go to and fro between delegates and none as workers come and go.
+func TestFewWorkers(t *testing.T) {
+	vms := []VM{{"a1", "a", 400}}
+	for n, want := range map[int][2]int{FewWorkers + 1: {FewWorkers + 1, FewWorkers + 1}, FewWorkers: {0, FewWorkers}, FewWorkers / 2: {0, 0}} {
+		require.Len(t, Assign(held("a", n), vms, false), want[0])
+		require.Len(t, Assign(held("a", n), vms, true), want[1])
+	}
+}
+
 func TestAssign(t *testing.T) {
 	vms := []VM{{"a1", "a", 200}, {"a2", "a", 800}, {"a3", "a", 800}, {"b1", "b", 200}}
 	for name, c := range map[string]struct {
@@ -32,7 +41,7 @@
 		"no VM":             {held("a", 200), nil, map[string]int{"": 200}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			by := Assign(c.workers, c.vms)
+			by := Assign(c.workers, c.vms, false)
 			got := map[string]int{}
 			racks := map[string]string{}
 			for _, w := range c.workers {
--- a/ladderdelegate/doc.go
+++ b/ladderdelegate/doc.go
@@ -17,5 +17,5 @@
 //	d := ladderdelegate.New(workers, clock, boot, log)
 //	answer := d.Handle(ctx, errands) // or inquire
 //	...
-//	by := ladderdelegate.Assign(workers, vms)
+//	by := ladderdelegate.Assign(workers, vms, false)
 package ladderdelegate
--- a/laddervm/link.go
+++ b/laddervm/link.go
@@ -100,7 +100,7 @@
 		able[p.name] = p
 		vms = append(vms, ladderdelegate.VM{Name: p.name, Zone: p.zone, Strength: p.strength})
 	}
-	by := ladderdelegate.Assign(held, vms)
+	by := ladderdelegate.Assign(held, vms, len(t.links) > 0)
 	used := map[string]bool{}
 	for id, d := range t.drivers {
 		var l *link
