--- a/laddercommand/entry.go
+++ b/laddercommand/entry.go
@@ -1,12 +1,14 @@
 package laddercommand
 
 import (
+	"bytes"
 	"context"
 	"flag"
 	"os"
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/google/subcommands"
 
@@ -64,7 +66,16 @@
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
 	go func() {
-		for range reloads {
+		last := readSettings()
+		for {
+			select {
+			case <-reloads:
+			case <-time.After(settingsTime):
+				if bytes.Equal(last, readSettings()) {
+					continue
+				}
+			}
+			last = readSettings()
 			reload(vm, logs)
 		}
 	}()
@@ -76,8 +87,22 @@
 	return subcommands.ExitSuccess
 }
 
-// reload reads the settings again. What they hold is fixed for the life of a
-// process, so a change is logged and waits for the next start.
+// settingsTime is the time between two looks at the settings file, which may change
+// without a signal.
+const settingsTime = 2 * time.Second
+
+// readSettings returns the settings file as it is, or nil while it can't be read: it may be
+// on its way to be replaced.
+func readSettings() []byte {
+	data, err := os.ReadFile(os.Getenv(platform.SettingsVariable))
+	if err != nil {
+		return nil
+	}
+	return data
+}
+
+// reload reads the settings again. The bounds are taken over; addresses and names are fixed
+// for the life of a process.
 func reload(vm *laddervm.VM, logs *ladderlog.Logs) {
 	settings, err := platform.ReadSettings(os.Getenv(platform.SettingsVariable))
 	if err != nil {
--- a/laddercommand/tell.go
+++ b/laddercommand/tell.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/google/subcommands"
@@ -55,6 +56,16 @@
 	return err
 }
 
+// terminal reports whether a person reads what is written.
+func terminal(w io.Writer) bool {
+	f, ok := w.(*os.File)
+	if !ok {
+		return false
+	}
+	info, err := f.Stat()
+	return err == nil && info.Mode()&os.ModeCharDevice != 0
+}
+
 // explain says why a job is where it is.
 type explain struct {
 	asking
@@ -98,6 +109,10 @@
 		return t.misuse("top: give -to ADDRESS and no arguments")
 	}
 	for {
+		if t.every > 0 && terminal(t.out) {
+			// Each screen begins at the top of a cleared one.
+			_, _ = fmt.Fprint(t.out, "\x1b[H\x1b[2J")
+		}
 		if err := t.ask(ctx, "/top"); err != nil {
 			return t.fail(err)
 		}
--- a/ladderplan/explain.go
+++ b/ladderplan/explain.go
@@ -168,6 +168,8 @@
 	Size   ladderflow.Size
 	Heard  time.Duration
 	Status string
+	// Holder is the VM that looks at the worker.
+	Holder string
 }
 
 // Overview returns the state of the whole fleet.
@@ -234,10 +236,10 @@
 	for _, q := range o.Queues {
 		fmt.Fprintf(&b, "%-16s %8d %8d %8d %8d\n", q.Name, q.Waiting, q.Running, q.Done, q.Ended)
 	}
-	fmt.Fprintf(&b, "%-16s %-14s %5s %-22s %-22s %9s %s\n", "worker", "zone", "runs", "free", "size", "heard", "status")
+	fmt.Fprintf(&b, "%-16s %-14s %5s %-22s %-22s %9s %-20s %s\n", "worker", "zone", "runs", "free", "size", "heard", "holder", "status")
 	for _, w := range o.Workers {
-		fmt.Fprintf(&b, "%-16s %-14s %5d %-22v %-22v %9v %s\n", w.ID, w.Zone, w.Runs, w.Free, w.Size,
-			w.Heard.Round(time.Millisecond), w.Status)
+		fmt.Fprintf(&b, "%-16s %-14s %5d %-22v %-22v %9v %-20s %s\n", w.ID, w.Zone, w.Runs, w.Free, w.Size,
+			w.Heard.Round(time.Millisecond), w.Holder, w.Status)
 	}
 	return b.String()
 }
--- a/ladderplan/options.go
+++ b/ladderplan/options.go
@@ -76,6 +76,9 @@
 	Saved   string
 	Ticket  string
 	Until   time.Duration
+	// First is true for a job's first start, and Waited how long the step has waited then.
+	First  bool
+	Waited time.Duration
 }
 
 // StopOrder is an order to end a run.
--- a/ladderplan/place.go
+++ b/ladderplan/place.go
@@ -346,8 +346,9 @@
 	}
 	w.add(x)
 	p.unanswered++
-	if j := f.step.round.job; !j.begun {
-		j.begun, j.started = true, f.now
+	first := !f.step.round.job.begun
+	if first {
+		f.step.round.job.begun, f.step.round.job.started = true, f.now
 	}
 	ticket := ""
 	if f.needsTickets() {
@@ -355,7 +356,7 @@
 	}
 	p.orders.Starts = append(p.orders.Starts, StartOrder{
 		Worker: w.spec, Run: x.name, Payload: f.step.round.job.spec.Payload, Saved: saved,
-		Ticket: ticket, Until: p.lease(f.now, w),
+		Ticket: ticket, Until: p.lease(f.now, w), First: first, Waited: f.now.Sub(f.step.since),
 	})
 }
 
--- a/laddervm/carrier.go
+++ b/laddervm/carrier.go
@@ -65,7 +65,6 @@
 
 // Carry implements [platform.Carrier].
 func (c *carrier) Carry(ctx context.Context, to netip.AddrPort, call platform.Call) (platform.Reply, error) {
-	c.vm.stats.call(call.Kind)
 	within := c.begin(call)
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
@@ -98,6 +97,7 @@
 			pending--
 			c.answered(a)
 			if a.useful() {
+				c.vm.stats.call(call.Kind, a)
 				return a.reply, nil
 			}
 			unknown = unknown || a.err != nil && !errors.Is(a.err, platform.ErrUnsent)
@@ -110,6 +110,7 @@
 			begin()
 		}
 	}
+	c.vm.stats.call(call.Kind, last)
 	if unknown && last.err == nil {
 		// One way refused, and the other may have brought the call to the store.
 		return platform.Reply{}, errors.New("the store did not answer on one of the ways")
--- a/laddervm/drive.go
+++ b/laddervm/drive.go
@@ -182,6 +182,7 @@
 // take gives the planner a worker's account.
 func (t *term) take(d *driver, now, sent time.Time, l ladderflow.Look) {
 	t.vm.stats.ends.Add(len(l.Ended))
+	t.saver.sees(now, len(l.Ended))
 	t.planner.Looked(now, d.worker.ID, sent, l)
 	if !t.roster[d.worker.ID] {
 		t.saveRoster()
@@ -191,6 +192,9 @@
 // order sends out what the planner wants done, itself or through delegates.
 func (t *term) order(o ladderplan.Orders) {
 	for _, s := range o.Starts {
+		if s.First {
+			t.vm.stats.wait.Update(s.Waited.Seconds())
+		}
 		if l := t.linkOf(s.Worker.ID); l != nil {
 			l.start(s)
 			continue
--- a/laddervm/gate.go
+++ b/laddervm/gate.go
@@ -247,6 +247,8 @@
 
 // serveCancel stores a cancellation, also of a job that has not arrived yet.
 func (v *VM) serveCancel(x *exchange) {
+	began := v.clock.Now()
+	defer func() { v.stats.cancel.UpdateDuration(began) }()
 	outcome, err := ladderjournal.Unsettled, error(nil)
 	for x.ctx.Err() == nil {
 		if outcome, err = v.journal.Cancel(x.ctx, x.rest); outcome != ladderjournal.Unsettled {
--- a/laddervm/link.go
+++ b/laddervm/link.go
@@ -212,7 +212,7 @@
 	}
 	m := l.out
 	l.out, l.sending = laddermessage.Errands{}, true
-	m.Fence, m.Hold, m.Within, m.Valid = l.term.fence, l.term.hold(), l.within(), l.valid()
+	m.Fence, m.Hold, m.Within, m.Valid = l.term.fence, l.term.hold, l.within(), l.valid()
 	m.Void = l.bound.There(l.term.vm.boot.SinceBoot() + min(errandLife, l.term.rightLeft()))
 	go func() {
 		ctx, cancel := context.WithTimeout(l.ctx, errandTime)
--- a/laddervm/operator.go
+++ b/laddervm/operator.go
@@ -34,6 +34,7 @@
 			continue
 		}
 		v.fleet.Store(f)
+		v.configuredAt.Store(v.clock.Now().UnixNano())
 		v.log.Info("configuration is in force", "version", f.Version, "revision", item.Changed, "queues", len(f.Queues))
 		v.lead.setFleet(f)
 		v.registry.signal()
--- a/laddervm/save.go
+++ b/laddervm/save.go
@@ -25,6 +25,17 @@
 	last time.Time
 	// lost is since when batches fail, or zero.
 	lost time.Time
+	// seen is when the first end came that no batch holds yet, and taken when the first
+	// came of those in the batch under way; they are zero for none.
+	seen  time.Time
+	taken time.Time
+}
+
+// sees takes in that ends have come.
+func (s *saver) sees(now time.Time, ends int) {
+	if ends > 0 && s.seen.IsZero() {
+		s.seen = now
+	}
 }
 
 func (s *saver) idle() bool { return !s.busy }
@@ -46,6 +57,10 @@
 		return
 	}
 	t.saver.busy, t.saver.last = true, now
+	if t.saver.taken.IsZero() {
+		t.saver.taken = t.saver.seen
+	}
+	t.saver.seen = time.Time{}
 	go func() {
 		err := t.commit(b)
 		t.do(func() { t.saved(b, err) })
@@ -94,6 +109,10 @@
 		t.saver.lost = time.Time{}
 	}
 	t.planner.Saved(b)
+	if !t.saver.taken.IsZero() {
+		t.vm.stats.noted.UpdateDuration(t.saver.taken)
+		t.saver.taken = time.Time{}
+	}
 	for _, d := range t.drivers {
 		if d.link != nil {
 			d.link.note(d.worker.ID)
--- /dev/null
+++ b/laddervm/stats.go
@@ -0,0 +1,116 @@
+package laddervm
+
+import (
+	"io"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"lacewingladder/ladderplan"
+)
+
+// stats are the process's counters.
+type stats struct {
+	set       *metrics.Set
+	accepted  *metrics.Counter
+	refused   *metrics.Counter
+	starts    *metrics.Counter
+	ends      *metrics.Counter
+	looks     *metrics.Counter
+	asks      *metrics.Counter
+	relayed   *metrics.Counter
+	takeovers *metrics.Counter
+	accept    *metrics.Histogram
+	commit    *metrics.Histogram
+	ask       *metrics.Histogram
+	start     *metrics.Histogram
+	plan      *metrics.Histogram
+	// wait is from a job's acceptance to its first start, noted from the sight of an end to
+	// its storing, and cancel from a cancellation's arrival to its answer.
+	wait   *metrics.Histogram
+	noted  *metrics.Histogram
+	cancel *metrics.Histogram
+}
+
+func newStats() *stats {
+	s := metrics.NewSet()
+	return &stats{
+		set:       s,
+		accepted:  s.NewCounter("ladder_jobs_accepted_total"),
+		refused:   s.NewCounter("ladder_requests_refused_total"),
+		starts:    s.NewCounter("ladder_starts_total"),
+		ends:      s.NewCounter("ladder_ends_total"),
+		looks:     s.NewCounter("ladder_looks_total"),
+		asks:      s.NewCounter("ladder_advice_calls_total"),
+		relayed:   s.NewCounter("ladder_store_calls_relayed_total"),
+		takeovers: s.NewCounter("ladder_takeovers_total"),
+		accept:    s.NewHistogram("ladder_accept_seconds"),
+		commit:    s.NewHistogram("ladder_commit_seconds"),
+		ask:       s.NewHistogram("ladder_advice_seconds"),
+		start:     s.NewHistogram("ladder_start_seconds"),
+		plan:      s.NewHistogram("ladder_plan_seconds"),
+		wait:      s.NewHistogram("ladder_wait_seconds"),
+		noted:     s.NewHistogram("ladder_end_noted_seconds"),
+		cancel:    s.NewHistogram("ladder_cancel_seconds"),
+	}
+}
+
+// call counts a call to the store by what it does and what became of it: served, refused
+// or failed.
+func (s *stats) call(kind string, a answer) {
+	result := "served"
+	switch {
+	case a.err != nil:
+		result = "failed"
+	case !a.useful():
+		result = "refused"
+	}
+	s.set.GetOrCreateCounter(`ladder_store_calls_total{kind="` + kind + `",result="` + result + `"}`).Inc()
+}
+
+// write writes the counters, and gauges of what is now.
+func (v *VM) writeMetrics(w io.Writer) {
+	v.stats.set.WritePrometheus(w)
+	now := metrics.NewSet()
+	gauge := func(name string, value float64) { now.NewGauge(name, func() float64 { return value }) }
+	if f := v.fleet.Load(); f != nil {
+		gauge("ladder_configuration_version", float64(f.Version))
+		gauge("ladder_configuration_age_seconds", v.clock.Now().Sub(time.Unix(0, v.configuredAt.Load())).Seconds())
+	}
+	gauge("ladder_store_silent", float64(b2i(v.carrier.silent())))
+	gauge("ladder_peers", float64(len(v.registry.listed())))
+	t := v.lead.current()
+	gauge("ladder_leads", float64(b2i(t != nil)))
+	if t != nil {
+		t.gauges(gauge)
+	}
+	now.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
+
+// gauges tells what the leader knows now.
+func (t *term) gauges(gauge func(name string, value float64)) {
+	gauge("ladder_fence", float64(t.fence))
+	var o ladderplan.Overview
+	if !t.call(t.ctx, func() { o = t.overview(t.vm.clock.Now()) }) {
+		return
+	}
+	held := map[string]int{}
+	for _, w := range o.Workers {
+		held[w.Holder]++
+	}
+	for _, q := range o.Queues {
+		gauge(`ladder_queue_jobs{queue="`+q.Name+`",state="waiting"}`, float64(q.Waiting))
+		gauge(`ladder_queue_jobs{queue="`+q.Name+`",state="running"}`, float64(q.Running))
+	}
+	for by, n := range held {
+		gauge(`ladder_workers_held{by="`+by+`"}`, float64(n))
+	}
+}
+
+func b2i(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/laddervm/tell.go
+++ b/laddervm/tell.go
@@ -7,9 +7,8 @@
 	"strings"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-
 	"lacewingladder/laddermessage"
+	"lacewingladder/ladderplan"
 )
 
 // tellTime bounds a question of an operator to the leader.
@@ -20,7 +19,7 @@
 	now := t.vm.clock.Now()
 	var answer fmt.Stringer
 	if m.Job == "" {
-		answer = t.planner.Overview(now)
+		answer = t.overview(now)
 	} else {
 		e, ok := t.planner.Explain(now, m.Job)
 		if !ok {
@@ -39,13 +38,24 @@
 	return laddermessage.Told{Known: true, Text: string(text)}
 }
 
+// overview returns the state of the fleet, with who holds which worker.
+func (t *term) overview(now time.Time) ladderplan.Overview {
+	o := t.planner.Overview(now)
+	for i := range o.Workers {
+		o.Workers[i].Holder = t.vm.settings.Name
+		if l := t.linkOf(o.Workers[i].ID); l != nil {
+			o.Workers[i].Holder = l.peer.name
+		}
+	}
+	return o
+}
+
 // operators returns the handler for metrics and for operators' questions: GET /top
 // and GET /explain/JOB, each with ?json=true for a machine's form.
 func (v *VM) operators() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
-		v.stats.set.WritePrometheus(w)
-		metrics.WriteProcessMetrics(w)
+		v.writeMetrics(w)
 	})
 	mux.HandleFunc("GET /top", v.serveTell)
 	mux.HandleFunc("GET /explain/{job}", v.serveTell)
--- a/laddervm/term.go
+++ b/laddervm/term.go
@@ -52,6 +52,9 @@
 	cancel  context.CancelFunc
 	inbox   chan func()
 	planner *ladderplan.Planner
+	// hold is how long a worker's lease lasts from each look. It stays as it is for the
+	// whole term, also when the settings change.
+	hold time.Duration
 	// gap is the time to the next plan.
 	gap time.Duration
 	// loaded is true once the planner knows what the store holds.
@@ -85,8 +88,9 @@
 	}
 	t.ctx, t.cancel = context.WithCancel(ctx)
 	b := v.bounds.Load()
+	t.hold = min(holdTime, b.LongestHold)
 	t.planner = ladderplan.New(ladderplan.Options{
-		Fence: fence, Hold: t.hold(), Longest: b.LongestHold,
+		Fence: fence, Hold: t.hold, Longest: b.LongestHold,
 		Elected: began, Former: leadLease + outageTime,
 		MaxUnanswered: maxOrders, StopTime: b.StopTime, Remembered: b.Remembered, Remote: b.Remote,
 		Log: v.logs.Limited("plan", v.clock),
@@ -149,9 +153,6 @@
 	return 0
 }
 
-// hold is how long a worker's lease lasts from each look.
-func (t *term) hold() time.Duration { return min(holdTime, t.vm.bounds.Load().LongestHold) }
-
 // run is the control goroutine.
 func (t *term) run() {
 	go t.load()
--- a/laddervm/vm.go
+++ b/laddervm/vm.go
@@ -10,7 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/rotisserie/eris"
 
 	"lacewingladder/ladderclock"
@@ -77,12 +76,14 @@
 	peers    *ladderpeer.Client
 	server   *ladderpeer.Server
 	fleet    atomic.Pointer[ladderflow.Fleet]
-	wavesMu  sync.Mutex
-	waves    map[int64]ladderflow.Wave
-	writer   *writer
-	lead     *lead
-	delegate *ladderdelegate.Delegate
-	stats    *stats
+	// configuredAt is when the configuration in force was taken, in nanoseconds since 1970.
+	configuredAt atomic.Int64
+	wavesMu      sync.Mutex
+	waves        map[int64]ladderflow.Wave
+	writer       *writer
+	lead         *lead
+	delegate     *ladderdelegate.Delegate
+	stats        *stats
 
 	metrics uint16
 	bounds  atomic.Pointer[platform.Bounds]
@@ -206,49 +207,6 @@
 	}
 }
 
-// stats are the process's counters.
-type stats struct {
-	set       *metrics.Set
-	accepted  *metrics.Counter
-	refused   *metrics.Counter
-	starts    *metrics.Counter
-	ends      *metrics.Counter
-	looks     *metrics.Counter
-	asks      *metrics.Counter
-	relayed   *metrics.Counter
-	takeovers *metrics.Counter
-	accept    *metrics.Histogram
-	commit    *metrics.Histogram
-	ask       *metrics.Histogram
-	start     *metrics.Histogram
-	plan      *metrics.Histogram
-}
-
-func newStats() *stats {
-	s := metrics.NewSet()
-	return &stats{
-		set:       s,
-		accepted:  s.NewCounter("ladder_jobs_accepted_total"),
-		refused:   s.NewCounter("ladder_requests_refused_total"),
-		starts:    s.NewCounter("ladder_starts_total"),
-		ends:      s.NewCounter("ladder_ends_total"),
-		looks:     s.NewCounter("ladder_looks_total"),
-		asks:      s.NewCounter("ladder_advice_calls_total"),
-		relayed:   s.NewCounter("ladder_store_calls_relayed_total"),
-		takeovers: s.NewCounter("ladder_takeovers_total"),
-		accept:    s.NewHistogram("ladder_accept_seconds"),
-		commit:    s.NewHistogram("ladder_commit_seconds"),
-		ask:       s.NewHistogram("ladder_advice_seconds"),
-		start:     s.NewHistogram("ladder_start_seconds"),
-		plan:      s.NewHistogram("ladder_plan_seconds"),
-	}
-}
-
-// call counts a call to the store.
-func (s *stats) call(kind string) {
-	s.set.GetOrCreateCounter(`ladder_store_calls_total{kind="` + kind + `"}`).Inc()
-}
-
 // Reload takes over settings that may have changed while the VM runs: its bounds,
 // which the next term uses. Its addresses stay.
 func (v *VM) Reload(s *platform.Settings) {
