Let workers that are gone leave the roster

Cause: the roster was stored when a worker came, never when one went. Ruled out: the winning of the lead (0.07 s) and the reading of the store (0.3 s). TestFlowGoneWorkerHoldsNothingUp fails before.

--- a/laddertest/flow_test.go
+++ b/laddertest/flow_test.go
@@ -388,6 +388,33 @@
 
 // TestFlowStoreOut takes the store away: new jobs are refused at once and say when to
 // come back, and what runs goes on.
+// TestFlowGoneWorkerHoldsNothingUp loses a worker for good, and all VMs some time later. The
+// next leader does not wait for what could run on a worker that was long gone.
+func TestFlowGoneWorkerHoldsNothingUp(t *testing.T) {
+	f := startFlow(t, 3, func(ladderflow.Run, string) (time.Duration, bool) { return 1500 * time.Millisecond, false })
+	f.await(f.submit(f.vms[0], "/regrade/", twoTasks), "done", 5*time.Second)
+	f.runners[2].Silence(true)
+	f.platform.Store().Txn(platform.Txn{Deletes: []string{platform.WorkerPrefix + "w2"}})
+	require.Eventually(t, func() bool {
+		item, ok, _ := f.platform.Store().Get("ladder/roster")
+		return ok && !bytes.Contains(item.Value, []byte("w2"))
+	}, 5*time.Second, 20*time.Millisecond, "the roster still names the worker")
+	path := f.submit(f.vms[0], "/regrade/", `[{"count":4,"cpu":8000,"memMb":100,"estimateMs":1500}]`)
+	f.await(path, "running", 3*time.Second)
+	for _, v := range f.vms {
+		v.signal(t, syscall.SIGKILL)
+		<-v.exited
+	}
+	for _, v := range f.vms {
+		f.launch(v, v.name)
+	}
+	f.awaitReady()
+	f.await(path, "done", 6*time.Second)
+	for i := range 4 {
+		require.Equal(t, 1, f.starts(path, 0, i))
+	}
+}
+
 func TestFlowStoreOut(t *testing.T) {
 	f := startFlow(t, 3, func(ladderflow.Run, string) (time.Duration, bool) { return time.Second, false })
 	path := f.submit(f.vms[0], "/regrade/", longTasks)
--- a/laddervm/drive.go
+++ b/laddervm/drive.go
@@ -80,7 +80,13 @@
 		}
 	}
 	t.assign()
-	if fresh {
+	gone := false
+	for id := range t.roster {
+		gone = gone || !wanted[id]
+	}
+	// A worker that is gone must leave the roster too: the next leader waits for what an
+	// earlier one may have started on those that it names and can't reach.
+	if fresh || gone {
 		t.saveRoster()
 	}
 }
