Learn how long tasks run, and let more gangs wait for room in large fleets

And only eight gangs could wait for room at once, 350 workers or 48. Change: each queue's run times and the errors of its estimates are learnt; an estimate counts by their variances.

--- a/ladderplan/gang.go
+++ b/ladderplan/gang.go
@@ -148,7 +148,7 @@
 	for _, n := range racks {
 		if n >= len(f.step.tasks) {
 			waited := f.now.Sub(f.step.since)
-			return float64(waited) > (f.planner.options.Remote-1)*float64(f.step.spec.Estimate)
+			return float64(waited) > (f.planner.options.Remote-1)*float64(f.step.length())
 		}
 	}
 	return true
--- a/ladderplan/gang_test.go
+++ b/ladderplan/gang_test.go
@@ -86,7 +86,7 @@
 			b := newBed(t, workers)
 			b.planner.fleet.Queues[0].Advice = &ladderflow.Advice{Base: 10 * time.Millisecond, Valid: 2 * time.Second}
 			b.planner.SetVMs([]string{"e1"})
-			for i := range maxReserved + 1 {
+			for i := range leastReserved + 1 {
 				b.submit(fmt.Sprintf("large%d", i), large)
 			}
 			b.pass(time.Millisecond)
--- a/ladderplan/health.go
+++ b/ladderplan/health.go
@@ -41,7 +41,7 @@
 		if x.percent >= 100 {
 			continue // A member of a gang that has done its work waits for the others.
 		}
-		limit := stallTime + time.Duration(stallShare*float64(t.step.spec.Estimate))
+		limit := stallTime + time.Duration(stallShare*float64(t.step.length()))
 		if t.step.spec.Gang {
 			limit *= 2 // A member may still wait for the others.
 		}
--- a/ladderplan/model.go
+++ b/ladderplan/model.go
@@ -24,8 +24,10 @@
 	closed map[int]bool
 	next   int
 	ended  time.Time
-	// chain is the longest chain of estimated work from each step to the end.
-	chain []time.Duration
+	// lengths holds how long a task of each step should run, and chain the longest chain of
+	// work from each step to the end. Both are as of when a step was last opened.
+	lengths []time.Duration
+	chain   []time.Duration
 }
 
 func (j *job) live() bool { return !j.state.Final() }
@@ -79,6 +81,9 @@
 	return ladderflow.StepRef{Job: s.round.job.spec.ID, Round: s.round.index, Step: s.index}
 }
 
+// length returns how long a task of the step should run.
+func (s *step) length() time.Duration { return s.round.job.lengths[s.index] }
+
 func (s *step) finished() bool { return s.done == len(s.tasks) }
 
 // task is the state of one task.
@@ -244,14 +249,21 @@
 // newJob builds the state of a job. Rounds are opened as they fall due.
 func newJob(spec *ladderflow.Job) *job {
 	j := &job{spec: spec, state: ladderflow.Queued, rounds: map[int]*round{}, closed: map[int]bool{}}
+	j.lengths = make([]time.Duration, len(spec.Steps))
 	j.chain = make([]time.Duration, len(spec.Steps))
-	for i := len(spec.Steps) - 1; i >= 0; i-- {
-		j.chain[i] += spec.Steps[i].Estimate
-		for _, a := range spec.Steps[i].After {
+	return j
+}
+
+// measure works out how long the job's tasks should run by what is known now.
+func (j *job) measure(known lengths) {
+	clear(j.chain)
+	for i := len(j.spec.Steps) - 1; i >= 0; i-- {
+		j.lengths[i] = known.expect(j.spec.Queue, j.spec.Steps[i].Estimate)
+		j.chain[i] += j.lengths[i]
+		for _, a := range j.spec.Steps[i].After {
 			j.chain[a] = max(j.chain[a], j.chain[i])
 		}
 	}
-	return j
 }
 
 // longest returns the longest chain of estimated work of the job.
--- a/ladderplan/place.go
+++ b/ladderplan/place.go
@@ -14,9 +14,11 @@
 	// settledTime is the time between two placements when nothing has happened that
 	// lets a task start but that time has passed.
 	settledTime = 20 * time.Millisecond
-	// maxReserved is how many gangs may keep workers for themselves at once. More
-	// would leave too many workers waiting half empty.
-	maxReserved = 8
+	// leastReserved is how many gangs may keep workers for themselves at once, and one more
+	// for each reservedShare workers above that. More would leave too many workers waiting
+	// half empty; fewer would make gangs wait though there is room for them elsewhere.
+	leastReserved = 8
+	reservedShare = 12
 	// backfill times a task's estimate must fit before a gang starts for the task to
 	// use room that the gang waits for. Estimates may be off
 	// by half.
@@ -69,7 +71,7 @@
 func (p *Planner) place(now time.Time) {
 	p.refresh(now)
 	reserved := map[*worker]time.Duration{}
-	gangs := 0
+	gangs, most := 0, max(leastReserved, len(p.workers)/reservedShare)
 	for _, k := range p.ranked(now) {
 		s := k.step
 		q, ok := p.queue(s.round.job)
@@ -92,7 +94,7 @@
 			f.placeTasks()
 			f.askForTasks()
 			f.preempt()
-		case !f.placeGang() && gangs < maxReserved && f.holdable():
+		case !f.placeGang() && gangs < most && f.holdable():
 			gangs++
 			f.awaitGang(reserved)
 		}
@@ -146,7 +148,7 @@
 	case ByDeadline:
 		return rank{step: s, latest: s.round.due.Add(aim)}
 	case ByLength:
-		return rank{step: s, latest: time.UnixMilli(0).Add(s.spec.Estimate)}
+		return rank{step: s, latest: time.UnixMilli(0).Add(s.length())}
 	case ByAim:
 	}
 	switch {
@@ -265,7 +267,7 @@
 	var candidates []*worker
 	for _, w := range f.advised() {
 		start, waited := f.reserved[w]
-		brief := backfill*float64(f.step.spec.Estimate) <= float64(start)
+		brief := backfill*float64(f.step.length()) <= float64(start)
 		if f.usable(w) && f.slots(w) > 0 && (!waited || brief) {
 			candidates = append(candidates, w)
 		}
@@ -371,5 +373,5 @@
 		whole := time.Duration(float64(x.moved.Sub(x.began)) * 100 / float64(x.percent))
 		return max(0, whole-passed)
 	}
-	return max(0, x.task.step.spec.Estimate-passed)
+	return max(0, x.task.step.length()-passed)
 }
--- a/ladderplan/planner.go
+++ b/ladderplan/planner.go
@@ -34,6 +34,7 @@
 	// emptying holds the workers that are to be emptied for upkeep.
 	emptying map[string]bool
 	dirty    map[string]*job
+	lengths  lengths
 	advisers
 	orders Orders
 	// kept holds the workers that gangs waited for at the last plan.
@@ -61,7 +62,7 @@
 	return &Planner{
 		options: o, log: o.Log, jobs: map[string]*job{}, cancelled: map[string]time.Time{},
 		workers: map[string]*worker{}, pools: map[string][]*worker{}, unheard: map[string]bool{}, dirty: map[string]*job{},
-		advisers: newAdvisers(),
+		lengths: lengths{}, advisers: newAdvisers(),
 	}
 }
 
@@ -79,6 +80,7 @@
 		return
 	}
 	j := newJob(spec)
+	j.measure(p.lengths)
 	j.inherited = inherited
 	p.jobs[spec.ID] = j
 	if _, ok := p.cancelled[spec.ID]; ok {
@@ -114,6 +116,7 @@
 
 // openSteps opens the steps of a round whose turn has come.
 func (p *Planner) openSteps(now time.Time, r *round) {
+	r.job.measure(p.lengths)
 	for _, s := range r.steps {
 		if s.open || !ready(s) {
 			continue
@@ -203,6 +206,9 @@
 		p.dirty[j.spec.ID] = j
 	case e.How == ladderflow.EndDone:
 		w.praise()
+		if x != nil && !t.done && e.Run.Number == 1 {
+			p.lengths.ended(j.spec.Queue, t.step.spec.Estimate, now.Sub(x.began))
+		}
 		p.endedWell(now, t)
 	case e.How == ladderflow.EndFailed:
 		p.endedBadly(now, w, t, e.Run.Number)
