Give the lead free when an earlier life of the same VM held it

Cause: after a kill of the leader's process nothing starts until its lease of 1.2 s has run out, also where the process is back after half a second and knows that its earlier life is over. Only the same name at the same address counts: a VM that was replaced elsewhere may still run. Test: TestFlowLeaderRestarts.

--- a/laddertest/flow_test.go
+++ b/laddertest/flow_test.go
@@ -367,6 +367,23 @@
 
 // TestFlowAllKilled kills every VM: what was accepted is known and done after they
 // return, and nothing that runs is started again.
+// TestFlowLeaderRestarts kills the leader's process and starts it again before its lease has
+// run out: its next life gives the lead free.
+func TestFlowLeaderRestarts(t *testing.T) {
+	f := startFlow(t, 3, nil)
+	old := f.leader()
+	before, _, _ := f.platform.Store().Get(ladderjournal.LeaderKey)
+	old.signal(t, syscall.SIGKILL)
+	<-old.exited
+	f.launch(old, old.name)
+	require.Eventually(t, func() bool {
+		log, err := os.ReadFile(old.log)
+		now, ok, _ := f.platform.Store().Get(ladderjournal.LeaderKey)
+		return err == nil && bytes.Contains(log, []byte("an earlier life of this VM led")) && ok && now.Changed > before.Changed
+	}, 3*time.Second, 10*time.Millisecond)
+	f.await(f.submit(old, "/fit/", twoTasks), "done", 5*time.Second)
+}
+
 func TestFlowAllKilled(t *testing.T) {
 	f := startFlow(t, 3, func(ladderflow.Run, string) (time.Duration, bool) { return 2 * time.Second, false })
 	running := f.submit(f.vms[0], "/regrade/", longTasks)
--- a/laddervm/lead.go
+++ b/laddervm/lead.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -70,6 +71,11 @@
 			l.claim(ctx, known)
 			continue
 		}
+		if l.mine(known) {
+			l.log.Info("an earlier life of this VM led; its lead is over", "fence", known.revision)
+			l.drop(ctx, known.revision)
+			continue
+		}
 		if !read || known.revision != 0 || l.vm.leaving.Load() || l.vm.fleet.Load() == nil {
 			continue
 		}
@@ -115,6 +121,13 @@
 	l.drop(ctx, known.revision)
 }
 
+// mine reports whether an earlier life of this very VM holds the lead. That process has
+// ended, so that nobody needs to wait for its lease.
+func (l *lead) mine(known leader) bool {
+	own := netip.AddrPortFrom(l.vm.settings.Address, l.vm.settings.FirstPort)
+	return known.revision != 0 && known.name == l.vm.settings.Name && known.address == own && known.life != l.vm.registry.life
+}
+
 // drop deletes the leader's key of a revision.
 func (l *lead) drop(ctx context.Context, revision int64) {
 	_, _, err := l.vm.store.Commit(ctx, platform.Txn{
@@ -162,7 +175,7 @@
 				l.log.Warn("leader's key can not be read", "err", err)
 				continue
 			}
-			l.vm.registry.setLeader(leader{name: p.name, life: p.life, revision: item.Changed})
+			l.vm.registry.setLeader(leader{name: p.name, life: p.life, address: p.address, revision: item.Changed})
 			if p.life == l.vm.registry.life && item.Lease == lease {
 				l.begin(ctx, item.Changed, began)
 			}
--- a/laddervm/registry.go
+++ b/laddervm/registry.go
@@ -59,6 +59,7 @@
 type leader struct {
 	name     string
 	life     string
+	address  netip.AddrPort
 	revision int64
 }
 
@@ -299,7 +300,7 @@
 		if r.leader.revision != item.Changed {
 			r.log.Info("leader is known", "leader", p.name, "revision", item.Changed)
 		}
-		r.leader = leader{name: p.name, life: p.life, revision: item.Changed}
+		r.leader = leader{name: p.name, life: p.life, address: p.address, revision: item.Changed}
 		return
 	}
 	for old, o := range r.peers {
