Let a worker lapse that its delegate can't reach, and play delegates in the model

The leader went on to count its lease as prolonged with each word to the delegate, also while the delegate reported that the worker did not answer. TestEntrustedWorkerLapses fails before. The model checker plays delegates now: words, looks that are reported late or never, leaders that believe too long. It found: a delegate could prolong leases 2 s beyond its leader's belief (now never beyond it); and, on the direct path too, that a look which shows a new life may have given it a lease by the old life's clock, up to the longest (TestNewLifeMayBeHeldForLong fails before). The model itself was wrong twice, and is stricter or truer now: workers shorten leases to the longest, as PROTOCOL says, and a look that a worker refuses notes nothing. A worker that did not answer is told of no noted ends until its life is known.

--- a/ladderplan/look.go
+++ b/ladderplan/look.go
@@ -91,9 +91,11 @@
 	if !ok {
 		return NextLook{}, false
 	}
-	n := NextLook{Noted: w.noted, Waiting: w.seen > w.noted}
+	n := NextLook{Waiting: w.seen > w.noted}
 	if w.fenced && !w.failing {
 		n.Until = p.lease(now, w)
+		// A worker that did not answer may have begun a new life, whose ends are others.
+		n.Noted = w.noted
 	}
 	return n, true
 }
@@ -108,9 +110,11 @@
 	return w.born, w.noted
 }
 
-// Entrust takes in that another VM may prolong a worker's lease for a while.
+// Entrust takes in that another VM may prolong a worker's lease for a while. A worker that
+// does not answer it is not prolonged until it does again, which that VM reports within a
+// second; the span that was given before the failure covers that.
 func (p *Planner) Entrust(now time.Time, id string, span time.Duration) {
-	if w, ok := p.workers[id]; ok && w.fenced {
+	if w, ok := p.workers[id]; ok && w.fenced && !w.failing {
 		w.until = max(w.until, w.clock+now.Sub(w.heard)+span+p.options.Hold)
 	}
 }
@@ -129,7 +133,7 @@
 		return
 	}
 	if l.Born != w.born || w.lived.IsZero() {
-		p.reborn(now, w, l.Born)
+		p.reborn(now, w, l.Born, l.Clock)
 	}
 	w.clock, w.heard, w.failing = l.Clock, now, false
 	if !w.fenced {
@@ -163,13 +167,17 @@
 }
 
 // reborn forgets what belonged to an earlier life of a worker.
-func (p *Planner) reborn(now time.Time, w *worker, born int64) {
+func (p *Planner) reborn(now time.Time, w *worker, born int64, clock time.Duration) {
 	if w.born != 0 {
 		p.log.Info("worker began a new life", "worker", w.spec.ID, "born", born, "runs", len(w.runs))
 		p.dropTickets(w.spec.ID)
 		w.avoid, w.strikes = now, 0
 	}
 	w.born, w.seen, w.noted, w.until, w.lived = born, 0, 0, 0, now
+	if w.fenced {
+		// The look that shows this may have prolonged the lease by the old life's clock.
+		w.until = clock + p.options.Longest
+	}
 }
 
 // listed takes in a run that a worker has.
--- a/ladderplan/record_test.go
+++ b/ladderplan/record_test.go
@@ -112,3 +112,44 @@
 	require.Len(t, starts, 1)
 	require.Equal(t, 2, starts[0].Run.Number)
 }
+
+// TestSilentWorkerIsToldNothing does not tell a worker that did not answer which ends are
+// noted: it may have begun a new life meanwhile, of which none is.
+func TestSilentWorkerIsToldNothing(t *testing.T) {
+	b := newBed(t, 1)
+	b.submit("a", tasks(1))
+	b.end(b.begin()[0], ladderflow.EndDone)
+	b.save()
+	next, _ := b.planner.Look(b.now, "w0")
+	require.Equal(t, int64(1), next.Noted)
+	b.planner.LookFailed("w0", false)
+	next, _ = b.planner.Look(b.now, "w0")
+	require.Zero(t, next.Noted)
+	b.look("w0", ladderflow.Look{Born: 9})
+	next, _ = b.planner.Look(b.now, "w0")
+	require.Zero(t, next.Noted, "of the new life no end is noted")
+}
+
+// TestEntrustedWorkerLapses entrusts a worker that does not answer again and again, as a
+// leader does with all that a delegate holds: its task goes on elsewhere all the same, but
+// not before what the delegate may have prolonged has ended.
+func TestEntrustedWorkerLapses(t *testing.T) {
+	const step, word = 400 * time.Millisecond, 1200 * time.Millisecond
+	b := newBed(t, 2)
+	b.pass(b.planner.options.Longest) // What an earlier leader may have given has ended.
+	b.lookAll(nil)
+	b.submit("a", tasks(1))
+	first := b.begin()[0]
+	b.planner.Entrust(b.now, first.Worker.ID, word)
+	b.planner.LookFailed(first.Worker.ID, false)
+	other := map[string]string{"w0": "w1", "w1": "w0"}[first.Worker.ID]
+	for passed := time.Duration(0); passed < word+b.planner.options.Hold; passed += step {
+		require.Empty(t, b.plan().Starts, "after %v", passed)
+		b.pass(step)
+		b.look(other, ladderflow.Look{})
+		b.planner.Entrust(b.now, first.Worker.ID, word)
+	}
+	b.pass(time.Second)
+	b.look(other, ladderflow.Look{})
+	require.Len(t, b.plan().Starts, 1)
+}
--- a/ladderplan/takeover_test.go
+++ b/ladderplan/takeover_test.go
@@ -171,3 +171,26 @@
 	next.look("w1", ladderflow.Look{})
 	require.Len(t, next.plan().Starts, 1)
 }
+
+// TestNewLifeMayBeHeldForLong lets a worker begin a new life just before a look that prolongs
+// its lease by the clock of the old one, which was far ahead: the new life may hold what it
+// runs for as long as any lease lasts.
+func TestNewLifeMayBeHeldForLong(t *testing.T) {
+	b := newBed(t, 2)
+	b.pass(time.Minute)
+	b.clock["w0"] = 0
+	b.look("w0", ladderflow.Look{Born: 7})
+	b.look("w1", ladderflow.Look{})
+	b.submit("a", tasks(4))
+	first := b.begin()
+	require.Equal(t, "w0", first[0].Worker.ID)
+	b.planner.LookFailed("w0", false)
+	for passed := time.Duration(0); passed < 10*time.Second; passed += time.Second {
+		require.Empty(t, b.plan().Starts, "after %v", passed)
+		b.pass(time.Second)
+		b.look("w1", ladderflow.Look{})
+	}
+	b.pass(time.Second)
+	b.look("w1", ladderflow.Look{})
+	require.Len(t, b.plan().Starts, 4)
+}
--- a/ladderproof/flow_test.go
+++ b/ladderproof/flow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"os"
 	"testing"
 	"time"
@@ -29,7 +30,8 @@
 }
 
 func (w *flowWorld) actions() map[string]func(*rapid.T) {
-	return map[string]func(*rapid.T){
+	actions := w.delegateActions()
+	maps.Copy(actions, map[string]func(*rapid.T){
 		"": func(t *rapid.T) { w.t = t; w.check() },
 		"submit": func(t *rapid.T) {
 			w.submit(rapid.IntRange(1, 3).Draw(t, "tasks"), rapid.Bool().Draw(t, "gang"), rapid.IntRange(1, 4).Draw(t, "size"))
@@ -70,7 +72,8 @@
 			}
 		},
 		"list": func(t *rapid.T) { w.leader(t).planner.SetWorkers(w.now, w.list()) },
-	}
+	})
+	return actions
 }
 
 func (w *flowWorld) pass(d time.Duration) {
--- a/ladderproof/flow_worker_test.go
+++ b/ladderproof/flow_worker_test.go
@@ -72,7 +72,7 @@
 	if !w.obeys(now, fence) {
 		return false, ladderflow.RefusedFence
 	}
-	w.until = max(w.until, until)
+	w.until = max(w.until, min(until, w.clock(now)+flowLongest))
 	if _, ok := w.running[r]; ok {
 		return false, ladderflow.NotRefused
 	}
@@ -100,7 +100,7 @@
 	if !w.obeys(now, fence) {
 		return ladderflow.Look{}, false
 	}
-	w.until = max(w.until, until)
+	w.until = max(w.until, min(until, w.clock(now)+flowLongest))
 	for len(w.ended) > 0 && w.ended[0].Number <= noted {
 		w.ended = w.ended[1:]
 	}
--- a/ladderproof/flow_world_test.go
+++ b/ladderproof/flow_world_test.go
@@ -20,6 +20,8 @@
 
 const (
 	flowHold = 5 * time.Second
+	// flowLongest is to what a worker shortens a longer lease.
+	flowLongest = 10 * time.Second
 	// flowSure is for how long a leader that lost the lead without a word is sure that
 	// it leads, and flowFormer for how long it may go on in an outage of the store.
 	flowSure     = time.Second
@@ -101,6 +103,7 @@
 	workers []*flowWorker
 	leaders []*flowLeader
 	orders  []*order
+	charges []*flowCharge
 	jobs    []*ladderflow.Job
 	// done holds the tasks that ended well where that end was noted, and failed the
 	// noted failures of each.
@@ -172,7 +175,7 @@
 	}
 	l := &flowLeader{fence: o.Revision, cancelled: map[string]bool{}, progress: w.journal.Progress(o.Revision, c)}
 	l.planner = ladderplan.New(ladderplan.Options{
-		Fence: l.fence, Hold: flowHold, Longest: flowHold, Elected: w.now, Former: flowFormer, StopTime: time.Second,
+		Fence: l.fence, Hold: flowHold, Longest: flowLongest, Elected: w.now, Former: flowFormer, StopTime: time.Second,
 		Remembered: time.Hour, Remote: 2, Log: ladderlog.Discard().Part("plan"),
 	})
 	l.planner.SetFleet(w.fleet())
@@ -338,11 +341,7 @@
 	if !ok {
 		return
 	}
-	for _, e := range x.ended {
-		if e.Number <= next.Noted {
-			w.note(e)
-		}
-	}
+	w.noteUpTo(x, l.fence, next.Noted)
 	account, ok := x.look(w.now, l.fence, next.Noted, next.Until)
 	if !ok {
 		l.planner.LookFailed(x.id, true)
@@ -352,6 +351,16 @@
 	l.planner.Looked(w.now, x.id, w.now, account)
 }
 
+// noteUpTo takes in that a look tells a worker which ends are noted, if the worker obeys.
+func (w *flowWorld) noteUpTo(x *flowWorker, fence, noted int64) {
+	for _, e := range x.ended {
+		if fence >= x.fence && e.Number <= noted {
+			w.tracef("noted at %s by %d: %v", x.id, fence, e)
+			w.note(e)
+		}
+	}
+}
+
 func (w *flowWorld) note(e ladderflow.EndedRun) {
 	key := e.Run.Task
 	if w.gang(key) {
--- a/laddervm/link.go
+++ b/laddervm/link.go
@@ -14,9 +14,11 @@
 
 const (
 	// entrustTime is for how long a delegate may prolong its workers' leases after each
-	// word of the leader, which is renewed while less than entrustLeast of it is left.
-	entrustTime  = 2 * time.Second
-	entrustLeast = 1200 * time.Millisecond
+	// word of the leader, at most: never longer than the leader may believe that it leads,
+	// since that is what the next leader counts with. The word is renewed while less than
+	// entrustLeast of it is left, which is more than two questions take.
+	entrustTime  = leadLease
+	entrustLeast = 900 * time.Millisecond
 	// errandLife is how long after it was decided an order may be sent.
 	errandLife = 300 * time.Millisecond
 	// inquireWait is how long a delegate may wait before it answers, and inquireSlack how
@@ -194,8 +196,9 @@
 		return 0
 	}
 	now := l.term.vm.boot.SinceBoot()
-	if l.until-now < entrustLeast && l.term.right() != ladderplan.NoRight {
-		l.until = now + entrustTime
+	until := now + min(entrustTime, l.term.rightLeft())
+	if l.until-now < entrustLeast && until > l.until {
+		l.until = until
 		for id := range l.held {
 			l.entrust(id)
 		}
@@ -331,6 +334,7 @@
 	case laddermessage.LookFenced:
 		t.planner.LookFailed(x.Worker, true)
 	case laddermessage.LookFailed:
+		t.planner.Entrust(now, x.Worker, entrustTime)
 		t.planner.LookFailed(x.Worker, false)
 		t.log.Debug("worker did not answer", "worker", x.Worker, "by", l.peer.name)
 	}
