Take over all rounds of a job that are under way

Cause: the second and later rounds of a job were not restored by a new leader: a short-circuit took the restoring for a question. TestRoundsUnderWayAreTakenOver fails before.

--- a/ladderplan/record.go
+++ b/ladderplan/record.go
@@ -165,7 +165,9 @@
 			}
 			x = j.open(rr.Index, due)
 		}
-		j.begun = j.begun || x.restore(rr)
+		if x.restore(rr) {
+			j.begun = true
+		}
 		p.openSteps(now, x)
 	}
 }
--- a/ladderplan/takeover_test.go
+++ b/ladderplan/takeover_test.go
@@ -194,3 +194,30 @@
 	b.look("w1", ladderflow.Look{})
 	require.Len(t, b.plan().Starts, 4)
 }
+
+// TestRoundsUnderWayAreTakenOver hands a job over while two of its rounds are under way: their
+// first steps have ended well, and their second ones run.
+func TestRoundsUnderWayAreTakenOver(t *testing.T) {
+	b := newBed(t, 2)
+	j := testJob(b.now, "a", tasks(2), after(tasks(1), 0))
+	j.Rounds, j.First, j.Every = 4, b.now, 2*time.Second
+	b.planner.AddJob(b.now, j, false)
+	b.pass(2 * time.Second)
+	b.lookAll(nil)
+	first := b.begin()
+	require.Len(t, first, 4, "two rounds are due")
+	for _, s := range first {
+		b.end(s, ladderflow.EndDone)
+	}
+	second := b.begin()
+	require.Len(t, second, 2)
+	next := b.heir([]*ladderflow.Job{j}, b.planner.Unsaved().Records, 2)
+	running := map[string][]ladderflow.LiveRun{}
+	for _, s := range second {
+		running[s.Worker.ID] = append(running[s.Worker.ID], ladderflow.LiveRun{Run: s.Run, Percent: 20})
+	}
+	next.lookAll(running)
+	o := next.plan()
+	require.Empty(t, o.Stops)
+	require.Empty(t, o.Starts)
+}
