--- a/laddercodec/delegate.go
+++ b/laddercodec/delegate.go
@@ -161,8 +161,9 @@
 		})
 	case kindReport:
 		return decode(body, reportWire.message)
+	default:
+		return nil, fmt.Errorf("a message of kind %d is unknown", k)
 	}
-	return nil, fmt.Errorf("a message of kind %d is unknown", k)
 }
 
 func fromErrands(m laddermessage.Errands) errandsWire {
--- a/ladderdelegate/bound_test.go
+++ b/ladderdelegate/bound_test.go
@@ -14,7 +14,7 @@
 	random := rand.New(rand.NewPCG(1, 2))
 	some := func() time.Duration { return time.Duration(random.Int64N(int64(time.Second))) }
 	for range 1000 {
-		ahead := some() - some() // The delegate's clock less the leader's.
+		ahead := 2*some() - time.Second // The delegate's clock less the leader's.
 		asked := time.Hour + some()
 		heard := asked + some()
 		answered := heard + some()
--- a/laddervm/term.go
+++ b/laddervm/term.go
@@ -149,6 +149,7 @@
 		return t.lease.left()
 	case ladderplan.Likely:
 		return t.lease.left() + outageTime
+	case ladderplan.NoRight:
 	}
 	return 0
 }
