--- a/ladderdelegate/charge.go
+++ b/ladderdelegate/charge.go
@@ -62,11 +62,11 @@
 		h, held := c.next(l, d.clock.Now())
 		if !held {
 			// The leader's last word has run out; the worker's lease is left as it is.
-			c.pause(lookRetry)
+			c.pause(LookRetry)
 			continue
 		}
 		sent := d.boot.SinceBoot()
-		ctx, cancel := context.WithTimeout(c.ctx, h.Wait+lookSlack)
+		ctx, cancel := context.WithTimeout(c.ctx, h.Wait+LookSlack)
 		look, err := d.workers.Look(ctx, c.address, c.worker, h)
 		cancel()
 		if c.ctx.Err() != nil {
@@ -79,7 +79,7 @@
 		})
 		if err != nil {
 			l.known = false
-			c.pause(lookRetry)
+			c.pause(LookRetry)
 			continue
 		}
 		if look.Born != l.born {
@@ -111,7 +111,7 @@
 	}
 	h.Until = l.clock + now.Sub(l.heard) + s.hold
 	if h.Noted >= l.seen {
-		h.Wait = lookWait
+		h.Wait = LookWait
 	}
 	return h, true
 }
--- a/ladderdelegate/delegate.go
+++ b/ladderdelegate/delegate.go
@@ -16,12 +16,12 @@
 )
 
 const (
-	// lookWait is how long a worker may wait for an end before it answers a look, and
-	// lookSlack how long after that a look is given up.
-	lookWait  = time.Second
-	lookSlack = 450 * time.Millisecond
-	// lookRetry is the time to the next look after one that was not answered.
-	lookRetry = 200 * time.Millisecond
+	// LookWait is how long a worker may wait for an end before it answers a look, and
+	// LookSlack how long after that a look is given up. The leader's own looks are the same.
+	LookWait  = time.Second
+	LookSlack = 450 * time.Millisecond
+	// LookRetry is the time to the next look after one that was not answered.
+	LookRetry = 200 * time.Millisecond
 	// notedTime is how long the next look waits for the leader to note the ends of the
 	// last one; until then the worker would list them again at once.
 	notedTime = 200 * time.Millisecond
--- a/laddervm/drive.go
+++ b/laddervm/drive.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"lacewingladder/ladderdelegate"
 	"lacewingladder/ladderflow"
 	"lacewingladder/laddermessage"
 	"lacewingladder/ladderplan"
@@ -12,12 +13,6 @@
 )
 
 const (
-	// lookWait is how long a worker may wait for an end before it answers a look.
-	lookWait = time.Second
-	// lookSlack is how long after its wait a look is given up.
-	lookSlack = 450 * time.Millisecond
-	// lookRetry is the time to the next look after one that was not answered.
-	lookRetry = 200 * time.Millisecond
 	// unsavedTime is how long the next look waits for the ends of the last one to be
 	// stored; until then the worker would list them again at once. It is more than a
 	// commit usually takes, with the gap before it. While the store is slow, other ends
@@ -135,7 +130,7 @@
 	}
 	h := platform.Hold{Fence: t.fence, Noted: next.Noted, Until: next.Until}
 	if next.Until > 0 && !next.Waiting {
-		h.Wait = lookWait
+		h.Wait = ladderdelegate.LookWait
 	}
 	w := d.worker
 	t.vm.stats.looks.Inc()
@@ -155,7 +150,7 @@
 }
 
 func (t *term) lookOnce(ctx context.Context, w ladderflow.Worker, h platform.Hold) (time.Time, ladderflow.Look, error) {
-	ctx, cancel := context.WithTimeout(ctx, h.Wait+lookSlack)
+	ctx, cancel := context.WithTimeout(ctx, h.Wait+ladderdelegate.LookSlack)
 	defer cancel()
 	sent := t.vm.clock.Now()
 	l, err := t.vm.workers.Look(ctx, w.Address, w.ID, h)
@@ -174,7 +169,7 @@
 		t.planner.LookFailed(d.worker.ID, errors.Is(err, platform.ErrFenced))
 		t.log.Debug("worker did not answer", "worker", d.worker.ID, "err", err)
 		t.vm.orders.Forget(d.worker.Address)
-		time.AfterFunc(lookRetry, func() { t.do(func() { t.look(ctx, d) }) })
+		time.AfterFunc(ladderdelegate.LookRetry, func() { t.do(func() { t.look(ctx, d) }) })
 		return
 	}
 	now := t.vm.clock.Now()
