Take a call for refused only if it is refused on all of its ways

Cause, found by reading: a call to the store that was not answered on one way and not sent on the next was taken for not sent. A job whose write had taken effect could so be answered 503, which says that it never runs. TestFate; the old rule fails its cases 'silent, not sent' and 'refused, silent, unsent' by reading, it was no code of its own then.

--- a/laddervm/carrier.go
+++ b/laddervm/carrier.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -89,8 +90,7 @@
 	}
 	begin()
 	hedge := c.vm.clock.After(c.hedge(call, within))
-	last := answer{err: platform.ErrUnsent}
-	unknown := false
+	f := fate{last: answer{err: platform.ErrUnsent}}
 	for pending > 0 {
 		select {
 		case a := <-results:
@@ -100,22 +100,42 @@
 				c.vm.stats.call(call.Kind, a)
 				return a.reply, nil
 			}
-			unknown = unknown || a.err != nil && !errors.Is(a.err, platform.ErrUnsent)
-			if last.err != nil || a.err == nil {
-				last = a
-			}
+			f.add(a)
 			begin()
 		case <-hedge:
 			hedge = nil
 			begin()
 		}
 	}
-	c.vm.stats.call(call.Kind, last)
-	if unknown && last.err == nil {
-		// One way refused, and the other may have brought the call to the store.
-		return platform.Reply{}, errors.New("the store did not answer on one of the ways")
+	reply, err := f.result()
+	c.vm.stats.call(call.Kind, answer{reply: reply, err: err})
+	return reply, err
+}
+
+// fate gathers what became of a call on ways that brought no useful answer.
+type fate struct {
+	last answer
+	// unknown is the first error of a way that may have brought the call to the store.
+	unknown error
+}
+
+// add takes in what became of the call on one way. A refusal says more than an error.
+func (f *fate) add(a answer) {
+	if f.unknown == nil && a.err != nil && !errors.Is(a.err, platform.ErrUnsent) {
+		f.unknown = a.err
+	}
+	if f.last.err != nil || a.err == nil {
+		f.last = a
+	}
+}
+
+// result returns what became of the call: it was refused or not sent only if that is so on
+// all of its ways.
+func (f *fate) result() (platform.Reply, error) {
+	if f.unknown != nil {
+		return platform.Reply{}, fmt.Errorf("the store did not answer on one of the ways: %w", f.unknown)
 	}
-	return last.reply, last.err
+	return f.last.reply, f.last.err
 }
 
 // way is a way to the store.
--- a/laddervm/route_test.go
+++ b/laddervm/route_test.go
@@ -1,13 +1,52 @@
 package laddervm
 
 import (
+	"errors"
+	"net/http"
 	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"lacewingladder/platform"
 )
 
+// TestFate takes a call for refused or not sent only if it is that on all ways.
+func TestFate(t *testing.T) {
+	silent := answer{err: errors.New("no answer")}
+	unsent := answer{err: platform.ErrUnsent}
+	busy := answer{reply: platform.Reply{Status: http.StatusServiceUnavailable}}
+	for name, c := range map[string]struct {
+		ways    []answer
+		unsent  bool
+		refused bool
+	}{
+		"no way":                  {unsent: true},
+		"not sent":                {ways: []answer{unsent, unsent}, unsent: true},
+		"refused":                 {ways: []answer{busy, busy}, refused: true},
+		"not sent, refused":       {ways: []answer{unsent, busy}, refused: true},
+		"refused, not sent":       {ways: []answer{busy, unsent}, refused: true},
+		"silent, not sent":        {ways: []answer{silent, unsent}},
+		"not sent, silent":        {ways: []answer{unsent, silent}},
+		"silent, refused":         {ways: []answer{silent, busy}},
+		"refused, silent, unsent": {ways: []answer{busy, silent, unsent}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := fate{last: unsent}
+			for _, a := range c.ways {
+				f.add(a)
+			}
+			reply, err := f.result()
+			require.Equal(t, c.unsent, errors.Is(err, platform.ErrUnsent))
+			require.Equal(t, c.refused, err == nil && reply.Status == http.StatusServiceUnavailable)
+			if !c.unsent && !c.refused {
+				require.Error(t, err)
+			}
+		})
+	}
+}
+
 // TestRelays keeps to the peer that works, and goes on in turn from one that fails.
 func TestRelays(t *testing.T) {
 	r := relays{bad: map[string]time.Time{}}
