--- a/ladderdelegate/delegate.go
+++ b/ladderdelegate/delegate.go
@@ -16,9 +16,10 @@
 )
 
 const (
-	// LookWait is how long a worker may wait for an end before it answers a look, and
-	// LookSlack how long after that a look is given up. The leader's own looks are the same.
-	LookWait  = time.Second
+	// LookWait is how long a worker may wait for an end before it answers a look. The
+	// leader's own looks are the same.
+	LookWait = time.Second
+	// LookSlack is how long after its wait a look is given up.
 	LookSlack = 450 * time.Millisecond
 	// LookRetry is the time to the next look after one that was not answered.
 	LookRetry = 200 * time.Millisecond
