Keep back ends of leaving workers until they are stored

A worker that is being replaced leaves within the outage, with its list; the leader was killed 4 ms after the store's return, and the next one started the task again, 27 s after callers had been told that the job was done. An end on a leaving worker is shown only once it is stored. TestEndOnLeavingWorkerIsNotShown fails before.

--- a/ladderplan/model.go
+++ b/ladderplan/model.go
@@ -13,6 +13,8 @@
 	// state is final once the job has ended; saved is what the store holds of it.
 	state ladderflow.State
 	saved ladderflow.State
+	// unsaved holds the workers of good ends that the store may not hold yet.
+	unsaved []*worker
 	// inherited is true for a job that an earlier leader may have known.
 	inherited bool
 	// begun is true once a task was ordered to start, the first time at started.
@@ -30,6 +32,12 @@
 	chain   []time.Duration
 }
 
+// safe reports whether the ends that the store may not hold yet are sure to be listed by
+// their workers until it does. A worker that leaves takes its list with it.
+func (j *job) safe() bool {
+	return !slices.ContainsFunc(j.unsaved, func(w *worker) bool { return !w.leaves.IsZero() || !w.listed })
+}
+
 func (j *job) live() bool { return !j.state.Final() }
 
 // round is one repetition of a job's steps.
--- a/ladderplan/planner.go
+++ b/ladderplan/planner.go
@@ -209,6 +209,7 @@
 		if x != nil && !t.done && e.Run.Number == 1 {
 			p.lengths.ended(j.spec.Queue, t.step.spec.Estimate, now.Sub(x.began))
 		}
+		j.unsaved = append(j.unsaved, w)
 		p.endedWell(now, t)
 	case e.How == ladderflow.EndFailed:
 		p.endedBadly(now, w, t, e.Run.Number)
@@ -330,7 +331,8 @@
 
 // showTime is how long an end is kept back for the store, which is several times
 // what a transaction takes. While the store is out longer than that, callers learn
-// of the end all the same: the workers still list it, so the next leader would too.
+// of the end all the same: the workers still list it, so the next leader would too. That
+// does not hold for a worker that leaves, whose ends are shown only once they are stored.
 const showTime = 300 * time.Millisecond
 
 // View returns a job's state. An end is shown once the store holds it, or has not
@@ -342,7 +344,7 @@
 		return View{}
 	case j.saved.Final():
 		return View{Known: true, State: j.saved}
-	case j.state.Final() && now.Sub(j.ended) > showTime:
+	case j.state.Final() && now.Sub(j.ended) > showTime && j.safe():
 		return View{Known: true, State: j.state}
 	case j.begun:
 		return View{Known: true, State: ladderflow.Running}
--- a/ladderplan/planner_test.go
+++ b/ladderplan/planner_test.go
@@ -230,3 +230,34 @@
 	next, _ = b.planner.Look(b.now, "w0")
 	require.EqualValues(t, 1, next.Noted)
 }
+
+// TestEndOnLeavingWorkerIsNotShown keeps back an end that the store does not hold when its
+// worker leaves, before or after it: the worker takes its list of ends with it, and the next
+// leader would know nothing of what callers were told.
+func TestEndOnLeavingWorkerIsNotShown(t *testing.T) {
+	for name, leavesFirst := range map[string]bool{"leaves before": true, "leaves after": false} {
+		t.Run(name, func(t *testing.T) {
+			b := newBed(t, 1)
+			b.submit("a", tasks(1))
+			s := b.begin()[0]
+			leave := func() {
+				w := testWorker(0)
+				w.Draining, w.Leaves = true, 3*time.Second
+				b.planner.SetWorkers(b.now, []ladderflow.Worker{w})
+			}
+			if leavesFirst {
+				leave()
+			}
+			b.end(s, ladderflow.EndDone)
+			batch := b.planner.Unsaved()
+			b.planner.NotSaved(batch)
+			if !leavesFirst {
+				leave()
+			}
+			b.pass(2 * showTime)
+			require.Equal(t, ladderflow.Running, b.planner.View(b.now, "a").State)
+			b.save()
+			require.Equal(t, ladderflow.Done, b.planner.View(b.now, "a").State)
+		})
+	}
+}
--- a/ladderplan/record.go
+++ b/ladderplan/record.go
@@ -89,6 +89,9 @@
 	for id, s := range b.states {
 		if j, ok := p.jobs[id]; ok {
 			j.saved = s
+			if p.dirty[id] == nil {
+				j.unsaved = nil
+			}
 		}
 	}
 	for _, id := range b.Forget {
