Close what VM.Run opened when it fails, and pick demo ports below outgoing ones

Also VM.wait was never waited on.

Now: ladderstand.FreePort serves the demo and laddertest; Run closes on every way out and waits for its goroutines, 200 ms at most.

--- a/ladderdemo/jobs.go
+++ b/ladderdemo/jobs.go
@@ -190,9 +190,9 @@
 // startVM starts an entry VM with the given name.
 func (d *jobsDeployment) startVM(ctx context.Context, name string, store, advice netip.AddrPort, logs *ladderlog.Loggers) error {
 	ports := make([]netip.AddrPort, 4)
-	for i := range ports {
+	for i, network := range []string{"tcp", "tcp", "udp", "tcp"} {
 		var err error
-		if ports[i], err = freePort(); err != nil {
+		if ports[i], err = ladderstand.FreePort(network); err != nil {
 			return err
 		}
 	}
@@ -213,18 +213,6 @@
 	return nil
 }
 
-// freePort returns a port of the loopback interface on which no process accepts TCP
-// connections at the time of the call. The port may also be used for UDP, for which
-// it is not checked. Another process may take the port before it is used.
-func freePort() (netip.AddrPort, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return netip.AddrPort{}, err
-	}
-	defer func() { _ = l.Close() }()
-	return netip.ParseAddrPort(l.Addr().String())
-}
-
 // close begins to drain the entry VMs, closes the HTTP servers of the stand-ins and
 // waits until all of them have ended.
 func (d *jobsDeployment) close() {
--- a/laddertest/cluster_test.go
+++ b/laddertest/cluster_test.go
@@ -7,18 +7,18 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"lacewingladder/ladderstand"
 )
 
 // programs is the directory of the built programs.
@@ -215,36 +215,12 @@
 	c.launch(e.process)
 }
 
-// triedPorts counts the ports that freePort has tried.
-var triedPorts atomic.Int32
-
-// Ports are chosen below the system's range for outgoing connections. Otherwise such a
-// connection could take a free port before the process that is to listen on it starts.
-const (
-	firstPort = 20_000
-	portSpan  = 10_000
-)
-
 // freePort returns a loopback address with an unused port.
 func freePort(t *testing.T, network string) string {
 	t.Helper()
-	for range portSpan {
-		port := firstPort + (int(triedPorts.Add(1))+17*os.Getpid())%portSpan
-		address := fmt.Sprintf("127.0.0.1:%d", port)
-		var open io.Closer
-		var err error
-		if network == "udp" {
-			open, err = net.ListenPacket("udp", address)
-		} else {
-			open, err = net.Listen("tcp", address)
-		}
-		if err == nil {
-			_ = open.Close()
-			return address
-		}
-	}
-	t.Fatal("no port is free")
-	return ""
+	address, err := ladderstand.FreePort(network)
+	require.NoError(t, err)
+	return address.String()
 }
 
 // runCommand runs a subcommand of lacewingladder and returns its output.
--- a/laddervm/vm.go
+++ b/laddervm/vm.go
@@ -37,6 +37,8 @@
 	// leaseEndTimeout the call that ends the VM's lease.
 	finishTime      = 2200 * time.Millisecond
 	leaseEndTimeout = 300 * time.Millisecond
+	// goroutineEndTimeout is how long a VM that stops waits for its goroutines.
+	goroutineEndTimeout = 200 * time.Millisecond
 	// drainPercent and finishPercent limit drainTime and finishTime to a part of the
 	// platform's grace period, so that the rest of it is left for a slow VM.
 	drainPercent  = 42
@@ -143,17 +145,18 @@
 	v.log.Info("entry VM starts", "name", v.settings.Name, "zone", v.settings.Zone, "address", v.settings.Address)
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
+	defer v.close()
 	callers, err := v.serveHTTP(v.settings.CallerAddress, v.callerHandler())
 	if err != nil {
 		return err
 	}
 	balancer, err := v.serveHTTP(v.settings.ReadyAddress, http.HandlerFunc(v.serveReady))
 	if err != nil {
-		return err
+		return errors.Join(err, callers.Close())
 	}
 	operators, err := v.serveHTTP(netip.AddrPortFrom(v.settings.Address, v.metricsPort), v.operatorHandler())
 	if err != nil {
-		return err
+		return errors.Join(err, callers.Close(), balancer.Close())
 	}
 	go func() {
 		if err := v.server.Serve(serving); err != nil {
@@ -181,11 +184,26 @@
 		v.log.Warn("lease of the VM's entry could not be ended; the entry expires with it", "err", err)
 	}
 	stop()
+	v.log.Info("entry VM stopped", "err", err)
+	return nil
+}
+
+// close ends the VM's connections to peers and waits for its goroutines, for at most
+// goroutineEndTimeout.
+func (v *VM) close() {
 	v.delegate.Close()
 	v.peers.Close()
 	v.server.Close()
-	v.log.Info("entry VM stopped", "err", err)
-	return nil
+	ended := make(chan struct{})
+	go func() {
+		v.wait.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-v.clock.After(goroutineEndTimeout):
+		v.log.Warn("goroutines still run as the VM stops", "after", goroutineEndTimeout)
+	}
 }
 
 // shutdownTimes returns how long a leaving VM continues to serve, and how long the requests
