--- a/ladderadmission/urgentload.go
+++ b/ladderadmission/urgentload.go
@@ -30,9 +30,6 @@
 	l.running = n
 }
 
-// Running returns the number of urgent tasks that run now.
-func (l *UrgentLoad) Running() int { return l.running }
-
 // Headroom returns how many slots all other work must leave free, so that the
 // number of urgent tasks can grow to its mean plus three standard deviations. It
 // assumes that each urgent task needs one slot.
--- a/ladderclaim/book.go
+++ b/ladderclaim/book.go
@@ -253,15 +253,6 @@
 	return laddermodel.Grant{Worker: worker, Boot: c.boot, Epoch: c.epoch, Until: c.until}, true
 }
 
-// Holder returns the holder of a worker's claim as of the worker's last answer,
-// or an empty string if there is none.
-func (b *Book) Holder(worker string) string {
-	if c, ok := b.claims[worker]; ok {
-		return c.holder
-	}
-	return ""
-}
-
 // HeldWorker is a worker whose claim this VM holds.
 type HeldWorker struct {
 	Worker *laddermodel.Worker
--- a/laddercommand/apply.go
+++ b/laddercommand/apply.go
@@ -21,10 +21,12 @@
 type apply struct {
 	client
 	file string
-	// base is the version on which the file is based, or 0 for the version in force.
-	base     uint64
-	changeID string
-	operator string
+	// base is the version on which the file is based; 0 means that there was none. It is the version
+	// in force unless baseGiven is true.
+	base      uint64
+	baseGiven bool
+	changeID  string
+	operator  string
 }
 
 func (*apply) Name() string     { return "apply" }
@@ -34,14 +36,14 @@
   Submit a configuration as the next version and print the version's number. If
   another change was accepted after the base version, the command fails and prints
   its ID. The default base is the version in force when the command starts.
-  If no reply arrives, repeat the command with -change and the ID that it printed.
+  If no reply arrives, repeat the command with -change and -base as it printed them.
 `
 }
 
 func (a *apply) SetFlags(f *flag.FlagSet) {
 	a.setFlags(f)
 	f.StringVar(&a.file, "file", "", "YAML `file` with the configuration")
-	f.Uint64Var(&a.base, "base", 0, "`version` on which the file is based; 0 means the version in force")
+	f.Uint64Var(&a.base, "base", 0, "`version` on which the file is based, by default the version in force; 0 if there was none")
 	f.StringVar(&a.changeID, "change", "", "`ID` of the change; a new one by default")
 	f.StringVar(&a.operator, "by", operatorName(), "`name` of the operator who makes the change")
 }
@@ -66,6 +68,11 @@
 	if len(a.to) != 1 || a.file == "" || f.NArg() > 0 {
 		return a.usageError("apply: give -to ADDR, -file FILE and no arguments")
 	}
+	f.Visit(func(set *flag.Flag) { a.baseGiven = a.baseGiven || set.Name == "base" })
+	if a.changeID != "" && !a.baseGiven {
+		// The version in force may be another operator's change since the first attempt.
+		return a.usageError("apply: -change repeats a command, so give the -base that it printed as well")
+	}
 	document, err := os.ReadFile(a.file)
 	if err != nil {
 		return a.fail(err)
@@ -78,7 +85,7 @@
 	}
 	accepted, err := a.putConfig(ctx, document)
 	if err != nil {
-		_, _ = fmt.Fprintf(a.err, "change %s: %v\n", a.changeID, err)
+		_, _ = fmt.Fprintf(a.err, "change %s: %v\nto repeat it, add: -change %s -base %d\n", a.changeID, err, a.changeID, a.base)
 		return subcommands.ExitFailure
 	}
 	_, _ = fmt.Fprintf(a.out, "version %d accepted (change %s)\n", accepted.Number, accepted.ChangeID)
@@ -89,20 +96,16 @@
 // operator and base version of the command. Without -base it first asks the entry VM for
 // the version in force.
 func (a *apply) putConfig(ctx context.Context, document []byte) (configVersion, error) {
-	if a.base == 0 {
+	if !a.baseGiven {
 		current, err := a.currentVersion(ctx)
 		if err != nil {
 			return configVersion{}, err
 		}
 		a.base = current.Number
 	}
-	header := map[string]string{
-		ladderserver.HeaderChange: a.changeID, ladderserver.HeaderOperator: a.operator,
-	}
-	if a.base > 0 {
-		header[ladderserver.HeaderIfMatch] = entityTag(a.base)
-	}
-	return a.client.putConfig(ctx, document, header)
+	return a.client.putConfig(ctx, document, map[string]string{
+		ladderserver.HeaderChange: a.changeID, ladderserver.HeaderOperator: a.operator, ladderserver.HeaderIfMatch: entityTag(a.base),
+	})
 }
 
 // putConfig sends a document as the next version of the configuration, with request
--- a/laddercommand/client.go
+++ b/laddercommand/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"flag"
 	"fmt"
@@ -17,7 +18,7 @@
 	callTimeout = 15 * time.Second
 	// maxReplyBytes is the size to which the body of a reply is truncated.
 	maxReplyBytes = 16 << 20
-	// tokenVariable is the environment variable that holds the default of the flag -token.
+	// tokenVariable is the environment variable whose value is used without the flag -token.
 	tokenVariable = "LADDER_TOKEN"
 )
 
@@ -32,7 +33,8 @@
 // setFlags defines the flags that these subcommands have in common.
 func (c *client) setFlags(f *flag.FlagSet) {
 	f.Var(&c.to, "to", "`address` of the entry VM")
-	f.StringVar(&c.token, "token", os.Getenv(tokenVariable), "token to authenticate with, by default the value of $"+tokenVariable)
+	// The value of the variable must not be the flag's default, which the help text shows.
+	f.StringVar(&c.token, "token", "", "token to authenticate with, by default the value of $"+tokenVariable)
 }
 
 // reply is the HTTP response of an entry VM.
@@ -55,8 +57,8 @@
 	for k, v := range header {
 		request.Header.Set(k, v)
 	}
-	if c.token != "" {
-		request.Header.Set("Authorization", "Bearer "+c.token)
+	if token := cmp.Or(c.token, os.Getenv(tokenVariable)); token != "" {
+		request.Header.Set("Authorization", "Bearer "+token)
 	}
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
--- a/laddercommand/command_test.go
+++ b/laddercommand/command_test.go
@@ -4,10 +4,12 @@
 	"bytes"
 	"context"
 	"flag"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -89,6 +91,7 @@
 		"unknown command": {args: []string{"unknown"}, want: subcommands.ExitUsageError},
 		"missing file":    {args: []string{"check", "testdata/none.yaml"}, want: subcommands.ExitFailure},
 		"valid files":     {args: []string{"check", "../examples/bureau/fleet.yaml", "../examples/bureau/chuo-e1.yaml"}, want: subcommands.ExitSuccess},
+		"change, no base": {args: []string{"apply", "-to", "127.0.0.1:1", "-file", "../examples/bureau/fleet.yaml", "-change", "c1"}, want: subcommands.ExitUsageError},
 		"no server":       {args: []string{"status", "-to", "127.0.0.1:1"}, want: subcommands.ExitFailure},
 	}
 	for name, tt := range tests {
@@ -98,3 +101,49 @@
 		})
 	}
 }
+
+// TestTokenIsNotShown checks that the help text does not show the token in the environment, and
+// that the commands send it.
+func TestTokenIsNotShown(t *testing.T) {
+	t.Setenv("LADDER_TOKEN", "secret-of-the-operator")
+	_, out := run(t, "help", "apply")
+	require.Contains(t, out, "LADDER_TOKEN")
+	require.NotContains(t, out, "secret-of-the-operator")
+	var sent string
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		sent = r.Header.Get("Authorization")
+		_, _ = w.Write([]byte(statusReply))
+	}))
+	defer server.Close()
+	status, out := run(t, "status", "-to", strings.TrimPrefix(server.URL, "http://"))
+	require.Equal(t, subcommands.ExitSuccess, status, out)
+	require.Equal(t, "Bearer secret-of-the-operator", sent)
+}
+
+// TestApplyRepeated loses the reply to a change. Meanwhile another operator's change is accepted.
+// The repetition, with the flags that the command printed, must be refused rather than overwrite it.
+func TestApplyRepeated(t *testing.T) {
+	inForce, lose := 7, true
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.Method == http.MethodGet:
+			_, _ = fmt.Fprintf(w, `{"number":%d,"change":"x","document":""}`, inForce)
+		case lose:
+			lose, inForce = false, inForce+1 // Another operator's change is accepted.
+			panic(http.ErrAbortHandler)
+		case r.Header.Get("If-Match") != strconv.Quote(strconv.Itoa(inForce)):
+			http.Error(w, "another change was accepted", http.StatusConflict)
+		default:
+			_, _ = fmt.Fprintf(w, `{"number":%d,"change":"y"}`, inForce+1)
+		}
+	}))
+	defer server.Close()
+	args := []string{"apply", "-to", strings.TrimPrefix(server.URL, "http://"), "-file", "../examples/bureau/fleet.yaml"}
+	status, out := run(t, args...)
+	require.Equal(t, subcommands.ExitFailure, status)
+	_, flags, ok := strings.Cut(strings.TrimSpace(out), "add: ")
+	require.True(t, ok, out)
+	status, out = run(t, append(args, strings.Fields(flags)...)...)
+	require.Equal(t, subcommands.ExitFailure, status)
+	require.Contains(t, out, "another change was accepted")
+}
--- a/ladderconfig/edit.go
+++ b/ladderconfig/edit.go
@@ -21,7 +21,10 @@
 	if len(root.Content) != 1 || root.Content[0].Kind != yaml.MappingNode {
 		return nil, fmt.Errorf("the document is not a mapping")
 	}
-	list := valueNode(root.Content[0], "exceptions", yaml.SequenceNode)
+	list, err := valueNode(root.Content[0], "exceptions", yaml.SequenceNode)
+	if err != nil {
+		return nil, err
+	}
 	item := &yaml.Node{Kind: yaml.MappingNode}
 	for _, pair := range [][2]string{{"target", e.Target}, {"set", e.Setting}, {"value", e.Value}, {"reason", e.Reason}} {
 		item.Content = append(item.Content, scalarNode(pair[0]), scalarNode(pair[1]))
@@ -42,17 +45,25 @@
 	return out.Bytes(), nil
 }
 
-// valueNode returns the value of a mapping's key, if it is of the given kind.
-// Otherwise it adds the key with an empty value and returns that value.
-func valueNode(mapping *yaml.Node, key string, kind yaml.Kind) *yaml.Node {
+// valueNode returns the value of a mapping's key, which must be of the given kind
+// or empty. It adds the key with an empty value if the mapping does not have it.
+func valueNode(mapping *yaml.Node, key string, kind yaml.Kind) (*yaml.Node, error) {
 	for i := 0; i+1 < len(mapping.Content); i += 2 {
-		if mapping.Content[i].Value == key && mapping.Content[i+1].Kind == kind {
-			return mapping.Content[i+1]
+		if mapping.Content[i].Value != key {
+			continue
+		}
+		value := mapping.Content[i+1]
+		if value.Kind == yaml.ScalarNode && value.Tag == "!!null" {
+			*value = yaml.Node{Kind: kind, HeadComment: value.HeadComment, LineComment: value.LineComment, FootComment: value.FootComment}
 		}
+		if value.Kind != kind {
+			return nil, fmt.Errorf("line %d: the value of %s is of the wrong kind", value.Line, key)
+		}
+		return value, nil
 	}
 	node := &yaml.Node{Kind: kind}
 	mapping.Content = append(mapping.Content, scalarNode(key), node)
-	return node
+	return node, nil
 }
 
 // valueText returns the text of the value of a mapping's key, or an empty string
--- a/ladderconfig/edit_test.go
+++ b/ladderconfig/edit_test.go
@@ -20,6 +20,8 @@
 		wantExceptions int
 	}{
 		"no exceptions yet":             {document: defaults, wantExceptions: 1},
+		"empty key":                     {document: defaults + "exceptions:\n", wantExceptions: 1},
+		"empty list":                    {document: defaults + "exceptions: []\n", wantExceptions: 1},
 		"exception for another worker":  {document: defaults + "exceptions:\n  - {target: worker/w2, set: drain, value: true, reason: old}\n", wantExceptions: 2},
 		"exception for the same target": {document: defaults + "exceptions:\n  - {target: worker/w1, set: drain, value: false, reason: old}\n", wantExceptions: 1},
 	}
@@ -35,6 +37,8 @@
 			require.Equal(t, drain, c.Exceptions[tt.wantExceptions-1])
 		})
 	}
-	_, err := ladderconfig.AddException([]byte("[1]"), drain)
-	require.Error(t, err)
+	for _, invalid := range []string{"[1]", defaults + "exceptions: none\n"} {
+		_, err := ladderconfig.AddException([]byte(invalid), drain)
+		require.Error(t, err)
+	}
 }
--- a/ladderledger/ledger.go
+++ b/ladderledger/ledger.go
@@ -196,16 +196,6 @@
 	return n
 }
 
-// Has reports whether a task has a reservation on a worker.
-func (l *Ledger) Has(worker, task string) bool {
-	a, ok := l.accounts[worker]
-	if !ok {
-		return false
-	}
-	_, ok = a.reservations[task]
-	return ok
-}
-
 func (a *account) free() laddermodel.Size { return a.worker.Size.Sub(a.used) }
 
 func (a *account) add(res *reservation) {
--- a/ladderproof/simulation_test.go
+++ b/ladderproof/simulation_test.go
@@ -118,8 +118,6 @@
 	ctx       context.Context
 	cancel    context.CancelFunc
 	exchanges []exchange
-	// keys counts the exchanges of each key.
-	keys map[string]int
 	// steps counts the checks, and seq the requests, whose IDs contain it.
 	steps int
 	seq   int
@@ -145,7 +143,7 @@
 		t.Fatal(err)
 	}
 	sim := &simulation{
-		t: t, clock: ladderclock.NewManual(time.Unix(1_000_000, 0)), config: config, keys: map[string]int{},
+		t: t, clock: ladderclock.NewManual(time.Unix(1_000_000, 0)), config: config,
 	}
 	sim.ctx, sim.cancel = context.WithCancel(context.Background())
 	for i := range rackCount * workersPerRack {
--- a/ladderqueue/plan.go
+++ b/ladderqueue/plan.go
@@ -16,6 +16,9 @@
 	// maxTasksPerPlan is the number of planned tasks at which a plan ends. The
 	// last gang may exceed it.
 	maxTasksPerPlan = 256
+	// reasonNoCapacity is the reason of a job that does not fit into the free
+	// capacity of the cluster.
+	reasonNoCapacity = "the cell has no room"
 )
 
 // Batch is a set of tasks that start together: all remaining tasks of a gang, or
@@ -95,7 +98,7 @@
 		j.record.Reason = "the team's quota is in use"
 		return Batch{}, false
 	case !need.Fits(free):
-		j.record.Reason = "the cell has no room"
+		j.record.Reason = reasonNoCapacity
 		return Batch{}, false
 	case blocked != nil && blocked != j && !q.endsBeforeGangStart(now, j, blocked, free):
 		j.record.Reason = "an older gang waits for this room"
@@ -142,7 +145,7 @@
 // isGangWithoutCapacity reports whether a job is a gang that could not start for
 // lack of free capacity.
 func (q *Queue) isGangWithoutCapacity(j *jobState) bool {
-	return j.record.Job.Kind == laddermodel.Gang && j.hasTasksToStart() && j.record.Reason == "the cell has no room"
+	return j.record.Job.Kind == laddermodel.Gang && j.hasTasksToStart() && j.record.Reason == reasonNoCapacity
 }
 
 // endsBeforeGangStart reports whether a task of j that starts now is expected to
--- a/ladderqueue/queue.go
+++ b/ladderqueue/queue.go
@@ -190,13 +190,20 @@
 // Ended records the end of a task.
 func (q *Queue) Ended(task string, e TaskEnd) {
 	j, i, attempt, ok := q.findTask(task)
-	if !ok || j.record.State.Final() {
+	if !ok {
 		return
 	}
 	r, runs := j.running[i]
 	if runs && r.attempt != attempt {
 		return
 	}
+	if j.record.State.Final() {
+		if runs {
+			q.removeRun(j, i) // The slots of a failed job are in use until its runs end.
+			q.finishIfIdle(j)
+		}
+		return
+	}
 	if !runs && !j.unconfirmed[i] {
 		return
 	}
--- a/ladderqueue/queue_test.go
+++ b/ladderqueue/queue_test.go
@@ -200,3 +200,29 @@
 	_, ok := q.View("active")
 	require.True(t, ok)
 }
+
+// TestFailedJobReleasesItsQuota fails a job while another of its tasks runs. That task uses the
+// team's quota until it ends, and no longer.
+func TestFailedJobReleasesItsQuota(t *testing.T) {
+	q := ladderqueue.New()
+	addJob(q, "j", "a", laddermodel.Batch, 2, 0)
+	now := start
+	tasks := planAndSave(q, now, 10)
+	failing, other := tasks[0], tasks[1]
+	q.Ended(failing, ladderqueue.TaskEnd{Failed: true})
+	for range 2 {
+		now = now.Add(time.Second)
+		failing = planAndSave(q, now, 10)[0]
+		q.Ended(failing, ladderqueue.TaskEnd{Failed: true})
+	}
+	v, _ := q.View("j")
+	require.Equal(t, ladderjob.Failed, v.State)
+	require.Equal(t, 1, v.Running)
+	addJob(q, "later", "a", laddermodel.Batch, 20, 0)
+	require.Len(t, planAndSave(q, now, 30), 9)
+	q.Ended(other, ladderqueue.TaskEnd{})
+	require.Len(t, planAndSave(q, now, 30), 1)
+	v, _ = q.View("j")
+	require.Equal(t, ladderjob.Failed, v.State)
+	require.Zero(t, v.Running)
+}
--- a/ladderserver/claims.go
+++ b/ladderserver/claims.go
@@ -71,11 +71,14 @@
 	}
 }
 
-// keepRack cancels the release of a rack.
+// keepRack cancels the release of a rack. It also makes the rack accept new keys again, which
+// a handover that has failed since may have prevented.
 func (s *Server) keepRack(rack string) {
 	if s.releasable[rack] {
 		delete(s.releasable, rack)
 		s.holder.CancelHandover(rack)
+	}
+	if !s.handingOver[rack] {
 		s.dispatch.CancelExport(rack)
 	}
 }
@@ -115,6 +118,7 @@
 	defer cancel()
 	_, err := s.peers.call(callCtx, to, laddermessage.HandoverHome{Handover: handover, Records: records})
 	if err != nil {
+		s.dispatch.CancelExport(rack)
 		log.Warn("handover failed; keeping the rack for now", "rack", rack, "peer", to, "err", err)
 		return false
 	}
--- a/ladderserver/configuration.go
+++ b/ladderserver/configuration.go
@@ -165,9 +165,9 @@
 
 // apply stores a document as the next version and puts it into force. It refuses
 // the document when base, the number of the version that the operator edited, is
-// not the present one; a base of zero matches any version. A repeated change is
-// recognized by its ID and not applied again.
-func (c *configuration) apply(ctx context.Context, v ladderconfig.Version, base uint64) (ladderconfig.Version, error) {
+// not the present one; zero stands for no version, and anyVersion matches every
+// one. A repeated change is recognized by its ID and not applied again.
+func (c *configuration) apply(ctx context.Context, v ladderconfig.Version, base int64) (ladderconfig.Version, error) {
 	if _, err := ladderconfig.Parse("document", []byte(v.Document)); err != nil {
 		return v, err
 	}
@@ -182,7 +182,7 @@
 	case ok && stored.ChangeID == v.ChangeID:
 		c.adoptAndPush(ctx, stored)
 		return stored, nil
-	case base != 0 && base != stored.Number:
+	case base != anyVersion && base != int64(stored.Number):
 		return v, &ladderconfig.ConflictError{Current: stored}
 	}
 	v.Number = stored.Number + 1
--- a/ladderserver/control_loop.go
+++ b/ladderserver/control_loop.go
@@ -44,6 +44,9 @@
 func (s *Server) refreshListing(ctx context.Context) {
 	listing, findings, err := s.lister.List(ctx)
 	if err != nil {
+		if ctx.Err() == nil {
+			s.logs.Component("list").Warn("reading the list of VMs failed; the last one stays in use", "err", err)
+		}
 		return
 	}
 	for _, f := range findings.Findings() {
--- a/ladderserver/jobs.go
+++ b/ladderserver/jobs.go
@@ -40,6 +40,8 @@
 	server  *Server
 	log     Log
 	pending chan pendingWrite
+	// ended is closed once no more transactions are sent.
+	ended chan struct{}
 	// largestWorker holds, for each resource, the largest amount on any listed worker.
 	// It is nil until the platform's list names a worker.
 	largestWorker atomic.Pointer[laddermodel.Size]
@@ -52,7 +54,7 @@
 }
 
 func newJobs(s *Server) *jobs {
-	return &jobs{server: s, log: s.logs.Component("jobs"), pending: make(chan pendingWrite, maxPendingWrites)}
+	return &jobs{server: s, log: s.logs.Component("jobs"), pending: make(chan pendingWrite, maxPendingWrites), ended: make(chan struct{})}
 }
 
 // Submit implements laddergate.Jobs.
@@ -129,11 +131,20 @@
 		return err
 	case <-ctx.Done():
 		return laddergate.ErrUnconfirmed
+	case <-j.ended:
+	}
+	select {
+	case err := <-w.done:
+		return err // The last transaction contained the write.
+	default:
+		return laddergate.ErrStoreUnreachable
 	}
 }
 
-// commitLoop collects queued writes into transactions until ctx ends.
+// commitLoop collects queued writes into transactions until ctx ends. The writes that are still
+// queued then are not sent.
 func (j *jobs) commitLoop(ctx context.Context) {
+	defer close(j.ended)
 	for {
 		var first pendingWrite
 		select {
--- a/ladderserver/operator.go
+++ b/ladderserver/operator.go
@@ -119,12 +119,17 @@
 	}
 }
 
-// parseBase parses the version number in an If-Match header. Zero means any version.
-func parseBase(text string) (uint64, error) {
+// anyVersion is the base of a change that does not state on which version it is based.
+const anyVersion = -1
+
+// parseBase parses the version number in an If-Match header. It returns anyVersion if
+// there is no header.
+func parseBase(text string) (int64, error) {
 	if text == "" {
-		return 0, nil
+		return anyVersion, nil
 	}
-	return strconv.ParseUint(strings.Trim(text, `"`), 10, 64)
+	base, err := strconv.ParseUint(strings.Trim(text, `"`), 10, 63)
+	return int64(base), err
 }
 
 // getStatus writes the VM's status as JSON.
--- a/ladderyaml/reader.go
+++ b/ladderyaml/reader.go
@@ -286,7 +286,7 @@
 	}
 	digits, ok := strings.CutSuffix(r.Text(), "%")
 	percent, err := strconv.ParseFloat(digits, 64)
-	if !ok || err != nil || percent < 0 || percent > 100 {
+	if !ok || err != nil || !(percent >= 0 && percent <= 100) { // NaN fails both comparisons.
 		r.AddFinding("%q is not a share such as 10%%", r.Text())
 		return fallback
 	}
@@ -367,7 +367,7 @@
 		return fallback
 	}
 	f, err := strconv.ParseFloat(r.Text(), 64)
-	if err != nil || f < 0 || f > math.MaxInt32 {
+	if err != nil || !(f >= 0 && f <= math.MaxInt32) { // NaN fails both comparisons.
 		r.AddFinding("%q is not a number, at least zero", r.Text())
 		return fallback
 	}
