--- a/ladderflow/machine.go
+++ b/ladderflow/machine.go
@@ -5,14 +5,12 @@
 // MachineState is the state that the machine service lists for a machine.
 type MachineState string
 
-// The states of a machine.
+// The states of a machine that decisions depend on.
 const (
 	// MachineUp means that the machine runs its worker.
-	MachineUp     MachineState = "up"
-	MachineMoving MachineState = "moving"
+	MachineUp MachineState = "up"
 	// MachineMaintenance means that the machine is off for maintenance.
 	MachineMaintenance MachineState = "upkeep"
-	MachineDown        MachineState = "down"
 )
 
 // Machine is the hardware that a worker runs on.
--- a/ladderjournal/journal.go
+++ b/ladderjournal/journal.go
@@ -74,9 +74,7 @@
 type Submission struct {
 	Job     *ladderflow.Job
 	Outcome Outcome
-	// Revision is the store's revision at which the job was stored, if it was.
-	Revision int64
-	Err      error
+	Err     error
 }
 
 // MaxSubmissions is the maximum number of jobs in one call of [Journal.Accept]. Each
@@ -101,14 +99,13 @@
 	if len(pending) == 0 {
 		return
 	}
-	revision, found, err := j.store.Commit(ctx, txn)
+	_, found, err := j.store.Commit(ctx, txn)
 	if errors.Is(err, platform.ErrConditionFailed) {
 		j.acceptRest(ctx, pending, found)
 		return
 	}
 	for _, s := range pending {
-		s.Revision, s.Err = revision, err
-		s.Outcome = outcomeOf(err)
+		s.Outcome, s.Err = outcomeOf(err), err
 	}
 }
 
@@ -116,20 +113,16 @@
 // outcome of the submissions that were stored or canceled before, as shown by the
 // found items, and stores the others.
 func (j *Journal) acceptRest(ctx context.Context, pending []*Submission, found []platform.Item) {
-	revisions := map[string]int64{}
+	exists := map[string]bool{}
 	for _, item := range found {
-		if item.ModRevision != 0 && !item.Deleted {
-			revisions[item.Key] = item.ModRevision
-		}
+		exists[item.Key] = item.ModRevision != 0 && !item.Deleted
 	}
 	var rest []*Submission
 	for _, s := range pending {
-		revision, stored := revisions[jobPrefix+s.Job.ID]
-		_, cancelled := revisions[cancelPrefix+s.Job.ID]
 		switch {
-		case stored:
-			s.Outcome, s.Revision, s.Err = AlreadyStored, revision, nil
-		case cancelled:
+		case exists[jobPrefix+s.Job.ID]:
+			s.Outcome, s.Err = AlreadyStored, nil
+		case exists[cancelPrefix+s.Job.ID]:
 			s.Outcome, s.Err = CancelledFirst, nil
 		default:
 			rest = append(rest, s)
@@ -335,9 +328,6 @@
 	Cancelled []string
 	Records   []ladderplan.Record
 	Roster    []ladderflow.Worker
-	// Revision is the store's revision after which [Journal.Load] may have missed changes
-	// of jobs and cancellations.
-	Revision int64
 	// DecodeErrors holds an error for each value that could not be decoded. Such values stay
 	// in the store as they are.
 	DecodeErrors []error
@@ -347,8 +337,9 @@
 	rosterOrder int64
 }
 
-// Load reads everything from the store. It reads jobs before progress, so that every
-// progress record comes with its job.
+// Load reads everything from the store. A job that is stored meanwhile may be missing, and a
+// record whose job is missing has no effect: the caller learns of later jobs from the leader's
+// messages or by a watch that begins with all items.
 func (j *Journal) Load(ctx context.Context) (*Contents, error) {
 	c := &Contents{}
 	for key, revision := range map[string]*int64{recordOrderKey: &c.recordOrder, rosterOrderKey: &c.rosterOrder} {
@@ -368,13 +359,9 @@
 		}
 	}
 	for _, prefix := range []string{jobPrefix, cancelPrefix, recordPrefix} {
-		revision, err := j.readAll(ctx, prefix, func(item platform.Item) { c.add(item) })
-		if err != nil {
+		if err := j.readAll(ctx, prefix, func(item platform.Item) { c.add(item) }); err != nil {
 			return nil, err
 		}
-		if prefix == jobPrefix {
-			c.Revision = revision
-		}
 	}
 	return c, nil
 }
@@ -417,24 +404,20 @@
 	}
 }
 
-// readAll calls each for every item with the given prefix, page by page. It returns the
-// store's revision at the time of the first page.
-func (j *Journal) readAll(ctx context.Context, prefix string, each func(platform.Item)) (int64, error) {
-	after, first := "", int64(0)
+// readAll calls each for every item with the given prefix, page by page.
+func (j *Journal) readAll(ctx context.Context, prefix string, each func(platform.Item)) error {
+	after := ""
 	for {
 		page, err := j.store.Range(ctx, prefix, after)
 		if err != nil {
-			return 0, err
-		}
-		if first == 0 {
-			first = page.Revision
+			return err
 		}
 		for _, item := range page.Items {
 			each(item)
 			after = item.Key
 		}
 		if !page.More || len(page.Items) == 0 {
-			return first, nil
+			return nil
 		}
 	}
 }
--- a/ladderstand/platformworker.go
+++ b/ladderstand/platformworker.go
@@ -96,13 +96,6 @@
 	p.spec.Incarnation = p.current.number
 }
 
-// Crash ends all runs, without listing them as ended, and begins a new incarnation.
-func (p *PlatformWorker) Crash() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.restart()
-}
-
 // SetUnresponsive makes the worker leave calls without a response, or respond again. Its runs
 // continue.
 func (p *PlatformWorker) SetUnresponsive(on bool) {
