Hold back acknowledgements while a start may have reached a later incarnation

A poll that acknowledged the earlier incarnation's ends made it forget the end of a run that had been started there meanwhile, and the task started again.

Now AcknowledgeGuard: a poll acknowledges nothing while a start is unanswered, or was answered with a clock that a younger incarnation could show, until a later poll has shown the incarnation.

Left: a start by a delegate that has failed may still arrive after its successor's first poll.

--- a/ladderdelegate/delegate.go
+++ b/ladderdelegate/delegate.go
@@ -40,7 +40,7 @@
 // Workers is the client through which a delegate calls workers.
 type Workers interface {
 	Poll(ctx context.Context, to netip.AddrPort, id string, request platform.PollRequest) (ladderflow.StatusReport, error)
-	Start(ctx context.Context, to netip.AddrPort, id string, s ladderflow.Start) (ladderflow.Refusal, error)
+	Start(ctx context.Context, to netip.AddrPort, id string, s ladderflow.Start) (ladderflow.StartReply, error)
 	Stop(ctx context.Context, to netip.AddrPort, id string, r ladderflow.Run, fence int64) (ladderflow.Refusal, error)
 	LimitSpeed(ctx context.Context, to netip.AddrPort, id string, r ladderflow.Run, percent int, fence int64) (ladderflow.Refusal, error)
 }
@@ -209,28 +209,59 @@
 			delete(s.pollers, id)
 		}
 	}
+	for _, o := range m.Starts {
+		if p, ok := s.pollers[o.Worker]; ok {
+			p.acknowledgeGuard.StartSent()
+		}
+	}
 	s.mu.Unlock()
 	for _, o := range m.Starts {
-		go s.sendOrder(m, o.Worker, o.Start.Run, false, func(ctx context.Context) (ladderflow.Refusal, error) {
-			return s.delegate.workers.Start(ctx, o.Address, o.Worker, o.Start)
-		})
+		go s.sendStart(m, o)
 	}
 	for _, o := range m.Stops {
-		go s.sendOrder(m, o.Worker, o.Run, true, func(ctx context.Context) (ladderflow.Refusal, error) {
-			return s.delegate.workers.Stop(ctx, o.Address, o.Worker, o.Run, s.fence)
-		})
+		go func() {
+			s.sendOrder(m, o.Worker, o.Run, true, func(ctx context.Context) (ladderflow.Refusal, error) {
+				return s.delegate.workers.Stop(ctx, o.Address, o.Worker, o.Run, s.fence)
+			})
+		}()
 	}
 	for _, o := range m.SpeedLimits {
 		go s.sendSpeedLimit(m, o)
 	}
 }
 
-// sendOrder sends a start or stop order with the given function and adds its result to
-// the next report.
+// sendStart sends a start and records in the worker's poller what it means for polls.
+func (s *session) sendStart(m laddermessage.Delegation, o laddermessage.DelegatedStart) {
+	var clock time.Duration
+	r := s.sendOrder(m, o.Worker, o.Start.Run, false, func(ctx context.Context) (ladderflow.Refusal, error) {
+		reply, err := s.delegate.workers.Start(ctx, o.Address, o.Worker, o.Start)
+		clock = reply.Clock
+		return reply.Refusal, err
+	})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p, ok := s.pollers[o.Worker]
+	if !ok {
+		return
+	}
+	now := s.delegate.clock.Now()
+	switch {
+	case r.Unknown:
+		p.acknowledgeGuard.StartUnanswered(now)
+	case r.Unsent, r.Refusal != ladderflow.NotRefused:
+		p.acknowledgeGuard.StartHadNoEffect()
+	default:
+		p.acknowledgeGuard.StartAccepted(now, clock)
+	}
+	p.wakeUp()
+}
+
+// sendOrder sends a start or stop order with the given function and adds its result, which it
+// also returns, to the next report.
 func (s *session) sendOrder(
 	m laddermessage.Delegation, worker string, run ladderflow.Run, stop bool,
 	send func(context.Context) (ladderflow.Refusal, error),
-) {
+) laddermessage.OrderResult {
 	r := laddermessage.OrderResult{Worker: worker, Run: run, Stop: stop}
 	began := s.delegate.clock.Now()
 	refusal, err := s.callInTime(m, send)
@@ -238,6 +269,7 @@
 	r.Refusal, r.Unsent = refusal, errors.Is(err, platform.ErrUnsent)
 	r.Unknown = err != nil && !r.Unsent
 	s.addToReport(func() { s.results = append(s.results, r) })
+	return r
 }
 
 // callInTime calls send once fewer than maxConcurrentOrders calls are in progress. If the
--- a/ladderdelegate/delegate_test.go
+++ b/ladderdelegate/delegate_test.go
@@ -33,6 +33,13 @@
 	starts []ladderflow.Run
 	// err, if set, is the error of each poll.
 	err error
+	// startClock is the worker's clock in the replies to starts, and startErr their error.
+	startClock time.Duration
+	startErr   error
+	// restarts is true if the worker restarts when it receives a start, whose run then ends at once.
+	// wronglyAcknowledged is true once a poll has acknowledged that end.
+	restarts            bool
+	wronglyAcknowledged bool
 }
 
 // locked calls f with the lock held.
@@ -52,6 +59,7 @@
 func (w *fakeWorker) Poll(ctx context.Context, _ netip.AddrPort, _ string, request platform.PollRequest) (ladderflow.StatusReport, error) {
 	w.mu.Lock()
 	w.polls = append(w.polls, request)
+	w.wronglyAcknowledged = w.wronglyAcknowledged || w.restarts && w.incarnation == 8 && request.Acknowledged > 0
 	status := ladderflow.StatusReport{Incarnation: w.incarnation, Clock: time.Second, Ended: append([]ladderflow.EndedRun(nil), w.ended...)}
 	err := w.err
 	w.mu.Unlock()
@@ -62,9 +70,14 @@
 	return status, err
 }
 
-func (w *fakeWorker) Start(_ context.Context, _ netip.AddrPort, _ string, s ladderflow.Start) (ladderflow.Refusal, error) {
-	w.locked(func() { w.starts = append(w.starts, s.Run) })
-	return ladderflow.NotRefused, nil
+func (w *fakeWorker) Start(_ context.Context, _ netip.AddrPort, _ string, s ladderflow.Start) (ladderflow.StartReply, error) {
+	w.locked(func() {
+		w.starts = append(w.starts, s.Run)
+		if w.restarts {
+			w.incarnation, w.ended = 8, []ladderflow.EndedRun{{Sequence: 1, Run: s.Run, Reason: ladderflow.EndDone}}
+		}
+	})
+	return ladderflow.StartReply{Clock: w.startClock}, w.startErr
 }
 
 func (w *fakeWorker) Stop(context.Context, netip.AddrPort, string, ladderflow.Run, int64) (ladderflow.Refusal, error) {
@@ -152,6 +165,39 @@
 	}
 }
 
+// TestAcknowledgementAwaitsStarts lets a worker restart when it receives a start, and end that run at
+// once. A poll with the acknowledgement that the leader sent along with the start, for an end of
+// the earlier incarnation, would make the worker forget the new one.
+func TestAcknowledgementAwaitsStarts(t *testing.T) {
+	for name, c := range map[string]struct {
+		restarts bool
+		clock    time.Duration
+		err      error
+		want     int64
+	}{
+		"same incarnation":                      {clock: time.Minute, want: 2},
+		"same incarnation, no reply":            {err: context.DeadlineExceeded, want: 2},
+		"later incarnation":                     {restarts: true, clock: time.Millisecond},
+		"later incarnation, no reply":           {restarts: true, err: context.DeadlineExceeded},
+		"later incarnation, no clock in answer": {restarts: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d, w, b := newDelegate(t)
+			w.ended = []ladderflow.EndedRun{{Sequence: 1}, {Sequence: 2}}
+			m := newDelegation(b, 3)
+			require.True(t, d.Apply(m))
+			eventually(t, func() bool { return len(w.pollsSoFar()) > 1 })
+			w.locked(func() { w.restarts, w.startClock, w.startErr = c.restarts, c.clock, c.err })
+			m.Assigned[0].Incarnation, m.Assigned[0].Acknowledged = 7, 2
+			m.Starts = []laddermessage.DelegatedStart{{Worker: "w", Start: ladderflow.Start{Run: ladderflow.Run{Number: 1}}}}
+			require.True(t, d.Apply(m))
+			n := len(w.pollsSoFar())
+			eventually(t, func() bool { p := w.pollsSoFar(); return len(p) > n+3 && p[len(p)-1].Acknowledged == c.want })
+			w.locked(func() { require.False(t, w.wronglyAcknowledged) })
+		})
+	}
+}
+
 // TestExpiredOrders checks that the delegate does not send orders that have expired by
 // the time they arrive, and reports them as unsent.
 func TestExpiredOrders(t *testing.T) {
--- a/ladderdelegate/poller.go
+++ b/ladderdelegate/poller.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"lacewingladder/ladderflow"
 	"lacewingladder/laddermessage"
 	"lacewingladder/platform"
 )
@@ -22,7 +23,10 @@
 	// lock guards both.
 	acknowledged            int64
 	acknowledgedIncarnation int64
-	// wake receives a value when the acknowledged ends may have changed.
+	// acknowledgeGuard decides whether a poll may acknowledge ends to the worker. The session's
+	// lock guards it.
+	acknowledgeGuard ladderflow.AcknowledgeGuard
+	// wake receives a value when a poll may acknowledge more ends than before.
 	wake chan struct{}
 }
 
@@ -44,6 +48,11 @@
 		p.acknowledged, p.acknowledgedIncarnation = 0, m.Incarnation
 	}
 	p.acknowledged = max(p.acknowledged, m.Acknowledged)
+	p.wakeUp()
+}
+
+// wakeUp ends the wait of awaitAcknowledgement if its condition holds now.
+func (p *poller) wakeUp() {
 	select {
 	case p.wake <- struct{}{}:
 	default:
@@ -74,7 +83,7 @@
 			p.pause(PollRetryDelay)
 			continue
 		}
-		sent := d.boot.SinceBoot()
+		sent, sentAt := d.boot.SinceBoot(), d.clock.Now()
 		ctx, cancel := context.WithTimeout(p.ctx, request.Wait+PollTimeoutSlack)
 		status, err := d.workers.Poll(ctx, p.address, p.worker, request)
 		cancel()
@@ -91,9 +100,13 @@
 			p.pause(PollRetryDelay)
 			continue
 		}
-		if status.Incarnation != current.incarnation {
+		restarted := status.Incarnation != current.incarnation
+		if restarted {
 			current = workerState{incarnation: status.Incarnation}
 		}
+		p.session.mu.Lock()
+		p.acknowledgeGuard.PollAnswered(sentAt, status.Clock, restarted)
+		p.session.mu.Unlock()
 		current.workerClock, current.receivedAt, current.answered = status.Clock, d.clock.Now(), true
 		for _, e := range status.Ended {
 			current.lastEnd = max(current.lastEnd, e.Sequence)
@@ -115,8 +128,8 @@
 	if !current.answered {
 		return request, true
 	}
-	if p.acknowledgedIncarnation == current.incarnation {
-		request.Acknowledged = p.acknowledged // Each incarnation numbers its ends anew.
+	if p.mayAcknowledge(current) {
+		request.Acknowledged = p.acknowledged
 	}
 	request.LeaseUntil = current.workerClock + now.Sub(current.receivedAt) + s.workerLease
 	if request.Acknowledged >= current.lastEnd {
@@ -125,13 +138,19 @@
 	return request, true
 }
 
-// awaitAcknowledgement waits until the leader has acknowledged all ends that the worker
+// mayAcknowledge reports whether the next poll may acknowledge the ends that the leader has
+// acknowledged. Each incarnation numbers its ends anew. The caller holds the session's lock.
+func (p *poller) mayAcknowledge(current workerState) bool {
+	return p.acknowledgedIncarnation == current.incarnation && p.acknowledgeGuard.MayAcknowledge()
+}
+
+// awaitAcknowledgement waits until the next poll may acknowledge all ends that the worker
 // has listed, for at most acknowledgeTimeout.
 func (p *poller) awaitAcknowledgement(current workerState) {
 	timeout := p.session.delegate.clock.After(acknowledgeTimeout)
 	for {
 		p.session.mu.Lock()
-		done := p.acknowledgedIncarnation == current.incarnation && p.acknowledged >= current.lastEnd || current.lastEnd == 0
+		done := p.mayAcknowledge(current) && p.acknowledged >= current.lastEnd || current.lastEnd == 0
 		p.session.mu.Unlock()
 		if done {
 			return
--- a/ladderflow/worker.go
+++ b/ladderflow/worker.go
@@ -96,6 +96,13 @@
 	Fence int64
 }
 
+// StartReply is a worker's reply to an order to start a run.
+type StartReply struct {
+	Refusal Refusal
+	// Clock is the reading of the worker's monotonic clock, or zero if the reply does not show it.
+	Clock time.Duration
+}
+
 // Refusal is the reason why a worker refused an order.
 type Refusal string
 
--- a/ladderproof/flow_delegate_test.go
+++ b/ladderproof/flow_delegate_test.go
@@ -6,6 +6,7 @@
 	"pgregory.net/rapid"
 
 	"lacewingladder/ladderflow"
+	"lacewingladder/ladderplan"
 )
 
 // flowAssignment is a worker that a delegate polls for a leader. It follows the rules of
@@ -19,8 +20,14 @@
 	// acknowledged, and incarnation is the incarnation of the worker that assigned that number.
 	acknowledged int64
 	incarnation  int64
-	// polledIncarnation is the worker's incarnation at the last poll, or 0.
+	// polledIncarnation is the worker's incarnation at the last poll, or 0, and polledClock is the
+	// worker's clock then, at polledAt.
 	polledIncarnation int64
+	polledClock       time.Duration
+	polledAt          time.Time
+	// guard decides whether a poll may acknowledge ends. All starts of the leader to the worker
+	// go through the delegate.
+	guard ladderflow.AcknowledgeGuard
 	// reports are the poll results that the leader has not received yet, oldest first.
 	reports []flowReport
 }
@@ -44,6 +51,18 @@
 	return a
 }
 
+// startSettled records the result of a start that the delegate has sent.
+func (a *flowAssignment) startSettled(now time.Time, r ladderplan.Result) {
+	switch {
+	case r.Unknown:
+		a.guard.StartUnanswered(now)
+	case r.Unsent, r.Refusal != ladderflow.NotRefused:
+		a.guard.StartHadNoEffect()
+	default:
+		a.guard.StartAccepted(now, r.Clock)
+	}
+}
+
 // delegateRenewal lets a delegate poll a worker and renew its lease for span, but not beyond
 // the time at which the leader must stop acting.
 func (sim *flowSimulation) delegateRenewal(l *flowLeader, w *flowWorker, span time.Duration) {
@@ -69,9 +88,9 @@
 		return
 	}
 	acknowledged, until := int64(0), time.Duration(0)
-	if a.polledIncarnation == a.worker.incarnation {
-		until = a.worker.clock(sim.now) + flowWorkerLease
-		if a.incarnation == a.worker.incarnation {
+	if a.polledIncarnation != 0 {
+		until = a.polledClock + sim.now.Sub(a.polledAt) + flowWorkerLease
+		if a.incarnation == a.polledIncarnation && a.guard.MayAcknowledge() {
 			acknowledged = a.acknowledged
 		}
 	}
@@ -81,7 +100,8 @@
 		a.leader.planner.PollFailed(a.worker.id, true)
 		return
 	}
-	a.polledIncarnation = a.worker.incarnation
+	a.guard.PollAnswered(sim.now.Add(-delay), status.Clock, a.polledIncarnation != status.Incarnation)
+	a.polledIncarnation, a.polledClock, a.polledAt = status.Incarnation, status.Clock, sim.now
 	sim.tracef("delegate polls %s for leader %d: until %v, running %v, ended %v", a.worker.id, a.leader.fence, until, status.Running, status.Ended)
 	a.reports = append(a.reports, flowReport{sent: sim.now.Add(-delay), status: status})
 }
--- a/ladderproof/flow_simulation_test.go
+++ b/ladderproof/flow_simulation_test.go
@@ -282,6 +282,7 @@
 	o := l.planner.Plan(sim.now, sim.now, l.confidence(sim.now))
 	for i := range o.Starts {
 		s := &o.Starts[i]
+		sim.assignment(l, sim.workerByID(s.Worker.ID)).guard.StartSent()
 		if l.cancelled[s.Run.Task.Job] {
 			sim.t.Fatalf("start of task %v ordered after its leader received the cancellation", s.Run.Task)
 		}
@@ -303,7 +304,7 @@
 			*sim.starts++
 			sim.checkStart(o.start.Run)
 		}
-		r.Refusal = refusal
+		r.Refusal, r.Clock = refusal, w.clock(sim.now)
 		sim.tracef("start %v by leader %d on %s: began %v, %q, answered %v", o.start.Run, o.from.fence, w.id, began, refusal, answered)
 	default:
 		r.Refusal = sim.workerByID(o.stop.Worker.ID).stop(sim.now, o.from.fence, o.stop.Run)
@@ -322,6 +323,7 @@
 	o.settled = true
 	if o.start != nil {
 		o.from.planner.StartSettled(sim.now, o.start.Worker.ID, o.start.Run, r)
+		sim.assignment(o.from, sim.workerByID(o.start.Worker.ID)).startSettled(sim.now, r)
 	} else {
 		o.from.planner.StopSettled(sim.now, o.stop.Worker.ID, o.stop.Run, r)
 	}
