Count runs with closed numbers, keep reservations between passes, plan with objectives that include advice

Three changes of the planner, each found on the way to the large fleet:

Out-of-date reports are told by the worker's clock and incarnation instead. TestRunWithClosedNumber fails before. A job's objective counts one call for advice about 30 workers a step, as the members' rules do.

--- a/ladderflow/fleet.go
+++ b/ladderflow/fleet.go
@@ -53,6 +53,18 @@
 	return a.BaseTime + time.Duration(workers)*a.TimePerWorker
 }
 
+// objectiveQueryWorkers is the number of workers in the query that a job's objective allows for.
+const objectiveQueryWorkers = 30
+
+// AdviceTime returns the time that a job's objective allows for advice about one step. It is zero for
+// a queue without advice.
+func (q *Queue) AdviceTime() time.Duration {
+	if q.Advice == nil {
+		return 0
+	}
+	return q.Advice.ResponseTime(objectiveQueryWorkers)
+}
+
 // Service is a named pool of workers.
 type Service struct {
 	Name string
--- a/ladderload/job.go
+++ b/ladderload/job.go
@@ -86,13 +86,7 @@
 	var criticalPath time.Duration
 	for _, t := range j.taskTimes {
 		criticalPath += t
-		if j.queue.Advice != nil {
-			criticalPath += j.queue.Advice.ResponseTime(objectiveQueryWorkers)
-		}
+		criticalPath += (&ladderflow.Queue{Advice: j.queue.Advice}).AdviceTime()
 	}
 	return time.Duration(j.queue.ObjectiveFactor*float64(criticalPath)) + j.queue.BaseObjective
 }
-
-// objectiveQueryWorkers is the number of workers that an advice query is assumed to name.
-// The objective of a job includes the response time of one such query for each step.
-const objectiveQueryWorkers = 30
--- a/ladderplan/advice.go
+++ b/ladderplan/advice.go
@@ -39,69 +39,6 @@
 	ResponseTime time.Duration
 }
 
-// tickets holds the answers of the advice service about one step.
-type tickets struct {
-	// rows holds the workers that are known to be allowed, sorted by id, and denied those that are
-	// not allowed.
-	rows   []ticket
-	denied map[string]bool
-	// querying is true while a query is outstanding. nextQuery is when the next one may be sent.
-	querying  bool
-	nextQuery time.Time
-}
-
-// ticket allows a step to run on a worker until validUntil. A zero validUntil means that the worker
-// is known to be allowed, but that it has no ticket that can be used.
-type ticket struct {
-	worker     string
-	text       string
-	validUntil time.Time
-}
-
-// find returns the index of a worker's row. If there is none, it returns the index at which to
-// insert the row, and false.
-func (t *tickets) find(worker string) (int, bool) {
-	return slices.BinarySearchFunc(t.rows, worker, func(k ticket, id string) int { return cmp.Compare(k.worker, id) })
-}
-
-// isAllowed reports whether a worker is known to be allowed, with or without a valid ticket.
-func (t *tickets) isAllowed(worker string) bool {
-	_, ok := t.find(worker)
-	return ok
-}
-
-// valid reports whether the ticket of a worker can be used at a given time.
-func (t *tickets) valid(worker string, now time.Time) bool {
-	i, ok := t.find(worker)
-	return ok && now.Before(t.rows[i].validUntil)
-}
-
-// text returns the ticket of a worker in the form that a start order carries.
-func (t *tickets) text(worker string) string {
-	i, ok := t.find(worker)
-	if !ok {
-		return ""
-	}
-	return t.rows[i].text
-}
-
-// put adds a ticket, or replaces that of the same worker.
-func (t *tickets) put(k ticket) {
-	i, ok := t.find(k.worker)
-	if ok {
-		t.rows[i] = k
-		return
-	}
-	t.rows = slices.Insert(t.rows, i, k)
-}
-
-// invalidate discards the ticket of a worker, which remains known to be allowed.
-func (t *tickets) invalidate(worker string) {
-	if i, ok := t.find(worker); ok {
-		t.rows[i] = ticket{worker: worker}
-	}
-}
-
 // advisers holds the entry VMs that send queries to the advice service. Each VM sends
 // its queries one after the other.
 type advisers struct {
@@ -114,6 +51,9 @@
 	// many of them were allowed.
 	queriedCount map[string]int
 	allowedCount map[string]int
+	// longQueriesWaitUntil is the time before which the backlog of no VM is short enough for a
+	// long query.
+	longQueriesWaitUntil time.Time
 }
 
 func newAdvisers() advisers {
@@ -126,6 +66,7 @@
 // SetVMs sets the entry VMs that can query the advice service.
 func (p *Planner) SetVMs(names []string) {
 	p.vmNames = slices.Sorted(slices.Values(names))
+	p.longQueriesWaitUntil = time.Time{}
 }
 
 // pickVM returns the VM with the shortest backlog for a query, and adds the query's cost to that
@@ -133,6 +74,9 @@
 // backlog. Long queries use only the first two thirds of the VMs.
 func (a *advisers) pickVM(now time.Time, cost time.Duration) (string, bool) {
 	names := a.vmNames
+	if !a.mayQuery(now, cost) {
+		return "", false
+	}
 	if cost >= longQueryCost && len(names) > 1 {
 		names = names[:max(1, len(names)*2/3)]
 	}
@@ -145,13 +89,22 @@
 			found, wait = n, backlog
 		}
 	}
-	if found == "" || cost >= longQueryCost && wait > maxLongQueryBacklog {
+	if found == "" {
+		return "", false
+	}
+	if cost >= longQueryCost && wait > maxLongQueryBacklog {
+		a.longQueriesWaitUntil = now.Add(wait - maxLongQueryBacklog)
 		return "", false
 	}
 	a.busyUntil[found] = now.Add(wait + cost)
 	return found, true
 }
 
+// mayQuery reports whether a VM may have a backlog that is short enough for a query of the given cost.
+func (a *advisers) mayQuery(now time.Time, cost time.Duration) bool {
+	return cost < longQueryCost || !now.Before(a.longQueriesWaitUntil)
+}
+
 // allowedShare estimates which share of a queue's workers is allowed.
 func (a *advisers) allowedShare(queue string) float64 {
 	const weight = 20 // the number of queried workers that initialAllowedShare counts as
@@ -161,7 +114,8 @@
 // queryForTasks queries advice for the step's waiting tasks if the valid tickets do not suffice for
 // them.
 func (sp *stepPlacement) queryForTasks() {
-	if !sp.needsTickets() || sp.step.waiting == 0 || !sp.mayQuery() {
+	if !sp.needsTickets() || sp.step.waiting == 0 || !sp.mayQuery() ||
+		!sp.planner.mayQuery(sp.now, sp.queue.Advice.ResponseTime(minQueryWorkers)) {
 		return
 	}
 	names := sp.workersToQuery()
@@ -196,57 +150,75 @@
 
 // workersToQuery returns the workers to query advice about, the most suitable first.
 func (sp *stepPlacement) workersToQuery() []string {
-	type candidate struct {
-		worker  *worker
-		allowed bool
-		slots   int
-	}
 	t := &sp.step.tickets
 	need := float64(sp.step.waiting)
 	soon := sp.now.Add(sp.queue.Advice.ResponseTime(minQueryWorkers))
-	var list []candidate
-	for _, w := range sp.pool() {
-		if !sp.usable(w) || t.denied[w.spec.ID] {
+	var renewals []gangCandidate
+	for i := range t.rows {
+		k := &t.rows[i]
+		if !sp.accepts(k.worker) {
 			continue
 		}
-		n := sp.freeSlots(w)
-		if t.valid(w.spec.ID, soon) {
+		n := sp.freeSlots(k.worker)
+		switch {
+		case soon.Before(k.validUntil):
 			need -= float64(n)
-			continue
-		}
-		allowed := t.isAllowed(w.spec.ID)
-		// A full worker without an answer is worth a query, unless the step never fits on it.
-		if !allowed && n == 0 && sp.step.spec.Demand().FitCount(w.spec.Capacity, 1) == 0 {
-			continue
+		case n > 0:
+			renewals = append(renewals, gangCandidate{k.worker, n})
 		}
-		if allowed && n == 0 {
-			continue
-		}
-		list = append(list, candidate{w, allowed, n})
 	}
 	if need <= 0 {
 		return nil
 	}
-	slices.SortFunc(list, func(a, b candidate) int {
-		return cmp.Or(-cmp.Compare(boolToInt(a.allowed), boolToInt(b.allowed)), -cmp.Compare(a.slots, b.slots),
-			cmp.Compare(a.worker.spec.ID, b.worker.spec.ID))
-	})
-	share := sp.planner.allowedShare(sp.queue.Name)
+	sortBySlots(renewals)
 	var names []string
-	for _, c := range list {
+	for _, c := range renewals {
 		if len(names) >= maxQueryWorkers || need <= 0 && len(names) >= minQueryWorkers {
-			break
+			return names
 		}
 		names = append(names, c.worker.spec.ID)
-		if c.allowed {
-			need -= float64(c.slots)
-		} else {
-			need -= share * float64(c.slots) / 2
+		need -= float64(c.slots)
+	}
+	if need <= 0 && len(names) >= minQueryWorkers {
+		return names
+	}
+	share := sp.planner.allowedShare(sp.queue.Name)
+	for _, c := range sp.unknownCandidates() {
+		if len(names) >= maxQueryWorkers || need <= 0 && len(names) >= minQueryWorkers {
+			break
 		}
+		names = append(names, c.worker.spec.ID)
+		need -= share * float64(c.slots) / 2
 	}
 	return names
 }
 
+// unknownCandidates returns the workers that the step has no answer about, those with capacity for
+// the most tasks first. A full worker is worth a query, unless the step never fits on it.
+func (sp *stepPlacement) unknownCandidates() []gangCandidate {
+	var list []gangCandidate
+	t, need := &sp.step.tickets, sp.step.spec.Demand()
+	for _, w := range sp.pool() {
+		if t.answer(w) != answerUnknown || !sp.usable(w) {
+			continue
+		}
+		n := sp.freeSlots(w)
+		if n == 0 && need.FitCount(w.spec.Capacity, 1) == 0 {
+			continue
+		}
+		list = append(list, gangCandidate{w, n})
+	}
+	sortBySlots(list)
+	return list
+}
+
+// sortBySlots sorts candidates so that those with capacity for the most tasks come first.
+func sortBySlots(list []gangCandidate) {
+	slices.SortFunc(list, func(a, b gangCandidate) int {
+		return cmp.Or(cmp.Compare(b.slots, a.slots), cmp.Compare(a.worker.spec.ID, b.worker.spec.ID))
+	})
+}
+
 func boolToInt(b bool) int {
 	if b {
 		return 1
@@ -276,15 +248,15 @@
 		t.nextQuery = now.Add(queryRetryDelay)
 		return
 	}
-	if t.denied == nil {
-		t.denied = map[string]bool{}
-	}
+	s.gang.reservation = reservation{} // A better one may be possible now.
 	for _, x := range allowed {
-		t.put(ticket{worker: x.Worker, text: x.Text, validUntil: now.Add(lifetime - ticketMargin)})
+		if w := p.workers[x.Worker]; w != nil {
+			t.allow(ticket{worker: w, text: x.Text, validUntil: now.Add(lifetime - ticketMargin)})
+		}
 	}
-	for _, w := range query.Workers {
-		if !t.isAllowed(w) {
-			t.denied[w] = true
+	for _, id := range query.Workers {
+		if w := p.workers[id]; w != nil {
+			t.deny(w)
 		}
 	}
 	p.queriedCount[j.spec.Queue] += len(query.Workers)
@@ -292,8 +264,8 @@
 }
 
 // invalidateTickets discards the tickets of all ready steps for a worker that has restarted.
-func (p *Planner) invalidateTickets(worker string) {
+func (p *Planner) invalidateTickets(w *worker) {
 	for _, s := range p.readySteps {
-		s.tickets.invalidate(worker)
+		s.tickets.invalidate(w)
 	}
 }
--- a/ladderplan/explain.go
+++ b/ladderplan/explain.go
@@ -65,7 +65,7 @@
 func (p *Planner) explainStep(now time.Time, s *step) StepExplanation {
 	e := StepExplanation{
 		Round: s.round.index, Step: s.index, Tasks: len(s.tasks), Done: s.done, Waiting: s.waiting,
-		Need: s.spec.Need, Allowed: len(s.tickets.rows), Denied: len(s.tickets.denied),
+		Need: s.spec.Need, Allowed: len(s.tickets.rows), Denied: s.tickets.denied,
 	}
 	for _, t := range s.tasks {
 		for _, x := range t.runs {
--- a/ladderplan/gang.go
+++ b/ladderplan/gang.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"slices"
 	"time"
-
-	"lacewingladder/ladderflow"
 )
 
 // gangCandidate is a worker and the number of a gang's members that fit on it.
@@ -14,24 +12,24 @@
 	slots  int
 }
 
-func isReserved(reserved map[*worker]time.Duration, w *worker) bool {
-	_, ok := reserved[w]
-	return ok
-}
-
-// candidates returns the workers on which members of the gang fit now. Workers with capacity for more
+// candidates returns the workers on which members of the gang fit now, or nil if not all of them do. Workers with capacity for more
 // members come first, and among equals, those with less capacity left over. Workers on which a member
 // has failed come last.
 func (sp *stepPlacement) candidates() []gangCandidate {
 	var list []gangCandidate
+	total := 0
 	for _, w := range sp.startable() {
-		if !sp.usable(w) || isReserved(sp.reserved, w) || w.probation {
+		if !sp.usable(w) || sp.reserved(w) || w.probation {
 			continue
 		}
 		if n := sp.freeSlots(w); n > 0 {
 			list = append(list, gangCandidate{w, n})
+			total += n
 		}
 	}
+	if total < len(sp.step.tasks) {
+		return nil
+	}
 	failedWorkers := sp.step.gang.failedWorkers
 	slices.SortFunc(list, func(a, b gangCandidate) int {
 		return cmp.Or(cmp.Compare(boolToInt(failedWorkers[a.worker.spec.ID]), boolToInt(failedWorkers[b.worker.spec.ID])),
@@ -96,7 +94,7 @@
 	capacity := 0
 	for _, w := range sp.planner.workers {
 		if !w.listed || w.spec.Service != sp.service || !w.hasLabel(sp.step.spec.WorkerLabel) ||
-			sp.step.tickets.denied[w.spec.ID] {
+			sp.step.tickets.answer(w) == answerDenied {
 			continue
 		}
 		capacity += sp.step.maxTasksOn(w)
@@ -137,6 +135,9 @@
 			found = r
 		}
 	}
+	if found == "" {
+		return nil
+	}
 	return racks[found]
 }
 
@@ -158,134 +159,3 @@
 	}
 	return true
 }
-
-// futureSlot is capacity for one member of a gang on a worker. It becomes free after the given time
-// if nothing else starts on the worker.
-type futureSlot struct {
-	worker *worker
-	after  time.Duration
-}
-
-// reserveForGang reserves workers for a gang that does not fit yet. It queries advice early enough
-// for the tickets to be valid when the capacity is free.
-func (sp *stepPlacement) reserveForGang(reserved map[*worker]time.Duration) {
-	t := &sp.step.tickets
-	needsTickets := sp.needsTickets()
-	if needsTickets && len(t.rows) == 0 {
-		sp.queryForTasks()
-		return
-	}
-	need := len(sp.step.tasks)
-	list := sp.futureSlots(reserved)
-	if len(list) < need {
-		sp.queryForTasks() // The gang does not fit on the workers known to be allowed.
-		return
-	}
-	list = list[:need]
-	horizon := time.Duration(0)
-	if needsTickets {
-		horizon = sp.queue.Advice.ResponseTime(need)
-	}
-	soon := list[need-1].after <= horizon
-	if !soon && sp.mayQuery() {
-		freeNow := 0
-		for _, o := range list {
-			freeNow += boolToInt(o.after == 0)
-		}
-		if names := sp.unknownWorkers(need - freeNow); len(names) > 0 {
-			sp.sendQuery(names)
-			return
-		}
-	}
-	var names []string
-	for _, o := range list {
-		id := o.worker.spec.ID
-		if soon && !t.valid(id, sp.now.Add(horizon)) && !slices.Contains(names, id) {
-			names = append(names, id)
-		}
-		reserved[o.worker] = list[need-1].after
-	}
-	sp.sendQuery(names)
-}
-
-// futureSlots returns the present and future slots for members of the gang on workers that are
-// known to be allowed, the earliest first.
-func (sp *stepPlacement) futureSlots(reserved map[*worker]time.Duration) []futureSlot {
-	var list []futureSlot
-	for _, w := range sp.knownAllowed() {
-		if sp.usable(w) && !isReserved(reserved, w) && !w.probation {
-			list = append(list, sp.futureSlotsOn(w)...)
-		}
-	}
-	slices.SortFunc(list, func(a, b futureSlot) int {
-		return cmp.Or(cmp.Compare(a.after, b.after), cmp.Compare(a.worker.spec.ID, b.worker.spec.ID))
-	})
-	return list
-}
-
-// futureSlotsOn returns the slots for members of the gang on one worker, now and as its runs end.
-func (sp *stepPlacement) futureSlotsOn(w *worker) []futureSlot {
-	limit := len(sp.step.tasks)
-	if sp.step.spec.MaxPerWorker > 0 {
-		limit = min(limit, sp.step.spec.MaxPerWorker-sp.step.runsOn[w])
-	}
-	var list []futureSlot
-	free := w.free
-	for _, e := range w.expectedReleases(sp.now, sp.planner.pass) {
-		free = free.Plus(e.size)
-		for n := sp.step.spec.Demand().FitCount(free, max(limit, 0)); len(list) < n; {
-			list = append(list, futureSlot{w, e.after})
-		}
-	}
-	return list
-}
-
-// capacityRelease is the capacity that a run releases, and the time until then.
-type capacityRelease struct {
-	after time.Duration
-	size  ladderflow.Size
-}
-
-// expectedReleases returns the capacity that the worker's runs will release, the earliest first.
-// The first entry is empty: it represents the capacity that is free now. The result is computed
-// once for each placement pass.
-func (w *worker) expectedReleases(now time.Time, pass int64) []capacityRelease {
-	if w.releasesPass == pass {
-		return w.capacityReleases
-	}
-	w.capacityReleases = append(w.capacityReleases[:0], capacityRelease{})
-	for _, x := range w.runOrder {
-		if x.task != nil && !x.task.step.spec.LongRunning {
-			w.capacityReleases = append(w.capacityReleases, capacityRelease{x.remaining(now), x.size})
-		}
-	}
-	slices.SortStableFunc(w.capacityReleases, func(a, b capacityRelease) int { return cmp.Compare(a.after, b.after) })
-	w.releasesPass = pass
-	return w.capacityReleases
-}
-
-// unknownWorkers returns workers with free capacity that the step has no answer about. It returns
-// nil if those of them that are likely to be allowed do not have enough capacity for the missing
-// number of members.
-func (sp *stepPlacement) unknownWorkers(missing int) []string {
-	if !sp.needsTickets() {
-		return nil
-	}
-	t := &sp.step.tickets
-	var names []string
-	slots := 0
-	for _, w := range sp.pool() {
-		if t.denied[w.spec.ID] || t.isAllowed(w.spec.ID) {
-			continue
-		}
-		if n := sp.freeSlots(w); n > 0 && sp.usable(w) && !w.probation {
-			names = append(names, w.spec.ID)
-			slots += n
-		}
-	}
-	if sp.planner.allowedShare(sp.queue.Name)*float64(slots) < float64(missing) {
-		return nil
-	}
-	slices.Sort(names)
-	return names[:min(len(names), maxQueryWorkers)]
-}
--- a/ladderplan/gang_test.go
+++ b/ladderplan/gang_test.go
@@ -111,3 +111,18 @@
 		})
 	}
 }
+
+// TestGangOnWorkersWithoutRack submits a gang that prefers a single rack. It fits in no rack, and
+// part of it fits on the workers without a rack. It must start on several.
+func TestGangOnWorkersWithoutRack(t *testing.T) {
+	h := newHarness(t, 2)
+	for _, w := range h.planner.workers {
+		if w.spec.ID == "w0" {
+			w.spec.Labels = nil
+		}
+	}
+	s := gangOf(6)
+	s.PreferSameRack = true
+	h.submit("a", s)
+	require.Len(t, h.startAll(), 6)
+}
--- a/ladderplan/health.go
+++ b/ladderplan/health.go
@@ -29,6 +29,9 @@
 func (x *run) recordProgress(now time.Time, r ladderflow.ActiveRun) {
 	if r.Percent != x.percent {
 		x.percent, x.progressedAt = r.Percent, now
+		if x.worker != nil {
+			x.worker.releasesStale = true
+		}
 	}
 	x.tailLatency = r.TailLatency
 }
--- a/ladderplan/model.go
+++ b/ladderplan/model.go
@@ -29,10 +29,14 @@
 	nextRound       int
 	endedAt         time.Time
 	// durations holds the expected duration of a task of each step. criticalPaths holds, for each
-	// step, the expected duration of the longest chain of dependent steps that begins with it. Both
-	// were computed when steps of the job last became ready.
+	// step, the expected duration of the longest chain of dependent steps that begins with it,
+	// including one advice query for each step. Both were computed when steps of the job last became
+	// ready.
 	durations     []time.Duration
 	criticalPaths []time.Duration
+	// queue is the job's queue in the configuration queueFleet, or nil if that does not have it.
+	queue      *ladderflow.Queue
+	queueFleet *ladderflow.FleetConfig
 }
 
 // unstoredEndsListed reports whether each worker in unstoredEndWorkers will list the ends of its runs
@@ -41,6 +45,14 @@
 	return !slices.ContainsFunc(j.unstoredEndWorkers, func(w *worker) bool { return !w.leavesAt.IsZero() || !w.listed })
 }
 
+// waited returns the time from the job's acceptance to its first start, as text for logs.
+func (j *job) waited() string {
+	if j.startedAt.IsZero() {
+		return "unknown" // No task was started by this leader.
+	}
+	return j.startedAt.Sub(j.spec.Accepted).Round(time.Millisecond).String()
+}
+
 func (j *job) active() bool { return !j.state.Final() }
 
 // round is one repetition of a job's steps.
@@ -88,6 +100,7 @@
 	checkpoint string
 	// nextFitCheck is when a gang that is too large for its workers is next compared with them.
 	nextFitCheck time.Time
+	reservation  reservation
 }
 
 func (s *step) ref() ladderflow.StepRef {
@@ -172,6 +185,8 @@
 // worker is a worker with its runs and free capacity.
 type worker struct {
 	spec ladderflow.Worker
+	// index is the worker's index in [tickets.answers]. No other worker of the planner ever has it.
+	index int
 	// listed is true while the platform's store lists the worker.
 	listed bool
 	// seenByLeader is true once the worker has answered a poll under this leader's fencing token.
@@ -185,6 +200,10 @@
 	clock    time.Duration
 	polledAt time.Time
 	leaseEnd time.Duration
+	// reportSentAt is when the last status report was requested. justEnded holds the runs whose ends
+	// were listed in it and in others with the same reading of the worker's clock, in milliseconds.
+	reportSentAt time.Time
+	justEnded    map[ladderflow.Run]bool
 	// unresponsive is true from a poll that was not answered to the next one that is.
 	unresponsive bool
 	// Each worker numbers the ends that it lists, in [ladderflow.EndedRun.Sequence]. lastSeenEnd is
@@ -192,15 +211,22 @@
 	// store holds.
 	lastSeenEnd   int64
 	lastStoredEnd int64
-	free          ladderflow.Size
-	runs          map[ladderflow.Run]*run
-	// runOrder holds the runs in the order in which they were added. capacityReleases is the result
-	// of expectedReleases, as computed for the placement pass releasesPass.
-	runOrder         []*run
-	capacityReleases []capacityRelease
-	releasesPass     int64
+	// acknowledgeGuard decides whether a poll may acknowledge ends to the worker.
+	acknowledgeGuard ladderflow.AcknowledgeGuard
+	free             ladderflow.Size
+	runs             map[ladderflow.Run]*run
+	// runOrder holds the runs in the order in which they were added. releases is the result of
+	// expectedReleases, which is computed again if releasesStale is true.
+	runOrder      []*run
+	releases      []capacityRelease
+	releasesStale bool
 	// lastPass is the number of the last placement pass in which the worker accepted new tasks.
 	lastPass int64
+	// reservedPass is the last placement pass in which the worker was reserved for a gang, which was
+	// expected to start at reservedUntil, and earlierReservedPass the last one before that.
+	reservedPass        int64
+	earlierReservedPass int64
+	reservedUntil       time.Time
 	// excludedUntil is the time until which the worker gets no new tasks. backOffs counts how often
 	// the worker was excluded for faults without a success in between.
 	excludedUntil time.Time
@@ -216,8 +242,11 @@
 	maintenanceUntil time.Time
 }
 
-func newWorker(spec ladderflow.Worker) *worker {
-	return &worker{spec: spec, free: spec.Capacity, runs: map[ladderflow.Run]*run{}, failedJobs: map[string]bool{}}
+func newWorker(spec ladderflow.Worker, index int) *worker {
+	return &worker{
+		spec: spec, index: index, free: spec.Capacity, runs: map[ladderflow.Run]*run{}, justEnded: map[ladderflow.Run]bool{},
+		failedJobs: map[string]bool{},
+	}
 }
 
 // rack returns the label that names the worker's rack. It is the last of the worker's labels.
@@ -237,7 +266,7 @@
 	r.worker = w
 	w.runs[r.name] = r
 	w.runOrder = append(w.runOrder, r)
-	w.releasesPass = 0
+	w.releasesStale = true
 	w.free = w.free.Minus(r.size)
 	if t := r.task; t != nil {
 		if t.needsRun() {
@@ -256,7 +285,7 @@
 	}
 	delete(w.runs, r.name)
 	w.runOrder = slices.DeleteFunc(w.runOrder, func(o *run) bool { return o == r })
-	w.releasesPass = 0
+	w.releasesStale = true
 	w.free = w.free.Plus(r.size)
 	t := r.task
 	if t == nil {
@@ -281,11 +310,12 @@
 }
 
 // estimateDurations computes the expected durations of the job's tasks from the present estimates.
-func (j *job) estimateDurations(estimators durationEstimators) {
+// Each step is expected to wait for advice for adviceTime.
+func (j *job) estimateDurations(estimators durationEstimators, adviceTime time.Duration) {
 	clear(j.criticalPaths)
 	for i := len(j.spec.Steps) - 1; i >= 0; i-- {
 		j.durations[i] = estimators.predict(j.spec.Queue, j.spec.Steps[i].Estimate)
-		j.criticalPaths[i] += j.durations[i]
+		j.criticalPaths[i] += adviceTime + j.durations[i]
 		for _, d := range j.spec.Steps[i].DependsOn {
 			j.criticalPaths[d] = max(j.criticalPaths[d], j.criticalPaths[i])
 		}
--- a/ladderplan/place.go
+++ b/ladderplan/place.go
@@ -79,7 +79,7 @@
 // place starts the tasks for which there is capacity, in the order of their steps' ranks.
 func (p *Planner) place(now time.Time) {
 	p.refreshPools(now)
-	reserved := map[*worker]time.Duration{}
+	p.reservationPass++
 	gangs, maxGangs := 0, max(minReservingGangs, len(p.workers)/workersPerReservingGang)
 	for _, k := range p.rankedSteps(now) {
 		s := k.step
@@ -94,10 +94,7 @@
 			break
 		}
 		sp := stepPlacement{planner: p, step: s, queue: q, service: p.service(s.round.job), now: now}
-		if k.class > 0 {
-			sp.reserved = reserved
-		}
-		sp.previouslyReserved = p.previouslyReserved
+		sp.heedsReservations = k.class > 0
 		switch {
 		case !s.spec.Gang:
 			sp.placeTasks()
@@ -105,10 +102,9 @@
 			sp.preempt()
 		case !sp.placeGang() && gangs < maxGangs && sp.fitsEmptyWorkers():
 			gangs++
-			sp.reserveForGang(reserved)
+			sp.reserveForGang()
 		}
 	}
-	p.previouslyReserved = reserved
 }
 
 // startLimitReached reports whether no more starts may be sent before others are answered. A gang
@@ -143,6 +139,9 @@
 	j := s.round.job
 	objective := p.objective(j)
 	remaining := j.criticalPaths[s.index]
+	if len(s.tickets.rows) > 0 {
+		remaining -= p.adviceTime(j) // The first query has been answered.
+	}
 	k := rank{step: s, latestStart: s.round.due.Add(objective - remaining)}
 	q, ok := p.queue(j)
 	urgent := ok && q.Priority == 0 || s.spec.LongRunning
@@ -190,12 +189,8 @@
 	queue   *ladderflow.Queue
 	service string
 	now     time.Time
-	// reserved maps the workers that are reserved for gangs to the time until the gang is expected
-	// to start there. It is nil for steps of class 0, which may use them.
-	reserved map[*worker]time.Duration
-	// previouslyReserved holds the workers that were reserved in the last placement pass. Single
-	// tasks that may use them prefer others.
-	previouslyReserved map[*worker]time.Duration
+	// heedsReservations is true unless the step may use workers that are reserved for gangs.
+	heedsReservations bool
 }
 
 // refreshPools determines which workers accept new tasks, by service. It runs once in each
@@ -229,6 +224,14 @@
 // pool returns the workers of the step's service that accept new tasks.
 func (sp *stepPlacement) pool() []*worker { return sp.planner.pools[sp.service] }
 
+// inPool reports whether a worker is in the pool of the step.
+func (sp *stepPlacement) inPool(w *worker) bool {
+	return w.lastPass == sp.planner.pass && w.spec.Service == sp.service
+}
+
+// accepts reports whether a worker is in the pool and may get tasks of the step.
+func (sp *stepPlacement) accepts(w *worker) bool { return sp.inPool(w) && sp.usable(w) }
+
 // usable reports whether a worker of the pool may get tasks of the step. A worker on probation gets
 // one task at a time.
 func (sp *stepPlacement) usable(w *worker) bool {
@@ -257,8 +260,8 @@
 		if !at.IsZero() && !at.Before(k.validUntil) {
 			continue
 		}
-		if w := sp.planner.workers[k.worker]; w != nil && w.lastPass == sp.planner.pass && w.spec.Service == sp.service {
-			list = append(list, w)
+		if sp.inPool(k.worker) {
+			list = append(list, k.worker)
 		}
 	}
 	return list
@@ -276,11 +279,10 @@
 
 // placeTasks starts as many single tasks as there is capacity for.
 func (sp *stepPlacement) placeTasks() {
+	endsAt := sp.now.Add(backfillFactor * sp.step.expectedDuration())
 	var candidates []*worker
 	for _, w := range sp.startable() {
-		gangStart, reserved := sp.reserved[w]
-		endsBefore := backfillFactor*float64(sp.step.expectedDuration()) <= float64(gangStart)
-		if sp.usable(w) && sp.freeSlots(w) > 0 && (!reserved || endsBefore) {
+		if sp.usable(w) && sp.freeSlots(w) > 0 && (!sp.reserved(w) || !endsAt.After(w.reservedUntil)) {
 			candidates = append(candidates, w)
 		}
 	}
@@ -319,7 +321,7 @@
 		if failedWorkers[w.spec.ID] {
 			v += failedWorkerPenalty
 		}
-		if _, ok := sp.previouslyReserved[w]; ok {
+		if sp.planner.reservedBefore(w) {
 			v += reservedPenalty
 		}
 		if found == nil || v < least || v == least && w.spec.ID < found.spec.ID {
@@ -361,6 +363,7 @@
 		startedAt: sp.now, progressedAt: sp.now, percent: -1, speedPercent: 100,
 	}
 	w.addRun(x)
+	w.acknowledgeGuard.StartSent()
 	p.unanswered++
 	first := !sp.step.round.job.started
 	if first {
@@ -368,25 +371,10 @@
 	}
 	ticket := ""
 	if sp.needsTickets() {
-		ticket = sp.step.tickets.text(w.spec.ID)
+		ticket = sp.step.tickets.text(w)
 	}
 	p.orders.Starts = append(p.orders.Starts, StartOrder{
 		Worker: w.spec, Run: x.name, Payload: sp.step.round.job.spec.Payload, Checkpoint: checkpoint,
 		Ticket: ticket, LeaseUntil: p.extendLease(sp.now, w), FirstOfJob: first, Waited: sp.now.Sub(sp.step.readySince),
 	})
 }
-
-// remaining returns how long a run is expected to take from now on. It uses the run's progress if
-// at least a tenth is done, and the expected duration otherwise. It returns 0 if the run's task is
-// long-running or unknown.
-func (x *run) remaining(now time.Time) time.Duration {
-	if x.task == nil || x.task.step.spec.LongRunning {
-		return 0
-	}
-	passed := now.Sub(x.startedAt)
-	if x.percent >= 10 && !x.progressedAt.Before(x.startedAt) {
-		whole := time.Duration(float64(x.progressedAt.Sub(x.startedAt)) * 100 / float64(x.percent))
-		return max(0, whole-passed)
-	}
-	return max(0, x.task.step.expectedDuration()-passed)
-}
--- a/ladderplan/planner.go
+++ b/ladderplan/planner.go
@@ -18,6 +18,8 @@
 	// canceled.
 	cancellations map[string]time.Time
 	workers       map[string]*worker
+	// workersAdded counts the workers that were ever added.
+	workersAdded int
 	// sortedWorkers holds the workers sorted by id. It is nil after a worker was added or dropped.
 	// Decisions must not depend on the iteration order of a map.
 	sortedWorkers []*worker
@@ -42,8 +44,6 @@
 	estimators   durationEstimators
 	advisers
 	orders Orders
-	// previouslyReserved holds the workers that were reserved for gangs in the last placement pass.
-	previouslyReserved map[*worker]time.Duration
 	// superseded is true once a worker has rejected this leader's fencing token for a newer one.
 	superseded bool
 	// placementDue is true if something has happened since the last placement pass that may let a
@@ -53,6 +53,10 @@
 	// pass is the number of the present or last placement pass. Workers that accept new tasks in it
 	// have the number in lastPass.
 	pass int64
+	// reservationPass is the number of the present or last placement pass that reserved workers for
+	// gangs. slotBuffer is reused by all its searches for future slots.
+	reservationPass int64
+	slotBuffer      []futureSlot
 	// unanswered is the number of starts without a reply.
 	unanswered      int
 	speedsCheckedAt time.Time
@@ -85,7 +89,7 @@
 		return
 	}
 	j := newJob(spec)
-	j.estimateDurations(p.estimators)
+	j.estimateDurations(p.estimators, p.adviceTime(j))
 	j.knownToEarlierLeader = knownToEarlierLeader
 	p.jobs[spec.ID] = j
 	if _, ok := p.cancellations[spec.ID]; ok {
@@ -121,7 +125,7 @@
 
 // markReadySteps marks the steps of a round whose predecessors have succeeded as ready.
 func (p *Planner) markReadySteps(now time.Time, r *round) {
-	r.job.estimateDurations(p.estimators)
+	r.job.estimateDurations(p.estimators, p.adviceTime(r.job))
 	for _, s := range r.steps {
 		if s.ready || !predecessorsSucceeded(s) {
 			continue
@@ -170,7 +174,7 @@
 	p.unstoredJobs[j.spec.ID] = j
 	p.log.Info("job ended", "job", j.spec.ID, "queue", j.spec.Queue, "state", state,
 		"after", now.Sub(j.spec.Accepted).Round(time.Millisecond), "aim", p.objective(j).Round(time.Millisecond),
-		"waited", j.startedAt.Sub(j.spec.Accepted).Round(time.Millisecond))
+		"waited", j.waited())
 	for _, i := range slices.Sorted(maps.Keys(j.rounds)) {
 		for _, s := range j.rounds[i].steps {
 			for _, t := range s.tasks {
@@ -297,11 +301,24 @@
 	return 1
 }
 
+// queue returns the configuration of a job's queue.
 func (p *Planner) queue(j *job) (*ladderflow.Queue, bool) {
 	if p.fleet == nil {
 		return nil, false
 	}
-	return p.fleet.Queue(j.spec.Queue)
+	if j.queueFleet != p.fleet {
+		j.queue, _ = p.fleet.Queue(j.spec.Queue)
+		j.queueFleet = p.fleet
+	}
+	return j.queue, j.queue != nil
+}
+
+// adviceTime returns the time that a job's objective allows for advice about each step.
+func (p *Planner) adviceTime(j *job) time.Duration {
+	if q, ok := p.queue(j); ok {
+		return q.AdviceTime()
+	}
+	return 0
 }
 
 // service returns the name of the worker pool that runs the job's tasks now.
--- a/ladderplan/poll.go
+++ b/ladderplan/poll.go
@@ -86,6 +86,9 @@
 	LeaseUntil time.Duration
 	// HasUnstoredEnds is true while the worker lists ends that the store does not hold yet.
 	HasUnstoredEnds bool
+	// AwaitsStarts is true if the poll may acknowledge no ends before the starts that were sent to
+	// the worker are answered.
+	AwaitsStarts bool
 }
 
 // NextPoll returns the parameters of the next status poll of a worker. It returns false if the
@@ -100,7 +103,11 @@
 		n.LeaseUntil = p.extendLease(now, w)
 		// A worker that did not answer may have restarted. The number would then acknowledge ends
 		// of the new incarnation, which counts from one again.
-		n.Acknowledged = w.lastStoredEnd
+		if w.acknowledgeGuard.MayAcknowledge() {
+			n.Acknowledged = w.lastStoredEnd
+		} else {
+			n.AwaitsStarts = w.lastStoredEnd > 0
+		}
 	}
 	return n, true
 }
@@ -138,9 +145,19 @@
 	if !ok {
 		return
 	}
-	if report.Incarnation != w.incarnation || w.incarnationSeenAt.IsZero() {
+	restarted := report.Incarnation != w.incarnation || w.incarnationSeenAt.IsZero()
+	if w.isOutdated(sentAt, report) {
+		p.log.Debug("outdated status report ignored", "worker", id, "incarnation", report.Incarnation, "clock", report.Clock)
+		return
+	}
+	w.reportSentAt = sentAt
+	if restarted || report.Clock > w.clock {
+		clear(w.justEnded)
+	}
+	if restarted {
 		p.resetIncarnation(now, w, report.Incarnation, report.Clock)
 	}
+	w.acknowledgeGuard.PollAnswered(sentAt, report.Clock, restarted)
 	w.clock, w.polledAt, w.unresponsive = report.Clock, now, false
 	if !w.seenByLeader {
 		w.seenByLeader, p.placementDue = true, true
@@ -156,6 +173,7 @@
 		if e.Sequence > w.lastSeenEnd {
 			p.endRun(now, w, e)
 			w.lastSeenEnd = e.Sequence
+			w.justEnded[e.Run] = true
 		}
 	}
 	for _, r := range report.Running {
@@ -172,11 +190,23 @@
 	p.stopStalledRuns(now, w)
 }
 
+// isOutdated reports whether a status report that was requested at sentAt shows an earlier state of
+// the worker than the last one. Reports of polls on different ways overtake each other.
+func (w *worker) isOutdated(sentAt time.Time, report ladderflow.StatusReport) bool {
+	switch {
+	case w.incarnationSeenAt.IsZero():
+		return false
+	case report.Incarnation == w.incarnation:
+		return report.Clock < w.clock
+	}
+	return sentAt.Before(w.reportSentAt)
+}
+
 // resetIncarnation discards the state that belongs to an earlier incarnation of a worker.
 func (p *Planner) resetIncarnation(now time.Time, w *worker, incarnation int64, clock time.Duration) {
 	if w.incarnation != 0 {
 		p.log.Info("worker restarted", "worker", w.spec.ID, "incarnation", incarnation, "runs", len(w.runs))
-		p.invalidateTickets(w.spec.ID)
+		p.invalidateTickets(w)
 		w.excludedUntil, w.backOffs = now, 0
 	}
 	w.incarnation, w.lastSeenEnd, w.lastStoredEnd, w.leaseEnd, w.incarnationSeenAt = incarnation, 0, 0, 0, now
@@ -217,13 +247,14 @@
 	if j != nil {
 		x.task = j.find(r.Run.Task)
 	}
+	if w.justEnded[r.Run] {
+		return // The status report is from just before the run's end.
+	}
 	if t := x.task; t != nil {
-		if r.Run.Number <= t.lastClosedRun {
-			// The run is known to have ended, so this status report is out of date.
-			return
-		}
 		x.size = t.step.spec.Demand()
-		wanted := t.needsRun() && j.active() && t.step.ready
+		// A run with a closed number may be on this worker although it has ended on another one: a
+		// former leader has used the number as well. It occupies capacity until it has stopped.
+		wanted := t.needsRun() && j.active() && t.step.ready && r.Run.Number > t.lastClosedRun
 		w.addRun(x)
 		j.started = true
 		x.recordProgress(now, r)
--- a/ladderplan/result.go
+++ b/ladderplan/result.go
@@ -19,6 +19,8 @@
 	Unsent bool
 	// Unknown is true if the outcome of the order is unknown.
 	Unknown bool
+	// Clock is the reading of the worker's clock in its reply to a start, or zero if there is none.
+	Clock time.Duration
 }
 
 func (r Result) succeeded() bool {
@@ -33,6 +35,14 @@
 	if !ok {
 		return
 	}
+	switch {
+	case r.succeeded():
+		w.acknowledgeGuard.StartAccepted(now, r.Clock)
+	case r.Unknown:
+		w.acknowledgeGuard.StartUnanswered(now)
+	default:
+		w.acknowledgeGuard.StartHadNoEffect()
+	}
 	x, ok := w.runs[name]
 	if !ok || x.confirmed {
 		return
@@ -45,6 +55,7 @@
 			x.phase = phaseRunning
 		}
 		x.startedAt, x.progressedAt = now, now
+		w.releasesStale = true
 	case r.Unknown:
 		p.log.Warn("start was not answered; polling the worker", "task", name.Task, "run", name.Number, "worker", worker)
 		if x.phase == phaseSent {
@@ -73,7 +84,7 @@
 		w.excludedUntil = later(w.excludedUntil, now.Add(refusalExcludeTime))
 		p.orders.Polls = append(p.orders.Polls, w.spec.ID)
 	case r.Refusal == ladderflow.RefusedTicket && t != nil:
-		t.step.tickets.invalidate(w.spec.ID)
+		t.step.tickets.invalidate(w)
 	}
 	if t != nil && t.step.spec.Gang && t.step.round.job.active() {
 		p.stopGang(now, t.step)
--- a/ladderplan/takeover_test.go
+++ b/ladderplan/takeover_test.go
@@ -223,3 +223,47 @@
 	require.Empty(t, o.Stops)
 	require.Empty(t, o.Starts)
 }
+
+// TestRunWithClosedNumber lets two former leaders start a task's run 1 on different workers. One of
+// the runs has ended. The other one must count against its worker's capacity until it has stopped,
+// and the task must not start again before that.
+func TestRunWithClosedNumber(t *testing.T) {
+	h := newHarness(t, 2)
+	large := ladderflow.Step{Tasks: 1, Need: ladderflow.Size{Processor: 8000, Memory: 1000}, Estimate: time.Second}
+	h.planner.AddJob(h.now, testJob(h.now, "a", large), true)
+	run := ladderflow.Run{Task: ladderflow.Task{Job: "a"}, Number: 1}
+	h.poll("w0", ladderflow.StatusReport{Ended: []ladderflow.EndedRun{{Sequence: 1, Run: run, Reason: ladderflow.EndStopped}}})
+	h.poll("w1", ladderflow.StatusReport{Running: []ladderflow.ActiveRun{{Run: run, Percent: 50}}})
+	h.submit("b", large)
+	o := h.plan()
+	require.Len(t, o.Stops, 1)
+	require.Equal(t, "w1", o.Stops[0].Worker.ID)
+	for _, s := range o.Starts {
+		require.Equal(t, "w0", s.Worker.ID, "w1 is full")
+		require.Equal(t, "b", s.Run.Task.Job, "a former run of task a has not ended")
+	}
+}
+
+// TestOutdatedReports delivers a status report that shows an earlier state of the worker than the
+// last one. It must not make a run that has ended count as running.
+func TestOutdatedReports(t *testing.T) {
+	for name, outdated := range map[string]ladderflow.StatusReport{
+		"earlier clock":       {Incarnation: 5, Clock: 900 * time.Millisecond},
+		"earlier incarnation": {Incarnation: 4, Clock: time.Hour},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 1)
+			requested := h.now
+			h.submit("a", stepOf(1))
+			s := h.startAll()[0]
+			h.planner.RecordReport(h.now, "w0", h.now, ladderflow.StatusReport{Incarnation: 5, Clock: time.Second})
+			outdated.Running = []ladderflow.ActiveRun{{Run: s.Run, Percent: 50}}
+			free := h.planner.workers["w0"].free
+			h.planner.RecordReport(h.now, "w0", requested, outdated)
+			w := h.planner.workers["w0"]
+			require.Equal(t, int64(5), w.incarnation)
+			require.Equal(t, free, w.free)
+			require.Empty(t, w.runs)
+		})
+	}
+}
--- a/ladderplan/workers.go
+++ b/ladderplan/workers.go
@@ -9,7 +9,8 @@
 )
 
 func (p *Planner) addWorker(spec ladderflow.Worker) *worker {
-	w := newWorker(spec)
+	w := newWorker(spec, p.workersAdded)
+	p.workersAdded++
 	p.workers[spec.ID] = w
 	p.sortedWorkers = nil
 	return w
--- a/laddervm/registry.go
+++ b/laddervm/registry.go
@@ -73,9 +73,11 @@
 	log         *ladderlog.Logger
 	incarnation string
 
-	mu     sync.Mutex
-	peers  map[string]peer
-	leader leader
+	mu    sync.Mutex
+	peers map[string]peer
+	// peersVersion changes whenever peers may have changed. It is never zero.
+	peersVersion int64
+	leader       leader
 	// loaded is true once the store has been read.
 	loaded bool
 	// leaderSince is when the current leader was first seen, and previousSince when the one
@@ -104,7 +106,7 @@
 func newRegistry(v *VM) *registry {
 	return &registry{
 		vm: v, log: v.logs.RateLimited("registry", v.clock), incarnation: newIncarnation(v.settings.Name),
-		peers: map[string]peer{}, backoffUntil: map[string]time.Time{},
+		peers: map[string]peer{}, peersVersion: 1, backoffUntil: map[string]time.Time{},
 		lease:   newLease(v, entryLease),
 		changed: make(chan struct{}, 1),
 	}
@@ -183,6 +185,13 @@
 	return listed
 }
 
+// version returns a number that changes whenever the result of others may have changed.
+func (r *registry) version() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.peersVersion
+}
+
 // registered returns the peers that have an entry in the store.
 func (r *registry) registered() []peer {
 	return slices.DeleteFunc(r.others(), func(p peer) bool { return !p.removedAt.IsZero() })
@@ -268,6 +277,7 @@
 			r.mu.Lock()
 			defer r.mu.Unlock()
 			now := r.vm.clock.Now()
+			r.peersVersion++
 			listed := map[string]bool{}
 			for _, item := range items {
 				listed[item.Key] = true
@@ -302,6 +312,7 @@
 // apply applies one item below the VMs' prefix. The caller holds the lock.
 func (r *registry) apply(item platform.Item, now time.Time) {
 	name := strings.TrimPrefix(item.Key, entryPrefix)
+	r.peersVersion++
 	if item.Key == ladderjournal.LeaderKey {
 		r.seenRevision = max(r.seenRevision, item.ModRevision)
 	}
--- a/laddervm/term.go
+++ b/laddervm/term.go
@@ -66,6 +66,8 @@
 	planPause time.Duration
 	// loaded is true once the planner has the contents of the store.
 	loaded bool
+	// peersVersion is the version of the registry's peers that the planner has.
+	peersVersion int64
 	// pollers holds the poller of each worker, by the worker's id.
 	pollers map[string]*poller
 	// delegates holds the delegates by incarnation. excludedUntil holds, by name, the time
@@ -211,7 +213,10 @@
 		return
 	}
 	now := t.vm.clock.Now()
-	t.planner.SetVMs(t.vmNames())
+	if v := t.vm.registry.version(); v != t.peersVersion {
+		t.peersVersion = v
+		t.planner.SetVMs(t.vmNames())
+	}
 	o := t.planner.Plan(now, t.wallClock.now(now), t.confidence())
 	t.vm.stats.planTime.UpdateDuration(now)
 	t.planPause = min(max(minPlanPause, planPauseFactor*t.vm.clock.Now().Sub(now)), maxPlanPause)
--- a/laddervm/workers.go
+++ b/laddervm/workers.go
@@ -127,13 +127,13 @@
 		}
 		return
 	}
-	if next.HasUnstoredEnds && !t.saver.idle() && now.Before(p.deferredUntil) {
+	if (next.HasUnstoredEnds && !t.saver.idle() || next.AwaitsStarts) && now.Before(p.deferredUntil) {
 		p.deferred = true
 		time.AfterFunc(p.deferredUntil.Sub(now), func() { t.do(func() { t.resumePoll(ctx, p) }) })
 		return
 	}
 	request := platform.PollRequest{Fence: t.fence, Acknowledged: next.Acknowledged, LeaseUntil: next.LeaseUntil}
-	if next.LeaseUntil > 0 && !next.HasUnstoredEnds {
+	if next.LeaseUntil > 0 && !next.HasUnstoredEnds && !next.AwaitsStarts {
 		request.Wait = ladderdelegate.PollWait
 	}
 	w := p.worker
@@ -278,14 +278,18 @@
 // start sends a start order to a worker.
 func (t *term) start(s ladderplan.StartOrder) {
 	began := t.vm.clock.Now()
+	var clock time.Duration
 	r := t.sendOrder(func(ctx context.Context) (ladderflow.Refusal, error) {
 		if t.confidence() == ladderplan.LeadershipNone {
 			return ladderflow.NotRefused, platform.ErrUnsent
 		}
-		return t.vm.workers.Start(ctx, s.Worker.Address, s.Worker.ID, ladderflow.Start{
+		reply, err := t.vm.workers.Start(ctx, s.Worker.Address, s.Worker.ID, ladderflow.Start{
 			Run: s.Run, Payload: s.Payload, Checkpoint: s.Checkpoint, Ticket: s.Ticket, LeaseUntil: s.LeaseUntil, Fence: t.fence,
 		})
+		clock = reply.Clock
+		return reply.Refusal, err
 	})
+	r.Clock = clock
 	t.vm.stats.startTime.UpdateDuration(began)
 	t.do(func() { t.startSettled(s.Worker.ID, s.Run, r, "") })
 }
@@ -297,6 +301,9 @@
 	t.log.Info("start order finished", "task", run.Task, "run", run.Number, "worker", worker, "by", by,
 		"refusal", r.Refusal, "unsent", r.Unsent, "unknown", r.Unknown)
 	t.planner.StartSettled(t.vm.clock.Now(), worker, run, r)
+	if p, ok := t.pollers[worker]; ok && p.delegate == nil && p.ctx != nil {
+		t.resumePoll(p.ctx, p)
+	}
 }
 
 // stopSettled records the result of a stop order. By is as in startSettled.
