Try a waiting step again only when a worker that may run it was freed

A step that could not start is tried again after 20 ms, when its tickets change, or when a worker that may run it gets capacity (freedLog); reservations that hold are renewed without looking at tickets; workers compare by position instead of by name. The simulation now gathers events for 2 ms before a plan, as the leader does.

--- a/ladderload/load_test.go
+++ b/ladderload/load_test.go
@@ -4,6 +4,7 @@
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -41,3 +42,13 @@
 		b.ReportMetric(r.EarnedShare, "worth")
 	}
 }
+
+// BenchmarkLarge simulates thirty seconds of the load of the large fleet, large.yaml.
+func BenchmarkLarge(b *testing.B) {
+	l := readExample(b, "jadewing", "large.yaml")
+	l.ArrivalPeriod, l.ExtraTime = 30*time.Second, 0
+	for b.Loop() {
+		r := Simulate(l, 1, ladderplan.ByObjective)
+		b.ReportMetric(r.EarnedShare, "worth")
+	}
+}
--- a/ladderload/simulation.go
+++ b/ladderload/simulation.go
@@ -24,6 +24,8 @@
 	// messageDelay is the time that a worker's report of an ended run, or a response of the
 	// advice service, takes to reach the leader.
 	messageDelay = 3 * time.Millisecond
+	// planPause is the time in which the leader gathers events before it plans.
+	planPause = 2 * time.Millisecond
 	// pollInterval is the time between two regular status polls of a worker. The end of a
 	// run is reported without waiting for the next poll.
 	pollInterval = time.Second
@@ -213,14 +215,14 @@
 	sim.schedule(pollInterval, func() { sim.poll(w) })
 }
 
-// schedulePlan schedules a call of the planner in one millisecond, unless one is scheduled
+// schedulePlan schedules a call of the planner after planPause, unless one is scheduled
 // already, and the execution of the planner's orders.
 func (sim *simulation) schedulePlan() {
 	if sim.planScheduled {
 		return
 	}
 	sim.planScheduled = true
-	sim.schedule(time.Millisecond, func() {
+	sim.schedule(planPause, func() {
 		sim.planScheduled = false
 		orders := sim.planner.Plan(sim.time(), sim.time(), ladderplan.LeadershipConfirmed)
 		for _, s := range orders.Starts {
--- a/ladderplan/advice.go
+++ b/ladderplan/advice.go
@@ -196,26 +196,28 @@
 // unknownCandidates returns the workers that the step has no answer about, those with capacity for
 // the most tasks first. A full worker is worth a query, unless the step never fits on it.
 func (sp *stepPlacement) unknownCandidates() []gangCandidate {
-	var list []gangCandidate
+	var list, full []gangCandidate
 	t, need := &sp.step.tickets, sp.step.spec.Demand()
 	for _, w := range sp.pool() {
 		if t.answer(w) != answerUnknown || !sp.usable(w) {
 			continue
 		}
 		n := sp.freeSlots(w)
-		if n == 0 && need.FitCount(w.spec.Capacity, 1) == 0 {
-			continue
+		switch {
+		case n > 0:
+			list = append(list, gangCandidate{w, n})
+		case len(full) < maxQueryWorkers && need.FitCount(w.spec.Capacity, 1) > 0:
+			full = append(full, gangCandidate{w, n})
 		}
-		list = append(list, gangCandidate{w, n})
 	}
 	sortBySlots(list)
-	return list
+	return append(list, full...)
 }
 
 // sortBySlots sorts candidates so that those with capacity for the most tasks come first.
 func sortBySlots(list []gangCandidate) {
 	slices.SortFunc(list, func(a, b gangCandidate) int {
-		return cmp.Or(cmp.Compare(b.slots, a.slots), cmp.Compare(a.worker.spec.ID, b.worker.spec.ID))
+		return cmp.Or(cmp.Compare(b.slots, a.slots), cmp.Compare(a.worker.order, b.worker.order))
 	})
 }
 
@@ -248,7 +250,7 @@
 		t.nextQuery = now.Add(queryRetryDelay)
 		return
 	}
-	s.gang.reservation = reservation{} // A better one may be possible now.
+	s.gang.reservation, s.lastTry = reservation{}, lastTry{} // More may be possible now.
 	for _, x := range allowed {
 		if w := p.workers[x.Worker]; w != nil {
 			t.allow(ticket{worker: w, text: x.Text, validUntil: now.Add(lifetime - ticketMargin)})
--- a/ladderplan/gang.go
+++ b/ladderplan/gang.go
@@ -35,7 +35,7 @@
 		return cmp.Or(cmp.Compare(boolToInt(failedWorkers[a.worker.spec.ID]), boolToInt(failedWorkers[b.worker.spec.ID])),
 			cmp.Compare(b.slots, a.slots),
 			cmp.Compare(leftoverScore(a.worker, sp.step.spec.Demand()), leftoverScore(b.worker, sp.step.spec.Demand())),
-			cmp.Compare(a.worker.spec.ID, b.worker.spec.ID))
+			cmp.Compare(a.worker.order, b.worker.order))
 	})
 	return list
 }
@@ -80,8 +80,8 @@
 	return true
 }
 
-// fitCheckInterval is the time between two checks whether a gang that was too large for its workers
-// fits on them now, because workers were added or the advice service allowed more.
+// fitCheckInterval is the time between two checks whether a gang fits on its workers when they are
+// empty. Workers come and go, and the advice service allows more.
 const fitCheckInterval = 500 * time.Millisecond
 
 // fitsEmptyWorkers reports whether the whole gang would fit on the workers that may run it if they
@@ -89,8 +89,10 @@
 func (sp *stepPlacement) fitsEmptyWorkers() bool {
 	g := &sp.step.gang
 	if sp.now.Before(g.nextFitCheck) {
-		return false
+		return g.fits
 	}
+	first := g.nextFitCheck.IsZero()
+	g.nextFitCheck, g.fits = sp.now.Add(fitCheckInterval), true
 	capacity := 0
 	for _, w := range sp.planner.workers {
 		if !w.listed || w.spec.Service != sp.service || !w.hasLabel(sp.step.spec.WorkerLabel) ||
@@ -102,11 +104,11 @@
 			return true
 		}
 	}
-	if g.nextFitCheck.IsZero() {
+	if first {
 		sp.planner.log.Info("gang does not fit on the workers that may run it, even if they are empty", "step", sp.step.ref(),
 			"members", len(sp.step.tasks), "capacity", capacity)
 	}
-	g.nextFitCheck = sp.now.Add(fitCheckInterval)
+	g.fits = false
 	return false
 }
 
--- a/ladderplan/model.go
+++ b/ladderplan/model.go
@@ -86,6 +86,7 @@
 	// preemptedAt is when runs were last stopped to free capacity for the step.
 	preemptedAt time.Time
 	readySince  time.Time
+	lastTry     lastTry
 }
 
 // gang is the state that the members of a gang share.
@@ -98,7 +99,9 @@
 	failedWorkers map[string]bool
 	// checkpoint is the newest one that a worker reported for a member.
 	checkpoint string
-	// nextFitCheck is when a gang that is too large for its workers is next compared with them.
+	// fits is the result of the last check whether the gang fits on its workers when they are empty,
+	// and nextFitCheck is when to check it again.
+	fits         bool
 	nextFitCheck time.Time
 	reservation  reservation
 }
@@ -187,6 +190,10 @@
 	spec ladderflow.Worker
 	// index is the worker's index in [tickets.answers]. No other worker of the planner ever has it.
 	index int
+	// order is the worker's position among all workers sorted by id.
+	order int
+	// inRoster is true if the worker is in the stored roster.
+	inRoster bool
 	// listed is true while the platform's store lists the worker.
 	listed bool
 	// seenByLeader is true once the worker has answered a poll under this leader's fencing token.
@@ -220,6 +227,8 @@
 	runOrder      []*run
 	releases      []capacityRelease
 	releasesStale bool
+	// freed lists the workers that were freed.
+	freed *freedLog
 	// lastPass is the number of the last placement pass in which the worker accepted new tasks.
 	lastPass int64
 	// reservedPass is the last placement pass in which the worker was reserved for a gang, which was
@@ -242,9 +251,9 @@
 	maintenanceUntil time.Time
 }
 
-func newWorker(spec ladderflow.Worker, index int) *worker {
+func newWorker(spec ladderflow.Worker, index int, freed *freedLog) *worker {
 	return &worker{
-		spec: spec, index: index, free: spec.Capacity, runs: map[ladderflow.Run]*run{}, justEnded: map[ladderflow.Run]bool{},
+		spec: spec, index: index, freed: freed, free: spec.Capacity, runs: map[ladderflow.Run]*run{}, justEnded: map[ladderflow.Run]bool{},
 		failedJobs: map[string]bool{},
 	}
 }
@@ -287,6 +296,7 @@
 	w.runOrder = slices.DeleteFunc(w.runOrder, func(o *run) bool { return o == r })
 	w.releasesStale = true
 	w.free = w.free.Plus(r.size)
+	w.freed.add(w)
 	t := r.task
 	if t == nil {
 		return
@@ -298,6 +308,7 @@
 	}
 	if t.needsRun() {
 		t.step.waiting++
+		t.step.lastTry = lastTry{}
 	}
 }
 
--- a/ladderplan/place.go
+++ b/ladderplan/place.go
@@ -95,14 +95,18 @@
 		}
 		sp := stepPlacement{planner: p, step: s, queue: q, service: p.service(s.round.job), now: now}
 		sp.heedsReservations = k.class > 0
+		hopeless := sp.hopeless()
 		switch {
-		case !s.spec.Gang:
+		case s.spec.Gang && (hopeless || !sp.placeGang()) && gangs < maxGangs && sp.fitsEmptyWorkers():
+			gangs++
+			sp.reserveForGang(hopeless)
+		case !s.spec.Gang && !hopeless:
 			sp.placeTasks()
 			sp.queryForTasks()
 			sp.preempt()
-		case !sp.placeGang() && gangs < maxGangs && sp.fitsEmptyWorkers():
-			gangs++
-			sp.reserveForGang()
+		}
+		if !hopeless {
+			sp.recordTry()
 		}
 	}
 }
@@ -202,7 +206,11 @@
 	p.pass++
 	for _, w := range p.allWorkers() {
 		if p.acceptsTasks(now, w) {
-			w.probation, w.lastPass = w.onProbation(now), p.pass
+			onProbation := w.onProbation(now)
+			if w.lastPass != p.pass-1 || w.probation && !onProbation {
+				p.freed.add(w)
+			}
+			w.probation, w.lastPass = onProbation, p.pass
 			p.pools[w.spec.Service] = append(p.pools[w.spec.Service], w)
 		}
 	}
@@ -213,7 +221,7 @@
 	switch {
 	case !w.listed, !w.seenByLeader, w.unresponsive, !w.leavesAt.IsZero(), now.Sub(w.polledAt) >= unresponsiveAfter:
 		return false
-	case now.Before(w.excludedUntil), now.Before(w.maintenanceUntil), p.nearMaintenance[w.spec.ID], !p.roster[w.spec.ID]:
+	case !w.inRoster, now.Before(w.excludedUntil), now.Before(w.maintenanceUntil), p.nearMaintenance[w.spec.ID]:
 		return false
 	case w.incarnationSeenAt.After(p.confirmedAt):
 		return false
@@ -324,7 +332,7 @@
 		if sp.planner.reservedBefore(w) {
 			v += reservedPenalty
 		}
-		if found == nil || v < least || v == least && w.spec.ID < found.spec.ID {
+		if found == nil || v < least || v == least && w.order < found.order {
 			found, least = w, v
 		}
 	}
--- a/ladderplan/planner.go
+++ b/ladderplan/planner.go
@@ -52,7 +52,8 @@
 	placedAt     time.Time
 	// pass is the number of the present or last placement pass. Workers that accept new tasks in it
 	// have the number in lastPass.
-	pass int64
+	pass  int64
+	freed freedLog
 	// reservationPass is the number of the present or last placement pass that reserved workers for
 	// gangs. slotBuffer is reused by all its searches for future slots.
 	reservationPass int64
--- a/ladderplan/poll.go
+++ b/ladderplan/poll.go
@@ -60,11 +60,19 @@
 
 // SetRoster sets the roster: the stored set of workers on which a leader may start tasks. No task
 // starts on other workers, since the next leader would not know that they may have runs.
-func (p *Planner) SetRoster(ids map[string]bool) { p.roster, p.placementDue = ids, true }
+func (p *Planner) SetRoster(ids map[string]bool) {
+	p.roster, p.placementDue = ids, true
+	for id, w := range p.workers {
+		w.inRoster = ids[id]
+	}
+}
 
 // setSpec replaces the worker's description and adjusts the free capacity to it.
 func (w *worker) setSpec(spec ladderflow.Worker) {
-	w.free = w.free.Plus(spec.Capacity).Minus(w.spec.Capacity)
+	if spec.Capacity != w.spec.Capacity {
+		w.free = w.free.Plus(spec.Capacity).Minus(w.spec.Capacity)
+		w.freed.add(w)
+	}
 	w.spec = spec
 }
 
--- a/ladderplan/reserve.go
+++ b/ladderplan/reserve.go
@@ -50,16 +50,25 @@
 }
 
 // reserveForGang reserves workers for a gang that does not fit yet. It queries advice early enough
-// for the tickets to be valid when the capacity is free.
-func (sp *stepPlacement) reserveForGang() {
+// for the tickets to be valid when the capacity is free. If keep is true, a reservation that holds is
+// used again without looking at tickets.
+func (sp *stepPlacement) reserveForGang(keep bool) {
 	t, g := &sp.step.tickets, &sp.step.gang
 	needsTickets := sp.needsTickets()
 	if needsTickets && len(t.rows) == 0 {
 		sp.queryForTasks()
 		return
 	}
+	holds := sp.reservationHolds()
+	if holds && keep {
+		startAt := g.reservation.startAt()
+		for _, o := range g.reservation.slots {
+			sp.planner.reserve(o.worker, startAt)
+		}
+		return
+	}
 	need := len(sp.step.tasks)
-	if !sp.reservationHolds() {
+	if !holds {
 		list := sp.futureSlots(need)
 		if len(list) < need {
 			g.reservation = reservation{}
@@ -135,7 +144,7 @@
 // sortSlots sorts slots so that the earliest come first.
 func sortSlots(list []futureSlot) {
 	slices.SortFunc(list, func(a, b futureSlot) int {
-		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.worker.spec.ID, b.worker.spec.ID))
+		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.worker.order, b.worker.order))
 	})
 }
 
--- a/ladderplan/workers.go
+++ b/ladderplan/workers.go
@@ -9,8 +9,9 @@
 )
 
 func (p *Planner) addWorker(spec ladderflow.Worker) *worker {
-	w := newWorker(spec, p.workersAdded)
+	w := newWorker(spec, p.workersAdded, &p.freed)
 	p.workersAdded++
+	w.inRoster = p.roster[spec.ID]
 	p.workers[spec.ID] = w
 	p.sortedWorkers = nil
 	return w
@@ -28,6 +29,9 @@
 		p.sortedWorkers = slices.SortedFunc(maps.Values(p.workers), func(a, b *worker) int {
 			return cmp.Compare(a.spec.ID, b.spec.ID)
 		})
+		for i, w := range p.sortedWorkers {
+			w.order = i
+		}
 	}
 	return p.sortedWorkers
 }
