Learn which workers are slow, and start gangs on the others

Not the cause: rack, label or kind of the worker; unevenness, which gangs do not have.

The leader compares the tasks of a finished step with each other (not as they end: the first to end are the shortest, which made every worker look slow) and estimates each worker's slowdown. A gang starts and reserves on the others where it then ends earlier; single tasks prefer slow workers.

Also here: a worker that answers no poll and that the store has not listed for 2.5 s while serving counts as gone. TestGoneWorkerDelaysNothing fails before.

--- a/ladderload/job.go
+++ b/ladderload/job.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -63,7 +64,12 @@
 
 // runTime returns how long a run of a task takes on a worker with a slowdown factor.
 func (j *job) runTime(t ladderflow.Task, slowdown float64) time.Duration {
-	return time.Duration(float64(j.taskTimes[t.Step]) * slowdown)
+	d := float64(j.taskTimes[t.Step]) * slowdown
+	if u := j.queue.Unevenness; u > 0 && !j.spec.Steps[t.Step].Gang {
+		random := rand.New(rand.NewPCG(xxhash.Sum64String(t.Job), uint64(t.Step)<<32|uint64(t.Index)))
+		d *= math.Exp(u*random.NormFloat64() - u*u/2)
+	}
+	return time.Duration(d)
 }
 
 // recordStart records the first start of a task of the job.
@@ -84,8 +90,12 @@
 // true task times, whereas the planner computes it from the estimates.
 func (j *job) objective() time.Duration {
 	var criticalPath time.Duration
-	for _, t := range j.taskTimes {
-		criticalPath += t
+	for i, s := range j.spec.Steps {
+		longest := time.Duration(0)
+		for k := range s.Tasks {
+			longest = max(longest, j.runTime(ladderflow.Task{Job: j.spec.ID, Step: i, Index: k}, 1))
+		}
+		criticalPath += longest
 		criticalPath += (&ladderflow.Queue{Advice: j.queue.Advice}).AdviceTime()
 	}
 	return time.Duration(j.queue.ObjectiveFactor*float64(criticalPath)) + j.queue.BaseObjective
--- a/ladderload/load.go
+++ b/ladderload/load.go
@@ -63,6 +63,9 @@
 	GangShare float64
 	// FailureShare is the share of runs that fail.
 	FailureShare float64
+	// Unevenness is the standard deviation of the natural logarithm of a task's duration divided by
+	// that of its step. The tasks of a gang are all alike.
+	Unevenness float64
 	// EstimateSigma is the standard deviation of the natural logarithm of a step's estimated
 	// duration divided by the true one. With 0 all estimates are exact.
 	EstimateSigma float64
@@ -136,6 +139,7 @@
 		TaskSeconds: parseDistribution(r.RequiredKey("work")), Cores: parseDistribution(r.RequiredKey("cores")),
 		MemoryGiB: parseDistribution(r.RequiredKey("memory")),
 		GangShare: r.Key("gangs").Ratio(0), FailureShare: r.Key("fails").Ratio(0), EstimateSigma: r.Key("off").Number(0),
+		Unevenness: r.Key("uneven").Number(0),
 	}
 	if a := r.Key("advice"); a.Present() {
 		q.Advice = &ladderflow.AdviceConfig{
--- a/ladderload/simulation.go
+++ b/ladderload/simulation.go
@@ -102,6 +102,8 @@
 	lastSeq int
 	workers map[string]*worker
 	jobs    map[string]*job
+	// gangs holds the runs of each gang that have started.
+	gangs map[gangRun][]gangMember
 	// adviceBusyUntil holds, for each entry VM, the time at which the advice service will
 	// have answered all queries that the VM has queued.
 	adviceBusyUntil map[string]time.Duration
@@ -120,7 +122,7 @@
 func Simulate(l *Load, seed uint64, order ladderplan.Order) *Result {
 	sim := &simulation{
 		load: l, jobRandom: map[string]*rand.Rand{}, seed: seed, start: time.UnixMilli(0), workers: map[string]*worker{},
-		jobs: map[string]*job{}, adviceBusyUntil: map[string]time.Duration{}, result: newResult(l, seed, order),
+		jobs: map[string]*job{}, gangs: map[gangRun][]gangMember{}, adviceBusyUntil: map[string]time.Duration{}, result: newResult(l, seed, order),
 	}
 	sim.planner = ladderplan.New(ladderplan.Options{
 		Fence: 1, LeaseDuration: leaseDuration, MaxLeaseDuration: leaseDuration, ElectedAt: sim.start, StopTimeout: time.Second,
@@ -207,6 +209,9 @@
 	for _, run := range w.sortedRuns() {
 		startedAt := w.running[run]
 		total := sim.jobs[run.Task.Job].runTime(run.Task, w.slowdown)
+		if sim.jobs[run.Task.Job].spec.Steps[run.Task.Step].Gang {
+			total = sim.gangTime(run)
+		}
 		percent := 100 * float64(sim.now-startedAt) / float64(max(total, 1))
 		report.Running = append(report.Running, ladderflow.ActiveRun{Run: run, Percent: int(min(percent, 99))})
 	}
@@ -262,6 +267,10 @@
 		sim.planner.StartSettled(sim.time(), s.Worker.ID, s.Run, ladderplan.Result{})
 		sim.schedulePlan()
 	})
+	if j.spec.Steps[s.Run.Task.Step].Gang {
+		sim.startMember(j, w, s.Run)
+		return
+	}
 	duration := j.runTime(s.Run.Task, w.slowdown)
 	reason := ladderflow.EndDone
 	random := rand.New(rand.NewPCG(sim.seed, xxhash.Sum64String(fmt.Sprint(s.Run))))
@@ -272,6 +281,60 @@
 	sim.schedule(duration, func() { sim.endRun(w, s.Run, reason) })
 }
 
+// gangRun identifies one run of a gang, and gangMember is the run of one of its tasks.
+type (
+	gangRun struct {
+		job          string
+		step, number int
+	}
+	gangMember struct {
+		worker *worker
+		run    ladderflow.Run
+	}
+)
+
+// startMember adds a run to its gang. Once all members run, it schedules their common end: they work
+// together, so the slowest worker sets the pace. If a member fails, the others end with it.
+func (sim *simulation) startMember(j *job, w *worker, r ladderflow.Run) {
+	g := gangRun{r.Task.Job, r.Task.Step, r.Number}
+	sim.gangs[g] = append(sim.gangs[g], gangMember{w, r})
+	members := sim.gangs[g]
+	if len(members) < j.spec.Steps[r.Task.Step].Tasks {
+		return
+	}
+	slowest, failed, failedAt := 1.0, -1, 1.0
+	for i, m := range members {
+		slowest = max(slowest, m.worker.slowdown)
+		random := rand.New(rand.NewPCG(sim.seed, xxhash.Sum64String(fmt.Sprint(m.run))))
+		if random.Float64() < j.queue.FailureShare/float64(len(members)) {
+			if at := random.Float64(); at < failedAt {
+				failed, failedAt = i, at
+			}
+		}
+	}
+	sim.schedule(time.Duration(failedAt*float64(j.runTime(r.Task, slowest))), func() {
+		for i, m := range members {
+			switch {
+			case failed < 0:
+				sim.endRun(m.worker, m.run, ladderflow.EndDone)
+			case i == failed:
+				sim.endRun(m.worker, m.run, ladderflow.EndFailed)
+			default:
+				sim.endRun(m.worker, m.run, ladderflow.EndGangBroken)
+			}
+		}
+	})
+}
+
+// gangTime returns how long the gang of a run takes on the workers on which it has started so far.
+func (sim *simulation) gangTime(r ladderflow.Run) time.Duration {
+	slowest := 1.0
+	for _, m := range sim.gangs[gangRun{r.Task.Job, r.Task.Step, r.Number}] {
+		slowest = max(slowest, m.worker.slowdown)
+	}
+	return sim.jobs[r.Task.Job].runTime(r.Task, slowest)
+}
+
 // stopRun executes an order to stop a run.
 func (sim *simulation) stopRun(s ladderplan.StopOrder) {
 	sim.endRun(sim.workers[s.Worker.ID], s.Run, ladderflow.EndStopped)
--- a/ladderplan/advice.go
+++ b/ladderplan/advice.go
@@ -204,6 +204,10 @@
 		}
 		n := sp.freeSlots(w)
 		switch {
+		case sp.step.spec.Gang && w.isSlow():
+			if need.FitCount(w.spec.Capacity, 1) > 0 {
+				full = append(full, gangCandidate{w, n})
+			}
 		case n > 0:
 			list = append(list, gangCandidate{w, n})
 		case len(full) < maxQueryWorkers && need.FitCount(w.spec.Capacity, 1) > 0:
--- a/ladderplan/gang.go
+++ b/ladderplan/gang.go
@@ -62,6 +62,14 @@
 	if total < len(s.tasks) {
 		return false
 	}
+	sound := slices.DeleteFunc(slices.Clone(list), func(c gangCandidate) bool { return c.worker.isSlow() })
+	soundTotal := 0
+	for _, c := range sound {
+		soundTotal += c.slots
+	}
+	if soundTotal >= len(s.tasks) {
+		list = sound
+	}
 	number := s.gang.lastRun + 1
 	for _, t := range s.tasks {
 		number = max(number, t.lastRun+1)
--- a/ladderplan/model.go
+++ b/ladderplan/model.go
@@ -87,6 +87,8 @@
 	preemptedAt time.Time
 	readySince  time.Time
 	lastTry     lastTry
+	// durations holds the durations of the runs that were not interrupted, until the step is finished.
+	durations []taskDuration
 }
 
 // gang is the state that the members of a gang share.
@@ -194,8 +196,10 @@
 	order int
 	// inRoster is true if the worker is in the stored roster.
 	inRoster bool
-	// listed is true while the platform's store lists the worker.
-	listed bool
+	// listed is true while the platform's store lists the worker, and unlistedSince is when it first
+	// was not.
+	listed        bool
+	unlistedSince time.Time
 	// seenByLeader is true once the worker has answered a poll under this leader's fencing token.
 	seenByLeader bool
 	// incarnation distinguishes the worker's present process from those before a restart.
@@ -242,6 +246,7 @@
 	backOffs      int
 	// probation is true for a placement pass in which the worker gets only one task at a time.
 	probation bool
+	slowdown  slowdown
 	// failedJobs holds the jobs of which a run has failed on the worker since the last success.
 	failedJobs map[string]bool
 	// leavesAt is the earliest time at which a draining worker may be gone.
--- a/ladderplan/place.go
+++ b/ladderplan/place.go
@@ -329,6 +329,9 @@
 		if failedWorkers[w.spec.ID] {
 			v += failedWorkerPenalty
 		}
+		if !w.isSlow() {
+			v += soundPenalty
+		}
 		if sp.planner.reservedBefore(w) {
 			v += reservedPenalty
 		}
@@ -343,6 +346,7 @@
 	// A leftover score is below 6, so each penalty outweighs it, and each larger penalty outweighs
 	// the smaller ones: a worker that was reserved for a gang is worse than any other, one outside
 	// the rack of the step's data is worse still, and one on which the task failed is worst.
+	soundPenalty        = 1
 	reservedPenalty     = 10
 	remoteRackPenalty   = 20
 	failedWorkerPenalty = 40
--- a/ladderplan/planner.go
+++ b/ladderplan/planner.go
@@ -42,6 +42,7 @@
 	// unstoredJobs holds the jobs whose records have changed since the last batch.
 	unstoredJobs map[string]*job
 	estimators   durationEstimators
+	spreads      spreads
 	advisers
 	orders Orders
 	// superseded is true once a worker has rejected this leader's fencing token for a newer one.
@@ -61,6 +62,8 @@
 	// unanswered is the number of starts without a reply.
 	unanswered      int
 	speedsCheckedAt time.Time
+	// storeServingSince is since when the platform's store has served calls, or zero while it does not.
+	storeServingSince time.Time
 	// confirmedAt is when leadership was last confirmed.
 	confirmedAt time.Time
 	// nextPrune is when old cancellations are next discarded.
@@ -72,7 +75,7 @@
 	return &Planner{
 		options: o, log: o.Log, jobs: map[string]*job{}, cancellations: map[string]time.Time{},
 		workers: map[string]*worker{}, pools: map[string][]*worker{}, unseenWorkers: map[string]bool{},
-		unstoredJobs: map[string]*job{}, estimators: durationEstimators{}, advisers: newAdvisers(),
+		unstoredJobs: map[string]*job{}, estimators: durationEstimators{}, spreads: spreads{}, advisers: newAdvisers(),
 	}
 }
 
@@ -219,6 +222,7 @@
 		w.clearFailures()
 		if x != nil && !t.done && e.Run.Number == 1 {
 			p.estimators.observe(j.spec.Queue, t.step.spec.Estimate, now.Sub(x.startedAt))
+			p.observeSpeed(w, t.step, now.Sub(x.startedAt))
 		}
 		j.unstoredEndWorkers = append(j.unstoredEndWorkers, w)
 		p.taskSucceeded(now, t)
--- a/ladderplan/poll.go
+++ b/ladderplan/poll.go
@@ -15,6 +15,9 @@
 	// unresponsiveAfter is the time without an answered poll after which a worker gets no new
 	// tasks. It is more than the longest time that a poll waits.
 	unresponsiveAfter = 1600 * time.Millisecond
+	// goneAfter is how long a worker that does not answer must be missing from the platform's list to
+	// count as gone. The entry of a live worker is back within two seconds after an outage.
+	goneAfter = 2500 * time.Millisecond
 )
 
 // SetWorkers sets the workers that the platform's store lists. It drops workers that are no longer
@@ -43,13 +46,33 @@
 		if listed[w.spec.ID] {
 			continue
 		}
-		w.listed = false
+		if w.listed || w.unlistedSince.IsZero() {
+			w.listed, w.unlistedSince = false, now
+		}
 		if len(w.runs) == 0 && !p.unseenWorkers[w.spec.ID] {
 			p.dropWorker(w.spec.ID)
 		}
 	}
 }
 
+// SetStoreServing records whether the platform's store serves calls now. While it does not, the list
+// of workers is not current, and workers can't renew their entries in it.
+func (p *Planner) SetStoreServing(now time.Time, serving bool) {
+	switch {
+	case !serving:
+		p.storeServingSince = time.Time{}
+	case p.storeServingSince.IsZero():
+		p.storeServingSince = now
+	}
+}
+
+// isGone reports whether a worker has ended, with all its runs: it answers no poll, and the store has
+// listed it for none of the last goneAfter, although it was serving all the while.
+func (p *Planner) isGone(now time.Time, w *worker) bool {
+	return !w.listed && (w.unresponsive || !w.seenByLeader) && !w.unlistedSince.IsZero() && !p.storeServingSince.IsZero() &&
+		now.Sub(later(w.unlistedSince, p.storeServingSince)) >= goneAfter
+}
+
 // AddEarlierWorker adds a worker on which an earlier leader may have started tasks.
 func (p *Planner) AddEarlierWorker(spec ladderflow.Worker) {
 	if _, ok := p.workers[spec.ID]; !ok {
@@ -215,7 +238,7 @@
 	if w.incarnation != 0 {
 		p.log.Info("worker restarted", "worker", w.spec.ID, "incarnation", incarnation, "runs", len(w.runs))
 		p.invalidateTickets(w)
-		w.excludedUntil, w.backOffs = now, 0
+		w.excludedUntil, w.backOffs, w.slowdown = now, 0, slowdown{}
 	}
 	w.incarnation, w.lastSeenEnd, w.lastStoredEnd, w.leaseEnd, w.incarnationSeenAt = incarnation, 0, 0, 0, now
 	if w.seenByLeader {
@@ -337,11 +360,15 @@
 	p.dropLostRuns(now, w, "a different worker answers at the address", slices.Clone(w.runOrder)...)
 }
 
-// expireLeases drops the runs of workers whose lease has expired beyond doubt, and then the workers
+// expireLeases drops the runs of workers that are gone or whose lease has expired beyond doubt, and then the workers
 // that are no longer listed. It also ends the wait for the runs of earlier leaders, once all their
 // workers were seen or all their leases must have expired.
 func (p *Planner) expireLeases(now time.Time) {
 	for _, w := range p.allWorkers() {
+		if p.isGone(now, w) {
+			delete(p.unseenWorkers, w.spec.ID)
+			p.dropLostRuns(now, w, "the worker is gone", slices.Clone(w.runOrder)...)
+		}
 		if w.unresponsive && w.seenByLeader && len(w.runs) > 0 && p.leaseExpired(now, w) {
 			p.dropLostRuns(now, w, "the worker's lease has expired", slices.Clone(w.runOrder)...)
 		}
--- a/ladderplan/reserve.go
+++ b/ladderplan/reserve.go
@@ -69,13 +69,11 @@
 	}
 	need := len(sp.step.tasks)
 	if !holds {
-		list := sp.futureSlots(need)
-		if len(list) < need {
-			g.reservation = reservation{}
+		g.reservation = reservation{slots: sp.bestSlots(need), madeAt: sp.now}
+		if len(g.reservation.slots) < need {
 			sp.queryForTasks() // The gang does not fit on the workers known to be allowed.
 			return
 		}
-		g.reservation = reservation{slots: slices.Clone(list[:need]), madeAt: sp.now}
 	}
 	startAt := g.reservation.startAt()
 	horizon := time.Duration(0)
@@ -103,6 +101,26 @@
 	sp.sendQuery(names)
 }
 
+// bestSlots returns the slots on which the gang is expected to end first, or fewer than need if it
+// does not fit on the workers that are known to be allowed.
+func (sp *stepPlacement) bestSlots(need int) []futureSlot {
+	all := sp.futureSlots(need, true)
+	if len(all) < need {
+		return nil
+	}
+	all = slices.Clone(all[:need])
+	factor := slowFactor(all)
+	if factor == 1 {
+		return all
+	}
+	sound := sp.futureSlots(need, false)
+	extra := time.Duration((factor - 1) * float64(sp.step.expectedDuration()))
+	if len(sound) < need || sound[need-1].at.After(all[need-1].at.Add(extra)) {
+		return all
+	}
+	return slices.Clone(sound[:need])
+}
+
 // reservationHolds reports whether the gang's reservation is recent, and all its workers accept the
 // gang's members and are not reserved for a gang that comes before it.
 func (sp *stepPlacement) reservationHolds() bool {
@@ -120,13 +138,13 @@
 
 // futureSlots returns the earliest present and future slots for members of the gang on workers that
 // are known to be allowed, the earliest first. There may be more of them than limit. The result is
-// valid until the next call for any gang.
-func (sp *stepPlacement) futureSlots(limit int) []futureSlot {
+// valid until the next call for any gang. It has slots on slow workers only if slow is true.
+func (sp *stepPlacement) futureSlots(limit int, slow bool) []futureSlot {
 	p := sp.planner
 	list := p.slotBuffer[:0]
 	var latest time.Time // No slot after it is needed, if it is not zero.
 	for _, w := range sp.knownAllowed() {
-		if !sp.usable(w) || w.reservedPass == p.reservationPass || w.probation {
+		if !sp.usable(w) || w.reservedPass == p.reservationPass || w.probation || !slow && w.isSlow() {
 			continue
 		}
 		list = sp.appendFutureSlots(list, w, latest)
@@ -224,7 +242,7 @@
 	var names []string
 	slots := 0
 	for _, w := range sp.pool() {
-		if t.answer(w) != answerUnknown {
+		if t.answer(w) != answerUnknown || w.isSlow() {
 			continue
 		}
 		if n := sp.freeSlots(w); n > 0 && sp.usable(w) && !w.probation {
--- a/ladderplan/takeover_test.go
+++ b/ladderplan/takeover_test.go
@@ -267,3 +267,43 @@
 		})
 	}
 }
+
+// TestGoneWorkerDelaysNothing takes over while a worker of the roster is gone. Jobs of the earlier
+// leader start once the worker counts as gone, which is long before its lease must have expired, and
+// not before its entry may be back in the list after an outage of the store.
+func TestGoneWorkerDelaysNothing(t *testing.T) {
+	for name, c := range map[string]struct {
+		listed  bool
+		outage  time.Duration
+		started time.Duration
+	}{
+		"not listed":                             {started: goneAfter},
+		"not listed, store back after a second":  {outage: time.Second, started: time.Second + goneAfter},
+		"listed, so it may run on behind a cut":  {listed: true, started: 8 * time.Second},
+		"not listed, store down for a long time": {outage: time.Minute, started: 8 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := &harness{t: t, now: time.UnixMilli(1_000_000), clock: map[string]time.Duration{}, ends: map[string]int64{}}
+			h.planner = newPlanner(h.now)
+			h.planner.SetFleet(newHarness(t, 0).planner.fleet)
+			h.planner.AddJob(h.now, testJob(h.now, "a", stepOf(1)), true)
+			for i := range 2 {
+				h.planner.AddEarlierWorker(testWorker(i))
+			}
+			h.planner.SetRoster(map[string]bool{"w0": true, "w1": true})
+			h.listWorkers(1)
+			if c.listed {
+				h.listWorkers(2)
+			}
+			began := h.now
+			for len(h.plan().Starts) == 0 {
+				h.advance(50 * time.Millisecond)
+				h.planner.SetStoreServing(h.now, h.now.Sub(began) >= c.outage)
+				h.poll("w0", ladderflow.StatusReport{})
+				h.planner.PollFailed("w1", false)
+				require.Less(t, h.now.Sub(began), time.Minute)
+			}
+			require.InDelta(t, c.started.Seconds(), h.now.Sub(began).Seconds(), 0.5)
+		})
+	}
+}
