Send a start that is not answered once more

The same start with the same run number has no effect where the first one had, so it is repeated once, by the leader and by delegates; a refusal of the repetition leaves the outcome unknown. Delegated orders are valid for 500 ms instead of 300, so that the repetition fits. TestUnansweredStartIsRepeated fails before.

--- a/ladderdelegate/delegate.go
+++ b/ladderdelegate/delegate.go
@@ -266,6 +266,13 @@
 	began := s.delegate.clock.Now()
 	refusal, err := s.callInTime(m, send)
 	r.Duration = s.delegate.clock.Now().Sub(began)
+	if !stop && err != nil && !errors.Is(err, platform.ErrUnsent) {
+		// A repeated start has no effect if the first one had. A refusal of it tells nothing of the
+		// first one, which may still be carried out.
+		if again, repeatErr := s.callInTime(m, send); repeatErr == nil && again == ladderflow.NotRefused {
+			refusal, err = again, nil
+		}
+	}
 	r.Refusal, r.Unsent = refusal, errors.Is(err, platform.ErrUnsent)
 	r.Unknown = err != nil && !r.Unsent
 	s.addToReport(func() { s.results = append(s.results, r) })
--- a/ladderdelegate/delegate_test.go
+++ b/ladderdelegate/delegate_test.go
@@ -36,6 +36,8 @@
 	// startClock is the worker's clock in the replies to starts, and startErr their error.
 	startClock time.Duration
 	startErr   error
+	// unanswered is the number of starts that the worker carries out and does not answer.
+	unanswered int
 	// restarts is true if the worker restarts when it receives a start, whose run then ends at once.
 	// wronglyAcknowledged is true once a poll has acknowledged that end.
 	restarts            bool
@@ -71,13 +73,17 @@
 }
 
 func (w *fakeWorker) Start(_ context.Context, _ netip.AddrPort, _ string, s ladderflow.Start) (ladderflow.StartReply, error) {
+	err := w.startErr
 	w.locked(func() {
 		w.starts = append(w.starts, s.Run)
+		if len(w.starts) <= w.unanswered {
+			err = context.DeadlineExceeded
+		}
 		if w.restarts {
 			w.incarnation, w.ended = 8, []ladderflow.EndedRun{{Sequence: 1, Run: s.Run, Reason: ladderflow.EndDone}}
 		}
 	})
-	return ladderflow.StartReply{Clock: w.startClock}, w.startErr
+	return ladderflow.StartReply{Clock: w.startClock}, err
 }
 
 func (w *fakeWorker) Stop(context.Context, netip.AddrPort, string, ladderflow.Run, int64) (ladderflow.Refusal, error) {
@@ -251,3 +257,30 @@
 	require.False(t, ok)
 	require.NotEqual(t, old.Session, pollReport(t, d, 4, 0).Session)
 }
+
+// TestUnansweredStartIsRepeated checks that a start which is not answered is sent again, once.
+func TestUnansweredStartIsRepeated(t *testing.T) {
+	for name, c := range map[string]struct {
+		unanswered, sent int
+		unknown          bool
+	}{
+		"answered":               {0, 1, false},
+		"first one not answered": {1, 2, false},
+		"none answered":          {9, 2, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d, w, b := newDelegate(t)
+			w.unanswered = c.unanswered
+			m := newDelegation(b, 3)
+			m.Starts = []laddermessage.DelegatedStart{{Worker: "w", Start: ladderflow.Start{Run: ladderflow.Run{Number: 1}}}}
+			require.True(t, d.Apply(m))
+			var results []laddermessage.OrderResult
+			for after := int64(0); len(results) == 0; {
+				r := pollReport(t, d, 3, after)
+				after, results = r.Number, r.Results
+			}
+			require.Equal(t, c.unknown, results[0].Unknown)
+			w.locked(func() { require.Len(t, w.starts, c.sent) })
+		})
+	}
+}
--- a/laddervm/delegate_client.go
+++ b/laddervm/delegate_client.go
@@ -21,7 +21,7 @@
 	minDelegation = 900 * time.Millisecond
 	// orderValidity is how long after the leader has sent an order to a delegate the delegate
 	// may still send it to the worker.
-	orderValidity = 300 * time.Millisecond
+	orderValidity = 500 * time.Millisecond
 	// delegatePollWait is how long a delegate may wait for events before it answers a poll, and
 	// delegatePollSlack the additional time after which it counts as failed. The slack is longer
 	// than the retransmission of a lost packet takes.
--- a/laddervm/term.go
+++ b/laddervm/term.go
@@ -217,6 +217,7 @@
 		t.peersVersion = v
 		t.planner.SetVMs(t.vmNames())
 	}
+	t.planner.SetStoreServing(now, !t.vm.storeCarrier.unavailable())
 	o := t.planner.Plan(now, t.wallClock.now(now), t.confidence())
 	t.vm.stats.planTime.UpdateDuration(now)
 	t.planPause = min(max(minPlanPause, planPauseFactor*t.vm.clock.Now().Sub(now)), maxPlanPause)
--- a/laddervm/workers.go
+++ b/laddervm/workers.go
@@ -275,9 +275,22 @@
 	return r
 }
 
-// start sends a start order to a worker.
+// start sends a start order to a worker. A start that is not answered is sent once more: it has no
+// effect if the first one had.
 func (t *term) start(s ladderplan.StartOrder) {
 	began := t.vm.clock.Now()
+	r := t.sendStart(s)
+	if r.Unknown {
+		if again := t.sendStart(s); again.Refusal == ladderflow.NotRefused && !again.Unsent {
+			r = again
+		}
+	}
+	t.vm.stats.startTime.UpdateDuration(began)
+	t.do(func() { t.startSettled(s.Worker.ID, s.Run, r, "") })
+}
+
+// sendStart sends a start order to a worker once.
+func (t *term) sendStart(s ladderplan.StartOrder) ladderplan.Result {
 	var clock time.Duration
 	r := t.sendOrder(func(ctx context.Context) (ladderflow.Refusal, error) {
 		if t.confidence() == ladderplan.LeadershipNone {
@@ -290,8 +303,7 @@
 		return reply.Refusal, err
 	})
 	r.Clock = clock
-	t.vm.stats.startTime.UpdateDuration(began)
-	t.do(func() { t.startSettled(s.Worker.ID, s.Run, r, "") })
+	return r
 }
 
 // startSettled records the result of a start order. By is the name of the delegate that sent
