Count a job as on time only with an allowance for wrong estimates, and bound preemption

The allowance is half of the time that a job is expected to need; jobs that need it are served behind the others, with the late ones.

Preemption: a task is preempted once, and only for an urgent task that can still meet its objective (TestPreemptionIsBounded fails before).

--- a/ladderplan/model.go
+++ b/ladderplan/model.go
@@ -133,7 +133,9 @@
 	failedWorkers map[string]bool
 	// checkpoint is the newest one that a worker reported.
 	checkpoint string
-	runs       []*run
+	// preempted is true once a run of the task was stopped for a more urgent one.
+	preempted bool
+	runs      []*run
 }
 
 func (t *task) name() ladderflow.Task {
--- a/ladderplan/place.go
+++ b/ladderplan/place.go
@@ -33,8 +33,8 @@
 	step *step
 	// class is the priority of the queue under ByPriority. Under ByObjective it is one of:
 	//   0: urgent or long-running
-	//   1: can meet its objective
-	//   2: will miss its objective
+	//   1: can meet its objective, even if it takes longer than expected
+	//   2: is likely to miss its objective
 	//   3: its result is no longer of use
 	class       int
 	latestStart time.Time
@@ -103,7 +103,9 @@
 		case !s.spec.Gang && !hopeless:
 			sp.placeTasks()
 			sp.queryForTasks()
-			sp.preempt()
+			if k.class == 0 && !now.After(k.latestStart) {
+				sp.preempt()
+			}
 		}
 		if !hopeless {
 			sp.recordTry()
@@ -169,7 +171,7 @@
 		k.class = 3
 	case urgent:
 		k.class = 0
-	case now.After(k.latestStart):
+	case now.Add(errorAllowance(remaining)).After(k.latestStart):
 		k.class = 2
 	default:
 		k.class = 1
@@ -177,6 +179,11 @@
 	return k
 }
 
+// errorAllowance returns by how much a job may take longer than expected and still count as one that
+// can meet its objective. Under overload, the jobs that can just meet it if all goes well would
+// otherwise come first, and most of them would end late and delay the others.
+func errorAllowance(expected time.Duration) time.Duration { return expected / 2 }
+
 // objective returns the time within which a job should end.
 func (p *Planner) objective(j *job) time.Duration {
 	q, ok := p.queue(j)
--- a/ladderplan/preempt.go
+++ b/ladderplan/preempt.go
@@ -18,7 +18,7 @@
 )
 
 // preempt stops runs of less urgent queues to free capacity for an urgent task that has waited for
-// preemptDelay. It stops only runs that can resume elsewhere from a checkpoint, on the worker where
+// preemptDelay and can still meet its objective. It stops only runs that can resume elsewhere from a checkpoint, on the worker where
 // the runs to stop have the least processor demand.
 func (sp *stepPlacement) preempt() {
 	s := sp.step
@@ -41,6 +41,7 @@
 		sp.planner.log.Info("preempting run", "task", x.name.Task, "run", x.name.Number, "worker", x.worker.spec.ID,
 			"step", s.ref())
 		sp.planner.stopRun(sp.now, x, "an urgent task needs its capacity")
+		x.task.preempted = true
 		s.preemptedAt = sp.now
 	}
 }
@@ -73,13 +74,14 @@
 	return nil, 0, false
 }
 
-// preemptible reports whether a run is less urgent than the step and can resume elsewhere.
+// preemptible reports whether a run is less urgent than the step and can resume elsewhere. A task is
+// preempted once: under a backlog of urgent tasks it would otherwise never end.
 func (sp *stepPlacement) preemptible(x *run) bool {
 	if x.task == nil {
 		return false
 	}
 	s := x.task.step
 	q, ok := sp.planner.queue(s.round.job)
-	return ok && q.Priority > sp.queue.Priority && s.spec.Checkpointable && !s.spec.Gang && !s.spec.LongRunning &&
+	return ok && !x.task.preempted && q.Priority > sp.queue.Priority && s.spec.Checkpointable && !s.spec.Gang && !s.spec.LongRunning &&
 		x.size != ladderflow.Size{}
 }
--- a/ladderplan/preempt_test.go
+++ b/ladderplan/preempt_test.go
@@ -64,3 +64,39 @@
 		})
 	}
 }
+
+// TestPreemptionIsBounded submits urgent tasks while a worker is full. A task that was preempted before
+// is not preempted again, and an urgent task that is late anyway preempts none.
+func TestPreemptionIsBounded(t *testing.T) {
+	for name, c := range map[string]struct {
+		preempted bool
+		late      time.Duration
+		stops     int
+	}{
+		"first time":        {stops: 1},
+		"preempted before":  {preempted: true},
+		"late in any event": {late: 10 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 1)
+			urgent := h.planner.fleet.Queues[0]
+			urgent.Name = "urgent"
+			h.planner.fleet.Queues[0].Priority = 1
+			h.planner.fleet.Queues = append(h.planner.fleet.Queues, urgent)
+			s := stepOf(4)
+			s.Estimate, s.Checkpointable = time.Minute, true
+			h.submit("batch", s)
+			for _, x := range h.startAll() {
+				h.planner.jobs["batch"].find(x.Run.Task).preempted = c.preempted
+			}
+			step := stepOf(1)
+			step.Estimate = 10 * time.Second
+			j := testJob(h.now.Add(-c.late), "urgent", step)
+			j.Queue, j.Accepted = "urgent", h.now.Add(-c.late-time.Duration(boolToInt(c.late > 0))*2*time.Second)
+			h.planner.AddJob(h.now, j, false)
+			h.plan()
+			h.advance(preemptDelay)
+			require.Len(t, h.plan().Stops, c.stops)
+		})
+	}
+}
