Reword comments of the planner on a last read

Comments only: long lines of candidates, expireLeases and preempt; the units of the slowdown and of the durations that it is learned from.

--- a/ladderplan/gang.go
+++ b/ladderplan/gang.go
@@ -12,9 +12,9 @@
 	slots  int
 }
 
-// candidates returns the workers on which members of the gang fit now, or nil if not all of them do. Workers with capacity for more
-// members come first, and among equals, those with less capacity left over. Workers on which a member
-// has failed come last.
+// candidates returns the workers on which members of the gang fit now, or nil if the whole gang does
+// not fit. Workers with capacity for more members come first, and among equals, those with less
+// capacity left over. Workers on which a member has failed come last.
 func (sp *stepPlacement) candidates() []gangCandidate {
 	var list []gangCandidate
 	total := 0
--- a/ladderplan/poll.go
+++ b/ladderplan/poll.go
@@ -360,9 +360,9 @@
 	p.dropLostRuns(now, w, "a different worker answers at the address", slices.Clone(w.runOrder)...)
 }
 
-// expireLeases drops the runs of workers that are gone or whose lease has expired beyond doubt, and then the workers
-// that are no longer listed. It also ends the wait for the runs of earlier leaders, once all their
-// workers were seen or all their leases must have expired.
+// expireLeases drops the runs of workers that are gone or whose lease has expired beyond doubt, and
+// then the workers that are no longer listed. It also ends the wait for the runs of earlier leaders,
+// once all their workers were seen or are gone, or all their leases must have expired.
 func (p *Planner) expireLeases(now time.Time) {
 	for _, w := range p.allWorkers() {
 		if p.isGone(now, w) {
--- a/ladderplan/preempt.go
+++ b/ladderplan/preempt.go
@@ -18,8 +18,8 @@
 )
 
 // preempt stops runs of less urgent queues to free capacity for an urgent task that has waited for
-// preemptDelay and can still meet its objective. It stops only runs that can resume elsewhere from a checkpoint, on the worker where
-// the runs to stop have the least processor demand.
+// preemptDelay and can still meet its objective. It stops only runs that can resume elsewhere from a
+// checkpoint, on the worker where the runs to stop have the least processor demand.
 func (sp *stepPlacement) preempt() {
 	s := sp.step
 	if s.waiting == 0 || sp.queue == nil || sp.queue.Priority > 0 || s.spec.Gang ||
--- a/ladderplan/speed.go
+++ b/ladderplan/speed.go
@@ -6,9 +6,10 @@
 )
 
 const (
-	// slowdownPrior is the standard deviation of the logarithm of workers' slowdowns that is assumed
-	// before any run has ended, and spreadPrior that of the durations of a step's tasks on equal
-	// workers, which counts as spreadPriorRuns observations.
+	// slowdownPrior is the standard deviation that is assumed for the slowdowns of workers before any
+	// step has finished. Like all figures here, it is of natural logarithms.
+	// spreadPrior is the standard deviation that is assumed for the durations of a step's tasks on
+	// equally fast workers. It has the weight of spreadPriorRuns observed runs.
 	slowdownPrior   = 0.15
 	spreadPrior     = 0.3
 	spreadPriorRuns = 20
@@ -19,8 +20,8 @@
 	slowLimit = 0.1
 )
 
-// slowdown estimates by how much longer runs take on a worker than on others. It is a logarithm:
-// zero means as long, and 0.26 means 30% longer.
+// slowdown estimates by how much longer runs take on a worker than on others, as a natural logarithm:
+// zero means equally long, and 0.26 means 30% longer.
 type slowdown struct {
 	// weighted is the sum of the observations, each multiplied by its precision, the inverse of its
 	// variance. Precision is the sum of these.
@@ -47,7 +48,8 @@
 // on a slow worker is as slow as that member.
 func (w *worker) isSlow() bool { return w.slowdown.estimate() > slowLimit }
 
-// taskDuration is the logarithm of the duration of a task on a worker.
+// taskDuration is the duration of a task on a worker. Its value is the natural logarithm of the
+// duration in nanoseconds.
 type taskDuration struct {
 	worker *worker
 	value  float64
@@ -57,6 +59,8 @@
 type spreads map[string]*queueSpread
 
 // queueSpread is the entry of one queue.
+//
+// Count is the number of observed runs, and squares the sum of their squared deviations.
 type queueSpread struct {
 	count   float64
 	squares float64
