--- a/laddervm/operator_config.go
+++ b/laddervm/operator_config.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"time"
 
 	"lacewingladder/platform"
 )
@@ -26,6 +27,7 @@
 		if item.Key != platform.FleetKey || item.Deleted {
 			continue
 		}
+		began := v.clock.Now()
 		f, err := platform.ParseFleet(item.Value)
 		if err != nil {
 			v.log.Error("configuration cannot be decoded; the current one remains", "revision", item.ModRevision, "err", err)
@@ -36,7 +38,8 @@
 		}
 		v.fleet.Store(f)
 		v.configuredAt.Store(v.clock.Now().UnixNano())
-		v.log.Info("configuration applied", "version", f.Version, "revision", item.ModRevision, "queues", len(f.Queues))
+		v.log.Info("configuration applied", "version", f.Version, "revision", item.ModRevision, "queues", len(f.Queues),
+			"bytes", len(item.Value), "decoded", v.clock.Now().Sub(began).Round(time.Millisecond))
 		v.leadership.setFleet(f)
 		v.registry.signal()
 	}
--- a/laddervm/registry.go
+++ b/laddervm/registry.go
@@ -399,6 +399,7 @@
 	revision := int64(0)
 	for ctx.Err() == nil {
 		var err error
+		began := v.clock.Now()
 		if revision == 0 {
 			revision, err = readAll(ctx, v, prefix, f.reset)
 		} else {
@@ -420,7 +421,8 @@
 		if err != nil {
 			pause = retryInterval
 			if ctx.Err() == nil {
-				v.log.Warn("watch failed; retrying", "prefix", prefix, "revision", revision, "err", err)
+				v.log.Warn("watch failed; retrying", "prefix", prefix, "revision", revision,
+					"after", v.clock.Now().Sub(began).Round(time.Millisecond), "err", err)
 			}
 		}
 		if pause > 0 {
--- a/laddervm/stats.go
+++ b/laddervm/stats.go
@@ -1,12 +1,15 @@
 package laddervm
 
 import (
+	"errors"
 	"io"
+	"strconv"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"lacewingladder/ladderplan"
+	"lacewingladder/platform"
 )
 
 // stats are the metrics of the process.
@@ -69,6 +72,19 @@
 	s.set.GetOrCreateCounter(`ladder_store_calls_total{kind="` + operation + `",result="` + result + `"}`).Inc()
 }
 
+// countStoreBytes counts the bytes of a response from the store, complete or not, by the
+// operation of the call and the path on which they arrived.
+func (s *stats) countStoreBytes(operation, path string, r pathResult) {
+	received := len(r.reply.Body)
+	var partial *platform.PartialReplyError
+	if errors.As(r.err, &partial) {
+		received = partial.Received
+	}
+	complete := strconv.FormatBool(partial == nil)
+	name := `ladder_store_received_bytes_total{kind="` + operation + `",path="` + path + `",complete="` + complete + `"}`
+	s.set.GetOrCreateCounter(name).Add(received)
+}
+
 // writeMetrics writes the counters and histograms, and gauges of the current state.
 func (v *VM) writeMetrics(w io.Writer) {
 	v.stats.set.WritePrometheus(w)
--- a/laddervm/store_carrier.go
+++ b/laddervm/store_carrier.go
@@ -232,6 +232,7 @@
 	reply, err := c.vm.direct.Carry(ctx, to, call)
 	now := c.vm.clock.Now()
 	result := pathResult{reply: reply, err: err}
+	c.vm.stats.countStoreBytes(call.Operation, "direct", result)
 	c.mu.Lock()
 	switch {
 	case result.served():
@@ -246,7 +247,8 @@
 	case !errors.Is(err, context.Canceled):
 		if c.directFailingSince.IsZero() {
 			c.directFailingSince = now
-			c.vm.log.Warn("direct calls to the store fail; trying peers", "status", reply.Status, "err", err)
+			c.vm.log.Warn("direct calls to the store fail; trying peers",
+				"operation", call.Operation, "after", now.Sub(began).Round(time.Millisecond), "status", reply.Status, "err", err)
 		}
 		c.directBackoffUntil = now.Add(pathBackoff)
 		if errors.Is(err, context.DeadlineExceeded) && call.Wait == 0 {
@@ -283,6 +285,7 @@
 				result.err = errors.New("the store did not answer the peer")
 			}
 		}
+		c.vm.stats.countStoreBytes(call.Operation, "peer", result)
 		if !errors.Is(err, context.Canceled) {
 			c.mu.Lock()
 			c.relays.record(c.vm.clock.Now(), peer.name, result.served())
