--- a/laddertest/flow_cluster_test.go
+++ b/laddertest/flow_cluster_test.go
@@ -67,6 +67,23 @@
 // startFlow starts a platform, workers and three entry VMs, and waits until the VMs are ready.
 // The function runTime is described at flowCluster.
 func startFlow(t *testing.T, workers int, runTime func(ladderflow.Run, string) (time.Duration, bool)) *flowCluster {
+	t.Helper()
+	f := newFlow(t, workers, runTime)
+	f.startVMs(3)
+	return f
+}
+
+// startVMs starts entry VMs and waits until they are ready.
+func (f *flowCluster) startVMs(n int) {
+	f.t.Helper()
+	for i := range n {
+		f.startVM(fmt.Sprintf("e%d", i))
+	}
+	f.awaitReady()
+}
+
+// newFlow starts a platform and workers, without entry VMs.
+func newFlow(t *testing.T, workers int, runTime func(ladderflow.Run, string) (time.Duration, bool)) *flowCluster {
 	t.Helper()
 	f := &flowCluster{t: t, cpuShare: 0.4, dir: t.TempDir(), client: &http.Client{Timeout: 5 * time.Second}, runTime: runTime}
 	f.platform = ladderstand.NewPlatform(ladderclock.System{})
@@ -89,10 +106,6 @@
 		f.workers = append(f.workers, worker)
 	}
 	f.configure(1, "")
-	for i := range 3 {
-		f.startVM(fmt.Sprintf("e%d", i))
-	}
-	f.awaitReady()
 	return f
 }
 
