Find a queue by an index

Each request, and each job of the leader after a change of the configuration, scanned all queues: 92 us a look-up at 4,245 queues, so several hundred milliseconds of the leader's control goroutine for 5,000 jobs at each change, in which it neither plans nor answers delegates.

--- a/ladderflow/fleet.go
+++ b/ladderflow/fleet.go
@@ -1,16 +1,32 @@
 package ladderflow
 
 import (
+	"slices"
 	"strings"
+	"sync"
 	"time"
 )
 
-// FleetConfig is one version of the operators' configuration.
+// FleetConfig is one version of the operators' configuration. It must not be changed once
+// Route or Queue has been called, nor copied.
 type FleetConfig struct {
 	Version  int64
 	Queues   []Queue
 	Services map[string]Service
 	Limits   Limits
+
+	indexOnce sync.Once
+	// byName holds the index in Queues of each queue.
+	byName map[string]int
+	// byPath holds the index in Queues of each queue, by lower-case host and prefix.
+	byPath map[hostPath]int
+	// prefixLengths holds the lengths of all prefixes, the longest first.
+	prefixLengths []int
+}
+
+// hostPath is a lower-case host and a prefix of paths.
+type hostPath struct {
+	host, prefix string
 }
 
 // Queue accepts the jobs that callers submit to one host and path prefix, and holds
@@ -85,23 +101,47 @@
 // Route returns the queue of the host that has the longest matching path prefix. It
 // reports false if no queue matches.
 func (f *FleetConfig) Route(host, path string) (*Queue, bool) {
-	var match *Queue
-	for i := range f.Queues {
-		q := &f.Queues[i]
-		if strings.EqualFold(q.Host, host) && strings.HasPrefix(path, q.Prefix) &&
-			(match == nil || len(q.Prefix) > len(match.Prefix)) {
-			match = q
+	f.indexOnce.Do(f.buildIndex)
+	host = strings.ToLower(host)
+	for _, n := range f.prefixLengths {
+		if n > len(path) {
+			continue
+		}
+		if i, ok := f.byPath[hostPath{host, path[:n]}]; ok {
+			return &f.Queues[i], true
 		}
 	}
-	return match, match != nil
+	return nil, false
 }
 
 // Queue returns the queue with the given name.
 func (f *FleetConfig) Queue(name string) (*Queue, bool) {
+	f.indexOnce.Do(f.buildIndex)
+	i, ok := f.byName[name]
+	if !ok {
+		return nil, false
+	}
+	return &f.Queues[i], true
+}
+
+// buildIndex fills the maps that Route and Queue read. Of queues with the same name, or the
+// same host and prefix, the first counts.
+func (f *FleetConfig) buildIndex() {
+	f.byName, f.byPath = make(map[string]int, len(f.Queues)), make(map[hostPath]int, len(f.Queues))
+	lengths := map[int]bool{}
 	for i := range f.Queues {
-		if f.Queues[i].Name == name {
-			return &f.Queues[i], true
+		q := &f.Queues[i]
+		if _, ok := f.byName[q.Name]; !ok {
+			f.byName[q.Name] = i
+		}
+		key := hostPath{strings.ToLower(q.Host), q.Prefix}
+		if _, ok := f.byPath[key]; !ok {
+			f.byPath[key] = i
+		}
+		if !lengths[len(q.Prefix)] {
+			lengths[len(q.Prefix)] = true
+			f.prefixLengths = append(f.prefixLengths, len(q.Prefix))
 		}
 	}
-	return nil, false
+	slices.SortFunc(f.prefixLengths, func(a, b int) int { return b - a })
 }
