Do not give up a response of the store that is still arriving

The timeout of a call now bounds the time until the response begins. A call whose response has begun is not sent on a second path either.

--- a/laddervm/store_carrier.go
+++ b/laddervm/store_carrier.go
@@ -5,8 +5,10 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"net/http/httptrace"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"lacewingladder/laddermessage"
@@ -74,19 +76,26 @@
 // Carry implements [platform.Carrier].
 func (c *storeCarrier) Carry(ctx context.Context, to netip.AddrPort, call platform.Call) (platform.Reply, error) {
 	timeout := c.startCall(call)
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	// The direct path may take longer than the timeout once its response has begun: a large
+	// response that is given up is sent again as a whole.
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	bounded, stop := context.WithTimeout(ctx, timeout)
+	defer stop()
+	call.Timeout = timeout
+	var answering atomic.Bool
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() { answering.Store(true) }})
 	results := make(chan pathResult, maxPaths)
 	used := map[string]bool{}
 	paths, limit := c.paths()
 	pending, sent := 0, 0
 	sendNext := func() {
-		for len(paths) > 0 && sent < limit && ctx.Err() == nil {
+		for len(paths) > 0 && sent < limit && bounded.Err() == nil {
 			p := paths[0]
 			paths = paths[1:]
 			if p == directPath {
-				go c.sendDirect(ctx, to, call, results)
-			} else if !c.sendThroughPeer(ctx, to, call, timeout, used, results) {
+				go c.sendDirect(traced, to, call, results)
+			} else if !c.sendThroughPeer(bounded, to, call, timeout, used, results) {
 				continue
 			}
 			pending++
@@ -110,7 +119,9 @@
 			sendNext()
 		case <-hedge:
 			hedge = nil
-			sendNext()
+			if !answering.Load() {
+				sendNext()
+			}
 		}
 	}
 	reply, err := failures.result()
