Send changes of the configuration from VM to VM

Each of the 31 VMs read the whole configuration, 0.67 MB at 2,845 queues and 1 MB at 4,245, at the same moment. The 16 VMs away from the store share a link of 60 Mbit/s: 1.4 and 2.1 s of it for one version, in which renewals of leases, orders and heartbeats got no answer, reads were given up and began anew, and peers relayed more copies.

Two VMs of the leader's region now wait at the store. Whoever learns of a change from the store offers it to all; those of the same region and two in each other region fetch the difference from their version, the latter offer it on. The others poll the store, rarely, from the revision that the offer vouches for, so that a change is found without any reader as well. A VM that cannot continue from its revision asks peers before it reads the store. Decisions are in ladderfanout, without a network.

--- a/laddercodec/codec_test.go
+++ b/laddercodec/codec_test.go
@@ -1,6 +1,8 @@
 package laddercodec_test
 
 import (
+	"bytes"
+	"compress/flate"
 	"net/netip"
 	"testing"
 	"time"
@@ -74,6 +76,11 @@
 	}},
 	"relay reply":    laddermessage.RelayReply{Reply: platform.Reply{Status: 200, Body: []byte("b")}, Unsent: true, Failed: true},
 	"operator query": laddermessage.OperatorQuery{Job: "j", JSON: true},
+	"fleet offer":    laddermessage.FleetOffer{From: "e", Revision: 7},
+	"fleet fetch":    laddermessage.FleetFetch{Have: 5},
+	"fleet state": laddermessage.FleetState{
+		Revision: 7, FleetRevision: 6, Base: 5, Delta: []byte("d"), Items: []platform.Item{{Key: "k", Value: []byte("v"), ModRevision: 4}},
+	},
 	"operator reply": laddermessage.OperatorReply{Found: true, Text: "t"},
 	"delegation": laddermessage.Delegation{
 		Fence: 1, RenewUntil: 2, SendBefore: 3, LeaseDuration: 4, OrderTimeout: 5,
@@ -137,3 +144,36 @@
 		}
 	})
 }
+
+// TestDelta checks that a difference of configurations is the same after encoding, and that
+// input that is cut or expands without limit is rejected.
+func TestDelta(t *testing.T) {
+	want := ladderflow.FleetDelta{
+		Version: 3, Removed: []string{"old"},
+		Changed: []ladderflow.Queue{
+			{
+				Name: "q", Host: "h", Prefix: "/p/", Service: "s", RequestTimeout: time.Second, Priority: 1, MaxFailures: 2,
+				ObjectiveFactor: 1.5, BaseObjective: time.Minute,
+				Advice: &ladderflow.AdviceConfig{BaseTime: 1, TimePerWorker: 2, TicketLifetime: 3},
+			},
+			{Name: "without advice"},
+		},
+		Services: map[string]ladderflow.Service{"s": {Name: "s", EnforcesCapacity: true, PoweredOff: true}},
+		Limits:   ladderflow.Limits{MaxHeaderBytes: 1, MaxBodyBytes: 2, HeaderTimeout: 3, IdleTimeout: 4},
+	}
+	data, err := laddercodec.EncodeDelta(want)
+	require.NoError(t, err)
+	got, err := laddercodec.DecodeDelta(data)
+	require.NoError(t, err)
+	require.Equal(t, want, got)
+	_, err = laddercodec.DecodeDelta(data[:len(data)-3])
+	require.ErrorContains(t, err, "difference of configurations")
+	var bomb bytes.Buffer
+	w, err := flate.NewWriter(&bomb, flate.BestSpeed)
+	require.NoError(t, err)
+	_, err = w.Write(make([]byte, 32<<20))
+	require.NoError(t, err)
+	require.NoError(t, w.Close())
+	_, err = laddercodec.DecodeDelta(bomb.Bytes())
+	require.ErrorContains(t, err, "more than")
+}
--- a/laddercodec/flow.go
+++ b/laddercodec/flow.go
@@ -25,6 +25,9 @@
 	kindRelayReply
 	kindOperatorQuery
 	kindOperatorReply
+	kindFleetOffer
+	kindFleetFetch
+	kindFleetState
 )
 
 // The wire types of this file are encoded as CBOR arrays. Durations are in nanoseconds.
@@ -133,7 +136,7 @@
 			Status: m.Reply.Status, Body: m.Reply.Body, Unsent: m.Unsent, Failed: m.Failed,
 		}, true
 	}
-	return 0, nil, false
+	return toFleetWire(m)
 }
 
 // decodeFlow decodes the body of a message about jobs that consist of steps. It passes other
@@ -190,6 +193,8 @@
 				Reply: platform.Reply{Status: w.Status, Body: w.Body}, Unsent: w.Unsent, Failed: w.Failed,
 			}, nil
 		})
+	case kindFleetOffer, kindFleetFetch, kindFleetState:
+		return decodeFleet(k, body)
 	default:
 		return decodeDelegate(k, body)
 	}
--- /dev/null
+++ b/ladderfanout/feed.go
@@ -0,0 +1,139 @@
+package ladderfanout
+
+import "time"
+
+const (
+	// readers is the number of VMs of the leader's region that wait at the store for changes,
+	// and of each other region that pass changes on there.
+	readers = 2
+	// minPollInterval and maxPollInterval bound the time between two polls of one VM. On small
+	// sites a change must be in force within 2.5 s, and within 4 s on large ones.
+	minPollInterval = 1200 * time.Millisecond
+	maxPollInterval = 3 * time.Second
+	// regionPollInterval is the mean time between two polls by any VM of a region, unless that
+	// bound is reached.
+	regionPollInterval = 300 * time.Millisecond
+	// announcedDelay is how long a VM that knows of a change does not poll for it.
+	announcedDelay = time.Second
+	// fetchInterval is the time between two attempts to get the whole state from a peer.
+	fetchInterval = 150 * time.Millisecond
+	// minPatience is how long a VM without state waits for its peers before it reads the store,
+	// and patiencePerRank the additional time for each VM that reads before it.
+	minPatience     = 300 * time.Millisecond
+	patiencePerRank = 30 * time.Millisecond
+)
+
+// Action is what a VM does next.
+type Action int
+
+// The actions of a VM.
+const (
+	// Wait means to wait for an offer, until the time that comes with the action.
+	Wait Action = iota
+	// Read means to read all items from the store.
+	Read
+	// Watch means to wait at the store for changes.
+	Watch
+	// Poll means to ask the store for changes without waiting.
+	Poll
+	// Fetch means to ask a peer for its state.
+	Fetch
+)
+
+// String returns the action's name, for logs.
+func (a Action) String() string { return [...]string{"wait", "read", "watch", "poll", "fetch"}[a] }
+
+// Feed follows the operators' keys. It is not safe for concurrent use.
+type Feed struct {
+	// revision is the store's revision up to which all changes are known, or zero while the
+	// state is not known.
+	revision int64
+	// lostAt is when the state was last not known or the store's history was found missing.
+	lostAt time.Time
+	// lost is true while the store no longer has the changes after revision.
+	lost bool
+	// fetchAt and pollAt are when the next fetch and the next poll are due.
+	fetchAt time.Time
+	pollAt  time.Time
+	// jitter returns a random number from 0 up to 1.
+	jitter func() float64
+}
+
+// NewFeed returns a feed that knows nothing yet.
+func NewFeed(now time.Time, jitter func() float64) *Feed {
+	return &Feed{lost: true, lostAt: now, fetchAt: now, jitter: jitter}
+}
+
+// Revision returns the store's revision from which to continue.
+func (f *Feed) Revision() int64 { return f.revision }
+
+// Next returns what to do now. For [Wait], it also returns until when.
+func (f *Feed) Next(now time.Time, p Placement) (Action, time.Time) {
+	if f.lost {
+		return f.nextWhileLost(now, p)
+	}
+	switch {
+	case p.reads():
+		return Watch, time.Time{}
+	case now.Before(f.pollAt):
+		return Wait, f.pollAt
+	}
+	return Poll, time.Time{}
+}
+
+// nextWhileLost returns what a VM does that cannot continue from its revision.
+func (f *Feed) nextWhileLost(now time.Time, p Placement) (Action, time.Time) {
+	readAt := f.lostAt.Add(minPatience + time.Duration(p.Rank)*patiencePerRank)
+	switch {
+	case p.reads() || !now.Before(readAt):
+		return Read, time.Time{}
+	case !now.Before(f.fetchAt):
+		f.fetchAt = now.Add(fetchInterval)
+		return Fetch, time.Time{}
+	case f.fetchAt.Before(readAt):
+		return Wait, f.fetchAt
+	}
+	return Wait, readAt
+}
+
+// Synced records that the store has shown all changes up to a revision.
+func (f *Feed) Synced(now time.Time, revision int64, p Placement) {
+	f.revision, f.lost = max(f.revision, revision), false
+	f.schedulePoll(now, p)
+}
+
+// Vouched records that a peer has shown all changes up to a revision. It returns false if that
+// is not newer than what the feed knows.
+func (f *Feed) Vouched(now time.Time, revision int64, p Placement) bool {
+	if revision <= f.revision {
+		return false
+	}
+	f.Synced(now, revision, p)
+	return true
+}
+
+// Polled records that a poll returned no change. The revision stays: a store that is about to
+// lose its history may return nothing although there was a change.
+func (f *Feed) Polled(now time.Time, p Placement) { f.schedulePoll(now, p) }
+
+// Announced records that a change is known that another VM will offer.
+func (f *Feed) Announced(now time.Time) {
+	if at := now.Add(announcedDelay); f.pollAt.Before(at) {
+		f.pollAt = at
+	}
+}
+
+// Lost records that the store no longer has the changes after the feed's revision.
+func (f *Feed) Lost(now time.Time) {
+	if !f.lost {
+		f.lost, f.lostAt, f.fetchAt = true, now, now
+	}
+}
+
+// schedulePoll sets the time of the next poll. Polls of VMs that were changed at the same
+// moment must not come at the same moment, so it lies between half of the interval and the
+// whole.
+func (f *Feed) schedulePoll(now time.Time, p Placement) {
+	interval := p.pollInterval()
+	f.pollAt = now.Add(interval/2 + time.Duration(f.jitter()*float64(interval/2)))
+}
--- a/laddermessage/message.go
+++ b/laddermessage/message.go
@@ -230,6 +230,36 @@
 	Failed bool
 }
 
+// FleetOffer informs a VM of the same region that the sender knows all changes of the operators'
+// keys up to a revision of the store. The reply is [Ack].
+type FleetOffer struct {
+	// From is the name of the sender.
+	From     string
+	Revision int64
+}
+
+// FleetFetch asks for the state of the operators' keys. The reply is [FleetState].
+type FleetFetch struct {
+	// Have is the revision of the configuration that the sender has, or zero.
+	Have int64
+}
+
+// FleetState is the state of the operators' keys.
+type FleetState struct {
+	// Revision is the store's revision up to which the state is complete, or zero if the sender
+	// has no state.
+	Revision int64
+	// FleetRevision is the revision of the configuration, and Base that of the version from
+	// which Delta leads to it. If Base is zero, Delta is the whole configuration. If both are
+	// equal, there is no Delta.
+	FleetRevision int64
+	Base          int64
+	// Delta is the difference, as encoded by package laddercodec.
+	Delta []byte
+	// Items holds the other items.
+	Items []platform.Item
+}
+
 // OperatorQuery is an operator's query to the leader, for the explanation of a job's state or
 // for an overview of queues and workers. The reply is [OperatorReply] or [NotLeader].
 type OperatorQuery struct {
--- a/laddervm/operator_config.go
+++ b/laddervm/operator_config.go
@@ -1,69 +1,48 @@
 package laddervm
 
 import (
-	"context"
 	"strings"
 	"time"
 
+	"lacewingladder/ladderflow"
 	"lacewingladder/platform"
 )
 
-// watchOperators follows the operators' configuration and maintenance waves in the store,
-// until ctx ends.
-func (v *VM) watchOperators(ctx context.Context) {
-	apply := func(items []platform.Item) {
-		v.applyFleet(items)
-		v.recordWaves(items)
+// applyFleet applies a configuration that came from the given source, as that many bytes. It
+// returns false if the version is not newer than the current one, which then remains.
+func (v *VM) applyFleet(f *ladderflow.FleetConfig, revision int64, source string, size int, decoded time.Duration) bool {
+	if old := v.fleet.Load(); old != nil && old.Version >= f.Version {
+		v.log.Warn("configuration is not newer than the current one; ignored",
+			"version", f.Version, "revision", revision, "source", source, "current", old.Version)
+		return false
 	}
-	follow(ctx, v, platform.OperatorPrefix, follower{
-		reset: func(items []platform.Item, _ int64) { apply(items) }, change: apply,
-	})
+	v.fleet.Store(f)
+	v.configuredAt.Store(v.clock.Now().UnixNano())
+	v.stats.countConfiguration(source, size)
+	v.log.Info("configuration applied", "version", f.Version, "revision", revision, "queues", len(f.Queues),
+		"source", source, "bytes", size, "decoded", decoded.Round(time.Millisecond))
+	v.leadership.setFleet(f)
+	v.registry.signal()
+	return true
 }
 
-// applyFleet applies the configuration. Versions that are not newer than the current one are
-// ignored.
-func (v *VM) applyFleet(items []platform.Item) {
-	for _, item := range items {
-		if item.Key != platform.FleetKey || item.Deleted {
-			continue
-		}
-		began := v.clock.Now()
-		f, err := platform.ParseFleet(item.Value)
-		if err != nil {
-			v.log.Error("configuration cannot be decoded; the current one remains", "revision", item.ModRevision, "err", err)
-			continue
-		}
-		if old := v.fleet.Load(); old != nil && old.Version >= f.Version {
-			continue
-		}
-		v.fleet.Store(f)
-		v.configuredAt.Store(v.clock.Now().UnixNano())
-		v.log.Info("configuration applied", "version", f.Version, "revision", item.ModRevision, "queues", len(f.Queues),
-			"bytes", len(item.Value), "decoded", v.clock.Now().Sub(began).Round(time.Millisecond))
-		v.leadership.setFleet(f)
-		v.registry.signal()
+// recordWave records a maintenance wave that the operators ordered, and passes it to the term
+// if this VM leads. Items under other keys are ignored.
+func (v *VM) recordWave(item platform.Item) {
+	if !strings.HasPrefix(item.Key, platform.WavePrefix) {
+		return
+	}
+	spec, err := platform.ParseWave(item)
+	if err != nil {
+		v.log.Error("maintenance wave cannot be decoded; ignored", "key", item.Key, "err", err)
+		return
 	}
-}
-
-// recordWaves records the maintenance waves that the operators ordered, and passes them to
-// the term if this VM leads.
-func (v *VM) recordWaves(items []platform.Item) {
 	v.wavesMu.Lock()
-	for _, item := range items {
-		if !strings.HasPrefix(item.Key, platform.WavePrefix) || item.Deleted {
-			continue
-		}
-		spec, err := platform.ParseWave(item)
-		if err != nil {
-			v.log.Error("maintenance wave cannot be decoded; ignored", "key", item.Key, "err", err)
-			continue
-		}
-		if _, ok := v.waves[spec.Number]; !ok {
-			v.log.Info("maintenance wave ordered", "wave", spec.Number, "machines", len(spec.Machines),
-				"within", spec.TimeLimit, "cap", spec.MaxDown)
-		}
-		v.waves[spec.Number] = spec
+	if _, ok := v.waves[spec.Number]; !ok {
+		v.log.Info("maintenance wave ordered", "wave", spec.Number, "machines", len(spec.Machines),
+			"within", spec.TimeLimit, "cap", spec.MaxDown)
 	}
+	v.waves[spec.Number] = spec
 	v.wavesMu.Unlock()
 	if t := v.leadership.current(); t != nil {
 		t.do(t.startWaves)
--- a/laddervm/registry.go
+++ b/laddervm/registry.go
@@ -39,6 +39,9 @@
 	// of the wait reveals the loss. The wait and its slack stay below the 3 s that the
 	// platform allows for a disruption.
 	watchWait = 2 * time.Second
+	// announceDelay is how long it takes until peers know a VM that has registered: a watch
+	// answers each of them at once.
+	announceDelay = 50 * time.Millisecond
 	// trustAfterRemoval is how long the key of a VM whose entry has been removed is accepted:
 	// during an outage of the store, entries expire although the VMs still run.
 	trustAfterRemoval = 30 * time.Second
@@ -89,8 +92,9 @@
 	seenRevision int64
 	// backoffUntil holds, by incarnation, the time until which a peer is not called.
 	backoffUntil map[string]time.Time
-	// lease is the lease of the VM's entry.
-	lease *lease
+	// lease is the lease of the VM's entry, and registeredAt when the entry was last written.
+	lease        *lease
+	registeredAt time.Time
 	// changed wakes the goroutine that decides whether to contend for leadership.
 	changed chan struct{}
 }
@@ -266,10 +270,21 @@
 		return errors.Join(err, r.lease.end(ctx))
 	}
 	r.log.Info("entry VM registered", "lease", id)
+	r.mu.Lock()
+	r.registeredAt = r.vm.clock.Now()
+	r.mu.Unlock()
 	r.signal()
 	return nil
 }
 
+// announced reports whether the VM has been registered for long enough that its peers know it
+// and accept its messages.
+func (r *registry) announced(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.registeredAt.IsZero() && now.Sub(r.registeredAt) >= announceDelay
+}
+
 // watch follows the entries of all VMs and the leader's key until ctx ends.
 func (r *registry) watch(ctx context.Context) {
 	follow(ctx, r.vm, vmPrefix, follower{
--- a/laddervm/stats.go
+++ b/laddervm/stats.go
@@ -85,6 +85,16 @@
 	s.set.GetOrCreateCounter(name).Add(received)
 }
 
+// countConfiguration counts a configuration that was applied, by its source, which is the store
+// or a peer, and its bytes.
+func (s *stats) countConfiguration(source string, size int) {
+	if source != storeSource {
+		source = "peer"
+	}
+	s.set.GetOrCreateCounter(`ladder_configurations_total{source="` + source + `"}`).Inc()
+	s.set.GetOrCreateCounter(`ladder_configuration_bytes_total{source="` + source + `"}`).Add(size)
+}
+
 // writeMetrics writes the counters and histograms, and gauges of the current state.
 func (v *VM) writeMetrics(w io.Writer) {
 	v.stats.set.WritePrometheus(w)
--- a/laddervm/submit.go
+++ b/laddervm/submit.go
@@ -189,6 +189,11 @@
 		return v.relayCall(ctx, m), nil
 	case laddermessage.AdviceQuery:
 		return v.queryAdvice(ctx, m), nil
+	case laddermessage.FleetOffer:
+		v.fleetFeed.receive(m)
+		return laddermessage.Ack{}, nil
+	case laddermessage.FleetFetch:
+		return v.fleetFeed.state.reply(m.Have)
 	case laddermessage.Delegation:
 		if v.delegate.Apply(m) {
 			return laddermessage.Ack{}, nil
--- a/laddervm/vm.go
+++ b/laddervm/vm.go
@@ -85,6 +85,7 @@
 	// waves holds the maintenance waves that the operators ordered, by number.
 	wavesMu    sync.Mutex
 	waves      map[int64]ladderflow.MaintenanceWave
+	fleetFeed  *fleetFeed
 	writer     *jobWriter
 	leadership *leadership
 	// delegate polls workers and sends orders on behalf of a leader that is another VM.
@@ -124,6 +125,7 @@
 	v.machines = platform.NewMachines(v.direct, s.MachinesAddress)
 	v.journal = ladderjournal.New(v.store)
 	v.registry = newRegistry(v)
+	v.fleetFeed = newFleetFeed(v)
 	v.writer = newJobWriter(v)
 	v.leadership = newLeadership(v)
 	v.delegate = ladderdelegate.New(v.workers, v.clock, v.boot, v.logs.RateLimited("delegate", v.clock))
@@ -164,7 +166,7 @@
 		}
 	}()
 	for _, f := range []func(context.Context){
-		v.watchOperators, v.registry.watch, v.registry.keepRegistered, v.leadership.run, v.writer.run,
+		v.fleetFeed.run, v.registry.watch, v.registry.keepRegistered, v.leadership.run, v.writer.run,
 	} {
 		v.wait.Go(func() { f(serving) })
 	}
