Continue a read of all items at the page that failed

A takeover reads jobs, cancellations and records page by page, up to a megabyte each; one page that was not answered threw all pages away. So did the reads of workers and VMs after the store lost its history. It replaces two copies of the loop.

--- a/ladderjournal/journal.go
+++ b/ladderjournal/journal.go
@@ -359,7 +359,7 @@
 		}
 	}
 	for _, prefix := range []string{jobPrefix, cancelPrefix, recordPrefix} {
-		if err := j.readAll(ctx, prefix, func(item platform.Item) { c.add(item) }); err != nil {
+		if _, err := platform.ReadAll(ctx, j.store, prefix, c.add); err != nil {
 			return nil, err
 		}
 	}
@@ -403,21 +403,3 @@
 		c.Records = append(c.Records, r)
 	}
 }
-
-// readAll calls each for every item with the given prefix, page by page.
-func (j *Journal) readAll(ctx context.Context, prefix string, each func(platform.Item)) error {
-	after := ""
-	for {
-		page, err := j.store.Range(ctx, prefix, after)
-		if err != nil {
-			return err
-		}
-		for _, item := range page.Items {
-			each(item)
-			after = item.Key
-		}
-		if !page.More || len(page.Items) == 0 {
-			return nil
-		}
-	}
-}
--- a/laddervm/fleet_feed.go
+++ b/laddervm/fleet_feed.go
@@ -168,7 +168,9 @@
 func (f *fleetFeed) callStore(ctx context.Context, action ladderfanout.Action, after int64) (r storeResult) {
 	switch action {
 	case ladderfanout.Read:
-		r.revision, r.err = readAll(ctx, f.vm, platform.OperatorPrefix, func(items []platform.Item, _ int64) { r.items = items })
+		r.revision, r.err = platform.ReadAll(ctx, f.vm.store, platform.OperatorPrefix, func(item platform.Item) {
+			r.items = append(r.items, item)
+		})
 	case ladderfanout.Watch:
 		r.items, r.revision, r.err = f.vm.store.Watch(ctx, platform.OperatorPrefix, after, watchWait)
 	default:
--- a/laddervm/registry.go
+++ b/laddervm/registry.go
@@ -416,7 +416,11 @@
 		var err error
 		began := v.clock.Now()
 		if revision == 0 {
-			revision, err = readAll(ctx, v, prefix, f.reset)
+			var items []platform.Item
+			revision, err = platform.ReadAll(ctx, v.store, prefix, func(item platform.Item) { items = append(items, item) })
+			if err == nil {
+				f.reset(items, revision)
+			}
 		} else {
 			var items []platform.Item
 			var next int64
@@ -449,28 +453,6 @@
 	}
 }
 
-// readAll reads all pages of a prefix, passes the items to handle and returns the revision of
-// the first page.
-func readAll(ctx context.Context, v *VM, prefix string, handle func([]platform.Item, int64)) (int64, error) {
-	var all []platform.Item
-	first := int64(0)
-	for after := ""; ; {
-		page, err := v.store.Range(ctx, prefix, after)
-		if err != nil {
-			return 0, fmt.Errorf("read %s: %w", prefix, err)
-		}
-		if first == 0 {
-			first = page.Revision
-		}
-		all = append(all, page.Items...)
-		if !page.More || len(page.Items) == 0 {
-			handle(all, first)
-			return first, nil
-		}
-		after = page.Items[len(page.Items)-1].Key
-	}
-}
-
 // hasSeen reports whether the watch has shown the state of the leader's key at the given
 // revision or a later one. If it has and there is no leader now, the key was deleted.
 func (r *registry) hasSeen(revision int64) bool {
--- a/laddervm/save.go
+++ b/laddervm/save.go
@@ -198,11 +198,12 @@
 
 // readWorkers reads the workers that are listed in the store.
 func (t *term) readWorkers() ([]ladderflow.Worker, error) {
-	var list []ladderflow.Worker
-	_, err := readAll(t.ctx, t.vm, platform.WorkerPrefix, func(items []platform.Item, _ int64) {
-		list = t.parseWorkers(items, map[string]ladderflow.Worker{})
-	})
-	return list, err
+	var items []platform.Item
+	_, err := platform.ReadAll(t.ctx, t.vm.store, platform.WorkerPrefix, func(item platform.Item) { items = append(items, item) })
+	if err != nil {
+		return nil, err
+	}
+	return t.parseWorkers(items, map[string]ladderflow.Worker{}), nil
 }
 
 // parseWorkers applies items to the workers by key, and returns the workers as a list.
