Count a job as queued until a worker has confirmed a run of it

The start orders of these jobs had gone to workers that were cut off. A job counted as started once an order for it had been sent, whether or not it had arrived.

A job now counts as queued until a worker has accepted a start, listed a run or listed an end. The state that a caller sees of one job is as before. TestUnansweredStartLeavesJobQueued failed before.

--- a/ladderplan/model.go
+++ b/ladderplan/model.go
@@ -21,6 +21,8 @@
 	// started is true once a start was ordered for the job, for the first time at startedAt.
 	started   bool
 	startedAt time.Time
+	// begun is true once a worker has confirmed a run of the job, or listed its end.
+	begun bool
 	// rounds holds the rounds that have started and are not complete, by index.
 	rounds map[int]*round
 	// completedRounds holds the rounds whose tasks have all succeeded. nextRound is the lowest
@@ -189,6 +191,14 @@
 	speedChangedAt time.Time
 }
 
+// confirm records that the worker has the run.
+func (x *run) confirm() {
+	x.confirmed = true
+	if x.task != nil {
+		x.task.step.round.job.begun = true
+	}
+}
+
 // worker is a worker with its runs and free capacity.
 type worker struct {
 	spec ladderflow.Worker
--- a/ladderplan/planner.go
+++ b/ladderplan/planner.go
@@ -208,6 +208,7 @@
 	if t == nil || !j.active() {
 		return
 	}
+	j.begun = true
 	t.lastRun, t.lastClosedRun = max(t.lastRun, e.Run.Number), max(t.lastClosedRun, e.Run.Number)
 	if e.Checkpoint != "" {
 		t.checkpoint = e.Checkpoint
@@ -384,12 +385,12 @@
 	return View{Known: true, State: ladderflow.Queued}
 }
 
-// QueuedJobs returns the number of jobs of a queue that have not started. It does not count jobs
-// with a schedule.
+// QueuedJobs returns the number of jobs of a queue that have not started, as far as is known: a start
+// that is not answered may never have arrived. It does not count jobs with a schedule.
 func (p *Planner) QueuedJobs(queue string) int {
 	n := 0
 	for _, j := range p.jobs {
-		if j.spec.Queue == queue && j.active() && !j.started && !j.spec.HasSchedule() {
+		if j.spec.Queue == queue && j.active() && !j.begun && !j.spec.HasSchedule() {
 			n++
 		}
 	}
--- a/ladderplan/poll.go
+++ b/ladderplan/poll.go
@@ -256,7 +256,8 @@
 		return
 	}
 	if x.phase == phaseSent || x.phase == phaseUnconfirmed {
-		x.phase, x.confirmed, x.startSettledAt = phaseRunning, true, now
+		x.phase, x.startSettledAt = phaseRunning, now
+		x.confirm()
 	}
 	x.recordProgress(now, r)
 	if x.phase == phaseStopping {
@@ -287,7 +288,7 @@
 		// former leader has used the number as well. It occupies capacity until it has stopped.
 		wanted := t.needsRun() && j.active() && t.step.ready && r.Run.Number > t.lastClosedRun
 		w.addRun(x)
-		j.started = true
+		j.started, j.begun = true, true
 		x.recordProgress(now, r)
 		if r.Checkpoint != "" {
 			t.checkpoint, t.step.gang.checkpoint = r.Checkpoint, r.Checkpoint
--- a/ladderplan/record.go
+++ b/ladderplan/record.go
@@ -180,7 +180,7 @@
 			x = j.addRound(rr.Index, due)
 		}
 		if x.restore(rr) {
-			j.started = true
+			j.started, j.begun = true, true
 		}
 		p.markReadySteps(now, x)
 	}
--- a/ladderplan/result.go
+++ b/ladderplan/result.go
@@ -50,7 +50,7 @@
 	x.startSettledAt = now
 	switch {
 	case r.succeeded():
-		x.confirmed = true
+		x.confirm()
 		if x.phase == phaseSent {
 			x.phase = phaseRunning
 		}
--- a/ladderplan/result_test.go
+++ b/ladderplan/result_test.go
@@ -191,3 +191,36 @@
 		require.NotEqual(t, replaced, s.Worker.ID, "only the other members are stopped")
 	}
 }
+
+// TestUnansweredStartLeavesJobQueued guards against a queue length that omits jobs whose start
+// orders may never have reached a worker.
+func TestUnansweredStartLeavesJobQueued(t *testing.T) {
+	for name, c := range map[string]struct {
+		then   func(h *harness, s StartOrder)
+		queued int
+	}{
+		"nothing":  {func(*harness, StartOrder) {}, 1},
+		"accepted": {func(h *harness, s StartOrder) { h.planner.StartSettled(h.now, s.Worker.ID, s.Run, Result{}) }, 0},
+		"not answered": {func(h *harness, s StartOrder) {
+			h.planner.StartSettled(h.now, s.Worker.ID, s.Run, Result{Unknown: true})
+		}, 1},
+		"not answered, runs": {func(h *harness, s StartOrder) {
+			h.planner.StartSettled(h.now, s.Worker.ID, s.Run, Result{Unknown: true})
+			h.poll(s.Worker.ID, ladderflow.StatusReport{Running: []ladderflow.ActiveRun{{Run: s.Run}}})
+		}, 0},
+		"not answered, failed": {func(h *harness, s StartOrder) {
+			h.planner.StartSettled(h.now, s.Worker.ID, s.Run, Result{Unknown: true})
+			h.endRun(s, ladderflow.EndFailed)
+		}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 2)
+			h.advance(5 * time.Second) // Leases granted by an earlier leader have expired.
+			h.pollAll(nil)
+			h.submit("a", stepOf(1))
+			s := h.plan().Starts[0]
+			c.then(h, s)
+			require.Equal(t, c.queued, h.planner.QueuedJobs(h.planner.jobs["a"].spec.Queue))
+		})
+	}
+}
