Spread the polls of VMs that were told of a change

A change is announced at once to all VMs of a region other than the reader's, and those that are to pass it on there may be dead. The others then polled exactly 1 s later, all together: 14 to 70 reads of a megabyte through one link, which is what the fan-out is there to prevent. Their polls are now spread over half of their poll interval, from 0.5 s on. TestAnnouncedVMsPollApart failed before (all at the same time).

--- a/laddercodec/fleet.go
+++ b/laddercodec/fleet.go
@@ -169,22 +169,12 @@
 	return 0, nil, false
 }
 
-// decodeFleet decodes the body of a message about the operators' keys.
-func decodeFleet(k kind, body []byte) (laddermessage.Message, error) {
-	switch k {
-	case kindFleetOffer:
-		return decode(body, func(w fleetOfferWire) (laddermessage.FleetOffer, error) {
-			return laddermessage.FleetOffer{From: w.From, Revision: w.Revision}, nil
-		})
-	case kindFleetFetch:
-		return decode(body, func(w int64) (laddermessage.FleetFetch, error) { return laddermessage.FleetFetch{Have: w}, nil })
-	}
-	return decode(body, func(w fleetStateWire) (laddermessage.FleetState, error) {
-		return laddermessage.FleetState{
-			Revision: w.Revision, FleetRevision: w.FleetRevision, Base: w.Base, Delta: w.Delta,
-			Items: mapAll(w.Items, func(i operatorItemWire) platform.Item {
-				return platform.Item{Key: i.Key, Value: i.Value, ModRevision: i.Revision}
-			}),
-		}, nil
-	})
+// toFleetState converts the wire type to a message.
+func toFleetState(w fleetStateWire) (laddermessage.FleetState, error) {
+	return laddermessage.FleetState{
+		Revision: w.Revision, FleetRevision: w.FleetRevision, Base: w.Base, Delta: w.Delta,
+		Items: mapAll(w.Items, func(i operatorItemWire) platform.Item {
+			return platform.Item{Key: i.Key, Value: i.Value, ModRevision: i.Revision}
+		}),
+	}, nil
 }
--- a/laddercodec/flow.go
+++ b/laddercodec/flow.go
@@ -193,8 +193,14 @@
 				Reply: platform.Reply{Status: w.Status, Body: w.Body}, Unsent: w.Unsent, Failed: w.Failed,
 			}, nil
 		})
-	case kindFleetOffer, kindFleetFetch, kindFleetState:
-		return decodeFleet(k, body)
+	case kindFleetOffer:
+		return decode(body, func(w fleetOfferWire) (laddermessage.FleetOffer, error) {
+			return laddermessage.FleetOffer{From: w.From, Revision: w.Revision}, nil
+		})
+	case kindFleetFetch:
+		return decode(body, func(w int64) (laddermessage.FleetFetch, error) { return laddermessage.FleetFetch{Have: w}, nil })
+	case kindFleetState:
+		return decode(body, toFleetState)
 	default:
 		return decodeDelegate(k, body)
 	}
--- a/ladderfanout/feed.go
+++ b/ladderfanout/feed.go
@@ -13,8 +13,9 @@
 	// regionPollInterval is the mean time between two polls by any VM of a region, unless that
 	// bound is reached.
 	regionPollInterval = 300 * time.Millisecond
-	// announcedDelay is how long a VM that knows of a change does not poll for it.
-	announcedDelay = time.Second
+	// announcedDelay is how long a VM that knows of a change waits at least for the offer before it
+	// polls the store.
+	announcedDelay = 500 * time.Millisecond
 	// fetchInterval is the time between two attempts to get the whole state from a peer.
 	fetchInterval = 150 * time.Millisecond
 	// minPatience is how long a VM without state waits for its peers before it reads the store,
@@ -116,9 +117,10 @@
 // lose its history may return nothing although there was a change.
 func (f *Feed) Polled(now time.Time, p Placement) { f.schedulePoll(now, p) }
 
-// Announced records that a change is known that another VM will offer.
-func (f *Feed) Announced(now time.Time) {
-	if at := now.Add(announcedDelay); f.pollAt.Before(at) {
+// Announced records that a change is known that another VM will offer. Many VMs learn of it at the
+// same moment. If nobody offers it, they must not poll at the same moment.
+func (f *Feed) Announced(now time.Time, p Placement) {
+	if at := now.Add(announcedDelay + time.Duration(f.jitter()*float64(p.pollInterval()/2))); f.pollAt.Before(at) {
 		f.pollAt = at
 	}
 }
--- a/ladderfanout/feed_test.go
+++ b/ladderfanout/feed_test.go
@@ -89,19 +89,20 @@
 
 // act starts a VM's next action.
 func (s *simulation) act(v *simulatedVM) {
-	switch action, _ := v.feed.Next(s.now, v.place); action {
-	case Read, Watch, Poll:
-		if action != Read && v.feed.Revision() == s.revision {
-			if action == Poll {
-				v.feed.Polled(s.now, v.place)
-			}
-			return
-		}
-		s.reads++
-		v.busyUntil, v.finish = s.now.Add(readTime), func() {
-			v.feed.Synced(s.now, s.revision, v.place)
-			s.learn(v, "")
+	action, _ := v.feed.Next(s.now, v.place)
+	if action == Wait || action == Fetch {
+		return
+	}
+	if action != Read && v.feed.Revision() == s.revision {
+		if action == Poll {
+			v.feed.Polled(s.now, v.place)
 		}
+		return
+	}
+	s.reads++
+	v.busyUntil, v.finish = s.now.Add(readTime), func() {
+		v.feed.Synced(s.now, s.revision, v.place)
+		s.learn(v, "")
 	}
 }
 
@@ -114,7 +115,7 @@
 				continue
 			}
 			if !s.fleet(o).Accepts(v.member.Name) {
-				o.feed.Announced(s.now)
+				o.feed.Announced(s.now, o.place)
 				continue
 			}
 			// An offer that comes while the VM reads the store ends that.
@@ -221,7 +222,7 @@
 	require.Equal(t, Wait, action)
 	action, _ = f.Next(until, place)
 	require.Equal(t, Poll, action)
-	f.Announced(until)
+	f.Announced(until, place)
 	action, _ = f.Next(until, place)
 	require.Equal(t, Wait, action, "another VM will offer the change")
 }
@@ -258,3 +259,24 @@
 	require.Equal(t, Placement{Rank: 1, Members: 4, Home: true}, fleet("a1").Place(), "the leader comes last among equals")
 	require.Equal(t, Placement{Rank: 2, Members: 3}, fleet("b3").Place())
 }
+
+// TestAnnouncedVMsPollApart guards against VMs that all read the store at the same moment, because
+// a change was announced to all of them at once and nobody offered it.
+func TestAnnouncedVMsPollApart(t *testing.T) {
+	now := time.UnixMilli(0)
+	for name, place := range map[string]Placement{"small": {Rank: 2, Members: 3}, "large": {Rank: 40, Members: 70}} {
+		t.Run(name, func(t *testing.T) {
+			seen := map[time.Time]bool{}
+			for i := range 10 {
+				f := NewFeed(now, func() float64 { return float64(i) / 10 })
+				f.Synced(now, 1, place)
+				f.Announced(now.Add(maxPollInterval), place)
+				action, at := f.Next(now.Add(maxPollInterval), place)
+				require.Equal(t, Wait, action)
+				require.False(t, seen[at])
+				seen[at] = true
+				require.LessOrEqual(t, at.Sub(now.Add(maxPollInterval)), 2*time.Second)
+			}
+		})
+	}
+}
--- a/laddervm/fleet_feed.go
+++ b/laddervm/fleet_feed.go
@@ -135,8 +135,8 @@
 	if o.Revision <= f.feed.Revision() {
 		return false
 	}
-	if !f.fleet().Accepts(o.From) {
-		f.feed.Announced(f.vm.clock.Now())
+	if fleet := f.fleet(); !fleet.Accepts(o.From) {
+		f.feed.Announced(f.vm.clock.Now(), fleet.Place())
 		return false
 	}
 	return f.fetch(ctx, o.From, fetchTimeout)
