--- a/laddercodec/fleet.go
+++ b/laddercodec/fleet.go
@@ -13,7 +13,7 @@
 )
 
 // maxDelta is the maximum size in bytes of an encoded [ladderflow.FleetDelta] before it is
-// compressed. The store's values, in which operators write, are smaller.
+// compressed.
 const maxDelta = 16 << 20
 
 // fleetOfferWire encodes a [laddermessage.FleetOffer].
--- a/ladderfanout/feed.go
+++ b/ladderfanout/feed.go
@@ -6,8 +6,7 @@
 	// readers is the number of VMs of the leader's region that wait at the store for changes,
 	// and of each other region that pass changes on there.
 	readers = 2
-	// minPollInterval and maxPollInterval bound the time between two polls of one VM. On small
-	// sites a change must be in force within 2.5 s, and within 4 s on large ones.
+	// minPollInterval and maxPollInterval bound the time between two polls of one VM.
 	minPollInterval = 1200 * time.Millisecond
 	maxPollInterval = 3 * time.Second
 	// regionPollInterval is the mean time between two polls by any VM of a region, unless that
--- a/ladderfanout/place.go
+++ b/ladderfanout/place.go
@@ -71,6 +71,7 @@
 	var targets []Member
 	switch from, ok := f.find(source); {
 	case source == "":
+		// The first VMs of each region come first, then the next ones of each region, and so on.
 		regions := map[string]int{}
 		targets = slices.Clone(f.Others)
 		slices.SortFunc(targets, compare)
--- a/laddervm/fleet_feed.go
+++ b/laddervm/fleet_feed.go
@@ -16,8 +16,7 @@
 const (
 	// pollWait is the wait of a poll. The protocol has no call that does not wait.
 	pollWait = time.Millisecond
-	// offerTimeout and fetchTimeout bound an exchange with a peer. A whole configuration of a
-	// megabyte, compressed, passes a link of 10 Mbit/s in a fifth of a second.
+	// offerTimeout and fetchTimeout bound an exchange with a peer.
 	offerTimeout = 500 * time.Millisecond
 	fetchTimeout = time.Second
 	// sourceTimeout bounds an exchange with a peer that has offered nothing.
@@ -26,8 +25,8 @@
 	offerAttempts = 2
 	// maxOffers is the number of offers that are sent at the same time.
 	maxOffers = 8
-	// offerQueueSize bounds the offers that wait. The sender of one that is dropped is not the
-	// only source: the VM polls the store as well.
+	// offerQueueSize bounds the offers that wait. Others are dropped, since the VM polls the store
+	// as well.
 	offerQueueSize = 16
 	// storeSource is the source of what came from the store, for logs and metrics. Other sources
 	// are the names of peers.
--- a/laddervm/registry.go
+++ b/laddervm/registry.go
@@ -39,8 +39,7 @@
 	// of the wait reveals the loss. The wait and its slack stay below the 3 s that the
 	// platform allows for a disruption.
 	watchWait = 2 * time.Second
-	// announceDelay is how long it takes until peers know a VM that has registered: a watch
-	// answers each of them at once.
+	// announceDelay is the time after which peers know a VM that has registered.
 	announceDelay = 50 * time.Millisecond
 	// trustAfterRemoval is how long the key of a VM whose entry has been removed is accepted:
 	// during an outage of the store, entries expire although the VMs still run.
