Look for the successor of a home that moved after its check

Cause: a VM finds that it is the home of a key, and then waits for the lock under which the records of the rack are being exported. When it has the lock, the home is handed over, and the request was answered with unknown although a successor was there to take it. The same happens to a request that waits for an earlier try of its key.

What is left of its deadline is counted from its arrival on every path.

TestRollingRestart now prints each unknown exchange with its reason.

--- a/ladderdispatch/dispatcher.go
+++ b/ladderdispatch/dispatcher.go
@@ -179,25 +179,38 @@
 // moving.
 func (d *Dispatcher) doKeyed(ctx context.Context, r laddermodel.Request, class ladderconfig.Class) laddermodel.Answer {
 	rack := ladderkey.HomeRack(r.Key, hashZones(d.config.Load()))
-	began := d.Clock.Now()
+	deadline := d.Clock.Now().Add(r.Deadline)
+	searchUntil := d.searchUntil(deadline)
 	for {
 		now := d.Clock.Now()
+		r.Deadline = deadline.Sub(now)
 		if _, ok := d.Holder.Home(now, rack); ok {
-			return d.doAtHome(ctx, r, class, rack)
+			if a, ok := d.doAtHome(ctx, r, class, rack); ok {
+				return a
+			}
+			d.Log.Info("the home of the key was handed over; looking for its successor", "request", r.ID, "rack", rack)
+			searchUntil = d.searchUntil(deadline)
+			continue
 		}
 		if peer, ok := d.homePeer(now, rack); ok && r.Hops < maxHops {
 			d.counts.Forwards.Add(1)
 			d.Log.Info("forwarding request to the home of its key", "request", r.ID, "rack", rack, "peer", peer, "hops", r.Hops)
-			r.Deadline -= now.Sub(began)
 			r.Hops++
 			return d.forward(ctx, r, peer)
 		}
-		if now.Sub(began) >= min(maxHomeWait, r.Deadline/2) || !d.pause(ctx, homePollInterval) {
+		if !now.Before(searchUntil) || !d.pause(ctx, homePollInterval) {
 			return unknownOutcome("the home of the key can not be reached; an earlier try may have run")
 		}
 	}
 }
 
+// searchUntil returns the time until which a request waits for the home of its
+// key, if the home is not known now.
+func (d *Dispatcher) searchUntil(deadline time.Time) time.Time {
+	now := d.Clock.Now()
+	return now.Add(min(maxHomeWait, deadline.Sub(now)/2))
+}
+
 // homePeer returns the peer that is the home of a rack according to the
 // digests. It returns false if no home is known or if the digests name this VM.
 func (d *Dispatcher) homePeer(now time.Time, rack string) (peer string, ok bool) {
@@ -245,8 +258,9 @@
 
 // doAtHome decides on a key and runs the request if the key is new. If the key
 // is running already, it waits for the end and decides again: if the other
-// request turns out not to have run, this one may run.
-func (d *Dispatcher) doAtHome(ctx context.Context, r laddermodel.Request, class ladderconfig.Class, rack string) laddermodel.Answer {
+// request turns out not to have run, this one may run. It returns false if this
+// VM is no longer the home of the rack; the request has not run then.
+func (d *Dispatcher) doAtHome(ctx context.Context, r laddermodel.Request, class ladderconfig.Class, rack string) (laddermodel.Answer, bool) {
 	use := ladderkey.KeyUse{
 		Key: r.Key, Rack: rack, Member: r.Member, Digest: requestDigest(r), Once: class.RunOnce, Lease: r.Deadline,
 	}
@@ -254,18 +268,18 @@
 	for {
 		verdict, ok := d.beginKey(rack, use)
 		if !ok {
-			return unknownOutcome("the home of the key is changing; an earlier try may have run")
+			return laddermodel.Answer{}, false
 		}
 		r.Deadline = until.Sub(d.Clock.Now())
 		if verdict.Action == ladderkey.Run {
-			return d.runNewKey(ctx, r, class, rack)
+			return d.runNewKey(ctx, r, class, rack), true
 		}
 		if verdict.Action != ladderkey.Wait {
-			return answerWithoutRun(verdict)
+			return answerWithoutRun(verdict), true
 		}
 		d.Log.Info("waiting for a running request with the same key", "request", r.ID)
 		if !d.waitForKey(ctx, verdict, r.Deadline) {
-			return unknownOutcome("an earlier try of the key is still running")
+			return unknownOutcome("an earlier try of the key is still running"), true
 		}
 	}
 }
--- a/laddertest/failure_test.go
+++ b/laddertest/failure_test.go
@@ -178,7 +178,7 @@
 		time.Sleep(1500 * time.Millisecond)
 	}
 	traffic.audit(t)
-	require.Zero(t, traffic.outcomeCounts()["unknown"], "no outcome may be unknown after a handover")
+	require.Empty(t, traffic.unknownOutcomes(), "no outcome may be unknown after a handover")
 }
 
 // TestWorkerFaults guards against wrong answers to callers while three workers are faulty: they
--- a/laddertest/traffic_test.go
+++ b/laddertest/traffic_test.go
@@ -143,6 +143,21 @@
 	return n
 }
 
+// unknownOutcomes describes the exchanges with an unknown outcome, with the reason that the
+// entry VM gave.
+func (tr *traffic) unknownOutcomes() []string {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	var all []string
+	for i, exchange := range tr.exchanges {
+		if exchange.Outcome == "unknown" {
+			all = append(all, fmt.Sprintf("%s request %s key %s via %s: %s",
+				exchange.AnsweredAt.Format(time.StampMilli), exchange.Request, exchange.Key, tr.sentTo[i], exchange.Got))
+		}
+	}
+	return all
+}
+
 // ranSince returns how many of the exchanges of a class that were answered after a given time
 // have run.
 func (tr *traffic) ranSince(at time.Time, class string) (ran, all int) {
