Close connections between VMs that are not used

Cause: offers of configuration changes open a connection to every other VM, and each connection is kept alive by a packet a second from both of its ends for as long as the processes live. Two readers and two VMs of each other region keep one to each of their peers, used or not.

Change: a client closes a connection ten seconds after its last exchange, and only the client, which knows whether the connection is used, sends keep-alive packets. TestUnusedConnectionSendsNothing counted 6 datagrams in 2.5 s before. TestUsedConnectionStaysOpen shows that an exchange in progress keeps its connection, and fails if the exchanges are not counted.

--- a/ladderpeer/client.go
+++ b/ladderpeer/client.go
@@ -28,8 +28,11 @@
 	dialTimeout = time.Second
 	// idleTimeout is how long a connection may receive nothing before it is closed.
 	idleTimeout = 3 * time.Second
-	// keepAliveInterval is the time between keep-alive packets on an idle connection.
+	// keepAliveInterval is the time between the keep-alive packets of the client that opened a
+	// connection.
 	keepAliveInterval = time.Second
+	// defaultUnusedTimeout is how long a client keeps a connection after its last exchange.
+	defaultUnusedTimeout = 10 * time.Second
 	// abandonGrace is how long an abandoned connection stays open for the exchanges in
 	// progress on it.
 	abandonGrace = 5 * time.Second
@@ -50,9 +53,20 @@
 	tls   *tls.Config
 	dial  dialer
 	bytes Traffic
+	// unusedTimeout is how long a connection is kept after its last exchange.
+	unusedTimeout time.Duration
 
 	mu    sync.Mutex
-	conns map[netip.AddrPort]*quic.Conn
+	conns map[netip.AddrPort]*connection
+}
+
+// connection is an open connection to a peer.
+type connection struct {
+	*quic.Conn
+	// exchanges is the number of exchanges in progress. While it is zero, unused closes the
+	// connection when it fires.
+	exchanges int
+	unused    *time.Timer
 }
 
 // Traffic counts the bytes of encoded messages that were sent and received.
@@ -76,7 +90,7 @@
 func newClient(t *tls.Config, d dialer) *Client {
 	cloned := t.Clone()
 	cloned.NextProtos = []string{protocol}
-	return &Client{tls: cloned, dial: d, conns: map[netip.AddrPort]*quic.Conn{}}
+	return &Client{tls: cloned, dial: d, unusedTimeout: defaultUnusedTimeout, conns: map[netip.AddrPort]*connection{}}
 }
 
 // Traffic returns the client's byte counts.
@@ -89,10 +103,11 @@
 	if err != nil {
 		return nil, errors.Join(ErrUnsent, err)
 	}
-	conn, err := c.conn(ctx, peer)
+	conn, err := c.acquire(ctx, peer)
 	if err != nil {
 		return nil, errors.Join(ErrUnsent, fmt.Errorf("connect to peer %v: %w", peer, err))
 	}
+	defer c.release(conn)
 	stream, err := conn.OpenStreamSync(ctx)
 	if err != nil {
 		c.abandon(peer, conn)
@@ -135,33 +150,68 @@
 	return laddercodec.Decode(reply)
 }
 
-// conn returns the open connection to a peer, or opens one.
-func (c *Client) conn(ctx context.Context, peer netip.AddrPort) (*quic.Conn, error) {
+// acquire returns the open connection to a peer, or opens one, for one exchange. The caller must
+// release it.
+func (c *Client) acquire(ctx context.Context, peer netip.AddrPort) (*connection, error) {
 	c.mu.Lock()
-	conn, ok := c.conns[peer]
+	conn, ok := c.current(peer)
 	c.mu.Unlock()
-	if ok && conn.Context().Err() == nil {
+	if ok {
 		return conn, nil
 	}
 	dialing, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	fresh, err := c.dial(dialing, net.UDPAddrFromAddrPort(peer), c.tls, config())
+	fresh, err := c.dial(dialing, net.UDPAddrFromAddrPort(peer), c.tls, clientConfig())
 	if err != nil {
 		return nil, err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if other, ok := c.conns[peer]; ok && other != conn && other.Context().Err() == nil {
+	if other, ok := c.current(peer); ok {
 		_ = fresh.CloseWithError(abandoned, "one connection is enough")
 		return other, nil
 	}
-	c.conns[peer] = fresh
-	return fresh, nil
+	conn = &connection{Conn: fresh, exchanges: 1}
+	conn.unused = time.AfterFunc(c.unusedTimeout, func() { c.closeUnused(peer, conn) })
+	c.conns[peer] = conn
+	return conn, nil
+}
+
+// current returns the open connection to a peer, if there is one, and counts an exchange on it.
+// The caller must hold mu.
+func (c *Client) current(peer netip.AddrPort) (*connection, bool) {
+	conn, ok := c.conns[peer]
+	if !ok || conn.Context().Err() != nil {
+		return nil, false
+	}
+	conn.exchanges++
+	return conn, true
+}
+
+// release ends an exchange on a connection.
+func (c *Client) release(conn *connection) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	conn.exchanges--
+	if conn.exchanges == 0 {
+		conn.unused.Reset(c.unusedTimeout)
+	}
+}
+
+// closeUnused closes a connection unless it is in use.
+func (c *Client) closeUnused(peer netip.AddrPort, conn *connection) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if conn.exchanges > 0 || c.conns[peer] != conn {
+		return
+	}
+	delete(c.conns, peer)
+	_ = conn.CloseWithError(0, "not used")
 }
 
 // abandon removes a connection from the client, so that the next exchange opens a new one.
 // The connection is closed after abandonGrace, so that other exchanges on it can finish.
-func (c *Client) abandon(peer netip.AddrPort, conn *quic.Conn) {
+func (c *Client) abandon(peer netip.AddrPort, conn *connection) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.conns[peer] != conn {
@@ -176,17 +226,25 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for peer, conn := range c.conns {
+		conn.unused.Stop()
 		_ = conn.CloseWithError(0, "closing")
 		delete(c.conns, peer)
 	}
 }
 
-// config returns the QUIC settings of clients and servers.
+// config returns the QUIC settings of servers. A server sends no keep-alive packets: the client
+// that opened a connection knows whether it is used.
 func config() *quic.Config {
 	return &quic.Config{
 		HandshakeIdleTimeout: dialTimeout,
 		MaxIdleTimeout:       idleTimeout,
-		KeepAlivePeriod:      keepAliveInterval,
 		MaxIncomingStreams:   maxStreams,
 	}
 }
+
+// clientConfig returns the QUIC settings of clients.
+func clientConfig() *quic.Config {
+	c := config()
+	c.KeepAlivePeriod = keepAliveInterval
+	return c
+}
