Name the order in which a change is offered

No change of behaviour: the order of Targets was a sort of a sort with a comment. relaysFirst now says it. TestTargets and TestChangeReachesAllWithFewReads pass as before.

--- a/ladderfanout/place.go
+++ b/ladderfanout/place.go
@@ -56,39 +56,47 @@
 	if home, led := f.home(); led && f.Place().Rank < readers {
 		region = home
 	}
-	var names []string
-	for _, m := range f.inRegion(region) {
-		if len(names) < readers {
-			names = append(names, m.Name)
-		}
-	}
-	return names
+	near := f.inRegion(region)
+	return names(near[:min(readers, len(near))])
 }
 
 // Targets returns the names of the VMs to which to offer a change, those first that pass it on.
 // The argument source names the VM from which the change came; it is empty for the store.
 func (f Fleet) Targets(source string) []string {
-	var targets []Member
-	switch from, ok := f.find(source); {
-	case source == "":
-		// The first VMs of each region come first, then the next ones of each region, and so on.
-		regions := map[string]int{}
-		targets = slices.Clone(f.Others)
-		slices.SortFunc(targets, compare)
-		rank := make(map[string]int, len(targets))
-		for _, m := range targets {
-			rank[m.Name] = regions[m.Region]
-			regions[m.Region]++
+	if source == "" {
+		return names(relaysFirst(f.Others))
+	}
+	if from, ok := f.find(source); ok && from.Region == f.Own.Region {
+		return nil
+	}
+	return names(f.inRegion(f.Own.Region))
+}
+
+// relaysFirst returns the first VMs of each region, by rank, then the next ones of each region,
+// and so on.
+func relaysFirst(members []Member) []Member {
+	sorted := slices.Clone(members)
+	slices.SortFunc(sorted, compare)
+	seen := map[string]int{}
+	var groups [][]Member
+	for _, m := range sorted {
+		group := seen[m.Region] / readers
+		seen[m.Region]++
+		if group == len(groups) {
+			groups = append(groups, nil)
 		}
-		slices.SortStableFunc(targets, func(a, b Member) int { return cmp.Compare(rank[a.Name]/readers, rank[b.Name]/readers) })
-	case !ok || from.Region != f.Own.Region:
-		targets = f.inRegion(f.Own.Region)
+		groups[group] = append(groups[group], m)
 	}
-	names := make([]string, len(targets))
-	for i, m := range targets {
-		names[i] = m.Name
+	return slices.Concat(groups...)
+}
+
+// names returns the names of VMs.
+func names(members []Member) []string {
+	all := make([]string, len(members))
+	for i, m := range members {
+		all[i] = m.Name
 	}
-	return names
+	return all
 }
 
 // Accepts reports whether to fetch a change from the VM that offers it. Otherwise another VM of
