Poll the store after a fetch that failed, and do not wait for peers during a poll

Ten versions of the configuration came in a storm. Then the two readers and two others were killed at the same moment, and came back half a second later.

Cause, by the log of front-osijek-a-2: at 30.74 s its poll of the store was under way when the two readers, alive again, offered what they knew. It asked them one after the other, each over the connection to the process that had died, which answers nothing: a second each. The answer of the poll, which had come meanwhile, waited until 32.74 s.

Change: a fetch during a call to the store runs beside it, and whichever answers first is taken. After a fetch that failed, the VM polls the store, within a quarter of its interval so that many VMs do not come at once, before it takes another offer.

--- a/ladderfanout/feed.go
+++ b/ladderfanout/feed.go
@@ -55,6 +55,8 @@
 	// fetchAt and pollAt are when the next fetch and the next poll are due.
 	fetchAt time.Time
 	pollAt  time.Time
+	// failed is true from a fetch that has failed until the store has answered.
+	failed bool
 	// jitter returns a random number from 0 up to 1.
 	jitter func() float64
 }
@@ -98,7 +100,7 @@
 
 // Synced records that the store has shown all changes up to a revision.
 func (f *Feed) Synced(now time.Time, revision int64, p Placement) {
-	f.revision, f.lost = max(f.revision, revision), false
+	f.revision, f.lost, f.failed = max(f.revision, revision), false, false
 	f.schedulePoll(now, p)
 }
 
@@ -114,7 +116,22 @@
 
 // Polled records that a poll returned no change. The revision stays: a store that is about to
 // lose its history may return nothing although there was a change.
-func (f *Feed) Polled(now time.Time, p Placement) { f.schedulePoll(now, p) }
+func (f *Feed) Polled(now time.Time, p Placement) {
+	f.failed = false
+	f.schedulePoll(now, p)
+}
+
+// Failed records that a peer offered a change and did not send it. Others that offer it may not
+// answer either, so the VM polls the store next, and soon. Many VMs may be in the same position.
+func (f *Feed) Failed(now time.Time, p Placement) {
+	f.failed = true
+	if at := now.Add(time.Duration(f.jitter() * float64(p.pollInterval()/4))); at.Before(f.pollAt) {
+		f.pollAt = at
+	}
+}
+
+// Fetches reports whether to fetch what a peer offers. If not, the VM polls the store first.
+func (f *Feed) Fetches() bool { return f.lost || !f.failed }
 
 // Announced records that a change is known that another VM will offer. Many VMs learn of it at the
 // same moment. If nobody offers it, they must not poll at the same moment.
--- a/laddervm/fleet_feed.go
+++ b/laddervm/fleet_feed.go
@@ -128,21 +128,27 @@
 	}
 }
 
-// accept fetches what a peer offers, unless another peer will offer it. It returns true if it
-// got something new.
-func (f *fleetFeed) accept(ctx context.Context, o laddermessage.FleetOffer) bool {
-	if o.Revision <= f.feed.Revision() {
+// accept fetches what a peer offers, unless another peer will offer it.
+func (f *fleetFeed) accept(ctx context.Context, o laddermessage.FleetOffer) {
+	if f.wants(o) {
+		f.fetch(ctx, o.From, fetchTimeout)
+	}
+}
+
+// wants reports whether to fetch what a peer offers.
+func (f *fleetFeed) wants(o laddermessage.FleetOffer) bool {
+	if o.Revision <= f.feed.Revision() || !f.feed.Fetches() {
 		return false
 	}
 	if fleet := f.fleet(); !fleet.Accepts(o.From) {
 		f.feed.Announced(f.vm.clock.Now(), fleet.Place())
 		return false
 	}
-	return f.fetch(ctx, o.From, fetchTimeout)
+	return true
 }
 
 // useStore reads, watches or polls the store. If a peer's offer brings the state meanwhile, it
-// gives up.
+// gives up. A peer that offers and does not answer delays nothing.
 func (f *fleetFeed) useStore(ctx context.Context, action ladderfanout.Action) {
 	calling, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -150,13 +156,20 @@
 	results := make(chan storeResult, 1)
 	after := f.feed.Revision()
 	go func() { results <- f.callStore(calling, action, after) }()
+	offers, fetched := f.offers, make(chan fetchResult, 1)
 	for {
 		select {
 		case r := <-results:
 			f.handle(ctx, action, began, r)
 			return
-		case o := <-f.offers:
-			if f.accept(ctx, o) {
+		case o := <-offers:
+			if f.wants(o) {
+				offers = nil
+				go func() { fetched <- f.request(calling, o.From, fetchTimeout) }()
+			}
+		case r := <-fetched:
+			offers = f.offers
+			if f.take(ctx, r) {
 				return
 			}
 		}
@@ -279,26 +292,50 @@
 
 // fetch gets the state of the operators' keys from a peer. It returns true if that was new.
 func (f *fleetFeed) fetch(ctx context.Context, name string, timeout time.Duration) bool {
+	return f.take(ctx, f.request(ctx, name, timeout))
+}
+
+// fetchResult is the state that a peer has sent.
+type fetchResult struct {
+	from  string
+	state laddermessage.FleetState
+	err   error
+}
+
+// errNotRegistered is the error of a fetch from a VM that is no longer registered.
+var errNotRegistered = errors.New("the VM is not registered")
+
+// request asks a peer for its state. It changes nothing.
+func (f *fleetFeed) request(ctx context.Context, name string, timeout time.Duration) fetchResult {
 	p, ok := f.vm.registry.find(name)
 	if !ok {
-		return false
+		return fetchResult{from: name, err: errNotRegistered}
 	}
 	calling, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	reply, err := f.vm.registry.call(calling, p, laddermessage.FleetFetch{Have: f.state.fleetRevision()})
-	if err == nil {
-		switch s, ok := reply.(laddermessage.FleetState); {
-		case !ok:
-			err = fmt.Errorf("unexpected reply %T", reply)
-		case s.Revision <= f.feed.Revision():
+	if err != nil {
+		return fetchResult{from: name, err: err}
+	}
+	s, ok := reply.(laddermessage.FleetState)
+	if !ok {
+		return fetchResult{from: name, err: fmt.Errorf("unexpected reply %T", reply)}
+	}
+	return fetchResult{from: name, state: s}
+}
+
+// take applies the state that a peer has sent. It returns true if it was new.
+func (f *fleetFeed) take(ctx context.Context, r fetchResult) bool {
+	if r.err == nil {
+		if r.state.Revision <= f.feed.Revision() {
 			return false
-		default:
-			if err = f.adopt(ctx, name, s); err == nil {
-				return true
-			}
+		}
+		if r.err = f.adopt(ctx, r.from, r.state); r.err == nil {
+			return true
 		}
 	}
-	f.vm.log.Warn("operators' keys could not be fetched from a peer", "peer", name, "err", err)
+	f.feed.Failed(f.vm.clock.Now(), f.place())
+	f.vm.log.Warn("operators' keys could not be fetched from a peer", "peer", r.from, "err", r.err)
 	return false
 }
 
