Take offers again when the store does not answer

Any end of a call to the store, answered or not, now lets it take offers. TestOffersAreTakenWithoutStore.

--- a/ladderfanout/failed_fetch_test.go
+++ b/ladderfanout/failed_fetch_test.go
@@ -44,3 +44,17 @@
 	action, _ := f.Next(due, p)
 	require.Equal(t, Poll, action)
 }
+
+// TestOffersAreTakenWithoutStore guards against a VM that is cut off from the store and takes no
+// offers either, since one of them once failed.
+func TestOffersAreTakenWithoutStore(t *testing.T) {
+	start, p := time.UnixMilli(0), Placement{Rank: 1, Members: 2}
+	f := NewFeed(start, func() float64 { return 0 })
+	f.Synced(start, 7, p)
+	f.Failed(start, p)
+	require.False(t, f.Fetches())
+	f.Unanswered()
+	require.True(t, f.Fetches())
+	action, _ := f.Next(start, p)
+	require.Equal(t, Poll, action, "the store must be asked again")
+}
--- a/ladderfanout/feed.go
+++ b/ladderfanout/feed.go
@@ -55,7 +55,7 @@
 	// fetchAt and pollAt are when the next fetch and the next poll are due.
 	fetchAt time.Time
 	pollAt  time.Time
-	// failed is true from a fetch that has failed until the store has answered.
+	// failed is true from a fetch that has failed until the next call to the store has ended.
 	failed bool
 	// jitter returns a random number from 0 up to 1.
 	jitter func() float64
@@ -130,6 +130,9 @@
 	}
 }
 
+// Unanswered records that the store did not answer. The VM may depend on its peers now.
+func (f *Feed) Unanswered() { f.failed = false }
+
 // Fetches reports whether to fetch what a peer offers. If not, the VM polls the store first.
 func (f *Feed) Fetches() bool { return f.lost || !f.failed }
 
--- a/laddervm/fleet_feed.go
+++ b/laddervm/fleet_feed.go
@@ -199,6 +199,7 @@
 		f.vm.log.Info("store no longer has the history of the operators' keys", "revision", f.feed.Revision())
 		f.feed.Lost(now)
 	case r.err != nil:
+		f.feed.Unanswered()
 		if ctx.Err() == nil {
 			f.vm.log.Warn("operators' keys could not be read; retrying", "action", action.String(), "revision", f.feed.Revision(),
 				"after", now.Sub(began).Round(time.Millisecond), "err", r.err)
