Submit to a restarted VM once it is ready

The test submitted a job to the restarted VM as soon as there was a new leader. That may be another VM, some milliseconds after the start, and since the configuration comes from peers the restarted one may not have it yet. It says so at its readiness address, so no caller would be sent to it.

The limit on the time without a leader is as it was.

--- a/laddertest/flow_leader_test.go
+++ b/laddertest/flow_leader_test.go
@@ -60,11 +60,15 @@
 	oldLeader.signal(t, syscall.SIGKILL)
 	<-oldLeader.exited
 	f.launch(oldLeader, oldLeader.name)
+	restarted := time.Now()
 	require.Eventually(t, func() bool {
 		log, err := os.ReadFile(oldLeader.log)
 		now, ok, _ := f.platform.Store().Get(ladderjournal.LeaderKey)
 		return err == nil && bytes.Contains(log, []byte("an earlier life of this VM led")) && ok && now.ModRevision > before.ModRevision
 	}, 3*time.Second, 10*time.Millisecond)
+	// Another VM may lead before the restarted one has the configuration. Until then it is not ready.
+	f.awaitReady()
+	require.Less(t, time.Since(restarted), 3*time.Second, "the restarted VM is ready too late")
 	f.await(f.submit(oldLeader, "/fit/", twoTasks), "done", 5*time.Second)
 }
 
