--- a/laddertest/soak_test.go
+++ b/laddertest/soak_test.go
@@ -34,14 +34,14 @@
 	soakDown = 3
 	// soakSettle is how long after the last fault all accepted jobs must have ended.
 	soakSettle = 25 * time.Second
-	// soakStored is how long after a fault of the store an end that is shown may not be stored.
+	// soakStored is how long after a fault of the store VMs may still show ends that are not stored.
 	soakStored = time.Second
 	// soakDrain is how long a VM may take to shut down.
 	soakDrain = 8 * time.Second
 	// soakVisible is how long after a cancellation a task may still start.
 	soakVisible = 3 * time.Second
-	// soakShown is the number of broken promises that are shown.
-	soakShown = 3
+	// soakPrinted is the number of broken promises that a failure prints.
+	soakPrinted = 3
 	// soakDescriptors and soakGoroutines bound what a VM has open at the end.
 	soakDescriptors = 300
 	soakGoroutines  = 600
@@ -54,8 +54,8 @@
 	// cancelled and ended are when a caller knew that the job is cancelled or has ended.
 	cancelled time.Time
 	ended     time.Time
-	// state is the final state that was seen last. It is stored if the store was free of faults
-	// then: without the store, ends are shown that a later leader has yet to hear of again.
+	// state is the final state that was seen last. The field stored is true if the store had no
+	// fault then: during a fault, VMs show ends that the next leader may not know.
 	state  string
 	stored bool
 }
@@ -77,11 +77,11 @@
 	storeFaultyUntil time.Time
 	// down holds the VMs that are dead or stopped.
 	down map[*flowVM]bool
-	// queues is the number of queues of the newest configuration, and shown the number that
-	// each VM has shown.
+	// queues is the number of queues of the newest configuration, and shown the highest number
+	// that each VM is known to serve.
 	queues int
 	shown  map[*flowVM]int
-	// broken holds the broken promises.
+	// broken holds the broken promises, and faults what was done to the cluster.
 	broken []string
 	faults []string
 }
@@ -331,7 +331,7 @@
 	t.Logf("%d jobs accepted, %d queues, %d faults", len(s.jobs), s.queues, len(s.faults))
 	if len(s.broken) > 0 {
 		t.Errorf("go test ./laddertest -run TestSoak -soak.seeds=1 -soak.seed=%d -soak.time=%v\n%d promises broken; the first ones:\n%s\nfaults:\n%s",
-			seed, *soakTime, len(s.broken), strings.Join(s.broken[:min(len(s.broken), soakShown)], "\n"), strings.Join(s.faults, "\n"))
+			seed, *soakTime, len(s.broken), strings.Join(s.broken[:min(len(s.broken), soakPrinted)], "\n"), strings.Join(s.faults, "\n"))
 	}
 }
 
