--- a/ladderplan/model.go
+++ b/ladderplan/model.go
@@ -16,6 +16,8 @@
 	// unstoredEndWorkers holds the workers of successful runs whose ends the store may not hold
 	// yet.
 	unstoredEndWorkers []*worker
+	// shown is true once the end was shown to a caller.
+	shown bool
 	// knownToEarlierLeader is true if an earlier leader may have started tasks of the job.
 	knownToEarlierLeader bool
 	// started is true once a start was ordered for the job, for the first time at startedAt.
--- a/ladderplan/planner.go
+++ b/ladderplan/planner.go
@@ -376,8 +376,10 @@
 	case !ok:
 		return View{}
 	case j.storedState.Final():
+		p.logShown(now, j, true)
 		return View{Known: true, State: j.storedState}
 	case j.state.Final() && now.Sub(j.endedAt) > unstoredEndDelay && j.unstoredEndsListed():
+		p.logShown(now, j, false)
 		return View{Known: true, State: j.state}
 	case j.started:
 		return View{Known: true, State: ladderflow.Running}
@@ -385,6 +387,14 @@
 	return View{Known: true, State: ladderflow.Queued}
 }
 
+// logShown logs that the end of a job is shown to a caller for the first time.
+func (p *Planner) logShown(now time.Time, j *job, stored bool) {
+	if !j.shown {
+		j.shown = true
+		p.log.Info("end of a job shown", "job", j.spec.ID, "stored", stored, "after", now.Sub(j.endedAt).Round(time.Millisecond))
+	}
+}
+
 // QueuedJobs returns the number of jobs of a queue that have not started, as far as is known: a start
 // that is not answered may never have arrived. It does not count jobs with a schedule.
 func (p *Planner) QueuedJobs(queue string) int {
--- a/ladderplan/record.go
+++ b/ladderplan/record.go
@@ -97,6 +97,9 @@
 	}
 	for id, s := range b.states {
 		if j, ok := p.jobs[id]; ok {
+			if s.Final() && !j.storedState.Final() {
+				p.log.Info("end of a job stored", "job", id, "state", s)
+			}
 			j.storedState = s
 			if p.unstoredJobs[id] == nil {
 				j.unstoredEndWorkers = nil
