Show the end of a job only once the store holds it

Cause: the leader showed an end that was not stored after 300 ms, since the workers would list it to the next leader. A worker that crashes or goes lists nothing.

Change: View shows done and failed only if the store holds it; unstoredEndDelay, unstoredEndWorkers and unstoredEndsListed are gone. A cancellation, which is stored before the leader hears of it, is shown at once.

Tests: TestShownJobDoesNotStartAgain failed before. TestEndIsShownWhileStoreIsUnavailable and TestEndOnLeavingWorkerIsNotShown checked the refuted promise (an end shown while it is not stored); TestEndIsShownOnceStored and TestStoredEndIsAcknowledged replace them and cover the same workers and more, without a time after which an end may be shown.

--- a/ladderplan/doc.go
+++ b/ladderplan/doc.go
@@ -20,7 +20,7 @@
 //     each worker of that leader has answered a poll under the new fencing token, or
 //     its lease must have expired.
 //   - The end of a run is acknowledged to its worker only after it was stored. A job
-//     is reported as done only then, except as described at [Planner.View].
+//     is reported as done or failed only then.
 //
 // # Usage
 //
--- a/ladderplan/model.go
+++ b/ladderplan/model.go
@@ -13,9 +13,6 @@
 	// state is final once the job has ended. storedState is the state that the store holds.
 	state       ladderflow.State
 	storedState ladderflow.State
-	// unstoredEndWorkers holds the workers of successful runs whose ends the store may not hold
-	// yet.
-	unstoredEndWorkers []*worker
 	// shown is true once the end was shown to a caller.
 	shown bool
 	// knownToEarlierLeader is true if an earlier leader may have started tasks of the job.
@@ -43,12 +40,6 @@
 	queueFleet *ladderflow.FleetConfig
 }
 
-// unstoredEndsListed reports whether each worker in unstoredEndWorkers will list the ends of its runs
-// until the store holds them. A draining worker may leave before that, and then its list is lost.
-func (j *job) unstoredEndsListed() bool {
-	return !slices.ContainsFunc(j.unstoredEndWorkers, func(w *worker) bool { return !w.leavesAt.IsZero() || !w.listed })
-}
-
 // waited returns the time from the job's acceptance to its first start, as text for logs.
 func (j *job) waited() string {
 	if j.startedAt.IsZero() {
--- a/ladderplan/planner.go
+++ b/ladderplan/planner.go
@@ -108,7 +108,7 @@
 	p.startRound(now, j, 0, spec.Accepted)
 }
 
-// Cancel cancels a job. If the job is unknown, the cancellation is kept until the job is added.
+// Cancel cancels a job whose cancellation the store holds. If the job is unknown, the cancellation is kept until the job is added.
 func (p *Planner) Cancel(now time.Time, id string) {
 	j, ok := p.jobs[id]
 	switch {
@@ -225,7 +225,6 @@
 			p.estimators.observe(j.spec.Queue, t.step.spec.Estimate, now.Sub(x.startedAt))
 			p.observeSpeed(w, t.step, now.Sub(x.startedAt))
 		}
-		j.unstoredEndWorkers = append(j.unstoredEndWorkers, w)
 		p.taskSucceeded(now, t)
 	case e.Reason == ladderflow.EndFailed:
 		p.runFailed(now, w, t, e.Run.Number)
@@ -361,25 +360,19 @@
 	State ladderflow.State
 }
 
-// unstoredEndDelay is how long the end of a job is withheld from callers if the store does not hold
-// it yet. It is several times the duration of a store transaction. If the store is unavailable for
-// longer, callers see the end nevertheless: the workers still list the ends of the runs, so the
-// next leader would reach the same state. The list of a worker that is leaving may be lost, so an
-// end that depends on it is withheld until it is stored.
-const unstoredEndDelay = 300 * time.Millisecond
-
-// View returns the state of a job. The end is visible once the store holds it, or after
-// unstoredEndDelay if the workers still list the ends of the runs.
+// View returns the state of a job. The end of a job is visible once the store holds it: until then it
+// may be lost, with the worker that lists it and with this leader, and the tasks then run again.
 func (p *Planner) View(now time.Time, id string) View {
 	j, ok := p.jobs[id]
 	switch {
 	case !ok:
 		return View{}
 	case j.storedState.Final():
-		p.logShown(now, j, true)
+		p.logShown(now, j, j.storedState)
 		return View{Known: true, State: j.storedState}
-	case j.state.Final() && now.Sub(j.endedAt) > unstoredEndDelay && j.unstoredEndsListed():
-		p.logShown(now, j, false)
+	case j.state == ladderflow.Cancelled:
+		// The store holds the cancellation itself.
+		p.logShown(now, j, j.state)
 		return View{Known: true, State: j.state}
 	case j.started:
 		return View{Known: true, State: ladderflow.Running}
@@ -388,10 +381,10 @@
 }
 
 // logShown logs that the end of a job is shown to a caller for the first time.
-func (p *Planner) logShown(now time.Time, j *job, stored bool) {
+func (p *Planner) logShown(now time.Time, j *job, state ladderflow.State) {
 	if !j.shown {
 		j.shown = true
-		p.log.Info("end of a job shown", "job", j.spec.ID, "stored", stored, "after", now.Sub(j.endedAt).Round(time.Millisecond))
+		p.log.Info("end of a job shown", "job", j.spec.ID, "state", state, "after", now.Sub(j.endedAt).Round(time.Millisecond))
 	}
 }
 
--- a/ladderplan/planner_test.go
+++ b/ladderplan/planner_test.go
@@ -223,51 +223,123 @@
 	require.Len(t, h.startAll(), 3)
 }
 
-// TestEndIsShownWhileStoreIsUnavailable checks that the end of a job is withheld while the store
-// does not hold it, but not for longer than unstoredEndDelay.
-func TestEndIsShownWhileStoreIsUnavailable(t *testing.T) {
-	h := newHarness(t, 1)
-	h.submit("a", stepOf(1))
-	h.endRun(h.startAll()[0], ladderflow.EndDone)
-	batch := h.planner.NextBatch()
-	require.Equal(t, ladderflow.Running, h.planner.View(h.now, "a").State)
-	h.planner.BatchNotStored(batch)
-	h.advance(unstoredEndDelay + time.Millisecond)
-	require.Equal(t, ladderflow.Done, h.planner.View(h.now, "a").State)
-	next, _ := h.planner.NextPoll(h.now, "w0")
-	require.Zero(t, next.Acknowledged, "the end is not acknowledged to the worker yet")
-	h.storeAll()
-	next, _ = h.planner.NextPoll(h.now, "w0")
-	require.EqualValues(t, 1, next.Acknowledged)
+// TestShownJobDoesNotStartAgain lets a job end, and its worker and its leader with it. The store takes
+// the end before that or never. If the end was shown to callers, however late, the next leader must
+// show it as well and start nothing.
+func TestShownJobDoesNotStartAgain(t *testing.T) {
+	for name, c := range map[string]struct {
+		stored bool
+		reason ladderflow.EndReason
+		state  ladderflow.State
+	}{
+		"succeeded, the store is unavailable": {reason: ladderflow.EndDone, state: ladderflow.Done},
+		"succeeded, the end is stored":        {stored: true, reason: ladderflow.EndDone, state: ladderflow.Done},
+		"failed, the store is unavailable":    {reason: ladderflow.EndFailed, state: ladderflow.Failed},
+		"failed, the end is stored":           {stored: true, reason: ladderflow.EndFailed, state: ladderflow.Failed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 2)
+			h.planner.fleet.Queues[0].MaxFailures = 1
+			j := testJob(h.now, "a", stepOf(1))
+			h.planner.AddJob(h.now, j, false)
+			h.endRun(h.startAll()[0], c.reason)
+			batch := h.planner.NextBatch()
+			var records []Record
+			if c.stored {
+				h.planner.BatchStored(batch)
+				records = batch.Records
+			} else {
+				h.planner.BatchNotStored(batch)
+			}
+			var shown View
+			for range 20 {
+				h.advance(500 * time.Millisecond)
+				h.pollAll(nil)
+				h.plan()
+				if shown = h.planner.View(h.now, "a"); shown.State.Final() {
+					break
+				}
+			}
+			next := h.nextLeader([]*ladderflow.Job{j}, records, 2)
+			next.pollAll(nil)
+			starts := next.startAll()
+			if shown.State.Final() {
+				require.Equal(t, c.state, shown.State)
+				require.Empty(t, starts, "the job was shown as %s", shown.State)
+				require.Equal(t, shown, next.planner.View(next.now, "a"))
+			}
+			require.Equal(t, c.stored, shown.State.Final())
+		})
+	}
 }
 
-// TestEndOnLeavingWorkerIsNotShown checks that an end that is not stored is withheld if its worker
-// starts to leave, before or after the end. The worker's list of ends is lost when it leaves, so
-// the next leader could not reproduce the state that callers had seen.
-func TestEndOnLeavingWorkerIsNotShown(t *testing.T) {
-	for name, leavesFirst := range map[string]bool{"worker leaves before the end": true, "worker leaves after the end": false} {
+// TestEndIsShownOnceStored checks that the end of a job is withheld for as long as the store does not
+// hold it, whatever becomes of the job's worker meanwhile, and is shown as soon as the store does. The
+// worker may crash or go at any time, and its list of ends with it.
+func TestEndIsShownOnceStored(t *testing.T) {
+	leave := func(h *harness) {
+		w := testWorker(0)
+		w.Draining, w.RemainingTime = true, 3*time.Second
+		h.planner.SetWorkers(h.now, []ladderflow.Worker{w})
+	}
+	nothing := func(*harness) {}
+	for name, c := range map[string]struct{ before, after func(*harness) }{
+		"worker stays":                         {nothing, nothing},
+		"worker leaves before the end":         {leave, nothing},
+		"worker leaves after the end":          {nothing, leave},
+		"worker is not listed after the end":   {nothing, func(h *harness) { h.planner.SetWorkers(h.now, nil) }},
+		"worker does not answer after the end": {nothing, func(h *harness) { h.planner.PollFailed("w0", false) }},
+		"worker restarts after the end": {nothing, func(h *harness) {
+			h.poll("w0", ladderflow.StatusReport{Incarnation: 7})
+		}},
+	} {
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(t, 1)
 			h.submit("a", stepOf(1))
 			s := h.startAll()[0]
-			leave := func() {
-				w := testWorker(0)
-				w.Draining, w.RemainingTime = true, 3*time.Second
-				h.planner.SetWorkers(h.now, []ladderflow.Worker{w})
-			}
-			if leavesFirst {
-				leave()
-			}
+			c.before(h)
 			h.endRun(s, ladderflow.EndDone)
-			batch := h.planner.NextBatch()
-			h.planner.BatchNotStored(batch)
-			if !leavesFirst {
-				leave()
+			c.after(h)
+			for range 20 {
+				batch := h.planner.NextBatch()
+				require.Len(t, batch.Records, 1, "the end is in each batch until one is stored")
+				require.Equal(t, ladderflow.Running, h.planner.View(h.now, "a").State)
+				h.planner.BatchNotStored(batch)
+				next, _ := h.planner.NextPoll(h.now, "w0")
+				require.Zero(t, next.Acknowledged, "the end is not acknowledged to the worker yet")
+				h.advance(time.Second)
 			}
-			h.advance(2 * unstoredEndDelay)
-			require.Equal(t, ladderflow.Running, h.planner.View(h.now, "a").State)
 			h.storeAll()
 			require.Equal(t, ladderflow.Done, h.planner.View(h.now, "a").State)
 		})
 	}
 }
+
+// TestStoredEndIsAcknowledged checks that the end of a run is acknowledged to its worker once it is
+// stored, and not before.
+func TestStoredEndIsAcknowledged(t *testing.T) {
+	h := newHarness(t, 1)
+	h.submit("a", stepOf(1))
+	h.endRun(h.startAll()[0], ladderflow.EndDone)
+	batch := h.planner.NextBatch()
+	h.planner.BatchNotStored(batch)
+	next, _ := h.planner.NextPoll(h.now, "w0")
+	require.Zero(t, next.Acknowledged)
+	h.storeAll()
+	next, _ = h.planner.NextPoll(h.now, "w0")
+	require.EqualValues(t, 1, next.Acknowledged)
+}
+
+// TestCancellationIsShownAtOnce checks that a cancellation, which the store holds before the leader
+// learns of it, is shown without a record of the job.
+func TestCancellationIsShownAtOnce(t *testing.T) {
+	h := newHarness(t, 1)
+	j := testJob(h.now, "a", stepOf(1))
+	h.planner.AddJob(h.now, j, false)
+	h.startAll()
+	h.planner.Cancel(h.now, "a")
+	require.Equal(t, ladderflow.Cancelled, h.planner.View(h.now, "a").State)
+	next := h.nextLeader([]*ladderflow.Job{j}, nil, 1)
+	next.planner.Cancel(next.now, "a")
+	require.Equal(t, ladderflow.Cancelled, next.planner.View(next.now, "a").State)
+}
--- a/ladderplan/record.go
+++ b/ladderplan/record.go
@@ -101,9 +101,6 @@
 				p.log.Info("end of a job stored", "job", id, "state", s)
 			}
 			j.storedState = s
-			if p.unstoredJobs[id] == nil {
-				j.unstoredEndWorkers = nil
-			}
 		}
 	}
 	for _, id := range b.JobsToDelete {
--- a/ladderproof/flow_simulation_test.go
+++ b/ladderproof/flow_simulation_test.go
@@ -126,6 +126,8 @@
 	// succeeded holds the tasks that ended successfully, acknowledged or not.
 	succeeded map[ladderflow.Task]bool
 	cancelled map[string]bool
+	// shown holds the final states that leaders have shown, by job.
+	shown map[string]ladderflow.State
 	// steps and starts count the checked actions and the started runs of all simulations.
 	steps  *int
 	starts *int
@@ -151,7 +153,8 @@
 func newFlowSimulation(t *rapid.T, steps, starts *int) *flowSimulation {
 	sim := &flowSimulation{
 		t: t, now: time.UnixMilli(1_000_000), acknowledgedDone: map[ladderflow.Task]bool{},
-		acknowledgedFailures: map[ladderflow.Task]map[int]bool{}, succeeded: map[ladderflow.Task]bool{}, cancelled: map[string]bool{}, steps: steps, starts: starts,
+		acknowledgedFailures: map[ladderflow.Task]map[int]bool{}, succeeded: map[ladderflow.Task]bool{}, cancelled: map[string]bool{},
+		shown: map[string]ladderflow.State{}, steps: steps, starts: starts,
 	}
 	sim.clock = ladderclock.NewManual(sim.now)
 	sim.store = &flowStore{store: ladderstand.NewStore(sim.clock)}
@@ -355,6 +358,9 @@
 	if sim.gang(key) {
 		key.Index = 0
 	}
+	if state := sim.shown[r.Task.Job]; state == ladderflow.Done || state == ladderflow.Failed {
+		sim.fail(r.Task.Job, "task %v started again after its job was shown as %s", r.Task, state)
+	}
 	if sim.acknowledgedDone[key] {
 		sim.fail(r.Task.Job, "task %v started again after its successful end was acknowledged", r.Task)
 	}
@@ -450,13 +456,28 @@
 	}
 	for _, l := range sim.leaders {
 		for _, j := range sim.jobs {
-			if v := l.planner.View(sim.now, j.ID); v.State == ladderflow.Done && len(sim.unfinished(j)) > 0 {
+			v := l.planner.View(sim.now, j.ID)
+			if v.State == ladderflow.Done && len(sim.unfinished(j)) > 0 {
 				sim.fail(j.ID, "job %s is reported as done, but task %v has not succeeded", j.ID, sim.unfinished(j)[0])
 			}
+			sim.checkShown(l, j.ID, v.State)
 		}
 	}
 }
 
+// checkShown checks the state of a job that a leader shows. Once a leader has shown a final state, no
+// leader shows another one, and the newest leader shows that one.
+func (sim *flowSimulation) checkShown(l *flowLeader, job string, state ladderflow.State) {
+	earlier, ok := sim.shown[job]
+	switch {
+	case ok && state != earlier && (state.Final() || l == sim.leaders[len(sim.leaders)-1]):
+		sim.fail(job, "job %s is shown as %s by leader %d after it was shown as %s", job, state, l.fence, earlier)
+	case !ok && state.Final():
+		sim.tracef("job %s is shown as %s by leader %d", job, state, l.fence)
+		sim.shown[job] = state
+	}
+}
+
 // unfinished returns the tasks of a job that have not succeeded on any worker.
 func (sim *flowSimulation) unfinished(j *ladderflow.Job) []ladderflow.Task {
 	var list []ladderflow.Task
--- a/ladderproof/flow_test.go
+++ b/ladderproof/flow_test.go
@@ -28,6 +28,8 @@
 //     maximum number of acknowledged failures.
 //   - A leader orders no start of a job whose cancellation it has received.
 //   - No leader reports a job as done before all its tasks have succeeded.
+//   - Once a leader has shown a job as done or failed, none of its tasks starts again.
+//   - Once a leader has shown a final state of a job, the newest leader shows the same one.
 func TestFlowUnderInterleaving(t *testing.T) {
 	steps, starts := 0, 0
 	rapid.Check(t, func(rt *rapid.T) {
--- a/laddertest/soak_faults_test.go
+++ b/laddertest/soak_faults_test.go
@@ -34,12 +34,10 @@
 		off := map[string]string{"down": "down=false", "mute": "mute=false", "lost": "lost=false", "slow": "slow=0s"}
 		name, _, _ := strings.Cut(on, "=")
 		s.note("store %s for %v", on, length)
-		s.storeFault(1)
 		s.setSwitch(on)
 		s.wait.Go(func() {
 			s.pause(length)
 			s.setSwitch(off[name])
-			s.storeFault(-1)
 		})
 	case 6:
 		s.note("store forgets its history")
@@ -55,17 +53,6 @@
 	}
 }
 
-// storeFault counts the faults of the store that last.
-func (s *soak) storeFault(change int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.storeFaults += change
-	s.storeFaultyUntil = time.Now()
-	if s.storeFaults > 0 {
-		s.storeFaultyUntil = s.storeFaultyUntil.Add(time.Hour)
-	}
-}
-
 // disturbVM kills, stops or shuts down a VM, and has it run again after some time.
 func (s *soak) disturbVM(v *flowVM, kind int, length time.Duration) {
 	switch kind {
--- a/laddertest/soak_test.go
+++ b/laddertest/soak_test.go
@@ -34,8 +34,6 @@
 	soakDown = 3
 	// soakSettle is how long after the last fault all accepted jobs must have ended.
 	soakSettle = 25 * time.Second
-	// soakStored is how long after a fault of the store VMs may still show ends that are not stored.
-	soakStored = time.Second
 	// soakDrain is how long a VM may take to shut down.
 	soakDrain = 8 * time.Second
 	// soakVisible is how long after a cancellation a task may still start.
@@ -54,10 +52,8 @@
 	// cancelled and ended are when a caller knew that the job is cancelled or has ended.
 	cancelled time.Time
 	ended     time.Time
-	// state is the final state that was seen last. The field stored is true if the store had no
-	// fault then: during a fault, VMs show ends that the next leader may not know.
-	state  string
-	stored bool
+	// state is the final state that was seen.
+	state string
 }
 
 // soak is one run of the soak. Its fields below mu are shared by all goroutines.
@@ -71,10 +67,6 @@
 	jobs []*soakJob
 	// byID holds the accepted jobs.
 	byID map[string]*soakJob
-	// storeFaults is the number of faults of the store that last, and storeFaultyUntil when the
-	// store was last seen to have one.
-	storeFaults      int
-	storeFaultyUntil time.Time
 	// down holds the VMs that are dead or stopped.
 	down map[*flowVM]bool
 	// queues is the number of queues of the newest configuration, and shown the highest number
@@ -186,14 +178,14 @@
 	switch {
 	case state == "gone":
 		s.breakPromise(j.id, "%s was accepted, and %s does not know it", j.path, v.name)
-	case j.stored && j.ended.Before(asked) && state != j.state:
+	case !j.ended.IsZero() && j.ended.Before(asked) && state != j.state:
 		s.breakPromise(j.id, "%s was %s, and %s says %s", j.path, j.state, v.name, state)
 	}
 	if state == "done" || state == "failed" {
 		if j.ended.IsZero() {
 			j.ended = time.Now()
 		}
-		j.state, j.stored = state, j.stored || asked.Sub(s.storeFaultyUntil) > soakStored
+		j.state = state
 	}
 }
 
