Do not stop a gang for the end of its earlier run

What callers would see: a gang that started again after a lost lease is stopped once more and ends late.

Cause: any end of a member that is not a success stopped all runs of the gang, whatever their number. A worker that comes back lists the end of run 1 after run 2 has begun.

Change: only runs up to the number that ended are stopped. TestEarlierEndDoesNotStopGang failed before for runs that lapsed, were stopped or failed (two stops each), and passes now.

--- a/ladderplan/gang_test.go
+++ b/ladderplan/gang_test.go
@@ -126,3 +126,32 @@
 	h.submit("a", s)
 	require.Len(t, h.startAll(), 6)
 }
+
+// TestEarlierEndDoesNotStopGang lists the end of a gang's first run after its second run has started.
+func TestEarlierEndDoesNotStopGang(t *testing.T) {
+	for _, reason := range []ladderflow.EndReason{ladderflow.EndLeaseExpired, ladderflow.EndStopped, ladderflow.EndFailed} {
+		t.Run(string(reason), func(t *testing.T) {
+			h := newHarness(t, 2)
+			h.planner.fleet.Queues[0].BaseObjective = time.Minute
+			h.submit("a", gangOf(2))
+			for _, s := range h.startAll() {
+				h.planner.PollFailed(s.Worker.ID, false)
+			}
+			h.advance(20 * time.Second)
+			h.plan() // The leases have expired.
+			h.pollAll(nil)
+			h.advance(idlePassInterval)
+			second := h.startAll()
+			require.Len(t, second, 2)
+			require.Equal(t, 2, second[0].Run.Number)
+			first := second[0]
+			first.Run.Number = 1
+			h.ends[first.Worker.ID]++
+			h.poll(first.Worker.ID, ladderflow.StatusReport{
+				Running: h.otherRuns(first),
+				Ended:   []ladderflow.EndedRun{{Sequence: h.ends[first.Worker.ID], Run: first.Run, Reason: reason}},
+			})
+			require.Empty(t, h.plan().Stops)
+		})
+	}
+}
--- a/ladderplan/planner.go
+++ b/ladderplan/planner.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -230,7 +231,7 @@
 		p.runFailed(now, w, t, e.Run.Number)
 	}
 	if t.step.spec.Gang && e.Reason != ladderflow.EndDone && j.active() {
-		p.stopGang(now, t.step)
+		p.stopGangRun(now, t.step, e.Run.Number)
 	}
 }
 
@@ -347,9 +348,17 @@
 // stopGang stops all runs of a gang. Its members work only together, so the gang cannot continue
 // without one of them.
 func (p *Planner) stopGang(now time.Time, s *step) {
+	p.stopGangRun(now, s, math.MaxInt)
+}
+
+// stopGangRun stops the runs of a gang up to the given number. A worker may list the end of an earlier
+// run after a later one has started.
+func (p *Planner) stopGangRun(now time.Time, s *step, number int) {
 	for _, t := range s.tasks {
 		for _, x := range t.runs {
-			p.stopRun(now, x, "the gang cannot continue")
+			if x.name.Number <= number {
+				p.stopRun(now, x, "the gang cannot continue")
+			}
 		}
 	}
 }
