Start no job that a leader heard of while it may have been replaced

What callers would see: a task that runs twice at the same time (TWICE).

Cause: while the store does not answer a leader, it goes on for 4 s after its lease may have expired. If only its own calls hang, another VM may lead by then. A job that is stored after that leader has read the store, and of which the former one is told, is started by the former; the new one finds it later as a job that no earlier leader knew, and starts it as well. The same rule held for workers already.

Change: a job starts only once leadership was confirmed after it became known. TestJobHeardOfInDoubtDoesNotStart failed before and passes now.

--- a/ladderplan/model.go
+++ b/ladderplan/model.go
@@ -15,6 +15,8 @@
 	storedState ladderflow.State
 	// shown is true once the end was shown to a caller.
 	shown bool
+	// addedAt is when this leader learned of the job.
+	addedAt time.Time
 	// knownToEarlierLeader is true if an earlier leader may have started tasks of the job.
 	knownToEarlierLeader bool
 	// started is true once a start was ordered for the job, for the first time at startedAt.
--- a/ladderplan/place.go
+++ b/ladderplan/place.go
@@ -49,7 +49,7 @@
 	// LeadershipProbable means that the leader lease may have expired, but that no other VM seems
 	// able to win the election. No task starts on a worker incarnation that was first seen in this
 	// state: the worker may not have seen any fencing token, and so could not reject an outdated
-	// start.
+	// start. Nor does a task of a job that was first heard of in this state.
 	LeadershipProbable
 	// LeadershipConfirmed means that the leader lease is valid.
 	LeadershipConfirmed
@@ -90,6 +90,9 @@
 		if !p.earlierRunsKnown && s.round.job.knownToEarlierLeader {
 			continue
 		}
+		if s.round.job.addedAt.After(p.confirmedAt) {
+			continue // The next leader may not know the job, and would not wait for its runs.
+		}
 		if p.startLimitReached() {
 			break
 		}
--- a/ladderplan/planner.go
+++ b/ladderplan/planner.go
@@ -95,7 +95,7 @@
 	}
 	j := newJob(spec)
 	j.estimateDurations(p.estimators, p.adviceTime(j))
-	j.knownToEarlierLeader = knownToEarlierLeader
+	j.addedAt, j.knownToEarlierLeader = now, knownToEarlierLeader
 	p.jobs[spec.ID] = j
 	if _, ok := p.cancellations[spec.ID]; ok {
 		delete(p.cancellations, spec.ID)
--- a/ladderplan/takeover_test.go
+++ b/ladderplan/takeover_test.go
@@ -307,3 +307,19 @@
 		})
 	}
 }
+
+// TestJobHeardOfInDoubtDoesNotStart adds a job to a leader that may have been replaced. The next leader
+// need not know the job, and could start it as well.
+func TestJobHeardOfInDoubtDoesNotStart(t *testing.T) {
+	h := newHarness(t, 2)
+	h.submit("a", stepOf(1))
+	h.planner.Plan(h.now, h.now, LeadershipConfirmed)
+	h.advance(idlePassInterval)
+	h.pollAll(nil)
+	h.submit("b", stepOf(1))
+	require.Empty(t, h.planner.Plan(h.now, h.now, LeadershipProbable).Starts)
+	h.advance(idlePassInterval)
+	o := h.planner.Plan(h.now, h.now, LeadershipConfirmed)
+	require.Len(t, o.Starts, 1)
+	require.Equal(t, "b", o.Starts[0].Run.Task.Job)
+}
