Do not start a job that was deleted from the store

What callers would see: a job that was done minutes ago runs again (TWICE).

Cause: a leader that lost the store's history reads all jobs again. A job that is read before, and deleted while, the rest is read is unknown when the result is applied, and counts as new.

Change: the leader remembers jobs that it deleted for some time and ignores an item with the same time of acceptance; a job handed in later under the same id starts. TestDeletedJobDoesNotStartAgain failed before (one start) and passes now.

--- a/ladderplan/place.go
+++ b/ladderplan/place.go
@@ -60,7 +60,7 @@
 func (p *Planner) Plan(now, wall time.Time, confidence Confidence) Orders {
 	p.expireLeases(now)
 	p.startDueRounds(now, wall)
-	p.pruneCancellations(now)
+	p.prune(now)
 	if confidence == LeadershipConfirmed {
 		p.confirmedAt = now
 	}
--- a/ladderplan/planner.go
+++ b/ladderplan/planner.go
@@ -18,7 +18,9 @@
 	// cancellations maps the ids of jobs that are not known yet to the time at which they were
 	// canceled.
 	cancellations map[string]time.Time
-	workers       map[string]*worker
+	// deletedJobs holds the jobs that were deleted from the store lately.
+	deletedJobs map[string]deletedJob
+	workers     map[string]*worker
 	// workersAdded counts the workers that were ever added.
 	workersAdded int
 	// sortedWorkers holds the workers sorted by id. It is nil after a worker was added or dropped.
@@ -67,14 +69,14 @@
 	storeServingSince time.Time
 	// confirmedAt is when leadership was last confirmed.
 	confirmedAt time.Time
-	// nextPrune is when old cancellations are next discarded.
+	// nextPrune is when old cancellations and entries of deleted jobs are next discarded.
 	nextPrune time.Time
 }
 
 // New returns a planner without jobs and workers for a newly elected leader.
 func New(o Options) *Planner {
 	return &Planner{
-		options: o, log: o.Log, jobs: map[string]*job{}, cancellations: map[string]time.Time{},
+		options: o, log: o.Log, jobs: map[string]*job{}, cancellations: map[string]time.Time{}, deletedJobs: map[string]deletedJob{},
 		workers: map[string]*worker{}, pools: map[string][]*worker{}, unseenWorkers: map[string]bool{},
 		unstoredJobs: map[string]*job{}, estimators: durationEstimators{}, spreads: spreads{}, advisers: newAdvisers(),
 	}
@@ -93,6 +95,9 @@
 	if _, ok := p.jobs[spec.ID]; ok {
 		return
 	}
+	if d, ok := p.deletedJobs[spec.ID]; ok && !spec.Accepted.After(d.accepted) {
+		return // The item was read before it was deleted.
+	}
 	j := newJob(spec)
 	j.estimateDurations(p.estimators, p.adviceTime(j))
 	j.addedAt, j.knownToEarlierLeader = now, knownToEarlierLeader
--- a/ladderplan/record.go
+++ b/ladderplan/record.go
@@ -7,7 +7,7 @@
 	"lacewingladder/ladderflow"
 )
 
-// pruneInterval is the time between two searches for old cancellations.
+// pruneInterval is the time between two searches for old cancellations and deleted jobs.
 const pruneInterval = 5 * time.Second
 
 // Record is the stored progress of a job.
@@ -104,6 +104,9 @@
 		}
 	}
 	for _, id := range b.JobsToDelete {
+		if j, ok := p.jobs[id]; ok {
+			p.deletedJobs[id] = deletedJob{accepted: j.spec.Accepted, endedAt: j.endedAt}
+		}
 		delete(p.jobs, id)
 	}
 }
@@ -224,9 +227,19 @@
 	return started
 }
 
-// pruneCancellations discards the cancellations of jobs that have not become known within
-// [Options.JobRetention].
-func (p *Planner) pruneCancellations(now time.Time) {
+// deletedJob identifies a job that was deleted from the store.
+type deletedJob struct {
+	accepted time.Time
+	endedAt  time.Time
+}
+
+// deletedJobRetention is how long after its end a deleted job is remembered, as a multiple of
+// [Options.JobRetention]. A read of all items that began before the deletion must end before that.
+const deletedJobRetention = 2
+
+// prune discards the cancellations of jobs that have not become known within [Options.JobRetention],
+// and old entries of deleted jobs.
+func (p *Planner) prune(now time.Time) {
 	if now.Before(p.nextPrune) {
 		return
 	}
@@ -236,6 +249,11 @@
 			delete(p.cancellations, id)
 		}
 	}
+	for id, d := range p.deletedJobs {
+		if now.Sub(d.endedAt) > deletedJobRetention*p.options.JobRetention {
+			delete(p.deletedJobs, id)
+		}
+	}
 }
 
 // ExpiredJobs returns the ids of at most limit ended jobs that callers can no longer query.
--- a/ladderplan/record_test.go
+++ b/ladderplan/record_test.go
@@ -153,3 +153,24 @@
 	h.poll(other, ladderflow.StatusReport{})
 	require.Len(t, h.plan().Starts, 1)
 }
+
+// TestDeletedJobDoesNotStartAgain adds a job that was deleted from the store, as a slow read of the
+// store does that began before. A job that is handed in again under the same id must start.
+func TestDeletedJobDoesNotStartAgain(t *testing.T) {
+	h := newHarness(t, 1)
+	j := testJob(h.now, "a", stepOf(1))
+	h.planner.AddJob(h.now, j, false)
+	h.endRun(h.startAll()[0], ladderflow.EndDone)
+	h.storeAll()
+	b := h.planner.NextBatch()
+	b.JobsToDelete = []string{"a"}
+	h.planner.BatchStored(b)
+	h.advance(time.Second)
+	h.pollAll(nil)
+	h.planner.AddJob(h.now, testJob(j.Accepted, "a", stepOf(1)), false)
+	require.Empty(t, h.startAll())
+	require.False(t, h.planner.View(h.now, "a").Known)
+
+	h.planner.AddJob(h.now, testJob(h.now, "a", stepOf(1)), false)
+	require.Len(t, h.startAll(), 1)
+}
