Give up a task that crashes the workers that start it

Cause: the planner dropped the runs of a crashed worker and started their tasks again without a count.

Now a crash is counted against each task whose run was under way, once, in the job's record, and a start after it waits for the store to hold the count, unless the store is away. A task whose run had just started is a suspect: it starts again on a worker where nothing else starts for a second, with no runs if one is to be had. The second crash settles it if no other task that had just started has had one before; the third in any case. Such a job is failed, and shown so once that is stored.

Works because the guilty task is always among those that had just started, and suspects never start on one worker within a second.

The tests failed with the count switched off.

--- a/ladderjournal/codec.go
+++ b/ladderjournal/codec.go
@@ -162,6 +162,38 @@
 	LastClosedRun int
 	Failed        []int
 	Checkpoint    string
+	Crashes       int
+	Suspect       bool
+}
+
+// taskWireWithoutCrashes is the stored form of a task from before crashes were counted.
+type taskWireWithoutCrashes struct {
+	_             struct{} `cbor:",toarray"`
+	Index         int
+	Done          bool
+	LastRun       int
+	LastClosedRun int
+	Failed        []int
+	Checkpoint    string
+}
+
+// cborArrayOfSix is the first byte of a stored taskWireWithoutCrashes.
+const cborArrayOfSix = 0x86
+
+// UnmarshalCBOR decodes both stored forms of a task.
+func (t *taskWire) UnmarshalCBOR(data []byte) error {
+	if len(data) > 0 && data[0] == cborArrayOfSix {
+		var o taskWireWithoutCrashes
+		if err := decoder.Unmarshal(data, &o); err != nil {
+			return err
+		}
+		*t = taskWire{
+			Index: o.Index, Done: o.Done, LastRun: o.LastRun, LastClosedRun: o.LastClosedRun, Failed: o.Failed, Checkpoint: o.Checkpoint,
+		}
+		return nil
+	}
+	type plain taskWire // It has no methods, so that its decoding does not come back here.
+	return decoder.Unmarshal(data, (*plain)(t))
 }
 
 // EncodeRecord returns the stored form of a job's progress.
@@ -174,6 +206,7 @@
 			for _, t := range s.Tasks {
 				sw.Tasks = append(sw.Tasks, taskWire{
 					Index: t.Index, Done: t.Done, LastRun: t.LastRun, LastClosedRun: t.LastClosedRun, Failed: t.Failed, Checkpoint: t.Checkpoint,
+					Crashes: t.Crashes, Suspect: t.Suspect,
 				})
 			}
 			rw.Steps = append(rw.Steps, sw)
@@ -197,6 +230,7 @@
 			for _, t := range s.Tasks {
 				sr.Tasks = append(sr.Tasks, ladderplan.TaskRecord{
 					Index: t.Index, Done: t.Done, LastRun: t.LastRun, LastClosedRun: t.LastClosedRun, Failed: t.Failed, Checkpoint: t.Checkpoint,
+					Crashes: t.Crashes, Suspect: t.Suspect,
 				})
 			}
 			rr.Steps = append(rr.Steps, sr)
--- a/ladderjournal/journal_test.go
+++ b/ladderjournal/journal_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
 
 	"lacewingladder/ladderclock"
@@ -208,7 +209,9 @@
 		Job: ids[1], State: ladderflow.Running, CompletedRounds: []int{0},
 		Rounds: []ladderplan.RoundRecord{{Index: 1, Steps: []ladderplan.StepRecord{
 			{Done: true, Failed: []int{2}, Checkpoint: "s"},
-			{Tasks: []ladderplan.TaskRecord{{Index: 4, Done: true, LastRun: 3, LastClosedRun: 2, Failed: []int{2}, Checkpoint: "x"}}},
+			{Tasks: []ladderplan.TaskRecord{{
+				Index: 4, Done: true, LastRun: 3, LastClosedRun: 2, Failed: []int{2}, Checkpoint: "x", Crashes: 2, Suspect: true,
+			}}},
 		}}},
 	}
 	require.NoError(t, p.Commit(ctx, []ladderplan.Record{r}))
@@ -274,3 +277,17 @@
 	require.NoError(t, err)
 	require.Len(t, c.Records, 2)
 }
+
+// TestDecodeRecordWithoutCrashes decodes a record from before the crashes of workers were counted.
+func TestDecodeRecordWithoutCrashes(t *testing.T) {
+	task := []any{4, true, 3, 2, []int{2}, "x"}
+	data, err := cbor.Marshal([]any{"running", []any{[]any{1, []any{[]any{false, []any{task}, nil, ""}}}}, nil})
+	require.NoError(t, err)
+	r, err := DecodeRecord("j", data)
+	require.NoError(t, err)
+	require.Equal(t, ladderplan.Record{Job: "j", State: ladderflow.Running, Rounds: []ladderplan.RoundRecord{{
+		Index: 1, Steps: []ladderplan.StepRecord{{Tasks: []ladderplan.TaskRecord{
+			{Index: 4, Done: true, LastRun: 3, LastClosedRun: 2, Failed: []int{2}, Checkpoint: "x"},
+		}}},
+	}}}, r)
+}
--- a/ladderplan/gang.go
+++ b/ladderplan/gang.go
@@ -48,6 +48,9 @@
 		if !t.needsRun() {
 			return true // Runs of an earlier attempt are still being removed.
 		}
+		if !sp.mayRestart(t) {
+			return true
+		}
 	}
 	list := sp.candidates()
 	if s.spec.PreferSameRack {
@@ -75,15 +78,8 @@
 		number = max(number, t.lastRun+1)
 	}
 	s.gang.lastRun = number
-	i := 0
-	for _, c := range list {
-		for range c.slots {
-			if i == len(s.tasks) {
-				return true
-			}
-			sp.start(s.tasks[i], c.worker, number, s.gang.checkpoint)
-			i++
-		}
+	for i, w := range sp.assignGang(list) {
+		sp.start(s.tasks[i], w, number, s.gang.checkpoint)
 	}
 	return true
 }
--- a/ladderplan/model.go
+++ b/ladderplan/model.go
@@ -30,6 +30,11 @@
 	completedRounds map[int]bool
 	nextRound       int
 	endedAt         time.Time
+	// crashes counts the crashes of workers that were counted against the job's tasks, and storedCrashes
+	// those that the store holds. givenUp is true if the job failed because of them.
+	crashes       int
+	storedCrashes int
+	givenUp       bool
 	// durations holds the expected duration of a task of each step. criticalPaths holds, for each
 	// step, the expected duration of the longest chain of dependent steps that begins with it,
 	// including one advice query for each step. Both were computed when steps of the job last became
@@ -137,7 +142,14 @@
 	checkpoint string
 	// preempted is true once a run of the task was stopped for a more urgent one.
 	preempted bool
-	runs      []*run
+	// crashes is the number of workers that crashed while a run of the task was under way, the last time
+	// at crashedAt. suspect is true if the run had just started in one of them, and suspectSince is
+	// since when the task has been waiting for a worker of its own.
+	crashes      int
+	crashedAt    time.Time
+	suspect      bool
+	suspectSince time.Time
+	runs         []*run
 }
 
 func (t *task) name() ladderflow.Task {
@@ -175,6 +187,8 @@
 	// confirmed is true once the worker has accepted the start or listed the run.
 	startSettledAt time.Time
 	confirmed      bool
+	// crashed is true once the crash of the run's worker was counted.
+	crashed bool
 	// startedAt is when the start was ordered, and after a reply that accepts it, when that reply
 	// arrived. For a run that an earlier leader started, it is when this leader first saw the run.
 	startedAt time.Time
@@ -243,6 +257,9 @@
 	runOrder      []*run
 	releases      []capacityRelease
 	releasesStale bool
+	// expired holds the runs that were dropped when the worker's lease expired. Whether the worker has
+	// crashed shows later.
+	expired []*run
 	// freed lists the workers that were freed.
 	freed *freedLog
 	// lastPass is the number of the last placement pass in which the worker accepted new tasks.
@@ -261,6 +278,8 @@
 	slowdown  slowdown
 	// failedJobs holds the jobs of which a run has failed on the worker since the last success.
 	failedJobs map[string]bool
+	// suspectUntil is the time until which nothing else starts beside a task that may crash the worker.
+	suspectUntil time.Time
 	// leavesAt is the earliest time at which a draining worker may be gone.
 	leavesAt time.Time
 	// maintenanceUntil is the time until which the worker counts as being taken down for
--- a/ladderplan/place.go
+++ b/ladderplan/place.go
@@ -284,6 +284,9 @@
 
 // freeSlots returns how many more tasks of the step fit on a worker.
 func (sp *stepPlacement) freeSlots(w *worker) int {
+	if sp.now.Before(w.suspectUntil) {
+		return 0
+	}
 	s := sp.step.spec
 	limit := s.Tasks
 	if s.MaxPerWorker > 0 {
@@ -311,6 +314,13 @@
 		if sp.planner.startLimitReached() {
 			return
 		}
+		if t.suspect {
+			sp.startSuspect(t, candidates)
+			continue
+		}
+		if !sp.mayRestart(t) {
+			continue
+		}
 		w := sp.bestWorker(candidates, t.failedWorkers)
 		if w == nil {
 			return
@@ -382,6 +392,9 @@
 		startedAt: sp.now, progressedAt: sp.now, percent: -1, speedPercent: 100,
 	}
 	w.addRun(x)
+	if t.suspect {
+		w.suspectUntil = sp.now.Add(suspectTime)
+	}
 	w.acknowledgeGuard.StartSent()
 	p.unanswered++
 	first := !sp.step.round.job.started
--- a/ladderplan/planner.go
+++ b/ladderplan/planner.go
@@ -377,7 +377,7 @@
 		return View{}
 	case j.storedState.Final():
 		return View{Known: true, State: j.storedState}
-	case j.state.Final() && now.Sub(j.endedAt) > unstoredEndDelay && j.unstoredEndsListed():
+	case j.state.Final() && !j.givenUp && now.Sub(j.endedAt) > unstoredEndDelay && j.unstoredEndsListed():
 		return View{Known: true, State: j.state}
 	case j.started:
 		return View{Known: true, State: ladderflow.Running}
--- a/ladderplan/poll.go
+++ b/ladderplan/poll.go
@@ -49,7 +49,7 @@
 		if w.listed || w.unlistedSince.IsZero() {
 			w.listed, w.unlistedSince = false, now
 		}
-		if len(w.runs) == 0 && !p.unseenWorkers[w.spec.ID] {
+		if len(w.runs) == 0 && len(w.expired) == 0 && !p.unseenWorkers[w.spec.ID] {
 			p.dropWorker(w.spec.ID)
 		}
 	}
@@ -186,8 +186,12 @@
 		clear(w.justEnded)
 	}
 	if restarted {
+		if w.incarnation != 0 {
+			p.recordCrash(now, w, func(x *run) bool { return !x.startSettledAt.Before(sentAt) || lists(report, x.name) })
+		}
 		p.resetIncarnation(now, w, report.Incarnation, report.Clock)
 	}
+	w.expired = nil
 	w.acknowledgeGuard.PollAnswered(sentAt, report.Clock, restarted)
 	w.clock, w.polledAt, w.unresponsive = report.Clock, now, false
 	if !w.seenByLeader {
@@ -358,6 +362,7 @@
 	}
 	w.unresponsive = true
 	delete(p.unseenWorkers, id)
+	p.recordCrash(now, w, notListed)
 	p.dropLostRuns(now, w, "a different worker answers at the address", slices.Clone(w.runOrder)...)
 }
 
@@ -368,12 +373,14 @@
 	for _, w := range p.allWorkers() {
 		if p.isGone(now, w) {
 			delete(p.unseenWorkers, w.spec.ID)
+			p.recordCrash(now, w, notListed)
 			p.dropLostRuns(now, w, "the worker is gone", slices.Clone(w.runOrder)...)
 		}
 		if w.unresponsive && w.seenByLeader && len(w.runs) > 0 && p.leaseExpired(now, w) {
+			w.expired = append(w.expired, w.runOrder...)
 			p.dropLostRuns(now, w, "the worker's lease has expired", slices.Clone(w.runOrder)...)
 		}
-		if !w.listed && len(w.runs) == 0 && !p.unseenWorkers[w.spec.ID] && now.Sub(w.polledAt) > unresponsiveAfter {
+		if !w.listed && len(w.runs) == 0 && len(w.expired) == 0 && !p.unseenWorkers[w.spec.ID] && now.Sub(w.polledAt) > unresponsiveAfter {
 			p.dropWorker(w.spec.ID)
 		}
 	}
--- a/ladderplan/preempt.go
+++ b/ladderplan/preempt.go
@@ -22,7 +22,7 @@
 // checkpoint, on the worker where the runs to stop have the least processor demand.
 func (sp *stepPlacement) preempt() {
 	s := sp.step
-	if s.waiting == 0 || sp.queue == nil || sp.queue.Priority > 0 || s.spec.Gang ||
+	if s.waiting == 0 || s.onlySuspectsWait() || sp.queue == nil || sp.queue.Priority > 0 || s.spec.Gang ||
 		sp.now.Sub(s.readySince) < preemptDelay || sp.now.Sub(s.preemptedAt) < preemptInterval {
 		return
 	}
--- a/ladderplan/record.go
+++ b/ladderplan/record.go
@@ -47,6 +47,10 @@
 	// Failed holds the numbers of the failed runs. It is empty for a member of a gang.
 	Failed     []int
 	Checkpoint string
+	// Crashes is the number of workers that crashed while a run of the task was under way. Suspect is
+	// true if the task may have caused one of the crashes.
+	Crashes int
+	Suspect bool
 }
 
 // Batch is a set of changes to store. Once all of them are stored, the ends of runs that the batch
@@ -55,9 +59,11 @@
 	Records []Record
 	// JobsToDelete names jobs whose keys can all be deleted. The caller sets it.
 	JobsToDelete []string
-	// ends holds, by worker, the last end that the batch covers, and states the states of the jobs.
-	ends   map[string]endMark
-	states map[string]ladderflow.State
+	// ends holds, by worker, the last end that the batch covers, states the states of the jobs, and
+	// crashes the numbers of crashes that were counted against them.
+	ends    map[string]endMark
+	states  map[string]ladderflow.State
+	crashes map[string]int
 }
 
 // endMark identifies an end in the list of a worker's incarnation.
@@ -74,10 +80,10 @@
 // NextBatch returns the records of the jobs that have changed since the last call, and the ends of
 // runs that can be acknowledged once the records are stored.
 func (p *Planner) NextBatch() *Batch {
-	b := &Batch{ends: map[string]endMark{}, states: map[string]ladderflow.State{}}
+	b := &Batch{ends: map[string]endMark{}, states: map[string]ladderflow.State{}, crashes: map[string]int{}}
 	for id, j := range p.unstoredJobs {
 		b.Records = append(b.Records, j.record())
-		b.states[id] = j.state
+		b.states[id], b.crashes[id] = j.state, j.crashes
 	}
 	clear(p.unstoredJobs)
 	for id, w := range p.workers {
@@ -98,6 +104,9 @@
 	for id, s := range b.states {
 		if j, ok := p.jobs[id]; ok {
 			j.storedState = s
+			if n := b.crashes[id]; n > j.storedCrashes {
+				j.storedCrashes, p.placementDue = n, true
+			}
 			if p.unstoredJobs[id] == nil {
 				j.unstoredEndWorkers = nil
 			}
@@ -146,7 +155,7 @@
 		if t.done || t.lastRun > 0 {
 			r.Tasks = append(r.Tasks, TaskRecord{
 				Index: t.index, Done: t.done, LastRun: t.lastRun, LastClosedRun: t.lastClosedRun,
-				Failed: slices.Clone(t.failedRuns), Checkpoint: t.checkpoint,
+				Failed: slices.Clone(t.failedRuns), Checkpoint: t.checkpoint, Crashes: t.crashes, Suspect: t.suspect,
 			})
 		}
 	}
@@ -207,6 +216,7 @@
 			started = true
 			t := s.tasks[tr.Index]
 			t.done, t.lastRun, t.lastClosedRun, t.failedRuns, t.checkpoint = tr.Done, tr.LastRun, tr.LastClosedRun, tr.Failed, tr.Checkpoint
+			t.crashes, t.suspect = tr.Crashes, tr.Suspect
 		}
 		s.done, s.waiting = 0, 0
 		for _, t := range s.tasks {
