Start nothing on a worker whose runs exceed its capacity

A worker that doesn't guard its capacity may shrink below what its runs use. A task that needs none of the exceeded resource was started there nevertheless: FitCount looks only at the resources that a task needs (LIMIT).

--- a/ladderplan/place.go
+++ b/ladderplan/place.go
@@ -282,7 +282,7 @@
 	return list
 }
 
-// freeSlots returns how many more tasks of the step fit on a worker.
+// freeSlots returns how many more tasks of the step may start on a worker.
 func (sp *stepPlacement) freeSlots(w *worker) int {
 	if sp.now.Before(w.suspectUntil) {
 		return 0
@@ -292,7 +292,7 @@
 	if s.MaxPerWorker > 0 {
 		limit = min(limit, s.MaxPerWorker-sp.step.runsOn[w])
 	}
-	return s.Demand().FitCount(w.free, max(limit, 0))
+	return s.Demand().FitCount(sp.startableCapacity(w), max(limit, 0))
 }
 
 // placeTasks starts as many single tasks as there is capacity for.
--- a/ladderplan/poll.go
+++ b/ladderplan/poll.go
@@ -90,15 +90,6 @@
 	}
 }
 
-// setSpec replaces the worker's description and adjusts the free capacity to it.
-func (w *worker) setSpec(spec ladderflow.Worker) {
-	if spec.Capacity != w.spec.Capacity {
-		w.free = w.free.Plus(spec.Capacity).Minus(w.spec.Capacity)
-		w.freed.add(w)
-	}
-	w.spec = spec
-}
-
 // Workers returns the workers to poll.
 func (p *Planner) Workers() []ladderflow.Worker {
 	list := make([]ladderflow.Worker, 0, len(p.workers))
