--- a/ladderplan/capacity_test.go
+++ b/ladderplan/capacity_test.go
@@ -74,3 +74,21 @@
 		})
 	}
 }
+
+// TestOutageHidesShrinking takes the store away after a worker has shrunk and grown. It may shrink
+// again unseen, so tasks may use only the least capacity until the list is current again.
+func TestOutageHidesShrinking(t *testing.T) {
+	h := newHarness(t, 1)
+	h.planner.SetStoreServing(h.now, true)
+	h.resize(1, ladderflow.Size{Processor: 4000, Memory: 8000})
+	h.resize(1, testWorker(0).Capacity)
+	h.planner.SetStoreServing(h.now, false)
+	h.submit("a", stepOf(4))
+	starts := h.startAll()
+	require.Len(t, starts, 2)
+	h.planner.SetStoreServing(h.now, true)
+	require.Empty(t, h.startAll())
+	h.advance(listSettleTime)
+	h.pollAll(map[string][]ladderflow.ActiveRun{"w0": {{Run: starts[0].Run, Percent: 50}, {Run: starts[1].Run, Percent: 50}}})
+	require.Len(t, h.startAll(), 2)
+}
--- a/ladderplan/model.go
+++ b/ladderplan/model.go
@@ -251,7 +251,9 @@
 	// acknowledgeGuard decides whether a poll may acknowledge ends to the worker.
 	acknowledgeGuard ladderflow.AcknowledgeGuard
 	free             ladderflow.Size
-	runs             map[ladderflow.Run]*run
+	// leastCapacity is the least amount of each resource that the worker's incarnation has had.
+	leastCapacity ladderflow.Size
+	runs          map[ladderflow.Run]*run
 	// runOrder holds the runs in the order in which they were added. releases is the result of
 	// expectedReleases, which is computed again if releasesStale is true.
 	runOrder      []*run
@@ -289,7 +291,7 @@
 
 func newWorker(spec ladderflow.Worker, index int, freed *freedLog) *worker {
 	return &worker{
-		spec: spec, index: index, freed: freed, free: spec.Capacity, runs: map[ladderflow.Run]*run{}, justEnded: map[ladderflow.Run]bool{},
+		spec: spec, index: index, freed: freed, free: spec.Capacity, leastCapacity: spec.Capacity, runs: map[ladderflow.Run]*run{}, justEnded: map[ladderflow.Run]bool{},
 		failedJobs: map[string]bool{},
 	}
 }
--- a/ladderplan/planner.go
+++ b/ladderplan/planner.go
@@ -64,6 +64,8 @@
 	speedsCheckedAt time.Time
 	// storeServingSince is since when the platform's store has served calls, or zero while it does not.
 	storeServingSince time.Time
+	// storeWasAway is true once the store has been away.
+	storeWasAway bool
 	// confirmedAt is when leadership was last confirmed.
 	confirmedAt time.Time
 	// nextPrune is when old cancellations are next discarded.
--- a/ladderplan/poll.go
+++ b/ladderplan/poll.go
@@ -60,7 +60,7 @@
 func (p *Planner) SetStoreServing(now time.Time, serving bool) {
 	switch {
 	case !serving:
-		p.storeServingSince = time.Time{}
+		p.storeServingSince, p.storeWasAway = time.Time{}, true
 	case p.storeServingSince.IsZero():
 		p.storeServingSince = now
 	}
