Suspect only tasks that had just started when their worker crashed

If no task had just started, all that ran were taken for suspects, and the second crash settled it even if the first had come long after the start.

Now only a crash just after the start makes a suspect; two such, three crashes of a suspect or four of any task end its job. Suspects wait 0.2 s for an empty worker, and keep others away for 0.3 s, instead of 1 s each: a guilty task crashes its worker 10 ms after the start. Only suspects wait for the store.

TestCrashingTaskIsGivenUp now also crashes workers a while after the start, and expects the higher counts there.

--- a/ladderjournal/codec.go
+++ b/ladderjournal/codec.go
@@ -163,7 +163,7 @@
 	Failed        []int
 	Checkpoint    string
 	Crashes       int
-	Suspect       bool
+	Suspicions    int
 }
 
 // taskWireWithoutCrashes is the stored form of a task from before crashes were counted.
@@ -206,7 +206,7 @@
 			for _, t := range s.Tasks {
 				sw.Tasks = append(sw.Tasks, taskWire{
 					Index: t.Index, Done: t.Done, LastRun: t.LastRun, LastClosedRun: t.LastClosedRun, Failed: t.Failed, Checkpoint: t.Checkpoint,
-					Crashes: t.Crashes, Suspect: t.Suspect,
+					Crashes: t.Crashes, Suspicions: t.Suspicions,
 				})
 			}
 			rw.Steps = append(rw.Steps, sw)
@@ -230,7 +230,7 @@
 			for _, t := range s.Tasks {
 				sr.Tasks = append(sr.Tasks, ladderplan.TaskRecord{
 					Index: t.Index, Done: t.Done, LastRun: t.LastRun, LastClosedRun: t.LastClosedRun, Failed: t.Failed, Checkpoint: t.Checkpoint,
-					Crashes: t.Crashes, Suspect: t.Suspect,
+					Crashes: t.Crashes, Suspicions: t.Suspicions,
 				})
 			}
 			rr.Steps = append(rr.Steps, sr)
--- a/ladderjournal/journal_test.go
+++ b/ladderjournal/journal_test.go
@@ -210,7 +210,7 @@
 		Rounds: []ladderplan.RoundRecord{{Index: 1, Steps: []ladderplan.StepRecord{
 			{Done: true, Failed: []int{2}, Checkpoint: "s"},
 			{Tasks: []ladderplan.TaskRecord{{
-				Index: 4, Done: true, LastRun: 3, LastClosedRun: 2, Failed: []int{2}, Checkpoint: "x", Crashes: 2, Suspect: true,
+				Index: 4, Done: true, LastRun: 3, LastClosedRun: 2, Failed: []int{2}, Checkpoint: "x", Crashes: 2, Suspicions: 1,
 			}}},
 		}}},
 	}
--- a/ladderplan/crash.go
+++ b/ladderplan/crash.go
@@ -8,10 +8,12 @@
 )
 
 const (
-	// maxCrashes is the number of crashed workers after which a task is given up, whatever else was
-	// started on them. clearCrashes is the number that suffices if no other task is as suspect.
-	maxCrashes   = 3
-	clearCrashes = 2
+	// A task is given up after maxCrashes crashes, or after maxSuspectCrashes if it is a suspect, or
+	// after maxSuspicions crashes just after its start if no other task that had just started has had
+	// as many.
+	maxCrashes        = 4
+	maxSuspectCrashes = 3
+	maxSuspicions     = 2
 	// justStartedTime is how long before the last answered poll of a worker a run may have started and
 	// still count as just started when the worker crashed.
 	justStartedTime = 300 * time.Millisecond
@@ -19,9 +21,9 @@
 	// crashes. A task that has run for longer is not what crashes workers at its start.
 	lastingCrashAge = 10 * time.Second
 	// suspectTime is how long nothing else starts on a worker after the start of a suspect.
-	suspectTime = time.Second
+	suspectTime = 300 * time.Millisecond
 	// emptyWorkerWait is how long a suspect waits for a worker without runs.
-	emptyWorkerWait = time.Second
+	emptyWorkerWait = 200 * time.Millisecond
 	// maxSuspectStarts is the number of suspects of one step that may start within suspectTime. Tasks
 	// of one image behave alike, so that all of them may crash their workers.
 	maxSuspectStarts = 2
@@ -42,27 +44,25 @@
 		return
 	}
 	fresh := slices.DeleteFunc(slices.Clone(runs), func(x *run) bool { return !x.startedSince(w.polledAt.Add(-justStartedTime)) })
-	if len(fresh) == 0 {
-		fresh = runs
-	}
 	p.log.Info("worker crashed with runs under way", "worker", w.spec.ID, "runs", len(runs), "justStarted", len(fresh))
 	for _, x := range runs {
 		x.crashed = true
 		t := x.task
 		if t.step.spec.LongRunning && !x.startedSince(w.polledAt.Add(-lastingCrashAge)) {
-			t.crashes, t.suspect = 0, false
+			t.crashes, t.suspicions = 0, 0
 			continue
 		}
 		t.crashes++
-		t.suspect = t.suspect || slices.Contains(fresh, x)
+		t.suspicions += boolToInt(slices.Contains(fresh, x))
 		t.suspectSince, t.crashedAt = time.Time{}, now
 		j := t.step.round.job
 		j.crashes++
 		p.unstoredJobs[j.spec.ID] = j
 	}
 	for _, x := range runs {
-		if t := x.task; t.suspect {
-			p.log.Info("task may have crashed its worker", "task", t.name(), "run", x.name.Number, "worker", w.spec.ID, "crashes", t.crashes)
+		if t := x.task; t.suspect() {
+			p.log.Info("task may have crashed its worker", "task", t.name(), "run", x.name.Number, "worker", w.spec.ID, "crashes", t.crashes,
+				"justStarted", t.suspicions)
 		}
 		if p.isGuilty(x, fresh) {
 			p.giveUp(now, x)
@@ -79,17 +79,17 @@
 
 func (x *run) startedSince(at time.Time) bool { return x.startedAt.After(at) }
 
-// isGuilty reports whether the task of a run has crashed as many workers as it may. The second crash
-// settles it if no other task that was just started has had one before.
+// isGuilty reports whether the task of a run has crashed as many workers as it may. Runs that had just
+// started on the same worker are fresh.
 func (p *Planner) isGuilty(x *run, fresh []*run) bool {
 	t := x.task
 	switch {
-	case t.crashes >= maxCrashes:
+	case t.crashes >= maxCrashes, t.suspect() && t.crashes >= maxSuspectCrashes:
 		return true
-	case t.crashes < clearCrashes || t.step.spec.LongRunning || !slices.Contains(fresh, x):
+	case t.suspicions < maxSuspicions || t.step.spec.LongRunning || !slices.Contains(fresh, x):
 		return false
 	}
-	return !slices.ContainsFunc(fresh, func(o *run) bool { return o != x && o.task.crashes >= clearCrashes })
+	return !slices.ContainsFunc(fresh, func(o *run) bool { return o != x && o.task.suspicions >= maxSuspicions })
 }
 
 // giveUp ends a job as failed because one of its tasks crashes the workers that start it.
@@ -105,11 +105,11 @@
 	p.finish(now, j, ladderflow.Failed)
 }
 
-// mayRestart reports whether the store holds the count of the task's crashes, or need not. The next
+// mayRestart reports whether the store holds the count of a suspect's crashes, or need not. The next
 // leader would otherwise begin to count again. While the store is away, starts do not wait for it.
 func (sp *stepPlacement) mayRestart(t *task) bool {
 	j := sp.step.round.job
-	return j.storedCrashes >= j.crashes || t.crashes == 0 || sp.planner.storeServingSince.IsZero() ||
+	return j.storedCrashes >= j.crashes || !t.suspect() || sp.planner.storeServingSince.IsZero() ||
 		sp.now.Sub(t.crashedAt) > maxCrashHold
 }
 
@@ -138,7 +138,7 @@
 func (sp *stepPlacement) suspectStarts() int {
 	n := 0
 	for _, t := range sp.step.tasks {
-		if t.suspect && len(t.runs) > 0 && t.runs[0].startedSince(sp.now.Add(-suspectTime)) {
+		if t.suspect() && len(t.runs) > 0 && t.runs[0].startedSince(sp.now.Add(-suspectTime)) {
 			n++
 		}
 	}
@@ -147,7 +147,7 @@
 
 // onlySuspectsWait reports whether all tasks of the step that wait for a start are suspects.
 func (s *step) onlySuspectsWait() bool {
-	return !slices.ContainsFunc(s.tasks, func(t *task) bool { return t.needsRun() && !t.suspect })
+	return !slices.ContainsFunc(s.tasks, func(t *task) bool { return t.needsRun() && !t.suspect() })
 }
 
 // assignGang returns the worker of each member of a gang that fits on the candidates. Members that may
@@ -168,7 +168,7 @@
 		return false
 	}
 	for i, t := range sp.step.tasks {
-		if t.suspect && !assign(i, true) {
+		if t.suspect() && !assign(i, true) {
 			assign(i, false)
 		}
 	}
--- a/ladderplan/crash_test.go
+++ b/ladderplan/crash_test.go
@@ -47,16 +47,45 @@
 	return list
 }
 
-// TestCrashingTaskIsGivenUp has each worker crash that starts a task. The job must fail after the
-// second crash, and the end must be visible only once it is stored.
+// startSoon plans until something starts, for a second at most, accepts the starts and returns them.
+func (h *harness) startSoon() []StartOrder {
+	for until := h.now.Add(time.Second); h.now.Before(until); h.advance(50 * time.Millisecond) {
+		if starts := h.startAll(); len(starts) > 0 {
+			return starts
+		}
+		for id := range h.clock {
+			h.poll(id, ladderflow.StatusReport{Incarnation: h.planner.workers[id].incarnation, Running: h.runsOf(id)})
+		}
+	}
+	return nil
+}
+
+func lasting(s ladderflow.Step) ladderflow.Step {
+	s.LongRunning = true
+	return s
+}
+
+// TestCrashingTaskIsGivenUp has each worker crash that starts a task, at once or after a while. The
+// job must fail after as many crashes as are clear, and the end must be visible only once it is stored.
 func TestCrashingTaskIsGivenUp(t *testing.T) {
-	for name, step := range map[string]ladderflow.Step{"task": stepOf(1), "gang": gangOf(1)} {
+	for name, c := range map[string]struct {
+		step    ladderflow.Step
+		runFor  time.Duration
+		crashes int
+	}{
+		"task":            {stepOf(1), 0, maxSuspicions},
+		"gang":            {gangOf(1), 0, maxSuspicions},
+		"task, later":     {stepOf(1), 500 * time.Millisecond, maxCrashes},
+		"gang, later":     {gangOf(1), 500 * time.Millisecond, maxCrashes},
+		"task that lasts": {lasting(stepOf(1)), 0, maxSuspectCrashes},
+	} {
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(t, 4)
-			h.submit("a", step)
-			for range clearCrashes {
-				starts := h.startAllFor(time.Second)
+			h.submit("a", c.step)
+			for range c.crashes {
+				starts := h.startSoon()
 				require.Len(t, starts, 1)
+				require.Empty(t, h.startAllFor(c.runFor))
 				h.crash(starts[0].Worker.ID)
 			}
 			require.Empty(t, h.startAllFor(3*time.Second))
@@ -143,7 +172,7 @@
 					}
 				}
 			}
-			require.Equal(t, clearCrashes, crashes)
+			require.Equal(t, maxSuspicions, crashes)
 			require.Equal(t, ladderflow.Failed, h.planner.jobs["guilty"].state)
 			for i := range 4 {
 				require.True(t, h.planner.jobs[fmt.Sprintf("innocent%d", i)].active())
@@ -203,7 +232,7 @@
 	h.planner.AddJob(h.now, j, false)
 	crashes := 0
 	for range 4 {
-		starts := h.startAllFor(2 * time.Second)
+		starts := h.startSoon()
 		if len(starts) == 0 {
 			break
 		}
@@ -214,7 +243,7 @@
 		h = h.nextLeader([]*ladderflow.Job{j}, records, 3)
 		h.pollAll(nil)
 	}
-	require.Equal(t, clearCrashes, crashes)
+	require.Equal(t, maxSuspicions, crashes)
 	require.Equal(t, ladderflow.Failed, h.planner.View(h.now, "a").State)
 }
 
@@ -247,9 +276,7 @@
 // It must be restarted each time.
 func TestLastingTaskOutlivesCrashes(t *testing.T) {
 	h := newHarness(t, 4)
-	step := stepOf(1)
-	step.LongRunning = true
-	h.submit("a", step)
+	h.submit("a", lasting(stepOf(1)))
 	for range 2 * maxCrashes {
 		starts := h.startAllFor(2 * lastingCrashAge)
 		require.Len(t, starts, 1)
--- a/ladderplan/model.go
+++ b/ladderplan/model.go
@@ -143,11 +143,11 @@
 	// preempted is true once a run of the task was stopped for a more urgent one.
 	preempted bool
 	// crashes is the number of workers that crashed while a run of the task was under way, the last time
-	// at crashedAt. suspect is true if the run had just started in one of them, and suspectSince is
-	// since when the task has been waiting for a worker of its own.
+	// at crashedAt, and suspicions the number of those under which the run had just started.
+	// suspectSince is since when the task has been waiting for a worker of its own.
 	crashes      int
 	crashedAt    time.Time
-	suspect      bool
+	suspicions   int
 	suspectSince time.Time
 	runs         []*run
 }
@@ -160,6 +160,9 @@
 // needsRun reports whether the task has not succeeded and has no run that may be under way.
 func (t *task) needsRun() bool { return !t.done && len(t.runs) == 0 }
 
+// suspect reports whether the task may be one that crashes the workers that start it.
+func (t *task) suspect() bool { return t.suspicions > 0 }
+
 // phase is what the leader knows of a run.
 type phase int
 
--- a/ladderplan/place.go
+++ b/ladderplan/place.go
@@ -314,7 +314,7 @@
 		if sp.planner.startLimitReached() {
 			return
 		}
-		if t.suspect {
+		if t.suspect() {
 			sp.startSuspect(t, candidates)
 			continue
 		}
@@ -392,7 +392,7 @@
 		startedAt: sp.now, progressedAt: sp.now, percent: -1, speedPercent: 100,
 	}
 	w.addRun(x)
-	if t.suspect {
+	if t.suspect() {
 		w.suspectUntil = sp.now.Add(suspectTime)
 	}
 	w.acknowledgeGuard.StartSent()
--- a/ladderplan/record.go
+++ b/ladderplan/record.go
@@ -47,10 +47,10 @@
 	// Failed holds the numbers of the failed runs. It is empty for a member of a gang.
 	Failed     []int
 	Checkpoint string
-	// Crashes is the number of workers that crashed while a run of the task was under way. Suspect is
-	// true if the task may have caused one of the crashes.
-	Crashes int
-	Suspect bool
+	// Crashes is the number of workers that crashed while a run of the task was under way, and
+	// Suspicions the number of those under which the run had just started.
+	Crashes    int
+	Suspicions int
 }
 
 // Batch is a set of changes to store. Once all of them are stored, the ends of runs that the batch
@@ -155,7 +155,7 @@
 		if t.done || t.lastRun > 0 {
 			r.Tasks = append(r.Tasks, TaskRecord{
 				Index: t.index, Done: t.done, LastRun: t.lastRun, LastClosedRun: t.lastClosedRun,
-				Failed: slices.Clone(t.failedRuns), Checkpoint: t.checkpoint, Crashes: t.crashes, Suspect: t.suspect,
+				Failed: slices.Clone(t.failedRuns), Checkpoint: t.checkpoint, Crashes: t.crashes, Suspicions: t.suspicions,
 			})
 		}
 	}
@@ -216,7 +216,7 @@
 			started = true
 			t := s.tasks[tr.Index]
 			t.done, t.lastRun, t.lastClosedRun, t.failedRuns, t.checkpoint = tr.Done, tr.LastRun, tr.LastClosedRun, tr.Failed, tr.Checkpoint
-			t.crashes, t.suspect = tr.Crashes, tr.Suspect
+			t.crashes, t.suspicions = tr.Crashes, tr.Suspicions
 		}
 		s.done, s.waiting = 0, 0
 		for _, t := range s.tasks {
