Leave some VMs to long advice queries

Short queries are sent whatever the backlog of a VM, a long one only if it is below 0.3 s.

Now short queries leave the first third of the VMs to long ones for 2 s after one was put off; long ones use the first two thirds.

--- a/ladderplan/advice.go
+++ b/ladderplan/advice.go
@@ -26,6 +26,9 @@
 	// initialAllowedShare is the share of workers that is assumed to be allowed before any answer
 	// about a queue is known.
 	initialAllowedShare = 0.4
+	// longQueryPreference is how long after a long query was put off short queries leave some VMs to
+	// long ones.
+	longQueryPreference = 2 * time.Second
 	// adviserExcludeTime is how long a VM that did not answer gets no queries.
 	adviserExcludeTime = time.Second
 )
@@ -54,6 +57,8 @@
 	// longQueriesWaitUntil is the time before which the backlog of no VM is short enough for a
 	// long query.
 	longQueriesWaitUntil time.Time
+	// longQueryPutOffAt is when a long query was last put off because no backlog was short enough.
+	longQueryPutOffAt time.Time
 }
 
 func newAdvisers() advisers {
@@ -71,7 +76,8 @@
 
 // pickVM returns the VM with the shortest backlog for a query, and adds the query's cost to that
 // backlog. It returns false if no VM can be used, or if a long query should wait for a shorter
-// backlog. Long queries use only the first two thirds of the VMs.
+// backlog. Long queries use only the first two thirds of the VMs. Short ones leave the first third to
+// them for a while after one was put off, since many short ones would otherwise put it off for good.
 func (a *advisers) pickVM(now time.Time, cost time.Duration) (string, bool) {
 	names := a.vmNames
 	if !a.mayQuery(now, cost) {
@@ -79,6 +85,8 @@
 	}
 	if cost >= longQueryCost && len(names) > 1 {
 		names = names[:max(1, len(names)*2/3)]
+	} else if cost < longQueryCost && now.Sub(a.longQueryPutOffAt) < longQueryPreference {
+		names = names[len(names)/3:]
 	}
 	found, wait := "", time.Duration(0)
 	for _, n := range names {
@@ -93,7 +101,7 @@
 		return "", false
 	}
 	if cost >= longQueryCost && wait > maxLongQueryBacklog {
-		a.longQueriesWaitUntil = now.Add(wait - maxLongQueryBacklog)
+		a.longQueriesWaitUntil, a.longQueryPutOffAt = now.Add(wait-maxLongQueryBacklog), now
 		return "", false
 	}
 	a.busyUntil[found] = now.Add(wait + cost)
