--- a/ladderplan/model.go
+++ b/ladderplan/model.go
@@ -31,6 +31,10 @@
 	completedRounds map[int]bool
 	nextRound       int
 	endedAt         time.Time
+	// crashes counts the crashes of workers that were counted against the job's tasks, and storedCrashes
+	// those that the store holds.
+	crashes       int
+	storedCrashes int
 	// durations holds the expected duration of a task of each step. criticalPaths holds, for each
 	// step, the expected duration of the longest chain of dependent steps that begins with it,
 	// including one advice query for each step. Both were computed when steps of the job last became
@@ -132,7 +136,14 @@
 	checkpoint string
 	// preempted is true once a run of the task was stopped for a more urgent one.
 	preempted bool
-	runs      []*run
+	// crashes is the number of workers that crashed while a run of the task was under way, the last time
+	// at crashedAt, and suspicions the number of those under which the run had just started.
+	// suspectSince is since when the task has been waiting for a worker of its own.
+	crashes      int
+	crashedAt    time.Time
+	suspicions   int
+	suspectSince time.Time
+	runs         []*run
 }
 
 func (t *task) name() ladderflow.Task {
@@ -143,6 +154,9 @@
 // needsRun reports whether the task has not succeeded and has no run that may be under way.
 func (t *task) needsRun() bool { return !t.done && len(t.runs) == 0 }
 
+// suspect reports whether the task may be one that crashes the workers that start it.
+func (t *task) suspect() bool { return t.suspicions > 0 }
+
 // phase is what the leader knows of a run.
 type phase int
 
@@ -170,6 +184,8 @@
 	// confirmed is true once the worker has accepted the start or listed the run.
 	startSettledAt time.Time
 	confirmed      bool
+	// crashed is true once the crash of the run's worker was counted.
+	crashed bool
 	// startedAt is when the start was ordered, and after a reply that accepts it, when that reply
 	// arrived. For a run that an earlier leader started, it is when this leader first saw the run.
 	startedAt time.Time
@@ -232,12 +248,17 @@
 	// acknowledgeGuard decides whether a poll may acknowledge ends to the worker.
 	acknowledgeGuard ladderflow.AcknowledgeGuard
 	free             ladderflow.Size
-	runs             map[ladderflow.Run]*run
+	// leastCapacity is the least amount of each resource that the worker's incarnation has had.
+	leastCapacity ladderflow.Size
+	runs          map[ladderflow.Run]*run
 	// runOrder holds the runs in the order in which they were added. releases is the result of
 	// expectedReleases, which is computed again if releasesStale is true.
 	runOrder      []*run
 	releases      []capacityRelease
 	releasesStale bool
+	// expired holds the runs that were dropped when the worker's lease expired. Whether the worker has
+	// crashed shows later.
+	expired []*run
 	// freed lists the workers that were freed.
 	freed *freedLog
 	// lastPass is the number of the last placement pass in which the worker accepted new tasks.
@@ -256,6 +277,8 @@
 	slowdown  slowdown
 	// failedJobs holds the jobs of which a run has failed on the worker since the last success.
 	failedJobs map[string]bool
+	// suspectUntil is the time until which nothing else starts beside a task that may crash the worker.
+	suspectUntil time.Time
 	// leavesAt is the earliest time at which a draining worker may be gone.
 	leavesAt time.Time
 	// maintenanceUntil is the time until which the worker counts as being taken down for
@@ -265,7 +288,7 @@
 
 func newWorker(spec ladderflow.Worker, index int, freed *freedLog) *worker {
 	return &worker{
-		spec: spec, index: index, freed: freed, free: spec.Capacity, runs: map[ladderflow.Run]*run{}, justEnded: map[ladderflow.Run]bool{},
+		spec: spec, index: index, freed: freed, free: spec.Capacity, leastCapacity: spec.Capacity, runs: map[ladderflow.Run]*run{}, justEnded: map[ladderflow.Run]bool{},
 		failedJobs: map[string]bool{},
 	}
 }
--- a/ladderplan/place.go
+++ b/ladderplan/place.go
@@ -285,14 +285,17 @@
 	return list
 }
 
-// freeSlots returns how many more tasks of the step fit on a worker.
+// freeSlots returns how many more tasks of the step may start on a worker.
 func (sp *stepPlacement) freeSlots(w *worker) int {
+	if sp.now.Before(w.suspectUntil) {
+		return 0
+	}
 	s := sp.step.spec
 	limit := s.Tasks
 	if s.MaxPerWorker > 0 {
 		limit = min(limit, s.MaxPerWorker-sp.step.runsOn[w])
 	}
-	return s.Demand().FitCount(w.free, max(limit, 0))
+	return s.Demand().FitCount(sp.startableCapacity(w), max(limit, 0))
 }
 
 // placeTasks starts as many single tasks as there is capacity for.
@@ -314,6 +317,13 @@
 		if sp.planner.startLimitReached() {
 			return
 		}
+		if t.suspect() {
+			sp.startSuspect(t, candidates)
+			continue
+		}
+		if !sp.mayRestart(t) {
+			continue
+		}
 		w := sp.bestWorker(candidates, t.failedWorkers)
 		if w == nil {
 			return
@@ -385,6 +395,9 @@
 		startedAt: sp.now, progressedAt: sp.now, percent: -1, speedPercent: 100,
 	}
 	w.addRun(x)
+	if t.suspect() {
+		w.suspectUntil = sp.now.Add(suspectTime)
+	}
 	w.acknowledgeGuard.StartSent()
 	p.unanswered++
 	first := !sp.step.round.job.started
