Send calls again when the store is back

What callers saw: jobs that had ended shown as running for 1.2 to 3.5 s after the store was back.

Cause, by logs (`direct calls to the store succeed again`, `progress is stored again`): while the store answers nothing, the timeouts of calls grow to 3 s, and each call uses one path. A call sent just before the store's return gets no answer, and what it holds waits for its timeout. In four of ten outages the renewal of the leader's lease waited as well, and the leader ended.

Change: the first call that is served after an outage lets the calls that wait be sent on another path, at most three times in all as before. Watches are not: the store would let them wait again. All writes are conditional, so that one that arrives twice has no effect. TestCallIsRepeatedWhenStoreIsBack failed before.

--- a/laddervm/store_carrier.go
+++ b/laddervm/store_carrier.go
@@ -55,10 +55,12 @@
 	// the first call since it last answered one, with a refusal or otherwise.
 	unserved   outageTimer
 	unanswered outageTimer
+	// back is closed, and replaced, when the store serves a call after it was unavailable.
+	back chan struct{}
 }
 
 func newStoreCarrier(v *VM) *storeCarrier {
-	return &storeCarrier{vm: v, relays: relaySelector{excludedUntil: map[string]time.Time{}}}
+	return &storeCarrier{vm: v, relays: relaySelector{excludedUntil: map[string]time.Time{}}, back: make(chan struct{})}
 }
 
 // pathResult is the result of a call on one path.
@@ -87,7 +89,7 @@
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() { answering.Store(true) }})
 	results := make(chan pathResult, maxPaths)
 	used := map[string]bool{}
-	paths, limit := c.paths()
+	paths, limit, back := c.paths(call)
 	pending, sent := 0, 0
 	sendNext := func() {
 		for len(paths) > 0 && sent < limit && bounded.Err() == nil {
@@ -122,6 +124,12 @@
 			if !answering.Load() {
 				sendNext()
 			}
+		case <-back:
+			back = nil
+			if !answering.Load() {
+				paths, limit = []path{directPath, peerPath}, maxPaths
+				sendNext()
+			}
 		}
 	}
 	reply, err := failures.result()
@@ -170,22 +178,27 @@
 // paths returns the paths for a call in order of preference, and the maximum number of them to
 // use. The next path is used whenever one has failed, and once if the call is slow.
 // While the store is unavailable, each call uses a single path, alternately the direct one and
-// a peer, because more attempts would only add to the number of calls.
-func (c *storeCarrier) paths() (paths []path, limit int) {
+// a peer, because more attempts would only add to the number of calls. The channel back is then closed
+// when the store is available again. The call may be lost, so it is sent once more; a watch is not,
+// which the store would let wait again.
+func (c *storeCarrier) paths(call platform.Call) (paths []path, limit int, back <-chan struct{}) {
 	now := c.vm.clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
 	case c.unserved.expired(now):
 		c.probes++
+		if call.Wait == 0 {
+			back = c.back
+		}
 		if c.probes%2 == 0 {
-			return []path{peerPath, directPath}, 1
+			return []path{peerPath, directPath}, 1, back
 		}
-		return []path{directPath}, 1
+		return []path{directPath}, 1, back
 	case now.Before(c.directBackoffUntil):
-		return []path{peerPath, peerPath, directPath}, maxPaths
+		return []path{peerPath, peerPath, directPath}, maxPaths, nil
 	}
-	return []path{directPath, peerPath, peerPath}, maxPaths
+	return []path{directPath, peerPath, peerPath}, maxPaths, nil
 }
 
 // startCall records the start of a call and returns its timeout.
@@ -206,6 +219,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if r.served() {
+		if c.unserved.expired(c.vm.clock.Now()) {
+			close(c.back)
+			c.back = make(chan struct{})
+		}
 		c.unserved.reset()
 	}
 	if r.err == nil {
--- a/laddervm/store_carrier_test.go
+++ b/laddervm/store_carrier_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -34,13 +35,19 @@
 		}
 	}))
 	t.Cleanup(s.Close)
+	return carrierTo(t, s.URL)
+}
+
+// carrierTo returns a carrier of calls to the store at a URL, and the store's address.
+func carrierTo(t *testing.T, url string) (*storeCarrier, netip.AddrPort) {
+	t.Helper()
 	v := &VM{
 		settings: &platform.Settings{Name: "e1"}, clock: ladderclock.System{}, boot: ladderclock.System{},
 		logs: ladderlog.Discard(), stats: newStats(), direct: platform.NewDirect(dialTimeout, 0),
 	}
 	v.log = v.logs.RateLimited("vm", v.clock)
 	v.registry = newRegistry(v)
-	return newStoreCarrier(v), netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://"))
+	return newStoreCarrier(v), netip.MustParseAddrPort(strings.TrimPrefix(url, "http://"))
 }
 
 // TestLargeResponseIsNotGivenUp guards against a large response that is given up while it still
@@ -72,3 +79,44 @@
 	require.ErrorAs(t, err, &partial)
 	require.Less(t, time.Since(began), 3*time.Second)
 }
+
+// TestCallIsRepeatedWhenStoreIsBack sends a call while the store answers nothing. Once the store has
+// served another call, the first one is sent again without waiting for its timeout: it may hold the
+// ends of runs, which no caller sees before they are stored.
+func TestCallIsRepeatedWhenStoreIsBack(t *testing.T) {
+	var silent atomic.Bool
+	var calls atomic.Int64
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls.Add(1)
+		if silent.Load() {
+			<-r.Context().Done()
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	}))
+	t.Cleanup(s.Close)
+	c, to := carrierTo(t, s.URL)
+	call := platform.Call{Operation: "txn", Method: http.MethodPost, Path: "/"}
+	silent.Store(true)
+	_, err := c.Carry(context.Background(), to, call)
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	require.True(t, c.unavailable())
+	for range 20 {
+		c.latency.observe(time.Second) // The calls of an outage raise the timeout.
+	}
+
+	began, before := time.Now(), calls.Load()
+	first := make(chan error, 1)
+	go func() {
+		_, err := c.Carry(context.Background(), to, call)
+		first <- err
+	}()
+	require.Eventually(t, func() bool { return calls.Load() > before }, time.Second, time.Millisecond)
+	silent.Store(false)
+	_, err = c.Carry(context.Background(), to, call)
+	require.NoError(t, err)
+	require.False(t, c.unavailable())
+	require.NoError(t, <-first)
+	require.Less(t, time.Since(began), time.Second)
+	require.EqualValues(t, before+3, calls.Load(), "the first call was sent twice")
+}
