Keep the direct path's transactions within the store's limit

The store takes 32 entries and rejects more, so a backlog of 32 records was never stored, and since GET showed what the leader remembered, nobody saw it. The next leader would have begun such jobs again.

--- a/ladderserver/jobs.go
+++ b/ladderserver/jobs.go
@@ -25,8 +25,12 @@
 	cancelPrefix = queuePrefix + "c/"
 	// commitDelay is how long writes are collected for one transaction.
 	commitDelay = 5 * time.Millisecond
-	// maxCommitWrites bounds the number of writes in one transaction.
-	maxCommitWrites = 64
+	// maxCommitWrites bounds the number of writes in one transaction, which may have a condition as
+	// well.
+	maxCommitWrites = platform.MaxTxn - 1
+	// maxSweep bounds the number of jobs, and of cancellations, that one transaction deletes. A job has
+	// two keys.
+	maxSweep = maxCommitWrites / 3
 	// maxCommitAttempts is how often a transaction is sent if the store does not
 	// answer.
 	maxCommitAttempts = 3
--- a/ladderserver/leader.go
+++ b/ladderserver/leader.go
@@ -373,7 +373,7 @@
 // endedJobRetention ago.
 func (l *leader) deleteEndedJobs(ctx context.Context, now time.Time, t *term) {
 	l.mu.Lock()
-	jobs, cancellations := l.queue.RemoveEnded(now, endedJobRetention, maxCommitWrites/2)
+	jobs, cancellations := l.queue.RemoveEnded(now, endedJobRetention, maxSweep)
 	l.mu.Unlock()
 	if len(jobs)+len(cancellations) == 0 {
 		return
