Show the end of a job of the direct path only once the store holds it

Nobody has reported it.

Change: while the record is not final, a job that the leader knows to have ended is shown as running. TestEndIsShownOnceStored in ladderserver failed for done, failed and cancelled before.

Looked at and left: the front end confirms jobs and cancellations after they are stored; waves are reported from what the machine service lists; peers pass on only what they have read from the store.

--- a/ladderserver/jobs.go
+++ b/ladderserver/jobs.go
@@ -199,13 +199,24 @@
 	if err != nil {
 		return ladderjob.View{}, err
 	}
+	return jobView(&r, j.queryLeader(ctx, id)), nil
+}
+
+// jobView returns what callers see of a job: its record, and what the leader knows beyond that. An end
+// that the store does not hold is not shown.
+func jobView(r *ladderjob.Record, status laddermessage.JobStatus) ladderjob.View {
 	v := ladderjob.View{Job: r.Job, State: r.State, Reason: r.Reason}
-	if status := j.queryLeader(ctx, id); status.Found && !r.State.Final() {
-		v.State, v.Reason, v.Running, v.Ended = ladderjob.State(status.State), status.Reason, status.Running, status.Ended
-	} else if !status.Found && !r.State.Final() {
+	switch {
+	case r.State.Final():
+	case !status.Found:
 		v.Reason = "the queue has no leader that can be reached"
+	default:
+		v.State, v.Reason, v.Running, v.Ended = ladderjob.State(status.State), status.Reason, status.Running, status.Ended
+		if v.State.Final() {
+			v.State, v.Reason = ladderjob.Running, ""
+		}
 	}
-	return v, nil
+	return v
 }
 
 // queryLeader returns what the queue's leader knows about a job.
--- a/ladderserver/jobs_test.go
+++ b/ladderserver/jobs_test.go
@@ -8,6 +8,8 @@
 	"github.com/stretchr/testify/require"
 
 	"lacewingladder/laddergate"
+	"lacewingladder/ladderjob"
+	"lacewingladder/laddermessage"
 	"lacewingladder/platform"
 )
 
@@ -37,3 +39,30 @@
 		})
 	}
 }
+
+// TestEndIsShownOnceStored checks that a job which the leader knows to have ended is shown as running
+// while the store does not hold the end: the next leader may not know it.
+func TestEndIsShownOnceStored(t *testing.T) {
+	for name, c := range map[string]struct {
+		stored, known, shown ladderjob.State
+	}{
+		"done, not stored":      {ladderjob.Running, ladderjob.Done, ladderjob.Running},
+		"failed, not stored":    {ladderjob.Queued, ladderjob.Failed, ladderjob.Running},
+		"cancelled, not stored": {ladderjob.Running, ladderjob.Cancelled, ladderjob.Running},
+		"done and stored":       {ladderjob.Done, ladderjob.Done, ladderjob.Done},
+		"running, not stored":   {ladderjob.Queued, ladderjob.Running, ladderjob.Running},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := ladderjob.Record{State: c.stored}
+			status := laddermessage.JobStatus{Found: true, State: string(c.known), Reason: "why", Ended: 2}
+			v := jobView(&r, status)
+			require.Equal(t, c.shown, v.State)
+			if c.known.Final() {
+				require.Empty(t, v.Reason)
+			}
+		})
+	}
+	v := jobView(&ladderjob.Record{State: ladderjob.Queued}, laddermessage.JobStatus{})
+	require.Equal(t, ladderjob.Queued, v.State)
+	require.NotEmpty(t, v.Reason)
+}
