Hold the end of a run whose job the leader does not know yet

A worker lists the end of a job that a former leader was told of after the present one had read the store, and started. The present leader ignored the end, and acknowledged it with its next batch; when it then learned of the job, it started it again. The same held for a round of a job with a schedule that was not due by the leader's clock yet.

Change: such an end is kept, and neither it nor later ends of the worker are acknowledged, until the job and its round are known, when it counts, or 3 s have passed. Later ends of known jobs count and are stored at once.

TestEndOfUnknownJobIsNotAcknowledged (a job, and one with a schedule) and TestEndOfUnknownJobIsAcknowledgedInTime failed before.

--- a/ladderplan/model.go
+++ b/ladderplan/model.go
@@ -227,6 +227,8 @@
 	// store holds.
 	lastSeenEnd   int64
 	lastStoredEnd int64
+	// unknownEnds holds the ends of runs whose jobs are unknown, by rising number.
+	unknownEnds []unknownEnd
 	// acknowledgeGuard decides whether a poll may acknowledge ends to the worker.
 	acknowledgeGuard ladderflow.AcknowledgeGuard
 	free             ladderflow.Size
--- a/ladderplan/planner.go
+++ b/ladderplan/planner.go
@@ -125,6 +125,7 @@
 	r := j.addRound(index, due)
 	j.nextRound = max(j.nextRound, index+1)
 	p.markReadySteps(now, r)
+	p.recordHeldEnds(now, r)
 }
 
 // markReadySteps marks the steps of a round whose predecessors have succeeded as ready.
@@ -205,6 +206,10 @@
 	if x != nil {
 		w.removeRun(x)
 	}
+	if p.unknown(e.Run.Task) {
+		w.holdEnd(now, e)
+		return
+	}
 	if t == nil || !j.active() {
 		return
 	}
--- a/ladderplan/poll.go
+++ b/ladderplan/poll.go
@@ -241,6 +241,7 @@
 		w.excludedUntil, w.backOffs, w.slowdown = now, 0, slowdown{}
 	}
 	w.incarnation, w.lastSeenEnd, w.lastStoredEnd, w.leaseEnd, w.incarnationSeenAt = incarnation, 0, 0, 0, now
+	w.unknownEnds = nil
 	if w.seenByLeader {
 		// The poll that revealed the restart may have extended the lease to a time computed from
 		// the clock of the old incarnation.
@@ -366,6 +367,7 @@
 // once all their workers were seen or are gone, or all their leases must have expired.
 func (p *Planner) expireLeases(now time.Time) {
 	for _, w := range p.allWorkers() {
+		p.dropHeldEnds(now, w)
 		if p.isGone(now, w) {
 			delete(p.unseenWorkers, w.spec.ID)
 			p.dropLostRuns(now, w, "the worker is gone", slices.Clone(w.runOrder)...)
--- a/ladderplan/record.go
+++ b/ladderplan/record.go
@@ -81,8 +81,8 @@
 	}
 	clear(p.unstoredJobs)
 	for id, w := range p.workers {
-		if w.lastSeenEnd > w.lastStoredEnd {
-			b.ends[id] = endMark{w.incarnation, w.lastSeenEnd}
+		if end := w.lastKnownEnd(); end > w.lastStoredEnd {
+			b.ends[id] = endMark{w.incarnation, end}
 		}
 	}
 	return b
--- /dev/null
+++ b/ladderplan/unknown_end.go
@@ -0,0 +1,69 @@
+package ladderplan
+
+import (
+	"slices"
+	"time"
+
+	"lacewingladder/ladderflow"
+)
+
+// unknownEndTimeout is how long the end of a run is held whose job is unknown. The leader learns of a
+// stored job within a second; a job that is still unknown was deleted.
+const unknownEndTimeout = 3 * time.Second
+
+// unknownEnd is the end of a run whose job, or whose round of a job, the leader does not know yet. An
+// earlier leader has started it. The end is held until the job is known, since a worker forgets an end
+// that is acknowledged.
+type unknownEnd struct {
+	ended  ladderflow.EndedRun
+	seenAt time.Time
+}
+
+// unknown reports whether the leader may yet learn of a task.
+func (p *Planner) unknown(t ladderflow.Task) bool {
+	j, ok := p.jobs[t.Job]
+	if !ok {
+		return true
+	}
+	return j.active() && j.rounds[t.Round] == nil && !j.completedRounds[t.Round] && t.Round < max(1, j.spec.Rounds)
+}
+
+// holdEnd holds the end of a run whose job is unknown.
+func (w *worker) holdEnd(now time.Time, e ladderflow.EndedRun) {
+	w.unknownEnds = append(w.unknownEnds, unknownEnd{e, now})
+}
+
+// recordHeldEnds records the ends that were held until a round of a job was known.
+func (p *Planner) recordHeldEnds(now time.Time, r *round) {
+	for _, w := range p.allWorkers() {
+		for i := 0; i < len(w.unknownEnds); {
+			e := w.unknownEnds[i].ended
+			if e.Run.Task.Job != r.job.spec.ID || e.Run.Task.Round != r.index {
+				i++
+				continue
+			}
+			w.unknownEnds = slices.Delete(w.unknownEnds, i, i+1)
+			p.endRun(now, w, e)
+		}
+	}
+}
+
+// dropHeldEnds drops the ends that were held for too long, so that they are acknowledged.
+func (p *Planner) dropHeldEnds(now time.Time, w *worker) {
+	w.unknownEnds = slices.DeleteFunc(w.unknownEnds, func(u unknownEnd) bool {
+		late := now.Sub(u.seenAt) > unknownEndTimeout
+		if late {
+			p.log.Info("end of an unknown job ignored", "task", u.ended.Run.Task, "run", u.ended.Run.Number,
+				"worker", w.spec.ID, "result", u.ended.Reason)
+		}
+		return late
+	})
+}
+
+// lastKnownEnd returns the number up to which the worker's ends were handled and none is held.
+func (w *worker) lastKnownEnd() int64 {
+	if len(w.unknownEnds) > 0 {
+		return w.unknownEnds[0].ended.Sequence - 1
+	}
+	return w.lastSeenEnd
+}
--- /dev/null
+++ b/ladderplan/unknown_end_test.go
@@ -0,0 +1,75 @@
+package ladderplan
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lacewingladder/ladderflow"
+)
+
+// endOf returns the end of run 1 of a job's first task.
+func endOf(job string, sequence int64) ladderflow.EndedRun {
+	return ladderflow.EndedRun{
+		Sequence: sequence, Run: ladderflow.Run{Task: ladderflow.Task{Job: job}, Number: 1}, Reason: ladderflow.EndDone,
+	}
+}
+
+// acknowledged stores all changes and returns the last end that the next poll of w0 acknowledges.
+func (h *harness) acknowledged() int64 {
+	h.storeAll()
+	next, ok := h.planner.NextPoll(h.now, "w0")
+	require.True(h.t, ok)
+	return next.Acknowledged
+}
+
+// TestEndOfUnknownJobIsNotAcknowledged lets a worker list the end of a job that this leader does not
+// know yet: an earlier leader was told of the job after this one had read the store, and started it. If
+// the end were acknowledged, the worker would forget it, and the job would run again once this leader
+// learns of it.
+func TestEndOfUnknownJobIsNotAcknowledged(t *testing.T) {
+	for name, scheduled := range map[string]bool{"job": false, "job with a schedule": true} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 2)
+			h.submit("b", stepOf(1))
+			b := h.startAll()[0]
+			require.Equal(t, "w0", b.Worker.ID)
+			h.poll("w0", ladderflow.StatusReport{Ended: []ladderflow.EndedRun{
+				endOf("a", 1), {Sequence: 2, Run: b.Run, Reason: ladderflow.EndDone},
+			}})
+			require.Zero(t, h.acknowledged())
+			require.Equal(t, ladderflow.Done, h.planner.View(h.now, "b").State, "the end of a job that is known counts at once")
+
+			j := testJob(h.now, "a", stepOf(1))
+			if scheduled {
+				j.Rounds, j.FirstDue, j.Interval = 1, h.now, time.Second
+			}
+			h.planner.AddJob(h.now, j, false)
+			require.Empty(t, h.startAll(), "the job has run")
+			require.EqualValues(t, 2, h.acknowledged())
+			require.Equal(t, ladderflow.Done, h.planner.View(h.now, "a").State)
+		})
+	}
+}
+
+// TestEndOfUnknownJobIsAcknowledgedInTime checks that the end of a job that stays unknown is
+// acknowledged after unknownEndTimeout, and that a new incarnation's ends don't wait for it.
+func TestEndOfUnknownJobIsAcknowledgedInTime(t *testing.T) {
+	h := newHarness(t, 2)
+	h.poll("w0", ladderflow.StatusReport{Ended: []ladderflow.EndedRun{endOf("a", 1)}})
+	h.plan()
+	require.Zero(t, h.acknowledged())
+	h.advance(unknownEndTimeout - time.Millisecond)
+	h.plan()
+	require.Zero(t, h.acknowledged())
+	h.advance(2 * time.Millisecond)
+	h.plan()
+	require.EqualValues(t, 1, h.acknowledged())
+
+	h.poll("w0", ladderflow.StatusReport{Ended: []ladderflow.EndedRun{endOf("c", 2)}})
+	h.advance(time.Millisecond)
+	h.submit("b", stepOf(1))
+	h.poll("w0", ladderflow.StatusReport{Incarnation: 2, Ended: []ladderflow.EndedRun{endOf("b", 1)}})
+	require.EqualValues(t, 1, h.acknowledged())
+}
