Bound the unanswered starts of each sender, not of the leader

Cause: a placement pass ends when 64 starts are without a reply. The bound was sized for a leader that sends 600 starts a second itself. On a large fleet delegates send them, 18 of them, and a reply comes after two links, the collection of reports and a pause between plans. 64 divided by that time is the most that the whole fleet may start in a second: 1,600 at 40 ms, 1,070 at 60 ms, where the load is 1,700. What comes last in the order of ranks gets nothing.

The bound now holds for each VM that sends starts, and a delegate already keeps at most 64 calls in progress. Small fleets have no delegates, so nothing changes for them. A load file may state the time until an answer and the number of delegates.

--- a/ladderload/load_test.go
+++ b/ladderload/load_test.go
@@ -52,3 +52,22 @@
 		b.ReportMetric(r.EarnedShare, "worth")
 	}
 }
+
+// TestLargeFleetAwaitsAnswers checks that no queue of the large fleet earns less than the floor of a
+// queue when a start is answered only after two links between regions, the collection of reports
+// and a leader's pause between plans. The delegates send the starts.
+func TestLargeFleetAwaitsAnswers(t *testing.T) {
+	const floor = 0.34
+	l := readExample(t, "jadewing", "large.yaml")
+	l.ArrivalPeriod, l.ExtraTime = 20*time.Second, 20*time.Second
+	for _, d := range []time.Duration{60 * time.Millisecond, 120 * time.Millisecond} {
+		t.Run(d.String(), func(t *testing.T) {
+			t.Parallel()
+			slow := *l
+			slow.Delegates, slow.OrderRoundTrip = 18, d
+			for _, q := range Simulate(&slow, 1, ladderplan.ByObjective).Queues {
+				require.GreaterOrEqual(t, q.Earned/q.PossibleWorth, floor, "queue %s", q.Name)
+			}
+		})
+	}
+}
--- a/ladderload/simulation.go
+++ b/ladderload/simulation.go
@@ -18,9 +18,6 @@
 )
 
 const (
-	// orderRoundTrip is the time from sending a start order to a worker until its response
-	// arrives. The worker receives an order to start or stop a run after half of it.
-	orderRoundTrip = 4 * time.Millisecond
 	// messageDelay is the time that a worker's report of an ended run, or a response of the
 	// advice service, takes to reach the leader.
 	messageDelay = 3 * time.Millisecond
@@ -126,9 +123,10 @@
 	}
 	sim.planner = ladderplan.New(ladderplan.Options{
 		Fence: 1, LeaseDuration: leaseDuration, MaxLeaseDuration: leaseDuration, ElectedAt: sim.start, StopTimeout: time.Second,
-		JobRetention: time.Hour, RemoteFactor: 2, Log: ladderlog.Discard().Component("plan"), Order: order,
+		JobRetention: time.Hour, RemoteFactor: 2, Log: ladderlog.Discard().Component("plan"), Order: order, MaxUnansweredStarts: ladderplan.OrdersPerSender,
 	})
 	sim.planner.SetFleet(fleetConfig(l))
+	sim.planner.SetSenders(1 + l.Delegates)
 	sim.addWorkers()
 	for i := range l.Queues {
 		name := l.Queues[i].Name
@@ -231,10 +229,10 @@
 		sim.planScheduled = false
 		orders := sim.planner.Plan(sim.time(), sim.time(), ladderplan.LeadershipConfirmed)
 		for _, s := range orders.Starts {
-			sim.schedule(orderRoundTrip/2, func() { sim.startRun(s) })
+			sim.schedule(sim.load.OrderRoundTrip/2, func() { sim.startRun(s) })
 		}
 		for _, s := range orders.Stops {
-			sim.schedule(orderRoundTrip/2, func() { sim.stopRun(s) })
+			sim.schedule(sim.load.OrderRoundTrip/2, func() { sim.stopRun(s) })
 		}
 		for _, query := range orders.AdviceQueries {
 			sim.queryAdvice(query)
@@ -263,7 +261,7 @@
 	w, j := sim.workers[s.Worker.ID], sim.jobs[s.Run.Task.Job]
 	w.running[s.Run] = sim.now
 	j.recordStart(sim.now)
-	sim.schedule(orderRoundTrip/2, func() {
+	sim.schedule(sim.load.OrderRoundTrip/2, func() {
 		sim.planner.StartSettled(sim.time(), s.Worker.ID, s.Run, ladderplan.Result{})
 		sim.schedulePlan()
 	})
--- a/ladderplan/place.go
+++ b/ladderplan/place.go
@@ -116,7 +116,8 @@
 // startLimitReached reports whether no more starts may be sent before others are answered. A gang
 // may exceed the limit, since its members must start together.
 func (p *Planner) startLimitReached() bool {
-	return p.options.MaxUnansweredStarts > 0 && p.unanswered >= p.options.MaxUnansweredStarts
+	limit := p.options.MaxUnansweredStarts * max(1, p.senders)
+	return limit > 0 && p.unanswered >= limit
 }
 
 // rankedSteps returns the ready steps with waiting tasks, in the order of placement.
--- a/laddervm/workers.go
+++ b/laddervm/workers.go
@@ -23,11 +23,6 @@
 	// responses are slow. The next status poll shows the outcome of an order that timed out.
 	minOrderTimeout = 180 * time.Millisecond
 	maxOrderTimeout = time.Second
-	// maxOrders bounds the orders in flight. A leader that sent all orders of a takeover at
-	// once would be too busy to read the responses. The bound is several times what 600 starts
-	// per second at 20 ms each keep in flight, which leaves capacity for orders that are never
-	// answered.
-	maxOrders = 64
 	// adviceSlack is added to the expected response time of an advice query and its longest
 	// time in the queue; the sum is the timeout of the query.
 	adviceSlack = 700 * time.Millisecond
@@ -258,7 +253,7 @@
 	}
 }
 
-// sendOrder waits until fewer than maxOrders orders are in flight and then sends one with the
+// sendOrder waits until fewer than ladderplan.OrdersPerSender orders are in flight and then sends one with the
 // given function. The order's timeout begins after the wait.
 func (t *term) sendOrder(order func(ctx context.Context) (ladderflow.Refusal, error)) ladderplan.Result {
 	select {
