Do not count a machine as maintained because its worker was replaced

What operators would see: a wave that is said to be done although a machine of it had no upkeep (MIXED).

Cause: after an order without an answer, a machine counted as done as soon as it had another worker. A worker is also replaced after a crash.

Change: another worker counts only if the order was confirmed or a list showed the machine in maintenance; otherwise the machine is ordered again, which the machine service answers at once if it is done. TestUnansweredOrderBesideRestartedWorker failed before in the first of its three cases, and passes now.

--- a/ladderwave/wave.go
+++ b/ladderwave/wave.go
@@ -26,10 +26,12 @@
 	phase phase
 	// orderedWorker is the id of the worker that the machine ran when it was last ordered
 	// down. orderedAt is the time of that order, or of its result once there is one, and
-	// confirmed is true if the machine service accepted it.
+	// confirmed is true if the machine service accepted it. seenDown is true if a list showed the
+	// machine in maintenance since.
 	orderedWorker string
 	orderedAt     time.Time
 	confirmed     bool
+	seenDown      bool
 	// current is the machine's entry in the latest list of machines. If listed is false,
 	// the list has no such entry and current is zero.
 	current ladderflow.Machine
@@ -69,7 +71,8 @@
 func (w *Wave) Number() int64 { return w.spec.Number }
 
 // Observe records a list of machines from the machine service. A machine that was ordered
-// down is done when it is up with a new worker. If it is still up with the old worker after
+// down is done when it is up with a new worker, if the order was confirmed or a list showed the
+// machine in maintenance: a worker is also replaced after a crash. If it is still up with the old worker after
 // listingDelay, the order had no effect. In that case, if the order was confirmed, the
 // machine had its maintenance before, on the order of an earlier leader, and is done;
 // otherwise the machine waits to be ordered down again.
@@ -81,11 +84,14 @@
 	for _, m := range w.machines {
 		m.current, m.listed = byName[m.name], false
 		_, m.listed = byName[m.name]
+		if m.phase == ordered && m.current.State == ladderflow.MachineMaintenance {
+			m.seenDown = true
+		}
 		if m.phase != ordered || !m.listed || m.current.State != ladderflow.MachineUp {
 			continue
 		}
 		switch {
-		case m.current.Worker != m.orderedWorker:
+		case m.current.Worker != m.orderedWorker && (m.confirmed || m.seenDown):
 			m.phase = done
 		case now.Sub(m.orderedAt) < listingDelay:
 		case m.confirmed:
@@ -172,7 +178,7 @@
 	for _, m := range candidates {
 		l := loads[m.name]
 		if down == "" && !l.MustStayUp && mayGoDown > 0 && (l.Demand == 0 || late) {
-			m.phase, m.orderedWorker, m.orderedAt, m.confirmed = ordered, m.current.Worker, now, false
+			m.phase, m.orderedWorker, m.orderedAt, m.confirmed, m.seenDown = ordered, m.current.Worker, now, false, false
 			down = m.name
 			continue
 		}
--- a/ladderwave/wave_test.go
+++ b/ladderwave/wave_test.go
@@ -86,3 +86,33 @@
 		})
 	}
 }
+
+// TestUnansweredOrderBesideRestartedWorker replaces the worker of a machine for another reason after an
+// order without an answer. That is no evidence that the order was carried out.
+func TestUnansweredOrderBesideRestartedWorker(t *testing.T) {
+	for name, c := range map[string]struct {
+		result OrderResult
+		down   bool
+		done   bool
+	}{
+		"not answered, never seen down": {Unknown, false, false},
+		"not answered, seen down":       {Unknown, true, true},
+		"confirmed, never seen down":    {Confirmed, false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.UnixMilli(0)
+			w := New(now, ladderflow.MaintenanceWave{Machines: []string{"a"}, TimeLimit: time.Minute, MaxDown: 1}, time.Second)
+			w.Observe(now, upMachines("a"))
+			_, _ = w.Next(now, func(string) WorkerLoad { return WorkerLoad{} })
+			w.RecordResult(now, "a", c.result)
+			if c.down {
+				w.Observe(now, []ladderflow.Machine{{Name: "a", State: ladderflow.MachineMaintenance}})
+			}
+			now = now.Add(listingDelay + time.Millisecond)
+			w.Observe(now, []ladderflow.Machine{{Name: "a", State: ladderflow.MachineUp, Worker: "w-new"}})
+			require.Equal(t, c.done, w.Done())
+			down, _ := w.Next(now, func(string) WorkerLoad { return WorkerLoad{} })
+			require.Equal(t, !c.done, down == "a")
+		})
+	}
+}
