--- a/ladderplan/doc.go
+++ b/ladderplan/doc.go
@@ -21,8 +21,9 @@
 //     its lease must have expired.
 //   - The end of a run is acknowledged to its worker only after it was stored. A job
 //     is reported as done only then, except as described at [Planner.View].
-//   - A task starts at most four times under which workers crash, with one more for each
-//     takeover just after such a crash. Its job then ends as failed.
+//   - A task has at most four confirmed runs under which workers crash, and one more for each
+//     takeover just after such a crash. Its job then ends as failed. Long-running tasks that have
+//     run for a while count anew.
 //
 // # Usage
 //
