Check in the model that a shown end stays

TestFlowUnderInterleaving now records each job that a leader's View has shown as done or failed. Every later leader must show the same state, and no task of the job may start again.

--- a/ladderproof/flow_simulation_test.go
+++ b/ladderproof/flow_simulation_test.go
@@ -44,6 +44,8 @@
 	nextCommit int
 	// delayed holds the transactions that may still be applied, even more than once.
 	delayed []platform.Txn
+	// out reports whether the store takes nothing now.
+	out func() bool
 }
 
 // Get implements ladderjournal.Store.
@@ -61,6 +63,9 @@
 func (s *flowStore) Commit(_ context.Context, t platform.Txn) (int64, []platform.Item, error) {
 	outcome := s.nextCommit
 	s.nextCommit = 0
+	if s.out() {
+		return 0, nil, platform.ErrRefused
+	}
 	switch outcome {
 	case 1:
 		s.store.Txn(t)
@@ -86,6 +91,8 @@
 	stop  *ladderplan.StopOrder
 	// settled is true once the sender has received a reply or has given up.
 	settled bool
+	// sent is when the leader ordered it.
+	sent time.Time
 }
 
 // flowLeader is a VM that is the leader, or was it and may still act as one.
@@ -126,6 +133,10 @@
 	// succeeded holds the tasks that ended successfully, acknowledged or not.
 	succeeded map[ladderflow.Task]bool
 	cancelled map[string]bool
+	// shown holds the jobs that a leader has shown as ended.
+	shown map[string]shownEnd
+	// storeOutUntil is until when the store takes nothing.
+	storeOutUntil time.Time
 	// steps and starts count the checked actions and the started runs of all simulations.
 	steps  *int
 	starts *int
@@ -151,10 +162,11 @@
 func newFlowSimulation(t *rapid.T, steps, starts *int) *flowSimulation {
 	sim := &flowSimulation{
 		t: t, now: time.UnixMilli(1_000_000), acknowledgedDone: map[ladderflow.Task]bool{},
-		acknowledgedFailures: map[ladderflow.Task]map[int]bool{}, succeeded: map[ladderflow.Task]bool{}, cancelled: map[string]bool{}, steps: steps, starts: starts,
+		acknowledgedFailures: map[ladderflow.Task]map[int]bool{}, succeeded: map[ladderflow.Task]bool{}, cancelled: map[string]bool{},
+		shown: map[string]shownEnd{}, steps: steps, starts: starts,
 	}
 	sim.clock = ladderclock.NewManual(sim.now)
-	sim.store = &flowStore{store: ladderstand.NewStore(sim.clock)}
+	sim.store = &flowStore{store: ladderstand.NewStore(sim.clock), out: sim.storeOut}
 	sim.journal = ladderjournal.New(sim.store)
 	for i := range 3 {
 		sim.workers = append(sim.workers, newFlowWorker(fmt.Sprintf("w%d", i), sim.now))
@@ -181,8 +193,11 @@
 
 // elect makes a new leader and restores its state from the store. The previous leader is
 // not informed and acts for up to flowFormerLeaderTime longer. At most three leaders are
-// kept.
+// kept. There is no election while the store takes nothing.
 func (sim *flowSimulation) elect() {
+	if sim.storeOut() {
+		return
+	}
 	for _, l := range sim.leaders {
 		if l.actsUntil.IsZero() {
 			l.actsUntil, l.confirmedUntil = sim.now.Add(flowFormerLeaderTime), sim.now.Add(flowConfirmedTime)
@@ -286,10 +301,10 @@
 		if l.cancelled[s.Run.Task.Job] {
 			sim.t.Fatalf("start of task %v ordered after its leader received the cancellation", s.Run.Task)
 		}
-		sim.orders = append(sim.orders, &order{from: l, start: s})
+		sim.orders = append(sim.orders, &order{from: l, start: s, sent: sim.now})
 	}
 	for i := range o.Stops {
-		sim.orders = append(sim.orders, &order{from: l, stop: &o.Stops[i]})
+		sim.orders = append(sim.orders, &order{from: l, stop: &o.Stops[i], sent: sim.now})
 	}
 }
 
@@ -303,6 +318,7 @@
 		if began {
 			*sim.starts++
 			sim.checkStart(o.start.Run)
+			sim.checkStartAfterShown(o)
 		}
 		r.Refusal, r.Clock = refusal, w.clock(sim.now)
 		sim.tracef("start %v by leader %d on %s: began %v, %q, answered %v", o.start.Run, o.from.fence, w.id, began, refusal, answered)
@@ -455,6 +471,7 @@
 			}
 		}
 	}
+	sim.checkShown()
 }
 
 // unfinished returns the tasks of a job that have not succeeded on any worker.
--- a/ladderproof/flow_test.go
+++ b/ladderproof/flow_test.go
@@ -18,7 +18,8 @@
 // TestFlowUnderInterleaving guards against tasks that run twice, and against wrong reports of
 // their state, when leaders change. Several leaders act at once, because a leader that lost
 // an election is not informed. Orders are lost, late or not answered, workers restart under
-// the same ID, and the outcome of some commits is unknown.
+// the same ID, and the outcome of some commits is unknown, and
+// at times the store takes nothing.
 //
 // It checks:
 //
@@ -28,6 +29,8 @@
 //     maximum number of acknowledged failures.
 //   - A leader orders no start of a job whose cancellation it has received.
 //   - No leader reports a job as done before all its tasks have succeeded.
+//   - A job that a leader has shown as done or failed is shown so by every later leader, and none
+//     of its tasks starts again.
 func TestFlowUnderInterleaving(t *testing.T) {
 	steps, starts := 0, 0
 	rapid.Check(t, func(rt *rapid.T) {
@@ -42,6 +45,7 @@
 // and draws stay the same.
 func (sim *flowSimulation) actions() map[string]func(*rapid.T) {
 	actions := sim.delegateActions()
+	maps.Copy(actions, sim.faultActions())
 	maps.Copy(actions, map[string]func(*rapid.T){
 		"": func(t *rapid.T) { sim.t = t; sim.check() },
 		"submit": func(t *rapid.T) {
@@ -79,7 +83,7 @@
 		"elect":  func(*rapid.T) { sim.elect() },
 		"commit": func(t *rapid.T) { sim.commit(sim.leader(t), rapid.IntRange(0, 3).Draw(t, "fate")) },
 		"late commit": func(t *rapid.T) {
-			if len(sim.store.delayed) > 0 {
+			if len(sim.store.delayed) > 0 && !sim.storeOut() {
 				i := rapid.IntRange(0, len(sim.store.delayed)-1).Draw(t, "txn")
 				sim.store.store.Txn(sim.store.delayed[i])
 			}
@@ -103,6 +107,9 @@
 			Tasks: tasks, Gang: gang, Need: ladderflow.Size{Processor: cores * 1000, Memory: 100}, Estimate: time.Second,
 		}},
 	}
+	if sim.storeOut() {
+		return
+	}
 	s := &ladderjournal.Submission{Job: j}
 	sim.journal.Accept(context.Background(), []*ladderjournal.Submission{s})
 	if s.Outcome != ladderjournal.Stored {
@@ -114,7 +121,7 @@
 
 // cancel stores the cancellation of a drawn job and passes it to the newest leader only.
 func (sim *flowSimulation) cancel(t *rapid.T) {
-	if len(sim.jobs) == 0 {
+	if len(sim.jobs) == 0 || sim.storeOut() {
 		return
 	}
 	id := rapid.SampledFrom(sim.jobs).Draw(t, "job").ID
