Add tasks that crash their workers to the model

A job may draw that one of its tasks, or all, crash each worker that runs them, 0 to 1.5 s after their start. Beside these there are the crashes that have nothing to do with a task, as before.

- A leader that knows of three crashes under a task, or could have read them from the store, starts it at most twice more.
It knows of a crash if it had seen the run there and has since seen a later incarnation.
Crashes that no leader had reason to know of (a takeover between the start and the first poll) are not counted against the next one: counted so, a leader that restored one crash broke the literal rule by starting again what it had stopped as stalled.
- A job is reported as failed only if attempts were used up or two workers may have crashed under one task.
A crash that loses an unacknowledged end counts here, since no leader can tell it from one that loses the run.

Workers list their runs in a fixed order, so that a seed always plays the same.

--- a/ladderproof/flow_delegate_test.go
+++ b/ladderproof/flow_delegate_test.go
@@ -114,7 +114,7 @@
 	r := a.reports[0]
 	a.reports = a.reports[1:]
 	sim.tracef("delegate reports %s to leader %d: sent %v, running %v, ended %v", a.worker.id, a.leader.fence, r.sent.Sub(time.UnixMilli(1_000_000)), r.status.Running, r.status.Ended)
-	a.leader.planner.RecordReport(sim.now, a.worker.id, r.sent, r.status)
+	sim.receive(a.leader, a.worker, r.sent, r.status)
 	if remaining := a.validUntil.Sub(sim.now); remaining > 0 {
 		a.leader.planner.DelegateLease(sim.now, a.worker.id, remaining)
 	}
--- a/ladderproof/flow_simulation_test.go
+++ b/ladderproof/flow_simulation_test.go
@@ -110,6 +110,17 @@
 	// superseded is true once the store has rejected the leader's commit because there is a
 	// newer leader.
 	superseded bool
+	// seen holds the runs that workers have confirmed to the leader, and crashes what it knows of
+	// crashes under them.
+	seen    map[seenRun]bool
+	crashes map[ladderflow.Task]*leaderCrashes
+}
+
+// seenRun is a run on an incarnation of a worker.
+type seenRun struct {
+	worker      *flowWorker
+	incarnation int64
+	run         ladderflow.Run
 }
 
 // flowSimulation simulates leaders, workers and the store, and decides when each message
@@ -132,9 +143,17 @@
 	acknowledgedFailures map[ladderflow.Task]map[int]bool
 	// succeeded holds the tasks that ended successfully, acknowledged or not.
 	succeeded map[ladderflow.Task]bool
+	// failures holds the numbers of the failed runs of each task, acknowledged or not.
+	failures  map[ladderflow.Task]map[int]bool
 	cancelled map[string]bool
 	// shown holds the jobs that a leader has shown as ended.
 	shown map[string]shownEnd
+	// crashers holds the tasks that crash their worker, and how long after their start. crashes
+	// tells under which tasks workers have crashed, and unnoticed holds the crashes of which a
+	// leader does not know yet.
+	crashers  map[ladderflow.Task]time.Duration
+	crashes   map[ladderflow.Task]*taskCrashes
+	unnoticed []crash
 	// storeOutUntil is until when the store takes nothing.
 	storeOutUntil time.Time
 	// steps and starts count the checked actions and the started runs of all simulations.
@@ -162,8 +181,8 @@
 func newFlowSimulation(t *rapid.T, steps, starts *int) *flowSimulation {
 	sim := &flowSimulation{
 		t: t, now: time.UnixMilli(1_000_000), acknowledgedDone: map[ladderflow.Task]bool{},
-		acknowledgedFailures: map[ladderflow.Task]map[int]bool{}, succeeded: map[ladderflow.Task]bool{}, cancelled: map[string]bool{},
-		shown: map[string]shownEnd{}, steps: steps, starts: starts,
+		acknowledgedFailures: map[ladderflow.Task]map[int]bool{}, succeeded: map[ladderflow.Task]bool{}, failures: map[ladderflow.Task]map[int]bool{}, cancelled: map[string]bool{},
+		shown: map[string]shownEnd{}, crashers: map[ladderflow.Task]time.Duration{}, crashes: map[ladderflow.Task]*taskCrashes{}, steps: steps, starts: starts,
 	}
 	sim.clock = ladderclock.NewManual(sim.now)
 	sim.store = &flowStore{store: ladderstand.NewStore(sim.clock), out: sim.storeOut}
@@ -208,7 +227,11 @@
 	if err != nil {
 		sim.t.Fatal(err)
 	}
-	l := &flowLeader{fence: o.Revision, cancelled: map[string]bool{}, progress: sim.journal.ProgressWriter(o.Revision, c)}
+	l := &flowLeader{
+		fence: o.Revision, cancelled: map[string]bool{}, progress: sim.journal.ProgressWriter(o.Revision, c),
+		seen: map[seenRun]bool{}, crashes: map[ladderflow.Task]*leaderCrashes{},
+	}
+	sim.restoreCrashes(l)
 	l.planner = ladderplan.New(ladderplan.Options{
 		Fence: l.fence, LeaseDuration: flowWorkerLease, MaxLeaseDuration: flowMaxWorkerLease, ElectedAt: sim.now, EarlierLeaderTimeout: flowFormerLeaderTime, StopTimeout: time.Second,
 		JobRetention: time.Hour, RemoteFactor: 2, Log: ladderlog.Discard().Component("plan"),
@@ -273,7 +296,8 @@
 		}
 		i++
 	}
-	sim.tracef("worker %s restarted", w.id)
+	sim.tracef("worker %s restarted, running %v", w.id, w.running)
+	sim.recordCrash(w)
 	w.restart(sim.now)
 }
 
@@ -294,10 +318,12 @@
 
 // plan lets a leader plan and puts its orders in transit.
 func (sim *flowSimulation) plan(l *flowLeader) {
+	sim.noticeCrashes()
 	o := l.planner.Plan(sim.now, sim.now, l.confidence(sim.now))
 	for i := range o.Starts {
 		s := &o.Starts[i]
 		sim.assignment(l, sim.workerByID(s.Worker.ID)).guard.StartSent()
+		sim.checkStartAfterCrashes(l, s.Run.Task)
 		if l.cancelled[s.Run.Task.Job] {
 			sim.t.Fatalf("start of task %v ordered after its leader received the cancellation", s.Run.Task)
 		}
@@ -338,6 +364,10 @@
 	}
 	o.settled = true
 	if o.start != nil {
+		if r == (ladderplan.Result{Clock: r.Clock}) {
+			w := sim.workerByID(o.start.Worker.ID)
+			o.from.seen[seenRun{w, w.incarnation, o.start.Run}] = true
+		}
 		o.from.planner.StartSettled(sim.now, o.start.Worker.ID, o.start.Run, r)
 		sim.assignment(o.from, sim.workerByID(o.start.Worker.ID)).startSettled(sim.now, r)
 	} else {
@@ -365,20 +395,6 @@
 	return false
 }
 
-// checkStart checks a start against the ends that were acknowledged before.
-func (sim *flowSimulation) checkStart(r ladderflow.Run) {
-	key := r.Task
-	if sim.gang(key) {
-		key.Index = 0
-	}
-	if sim.acknowledgedDone[key] {
-		sim.fail(r.Task.Job, "task %v started again after its successful end was acknowledged", r.Task)
-	}
-	if len(sim.acknowledgedFailures[key]) >= flowMaxAttempts {
-		sim.fail(r.Task.Job, "task %v started after %d acknowledged failures", r.Task, len(sim.acknowledgedFailures[key]))
-	}
-}
-
 // poll lets a leader poll a worker and receive its status report.
 func (sim *flowSimulation) poll(l *flowLeader, w *flowWorker) {
 	next, ok := l.planner.NextPoll(sim.now, w.id)
@@ -392,7 +408,15 @@
 		return
 	}
 	sim.tracef("poll of %s by leader %d: until %v, running %v, ended %v", w.id, l.fence, next.LeaseUntil, status.Running, status.Ended)
-	l.planner.RecordReport(sim.now, w.id, sim.now, status)
+	sim.receive(l, w, sim.now, status)
+}
+
+// receive passes a status report to a leader. It was requested at sent.
+func (sim *flowSimulation) receive(l *flowLeader, w *flowWorker, sent time.Time, status ladderflow.StatusReport) {
+	for _, r := range status.Running {
+		l.seen[seenRun{w, status.Incarnation, r.Run}] = true
+	}
+	l.planner.RecordReport(sim.now, w.id, sent, status)
 }
 
 // acknowledgeUpTo records the ends that a poll acknowledges, if the worker accepts the
@@ -427,6 +451,7 @@
 // commit lets a leader store its changed records. The parameter outcome is a value of
 // flowStore.nextCommit.
 func (sim *flowSimulation) commit(l *flowLeader, outcome int) {
+	sim.noticeCrashes()
 	b := l.planner.NextBatch()
 	if b.Empty() {
 		return
@@ -445,54 +470,6 @@
 		l.planner.BatchNotStored(b)
 	default:
 		l.planner.BatchStored(b)
+		sim.storeCrashes(l)
 	}
 }
-
-// check checks the invariants of workers and leaders.
-func (sim *flowSimulation) check() {
-	*sim.steps++
-	runningOn := map[ladderflow.Task]string{}
-	for _, w := range sim.workers {
-		w.expireLease(sim.now)
-		if err := w.checkCapacity(); err != nil {
-			sim.fail("", "%v", err)
-		}
-		for r := range w.running {
-			if other, ok := runningOn[r.Task]; ok {
-				sim.fail(r.Task.Job, "task %v runs on %s and %s", r.Task, other, w.id)
-			}
-			runningOn[r.Task] = w.id
-		}
-	}
-	for _, l := range sim.leaders {
-		for _, j := range sim.jobs {
-			if v := l.planner.View(sim.now, j.ID); v.State == ladderflow.Done && len(sim.unfinished(j)) > 0 {
-				sim.fail(j.ID, "job %s is reported as done, but task %v has not succeeded", j.ID, sim.unfinished(j)[0])
-			}
-		}
-	}
-	sim.checkShown()
-}
-
-// unfinished returns the tasks of a job that have not succeeded on any worker.
-func (sim *flowSimulation) unfinished(j *ladderflow.Job) []ladderflow.Task {
-	var list []ladderflow.Task
-	for s := range j.Steps {
-		for i := range j.Steps[s].Tasks {
-			t := ladderflow.Task{Job: j.ID, Step: s, Index: i}
-			if !sim.hasSucceeded(t) {
-				list = append(list, t)
-			}
-		}
-	}
-	return list
-}
-
-// hasSucceeded reports whether a task has succeeded on a worker, even if that end was not
-// acknowledged yet.
-func (sim *flowSimulation) hasSucceeded(t ladderflow.Task) bool {
-	if sim.gang(t) {
-		t.Index = 0
-	}
-	return sim.succeeded[t]
-}
--- a/ladderproof/flow_test.go
+++ b/ladderproof/flow_test.go
@@ -18,8 +18,8 @@
 // TestFlowUnderInterleaving guards against tasks that run twice, and against wrong reports of
 // their state, when leaders change. Several leaders act at once, because a leader that lost
 // an election is not informed. Orders are lost, late or not answered, workers restart under
-// the same ID, and the outcome of some commits is unknown, and
-// at times the store takes nothing.
+// the same ID, and the outcome of some commits is unknown, at times
+// the store takes nothing, and some tasks crash each worker that runs them.
 //
 // It checks:
 //
@@ -31,6 +31,10 @@
 //   - No leader reports a job as done before all its tasks have succeeded.
 //   - A job that a leader has shown as done or failed is shown so by every later leader, and none
 //     of its tasks starts again.
+//   - A leader that knows, or could have read from the store, that three workers have crashed under
+//     a task starts it at most twice more.
+//   - No leader reports a job as failed unless the attempts of a task were used up, or two workers
+//     may have crashed under it.
 func TestFlowUnderInterleaving(t *testing.T) {
 	steps, starts := 0, 0
 	rapid.Check(t, func(rt *rapid.T) {
@@ -47,9 +51,9 @@
 	actions := sim.delegateActions()
 	maps.Copy(actions, sim.faultActions())
 	maps.Copy(actions, map[string]func(*rapid.T){
-		"": func(t *rapid.T) { sim.t = t; sim.check() },
+		"": func(t *rapid.T) { sim.t = t; sim.crashDue(); sim.check() },
 		"submit": func(t *rapid.T) {
-			sim.submit(rapid.IntRange(1, 3).Draw(t, "tasks"), rapid.Bool().Draw(t, "gang"), rapid.IntRange(1, 4).Draw(t, "size"))
+			sim.submit(rapid.IntRange(1, 3).Draw(t, "tasks"), rapid.Bool().Draw(t, "gang"), rapid.IntRange(1, 4).Draw(t, "size"), t)
 		},
 		"cancel": func(t *rapid.T) { sim.cancel(t) },
 		"pass":   func(t *rapid.T) { sim.advance(time.Duration(rapid.IntRange(1, 900).Draw(t, "ms")) * time.Millisecond) },
@@ -100,7 +104,7 @@
 }
 
 // submit stores a job with one step and adds it to the newest leader.
-func (sim *flowSimulation) submit(tasks int, gang bool, cores int) {
+func (sim *flowSimulation) submit(tasks int, gang bool, cores int, t *rapid.T) {
 	j := &ladderflow.Job{
 		ID: fmt.Sprintf("%016x", len(sim.jobs)), Queue: flowQueue, Service: "s", Accepted: sim.now,
 		Steps: []ladderflow.Step{{
@@ -116,6 +120,7 @@
 		sim.t.Fatalf("the job was not stored: %v", s.Err)
 	}
 	sim.jobs = append(sim.jobs, j)
+	sim.drawCrashers(t, j)
 	sim.leaders[len(sim.leaders)-1].planner.AddJob(sim.now, j, false)
 }
 
@@ -164,15 +169,15 @@
 	reason := rapid.SampledFrom([]ladderflow.EndReason{ladderflow.EndDone, ladderflow.EndDone, ladderflow.EndFailed}).Draw(t, "how")
 	for _, j := range sim.jobs {
 		for i := range j.Steps[0].Tasks {
-			for r := range w.running {
-				if r.Task != (ladderflow.Task{Job: j.ID, Index: i}) {
+			for _, r := range w.runs() {
+				if r.Task != (ladderflow.Task{Job: j.ID, Index: i}) || sim.crashesWorkers(r.Task) {
 					continue
 				}
 				if j.Steps[0].Gang {
 					sim.endGang(j, r.Number, reason)
 				} else {
 					w.end(r, reason)
-					sim.succeeded[r.Task] = sim.succeeded[r.Task] || reason == ladderflow.EndDone
+					sim.recordEnd(r, reason)
 				}
 				return
 			}
@@ -185,7 +190,7 @@
 func (sim *flowSimulation) endGang(j *ladderflow.Job, number int, reason ladderflow.EndReason) {
 	members := 0
 	for _, w := range sim.workers {
-		for r := range w.running {
+		for _, r := range w.runs() {
 			if r.Task.Job == j.ID && r.Number == number {
 				members++
 			}
@@ -194,13 +199,26 @@
 	if members < j.Steps[0].Tasks {
 		reason = ladderflow.EndGangIncomplete
 	}
-	first := ladderflow.Task{Job: j.ID}
-	sim.succeeded[first] = sim.succeeded[first] || reason == ladderflow.EndDone
+	sim.recordEnd(ladderflow.Run{Task: ladderflow.Task{Job: j.ID}, Number: number}, reason)
 	for _, w := range sim.workers {
-		for r := range w.running {
+		for _, r := range w.runs() {
 			if r.Task.Job == j.ID && r.Number == number {
 				w.end(r, reason)
 			}
 		}
 	}
 }
+
+// recordEnd records the end of a run, or of a gang under its first task, for the checks.
+func (sim *flowSimulation) recordEnd(r ladderflow.Run, reason ladderflow.EndReason) {
+	switch reason {
+	case ladderflow.EndDone:
+		sim.succeeded[r.Task] = true
+	case ladderflow.EndFailed:
+		if sim.failures[r.Task] == nil {
+			sim.failures[r.Task] = map[int]bool{}
+		}
+		sim.failures[r.Task][r.Number] = true
+	default: // Other ends are neither a success nor a failure of the task.
+	}
+}
--- a/ladderproof/flow_worker_test.go
+++ b/ladderproof/flow_worker_test.go
@@ -1,7 +1,10 @@
 package ladderproof
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"lacewingladder/ladderflow"
@@ -20,6 +23,8 @@
 	// leaseEnd is the end of the lease on the worker's own clock.
 	leaseEnd time.Duration
 	running  map[ladderflow.Run]ladderflow.Size
+	// beganAt holds when the runs under way began.
+	beganAt map[ladderflow.Run]time.Time
 	// ended lists the ends that were not acknowledged yet, and lastEnd is the sequence number
 	// of the newest end.
 	ended   []ladderflow.EndedRun
@@ -39,6 +44,14 @@
 	w.incarnation++
 	w.startedAt, w.fence, w.leaseEnd, w.ended, w.lastEnd = now, 0, 0, nil, 0
 	w.running, w.closedUpTo = map[ladderflow.Run]ladderflow.Size{}, map[ladderflow.Task]int{}
+	w.beganAt = map[ladderflow.Run]time.Time{}
+}
+
+// runs returns the runs under way in a fixed order, so that a seed always plays the same.
+func (w *flowWorker) runs() []ladderflow.Run {
+	return slices.SortedFunc(maps.Keys(w.running), func(a, b ladderflow.Run) int {
+		return cmp.Or(cmp.Compare(a.Task.Job, b.Task.Job), cmp.Compare(a.Task.Index, b.Task.Index), cmp.Compare(a.Number, b.Number))
+	})
 }
 
 // clock returns the worker's monotonic clock, which runs 1 % slow.
@@ -50,6 +63,7 @@
 		return
 	}
 	delete(w.running, r)
+	delete(w.beganAt, r)
 	w.lastEnd++
 	w.closedUpTo[r.Task] = max(w.closedUpTo[r.Task], r.Number)
 	w.ended = append(w.ended, ladderflow.EndedRun{Sequence: w.lastEnd, Run: r, Reason: reason})
@@ -60,7 +74,7 @@
 	if w.clock(now) <= w.leaseEnd {
 		return
 	}
-	for r := range w.running {
+	for _, r := range w.runs() {
 		w.end(r, ladderflow.EndLeaseExpired)
 	}
 }
@@ -92,7 +106,7 @@
 	case until <= w.clock(now):
 		return false, ladderflow.RefusedExpired
 	}
-	w.running[r] = size
+	w.running[r], w.beganAt[r] = size, now
 	return true, ladderflow.NotRefused
 }
 
@@ -117,7 +131,7 @@
 		w.ended = w.ended[1:]
 	}
 	report := ladderflow.StatusReport{Incarnation: w.incarnation, Clock: w.clock(now), Ended: append([]ladderflow.EndedRun(nil), w.ended...)}
-	for r := range w.running {
+	for _, r := range w.runs() {
 		report.Running = append(report.Running, ladderflow.ActiveRun{Run: r, Percent: 50})
 	}
 	return report, true
