Let workers of the model shrink and grow

A new action, "resize", gives a worker a capacity of 0 to 6 cores. The store lists it after a drawn delay of at most a heartbeat, and leaders learn of it then. No start may bring a worker above each capacity that it has had since 4 s (stableMs and a heartbeat) before the start was ordered. The check moves from every step to each start: a run under way may stay on a worker that shrinks, and with a fixed capacity only a start can exceed it. It counts from the order, since an order that arrives late was right when it was sent.

--- a/ladderproof/flow_fault_test.go
+++ b/ladderproof/flow_fault_test.go
@@ -5,6 +5,7 @@
 
 	"pgregory.net/rapid"
 
+	"lacewingladder/ladderflow"
 	"lacewingladder/ladderplan"
 )
 
@@ -19,6 +20,13 @@
 			sim.tracef("the store takes nothing for %v", d)
 			sim.storeOutUntil = sim.now.Add(d)
 		},
+		"resize": func(t *rapid.T) {
+			w := sim.worker(t)
+			size := ladderflow.Size{Processor: 1000 * rapid.IntRange(0, 6).Draw(t, "cores"), Memory: 4000}
+			delay := time.Duration(rapid.IntRange(0, int(flowHeartbeat.Milliseconds())).Draw(t, "listed after")) * time.Millisecond
+			sim.tracef("worker %s has capacity %v, listed after %v", w.id, size, delay)
+			w.resize(sim.now, size, delay)
+		},
 		"steady": func(t *rapid.T) {
 			// The newest leader works without faults for a while.
 			l := sim.leaders[len(sim.leaders)-1]
--- a/ladderproof/flow_test.go
+++ b/ladderproof/flow_test.go
@@ -19,11 +19,13 @@
 // their state, when leaders change. Several leaders act at once, because a leader that lost
 // an election is not informed. Orders are lost, late or not answered, workers restart under
 // the same ID, and the outcome of some commits is unknown, at times
-// the store takes nothing, and some tasks crash each worker that runs them.
+// the store takes nothing, and some tasks crash each worker that runs them, and the
+// capacity of workers shrinks and grows.
 //
 // It checks:
 //
-//   - The runs on a worker never exceed its capacity.
+//   - No start brings a worker above its capacity, unless the capacity has shrunk less than
+//     flowResizeAllowance before the start was ordered. Runs that are stopping count.
 //   - A task never runs in two places at once.
 //   - A task does not start again after its successful end was acknowledged, or after the
 //     maximum number of acknowledged failures.
@@ -97,10 +99,20 @@
 	return actions
 }
 
-// advance moves the simulated time forward.
+// advance moves the simulated time forward. Leaders learn of the capacities that the store has come to
+// list meanwhile.
 func (sim *flowSimulation) advance(d time.Duration) {
 	sim.now = sim.now.Add(d)
 	sim.clock.Advance(d)
+	changed := false
+	for _, w := range sim.workers {
+		changed = w.list(sim.now) || changed
+	}
+	for _, l := range sim.leaders {
+		if changed {
+			l.planner.SetWorkers(sim.now, sim.listedWorkers())
+		}
+	}
 }
 
 // submit stores a job with one step and adds it to the newest leader.
