Show what a leader does to a job that it does not know

TestFlowOvertakenJobs plays the model with one more action: a job is accepted after the newest leader has read the store, only its predecessor is told of it and starts it, and the newest leader meets the run, or its end, before it reads the job.

--- a/ladderproof/flow_fault_test.go
+++ b/ladderproof/flow_fault_test.go
@@ -29,7 +29,7 @@
 		},
 		"steady": func(t *rapid.T) {
 			// The newest leader works without faults for a while.
-			l := sim.leaders[len(sim.leaders)-1]
+			l := sim.newest()
 			for range rapid.IntRange(1, 20).Draw(t, "rounds") {
 				sim.steady(l)
 			}
@@ -53,3 +53,41 @@
 	sim.commit(l, 0)
 	sim.check()
 }
+
+// overtakenActions returns the actions with jobs that the newest leader does not know yet.
+func (sim *flowSimulation) overtakenActions() map[string]func(*rapid.T) {
+	return map[string]func(*rapid.T){
+		"overtaken": func(t *rapid.T) {
+			// A job is accepted after the newest leader has read the store, and only its predecessor
+			// is told of it. The newest leader meets a run, or its end, before it reads the job.
+			former := sim.newest()
+			sim.pollAll(former)
+			sim.elect()
+			sim.submit(t, former)
+			before := len(sim.orders)
+			sim.plan(former)
+			for _, o := range sim.orders[before:] {
+				sim.deliver(o, true)
+			}
+			sim.check()
+			if rapid.Bool().Draw(t, "ends") {
+				sim.end(t)
+			}
+			for range rapid.IntRange(0, 5).Draw(t, "rounds") {
+				sim.steady(sim.newest())
+			}
+		},
+		"catch up": func(*rapid.T) { sim.catchUp() },
+	}
+}
+
+// catchUp lets the newest leader read the jobs that it does not know yet from the store.
+func (sim *flowSimulation) catchUp() {
+	l := sim.newest()
+	for _, j := range sim.jobs {
+		if !l.planner.View(sim.now, j.ID).Known {
+			sim.tracef("leader %d reads job %s", l.fence, j.ID)
+			l.planner.AddJob(sim.now, j, false)
+		}
+	}
+}
--- a/ladderproof/flow_simulation_test.go
+++ b/ladderproof/flow_simulation_test.go
@@ -266,6 +266,9 @@
 	}
 }
 
+// newest returns the current leader.
+func (sim *flowSimulation) newest() *flowLeader { return sim.leaders[len(sim.leaders)-1] }
+
 // leader draws the current leader or a former one.
 func (sim *flowSimulation) leader(t *rapid.T) *flowLeader {
 	return rapid.SampledFrom(sim.leaders).Draw(t, "leader")
--- a/ladderproof/flow_test.go
+++ b/ladderproof/flow_test.go
@@ -46,6 +46,20 @@
 	_, _ = fmt.Fprintf(os.Stderr, "flow: %d steps, %d starts\n", steps, starts)
 }
 
+// TestFlowOvertakenJobs guards against ends that are lost because the leader does not know their job yet:
+// the job was accepted after the leader had read the store, and an earlier leader has started it. It
+// makes the checks of TestFlowUnderInterleaving.
+func TestFlowOvertakenJobs(t *testing.T) {
+	steps, starts := 0, 0
+	rapid.Check(t, func(rt *rapid.T) {
+		sim := newFlowSimulation(rt, &steps, &starts)
+		actions := sim.actions()
+		maps.Copy(actions, sim.overtakenActions())
+		rt.Repeat(actions)
+	})
+	_, _ = fmt.Fprintf(os.Stderr, "flow, overtaken jobs: %d steps, %d starts\n", steps, starts)
+}
+
 // actions returns all actions that rapid may draw. The action with the empty name runs
 // after each of the others. A seed keeps its meaning only as long as the names of actions
 // and draws stay the same.
@@ -53,10 +67,8 @@
 	actions := sim.delegateActions()
 	maps.Copy(actions, sim.faultActions())
 	maps.Copy(actions, map[string]func(*rapid.T){
-		"": func(t *rapid.T) { sim.t = t; sim.crashDue(); sim.check() },
-		"submit": func(t *rapid.T) {
-			sim.submit(rapid.IntRange(1, 3).Draw(t, "tasks"), rapid.Bool().Draw(t, "gang"), rapid.IntRange(1, 4).Draw(t, "size"), t)
-		},
+		"":       func(t *rapid.T) { sim.t = t; sim.crashDue(); sim.check() },
+		"submit": func(t *rapid.T) { sim.submit(t, sim.newest()) },
 		"cancel": func(t *rapid.T) { sim.cancel(t) },
 		"pass":   func(t *rapid.T) { sim.advance(time.Duration(rapid.IntRange(1, 900).Draw(t, "ms")) * time.Millisecond) },
 		"plan":   func(t *rapid.T) { sim.plan(sim.leader(t)) },
@@ -115,8 +127,9 @@
 	}
 }
 
-// submit stores a job with one step and adds it to the newest leader.
-func (sim *flowSimulation) submit(tasks int, gang bool, cores int, t *rapid.T) {
+// submit draws a job with one step, stores it, and adds it to a leader.
+func (sim *flowSimulation) submit(t *rapid.T, l *flowLeader) {
+	tasks, gang, cores := rapid.IntRange(1, 3).Draw(t, "tasks"), rapid.Bool().Draw(t, "gang"), rapid.IntRange(1, 4).Draw(t, "size")
 	j := &ladderflow.Job{
 		ID: fmt.Sprintf("%016x", len(sim.jobs)), Queue: flowQueue, Service: "s", Accepted: sim.now,
 		Steps: []ladderflow.Step{{
@@ -133,7 +146,7 @@
 	}
 	sim.jobs = append(sim.jobs, j)
 	sim.drawCrashers(t, j)
-	sim.leaders[len(sim.leaders)-1].planner.AddJob(sim.now, j, false)
+	l.planner.AddJob(sim.now, j, false)
 }
 
 // cancel stores the cancellation of a drawn job and passes it to the newest leader only.
@@ -145,7 +158,7 @@
 	if _, err := sim.journal.Cancel(context.Background(), id); err != nil {
 		sim.t.Fatal(err)
 	}
-	l := sim.leaders[len(sim.leaders)-1]
+	l := sim.newest()
 	l.planner.Cancel(sim.now, id)
 	l.cancelled[id] = true
 }
