Let a stand-in worker crash and change its capacity

PlatformWorker.Crash loses all runs and listed ends, closes connections without a response for a given time, then starts a new incarnation and renews the entry in the store. SetCrashes names the runs that do so. SetCapacity changes the registered capacity while the worker runs. Done counts the successful runs of a task whose ends were not lost.

--- a/ladderstand/platformworker.go
+++ b/ladderstand/platformworker.go
@@ -35,10 +35,26 @@
 	startedAt time.Time
 	// starts counts the runs of each task that were started in any incarnation.
 	starts map[ladderflow.Task]int
+	// done counts the runs of each task that have succeeded. It leaves out those whose end was lost
+	// in a crash before a poll acknowledged it.
+	done map[ladderflow.Task]int
 	// runEnded is closed and replaced when a run ends.
 	runEnded chan struct{}
 	// unresponsive makes the worker leave calls without a response.
 	unresponsive bool
+	// down is true from a crash to the start of the next incarnation.
+	down    bool
+	crashes CrashSpec
+}
+
+// CrashSpec says which runs crash their worker.
+type CrashSpec struct {
+	// After returns whether a run crashes the worker, and how long after its start.
+	After func(ladderflow.Run) (time.Duration, bool)
+	// Downtime is the time from a crash to the start of the next incarnation, which renews the
+	// worker's entry in Store.
+	Downtime time.Duration
+	Store    *Store
 }
 
 // incarnation is the state that a worker loses when it crashes.
@@ -75,7 +91,8 @@
 	workload func(ladderflow.Run, string) (time.Duration, bool),
 ) *PlatformWorker {
 	p := &PlatformWorker{
-		clock: clock, spec: spec, workload: workload, starts: map[ladderflow.Task]int{}, runEnded: make(chan struct{}),
+		clock: clock, spec: spec, workload: workload, starts: map[ladderflow.Task]int{},
+		done: map[ladderflow.Task]int{}, runEnded: make(chan struct{}),
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -104,6 +121,53 @@
 	p.unresponsive = on
 }
 
+// SetCrashes makes some of the runs that start from now on crash the worker.
+func (p *PlatformWorker) SetCrashes(c CrashSpec) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.crashes = c
+}
+
+// Crash ends the worker with all its runs and the ends that it lists. Connections are closed without
+// a response until the next incarnation starts after downtime, which renews the entry in the store.
+func (p *PlatformWorker) Crash(s *Store, downtime time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.crash(s, downtime)
+}
+
+// crash is Crash for callers that hold p.mu.
+func (p *PlatformWorker) crash(s *Store, downtime time.Duration) {
+	if p.down {
+		return
+	}
+	for _, e := range p.current.ended {
+		if e.Reason == ladderflow.EndDone {
+			p.done[e.Run.Task]--
+		}
+	}
+	p.restart()
+	p.down = true
+	close(p.runEnded)
+	p.runEnded = make(chan struct{})
+	time.AfterFunc(downtime, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.restart()
+		p.down = false
+		// The entry could be formatted before, so it can be now.
+		_ = p.register(s)
+	})
+}
+
+// SetCapacity changes the capacity that the worker's entry in the store states. The runs continue.
+func (p *PlatformWorker) SetCapacity(s *Store, c ladderflow.Size) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.spec.Capacity = c
+	return p.register(s)
+}
+
 // Starts returns how many runs of a task were started in any incarnation.
 func (p *PlatformWorker) Starts(task ladderflow.Task) int {
 	p.mu.Lock()
@@ -111,6 +175,14 @@
 	return p.starts[task]
 }
 
+// Done returns how many runs of a task have succeeded, without those whose end was lost in a crash
+// before a poll acknowledged it.
+func (p *PlatformWorker) Done(task ladderflow.Task) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.done[task]
+}
+
 // Running returns the runs that have not ended, in no particular order.
 func (p *PlatformWorker) Running() []ladderflow.Run {
 	p.mu.Lock()
@@ -127,6 +199,11 @@
 func (p *PlatformWorker) Register(s *Store) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.register(s)
+}
+
+// register is Register for callers that hold p.mu.
+func (p *PlatformWorker) register(s *Store) error {
 	value, err := platform.FormatWorker(p.spec)
 	if err != nil {
 		return err
@@ -146,6 +223,9 @@
 	}
 	active.timer.Stop()
 	delete(p.current.running, run)
+	if reason == ladderflow.EndDone {
+		p.done[run.Task]++
+	}
 	p.current.lastEnd++
 	p.current.refusedUpTo[run.Task] = max(p.current.refusedUpTo[run.Task], run.Number)
 	p.current.ended = append(p.current.ended, ladderflow.EndedRun{Sequence: p.current.lastEnd, Run: run, Reason: reason})
@@ -190,11 +270,14 @@
 
 // readOrder decodes the body of a call. If the call does not reach the worker that the
 // caller expects, or cannot be decoded, readOrder responds and returns false. An
-// unresponsive worker waits until the caller closes the connection.
+// unresponsive worker waits until the caller closes the connection, and one that is down closes it.
 func (p *PlatformWorker) readOrder(w http.ResponseWriter, request *http.Request) (order, bool) {
 	p.mu.Lock()
-	unresponsive, id := p.unresponsive, p.spec.ID
+	unresponsive, id, down := p.unresponsive, p.spec.ID, p.down
 	p.mu.Unlock()
+	if down {
+		panic(http.ErrAbortHandler)
+	}
 	var o order
 	if unresponsive {
 		// The server notices a closed connection only once the body has been read.
@@ -222,6 +305,10 @@
 			return
 		}
 		p.mu.Lock()
+		if p.down {
+			p.mu.Unlock()
+			panic(http.ErrAbortHandler)
+		}
 		p.expireLease()
 		status, reason := http.StatusConflict, "fence"
 		if o.Fence >= p.current.fence {
@@ -267,9 +354,29 @@
 	active.timer = time.AfterFunc(duration, func() { p.finishRun(run, reason) })
 	p.current.running[run] = active
 	p.starts[task]++
+	p.scheduleCrash(run, active)
 	return http.StatusOK, ""
 }
 
+// scheduleCrash lets a run crash the worker later, if it is one that does. The caller must hold p.mu.
+func (p *PlatformWorker) scheduleCrash(run ladderflow.Run, active *activeRun) {
+	c := p.crashes
+	if c.After == nil {
+		return
+	}
+	after, ok := c.After(run)
+	if !ok {
+		return
+	}
+	time.AfterFunc(after, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if p.current.running[run] == active {
+			p.crash(c.Store, c.Downtime)
+		}
+	})
+}
+
 // finishRun ends a run once its duration, or stopDuration after a stop, has passed. If
 // the lease has expired, the run ends for that reason instead.
 func (p *PlatformWorker) finishRun(run ladderflow.Run, reason ladderflow.EndReason) {
@@ -302,8 +409,14 @@
 		return
 	}
 	timeout := time.After(time.Duration(o.Wait) * time.Millisecond)
+	var polled int64
 	for {
 		p.mu.Lock()
+		if p.down || polled != 0 && polled != p.current.number {
+			p.mu.Unlock()
+			panic(http.ErrAbortHandler)
+		}
+		polled = p.current.number
 		p.expireLease()
 		if o.Fence < p.current.fence {
 			p.mu.Unlock()
