Add crashing workers and tasks to the soak

Two more faults are drawn: up to four workers crash, and a job is submitted whose task 0 crashes each of its workers.

--- a/laddertest/soak_faults_test.go
+++ b/laddertest/soak_faults_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"lacewingladder/ladderflow"
 )
 
 // take returns a VM that is up and counts it as down, or nil if too many are down.
@@ -24,7 +26,7 @@
 func (s *soak) disturb(r *rand.Rand) {
 	time.Sleep(time.Duration(200+r.IntN(700)) * time.Millisecond)
 	length := time.Duration(100+r.IntN(3000)) * time.Millisecond
-	switch kind := r.IntN(8); kind {
+	switch kind := r.IntN(10); kind {
 	case 0, 1, 2, 3:
 		if v := s.take(r); v != nil {
 			s.wait.Go(func() { s.disturbVM(v, kind, length) })
@@ -50,7 +52,32 @@
 			s.pause(2 * length)
 			s.workers[n].SetUnresponsive(false)
 		})
+	case 8:
+		for range 1 + r.IntN(4) {
+			n := r.IntN(len(s.workers))
+			s.note("worker %d crashes, and starts after %v", n, length/4)
+			s.workers[n].Crash(s.platform.Store(), length/4)
+		}
+	case 9:
+		if j := s.submitJob(r, soakCrasherPrefix); j != nil {
+			s.note("job %s has a task that crashes its workers", j.path)
+		}
+	}
+}
+
+// crashes returns whether a run crashes its worker, and after how long: task 0 of each job that
+// disturb submits does.
+func (s *soak) crashes(run ladderflow.Run) (time.Duration, bool) {
+	if !strings.HasPrefix(run.Task.Job, soakCrasherPrefix) || run.Task.Index > 0 {
+		return 0, false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crashStarts[run.Task]++
+	if n := s.crashStarts[run.Task]; n > maxCrashingStarts {
+		s.breakPromise(run.Task.Job, "run %v is start %d of a task that crashes each worker", run, n)
 	}
+	return soakCrashAfter, true
 }
 
 // disturbVM kills, stops or shuts down a VM, and has it run again after some time.
--- a/laddertest/soak_test.go
+++ b/laddertest/soak_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"lacewingladder/ladderflow"
+	"lacewingladder/ladderstand"
 )
 
 // The flags of the soak: its first seed, the number of seeds, and how long faults come.
@@ -38,6 +39,10 @@
 	soakDrain = 8 * time.Second
 	// soakVisible is how long after a cancellation a task may still start.
 	soakVisible = 3 * time.Second
+	// soakCrasherPrefix begins the IDs of jobs whose tasks 0 crash their worker soakCrashAfter after
+	// their start.
+	soakCrasherPrefix = "c"
+	soakCrashAfter    = 10 * time.Millisecond
 	// soakPrinted is the number of broken promises that a failure prints.
 	soakPrinted = 3
 	// soakDescriptors and soakGoroutines bound what a VM has open at the end.
@@ -67,6 +72,8 @@
 	jobs []*soakJob
 	// byID holds the accepted jobs.
 	byID map[string]*soakJob
+	// crashStarts counts the starts of the tasks that crash their workers.
+	crashStarts map[ladderflow.Task]int
 	// down holds the VMs that are dead or stopped.
 	down map[*flowVM]bool
 	// queues is the number of queues of the newest configuration, and shown the highest number
@@ -133,7 +140,7 @@
 	s.mu.Unlock()
 	switch kind := r.IntN(10); {
 	case j == nil || kind < 4:
-		s.submitJob(r)
+		s.submitJob(r, "")
 	case kind == 4:
 		if status, _ := s.ask(s.any(r), http.MethodDelete, j.path, ""); status == http.StatusOK {
 			s.mu.Lock()
@@ -147,11 +154,12 @@
 	}
 }
 
-// submitJob submits a job under one ID until a VM accepts or refuses it.
-func (s *soak) submitJob(r *rand.Rand) {
+// submitJob submits a job under one ID, which begins with idPrefix, until a VM accepts it. It returns
+// nil if none does.
+func (s *soak) submitJob(r *rand.Rand, idPrefix string) *soakJob {
 	prefix := []string{"/fit/", "/regrade/"}[r.IntN(2)]
 	steps := []string{twoTasks, gangThenTasks, `[{"count":4,"cpu":1000,"memMb":100,"estimateMs":400}]`}[r.IntN(3)]
-	id := fmt.Sprintf("%016x", s.flowCluster.jobs.Add(1))
+	id := idPrefix + fmt.Sprintf("%016x", s.flowCluster.jobs.Add(1))[len(idPrefix):]
 	for range 4 {
 		status, _ := s.ask(s.any(r), http.MethodPost, prefix+id, `{"spec":"cut","steps":`+steps+`}`)
 		if status == http.StatusOK {
@@ -160,10 +168,11 @@
 			s.jobs = append(s.jobs, j)
 			s.byID[id] = j
 			s.mu.Unlock()
-			return
+			return j
 		}
 		time.Sleep(time.Duration(20+r.IntN(100)) * time.Millisecond)
 	}
+	return nil
 }
 
 // look asks a VM for a job's state and checks it.
@@ -292,7 +301,7 @@
 
 // TestSoak guards the promises that docs/PROOFS.md lists against faults in series and overlapping:
 // VMs are killed, stopped and shut down, the store is away, slow, silent, loses answers or forgets
-// its history, workers leave calls without a response, and the configuration changes. All
+// its history, workers leave calls without a response or crash, some tasks crash them, and the configuration changes. All
 // choices come from the seed, but not the moments at which processes act. By default it plays no
 // seed.
 func TestSoak(t *testing.T) {
@@ -303,8 +312,11 @@
 
 // runSoak plays one seed.
 func runSoak(t *testing.T, seed uint64) {
-	s := &soak{seed: seed, stop: make(chan struct{}), byID: map[string]*soakJob{}, down: map[*flowVM]bool{}, shown: map[*flowVM]int{}}
+	s := &soak{seed: seed, stop: make(chan struct{}), byID: map[string]*soakJob{}, down: map[*flowVM]bool{}, shown: map[*flowVM]int{}, crashStarts: map[ladderflow.Task]int{}}
 	s.flowCluster = newFlow(t, soakWorkers, s.runStarts)
+	for _, w := range s.workers {
+		w.SetCrashes(ladderstand.CrashSpec{Downtime: crashDowntime, Store: s.platform.Store(), After: s.crashes})
+	}
 	s.startVMs(soakVMs)
 	for i := range uint64(soakCallers) {
 		s.do(i, s.runCaller)
