--- a/ladderplan/model.go
+++ b/ladderplan/model.go
@@ -136,11 +136,11 @@
 	// preempted is true once a run of the task was stopped for a more urgent one.
 	preempted bool
 	// crashes is the number of workers that crashed while a run of the task was under way, the last time
-	// at crashedAt. suspect is true if the run had just started in one of them, and suspectSince is
-	// since when the task has been waiting for a worker of its own.
+	// at crashedAt, and suspicions the number of those under which the run had just started.
+	// suspectSince is since when the task has been waiting for a worker of its own.
 	crashes      int
 	crashedAt    time.Time
-	suspect      bool
+	suspicions   int
 	suspectSince time.Time
 	runs         []*run
 }
@@ -153,6 +153,9 @@
 // needsRun reports whether the task has not succeeded and has no run that may be under way.
 func (t *task) needsRun() bool { return !t.done && len(t.runs) == 0 }
 
+// suspect reports whether the task may be one that crashes the workers that start it.
+func (t *task) suspect() bool { return t.suspicions > 0 }
+
 // phase is what the leader knows of a run.
 type phase int
 
@@ -244,7 +247,9 @@
 	// acknowledgeGuard decides whether a poll may acknowledge ends to the worker.
 	acknowledgeGuard ladderflow.AcknowledgeGuard
 	free             ladderflow.Size
-	runs             map[ladderflow.Run]*run
+	// leastCapacity is the least amount of each resource that the worker's incarnation has had.
+	leastCapacity ladderflow.Size
+	runs          map[ladderflow.Run]*run
 	// runOrder holds the runs in the order in which they were added. releases is the result of
 	// expectedReleases, which is computed again if releasesStale is true.
 	runOrder      []*run
@@ -282,7 +287,7 @@
 
 func newWorker(spec ladderflow.Worker, index int, freed *freedLog) *worker {
 	return &worker{
-		spec: spec, index: index, freed: freed, free: spec.Capacity, runs: map[ladderflow.Run]*run{}, justEnded: map[ladderflow.Run]bool{},
+		spec: spec, index: index, freed: freed, free: spec.Capacity, leastCapacity: spec.Capacity, runs: map[ladderflow.Run]*run{}, justEnded: map[ladderflow.Run]bool{},
 		failedJobs: map[string]bool{},
 	}
 }
--- a/ladderplan/place.go
+++ b/ladderplan/place.go
@@ -282,7 +282,7 @@
 	return list
 }
 
-// freeSlots returns how many more tasks of the step fit on a worker.
+// freeSlots returns how many more tasks of the step may start on a worker.
 func (sp *stepPlacement) freeSlots(w *worker) int {
 	if sp.now.Before(w.suspectUntil) {
 		return 0
@@ -292,7 +292,7 @@
 	if s.MaxPerWorker > 0 {
 		limit = min(limit, s.MaxPerWorker-sp.step.runsOn[w])
 	}
-	return s.Demand().FitCount(w.free, max(limit, 0))
+	return s.Demand().FitCount(sp.startableCapacity(w), max(limit, 0))
 }
 
 // placeTasks starts as many single tasks as there is capacity for.
@@ -314,7 +314,7 @@
 		if sp.planner.startLimitReached() {
 			return
 		}
-		if t.suspect {
+		if t.suspect() {
 			sp.startSuspect(t, candidates)
 			continue
 		}
@@ -392,7 +392,7 @@
 		startedAt: sp.now, progressedAt: sp.now, percent: -1, speedPercent: 100,
 	}
 	w.addRun(x)
-	if t.suspect {
+	if t.suspect() {
 		w.suspectUntil = sp.now.Add(suspectTime)
 	}
 	w.acknowledgeGuard.StartSent()
