Let memory shrink in the model, and tasks need none

A worker may shrink in memory alone, and a task may need no memory, so that the model can show a start beside runs over the capacity in a resource that the started task doesn't need.

--- a/ladderproof/flow_fault_test.go
+++ b/ladderproof/flow_fault_test.go
@@ -22,7 +22,9 @@
 		},
 		"resize": func(t *rapid.T) {
 			w := sim.worker(t)
-			size := ladderflow.Size{Processor: 1000 * rapid.IntRange(0, 6).Draw(t, "cores"), Memory: 4000}
+			size := ladderflow.Size{
+				Processor: 1000 * rapid.IntRange(0, 6).Draw(t, "cores"), Memory: rapid.SampledFrom([]int{4000, 4000, 100}).Draw(t, "memory"),
+			}
 			delay := time.Duration(rapid.IntRange(0, int(flowHeartbeat.Milliseconds())).Draw(t, "listed after")) * time.Millisecond
 			sim.tracef("worker %s has capacity %v, listed after %v", w.id, size, delay)
 			w.resize(sim.now, size, delay)
--- a/ladderproof/flow_test.go
+++ b/ladderproof/flow_test.go
@@ -130,10 +130,11 @@
 // submit draws a job with one step, stores it, and adds it to a leader.
 func (sim *flowSimulation) submit(t *rapid.T, l *flowLeader) {
 	tasks, gang, cores := rapid.IntRange(1, 3).Draw(t, "tasks"), rapid.Bool().Draw(t, "gang"), rapid.IntRange(1, 4).Draw(t, "size")
+	memory := rapid.SampledFrom([]int{100, 100, 0}).Draw(t, "memory")
 	j := &ladderflow.Job{
 		ID: fmt.Sprintf("%016x", len(sim.jobs)), Queue: flowQueue, Service: "s", Accepted: sim.now,
 		Steps: []ladderflow.Step{{
-			Tasks: tasks, Gang: gang, Need: ladderflow.Size{Processor: cores * 1000, Memory: 100}, Estimate: time.Second,
+			Tasks: tasks, Gang: gang, Need: ladderflow.Size{Processor: cores * 1000, Memory: memory}, Estimate: time.Second,
 		}},
 	}
 	if sim.storeOut() {
