--- a/ladderproof/flow_crash_test.go
+++ b/ladderproof/flow_crash_test.go
@@ -95,6 +95,9 @@
 func (sim *flowSimulation) recordCrash(w *flowWorker) {
 	for _, r := range w.runs() {
 		sim.crashesOf(r.Task).possible++
+		if _, ok := w.stopping[r]; ok {
+			continue // A leader may take it for stopped.
+		}
 		for _, l := range sim.leaders {
 			if l.seen[seenRun{w, w.incarnation, r}] {
 				sim.unnoticed = append(sim.unnoticed, crash{l, w, w.incarnation, r.Task})
--- a/ladderproof/flow_simulation_test.go
+++ b/ladderproof/flow_simulation_test.go
@@ -30,6 +30,8 @@
 	// flowMaxAttempts is how many runs of a task may fail.
 	flowMaxAttempts = 2
 	flowQueue       = "q"
+	// flowCatchUpTime is how long a leader needs at most to learn of a stored job.
+	flowCatchUpTime = time.Second
 	// flowHeartbeat is the longest time after which the store lists a worker's new capacity, and
 	// flowResizeAllowance the time after a shrinking in which leaders may order starts that exceed it.
 	flowHeartbeat       = time.Second
--- a/ladderproof/flow_test.go
+++ b/ladderproof/flow_test.go
@@ -116,6 +116,7 @@
 func (sim *flowSimulation) advance(d time.Duration) {
 	sim.now = sim.now.Add(d)
 	sim.clock.Advance(d)
+	sim.catchUp()
 	changed := false
 	for _, w := range sim.workers {
 		changed = w.list(sim.now) || changed
