Hold the run of a job that the leader does not know yet

What callers would see: a task that runs twice at the same time (TWICE), or a worker that is filled beyond its capacity (LIMIT).

Cause: a job can be stored after a new leader has read the store, and be started by the former one. The new leader stopped such a run at once and counted it as size zero while it was stopping; it then read the job and started its task elsewhere. The end of such a run was held for 3 s, also while the store was away, so that it was acknowledged and lost.

Change: nothing starts on a worker with a run of unknown size; once the job is known, the run is adopted. A run or an end is given up only after the store has served for 3 s.

--- a/ladderplan/model.go
+++ b/ladderplan/model.go
@@ -180,6 +180,8 @@
 	worker *worker
 	phase  phase
 	size   ladderflow.Size
+	// sizeUnknown is true if the leader does not know the run's job yet. The size is then zero.
+	sizeUnknown bool
 	// startSettledAt is when the start was answered, or when it became clear that it will not be.
 	// confirmed is true once the worker has accepted the start or listed the run.
 	startSettledAt time.Time
@@ -245,8 +247,10 @@
 	// store holds.
 	lastSeenEnd   int64
 	lastStoredEnd int64
-	// unknownEnds holds the ends of runs whose jobs are unknown, by rising number.
+	// unknownEnds holds the ends of runs whose jobs are unknown, by rising number. unknownRuns is the
+	// number of runs in progress whose size is unknown.
 	unknownEnds []unknownEnd
+	unknownRuns int
 	// acknowledgeGuard decides whether a poll may acknowledge ends to the worker.
 	acknowledgeGuard ladderflow.AcknowledgeGuard
 	free             ladderflow.Size
@@ -314,6 +318,9 @@
 	w.runOrder = append(w.runOrder, r)
 	w.releasesStale = true
 	w.free = w.free.Minus(r.size)
+	if r.sizeUnknown {
+		w.unknownRuns++
+	}
 	if t := r.task; t != nil {
 		if t.needsRun() {
 			t.step.waiting--
@@ -333,6 +340,9 @@
 	w.runOrder = slices.DeleteFunc(w.runOrder, func(o *run) bool { return o == r })
 	w.releasesStale = true
 	w.free = w.free.Plus(r.size)
+	if r.sizeUnknown {
+		w.unknownRuns--
+	}
 	w.freed.add(w)
 	t := r.task
 	if t == nil {
--- a/ladderplan/place.go
+++ b/ladderplan/place.go
@@ -234,7 +234,7 @@
 		return false
 	case !w.inRoster, now.Before(w.excludedUntil), now.Before(w.maintenanceUntil), p.nearMaintenance[w.spec.ID]:
 		return false
-	case w.incarnationSeenAt.After(p.confirmedAt):
+	case w.incarnationSeenAt.After(p.confirmedAt), w.unknownRuns > 0:
 		return false
 	}
 	return w.spec.Incarnation == 0 || w.spec.Incarnation == w.incarnation
--- a/ladderplan/planner.go
+++ b/ladderplan/planner.go
@@ -140,7 +140,7 @@
 	r := j.addRound(index, due)
 	j.nextRound = max(j.nextRound, index+1)
 	p.markReadySteps(now, r)
-	p.recordHeldEnds(now, r)
+	p.recordHeld(now, r)
 }
 
 // markReadySteps marks the steps of a round whose predecessors have succeeded as ready.
--- a/ladderplan/poll.go
+++ b/ladderplan/poll.go
@@ -259,6 +259,9 @@
 	if x.phase == phaseStopping {
 		p.stopRun(now, x, "it is still running")
 	}
+	if x.phase == phaseRunning && x.sizeUnknown && p.heldTooLong(now, x.startedAt) {
+		p.stopRun(now, x, "its job is unknown")
+	}
 	if t := x.task; t != nil && r.Checkpoint != "" {
 		t.checkpoint, t.step.gang.checkpoint = r.Checkpoint, r.Checkpoint
 	}
@@ -278,6 +281,13 @@
 	if w.justEnded[r.Run] {
 		return // The status report is from just before the run's end.
 	}
+	if p.unknown(r.Run.Task) {
+		x.sizeUnknown = true
+		w.addRun(x)
+		x.recordProgress(now, r)
+		p.log.Info("worker has a run of an unknown job", "task", r.Run.Task, "run", r.Run.Number, "worker", w.spec.ID)
+		return
+	}
 	if t := x.task; t != nil {
 		x.size = t.step.spec.Demand()
 		// A run with a closed number may be on this worker although it has ended on another one: a
--- a/ladderplan/unknown_end.go
+++ b/ladderplan/unknown_end.go
@@ -7,9 +7,9 @@
 	"lacewingladder/ladderflow"
 )
 
-// unknownEndTimeout is how long the end of a run is held whose job is unknown. The leader learns of a
-// stored job within a second; a job that is still unknown was deleted.
-const unknownEndTimeout = 3 * time.Second
+// unknownTimeout is how long the end of a run is held whose job is unknown, and how long such a run goes
+// on. The leader learns of a stored job within a second; a job that is still unknown was deleted.
+const unknownTimeout = 3 * time.Second
 
 // unknownEnd is the end of a run whose job, or whose round of a job, the leader does not know yet. An
 // earlier leader has started it. The end is held until the job is known, since a worker forgets an end
@@ -33,9 +33,12 @@
 	w.unknownEnds = append(w.unknownEnds, unknownEnd{e, now})
 }
 
-// recordHeldEnds records the ends that were held until a round of a job was known.
-func (p *Planner) recordHeldEnds(now time.Time, r *round) {
+// recordHeld records the runs and ends that were held until a round of a job was known.
+func (p *Planner) recordHeld(now time.Time, r *round) {
 	for _, w := range p.allWorkers() {
+		if w.unknownRuns > 0 {
+			p.recordHeldRuns(now, w, r)
+		}
 		for i := 0; i < len(w.unknownEnds); {
 			e := w.unknownEnds[i].ended
 			if e.Run.Task.Job != r.job.spec.ID || e.Run.Task.Round != r.index {
@@ -51,7 +54,7 @@
 // dropHeldEnds drops the ends that were held for too long, so that they are acknowledged.
 func (p *Planner) dropHeldEnds(now time.Time, w *worker) {
 	w.unknownEnds = slices.DeleteFunc(w.unknownEnds, func(u unknownEnd) bool {
-		late := now.Sub(u.seenAt) > unknownEndTimeout
+		late := p.heldTooLong(now, u.seenAt)
 		if late {
 			p.log.Info("end of an unknown job ignored", "task", u.ended.Run.Task, "run", u.ended.Run.Number,
 				"worker", w.spec.ID, "result", u.ended.Reason)
@@ -60,6 +63,15 @@
 	})
 }
 
+// heldTooLong reports whether a run or an end of an unknown job was held for unknownTimeout. While the
+// store is away, the leader cannot learn of the job.
+func (p *Planner) heldTooLong(now, since time.Time) bool {
+	if p.storeWasAway && p.storeServingSince.IsZero() {
+		return false
+	}
+	return now.Sub(later(since, p.storeServingSince)) > unknownTimeout
+}
+
 // lastKnownEnd returns the number up to which the worker's ends were handled and none is held.
 func (w *worker) lastKnownEnd() int64 {
 	if len(w.unknownEnds) > 0 {
@@ -67,3 +79,14 @@
 	}
 	return w.lastSeenEnd
 }
+
+// recordHeldRuns adopts the runs of a round that a worker has, or stops them.
+func (p *Planner) recordHeldRuns(now time.Time, w *worker, r *round) {
+	for _, x := range slices.Clone(w.runOrder) {
+		if t := x.name.Task; !x.sizeUnknown || t.Job != r.job.spec.ID || t.Round != r.index {
+			continue
+		}
+		w.removeRun(x)
+		p.adoptOrStop(now, w, ladderflow.ActiveRun{Run: x.name, Percent: x.percent, TailLatency: x.tailLatency})
+	}
+}
--- a/ladderplan/unknown_end_test.go
+++ b/ladderplan/unknown_end_test.go
@@ -54,13 +54,13 @@
 }
 
 // TestEndOfUnknownJobIsAcknowledgedInTime checks that the end of a job that stays unknown is
-// acknowledged after unknownEndTimeout, and that a new incarnation's ends don't wait for it.
+// acknowledged after unknownTimeout, and that a new incarnation's ends don't wait for it.
 func TestEndOfUnknownJobIsAcknowledgedInTime(t *testing.T) {
 	h := newHarness(t, 2)
 	h.poll("w0", ladderflow.StatusReport{Ended: []ladderflow.EndedRun{endOf("a", 1)}})
 	h.plan()
 	require.Zero(t, h.acknowledged())
-	h.advance(unknownEndTimeout - time.Millisecond)
+	h.advance(unknownTimeout - time.Millisecond)
 	h.plan()
 	require.Zero(t, h.acknowledged())
 	h.advance(2 * time.Millisecond)
@@ -73,3 +73,45 @@
 	h.poll("w0", ladderflow.StatusReport{Incarnation: 2, Ended: []ladderflow.EndedRun{endOf("b", 1)}})
 	require.EqualValues(t, 1, h.acknowledged())
 }
+
+// TestRunOfUnknownJobIsAdopted lets a worker list a run of a job that this leader does not know yet. The
+// run must not be stopped and started again elsewhere, and nothing may start beside it, since its size
+// is unknown.
+func TestRunOfUnknownJobIsAdopted(t *testing.T) {
+	h := newHarness(t, 1)
+	name := ladderflow.Run{Task: ladderflow.Task{Job: "a"}, Number: 1}
+	running := map[string][]ladderflow.ActiveRun{"w0": {{Run: name, Percent: 10}}}
+	h.pollAll(running)
+	h.submit("b", stepOf(1))
+	o := h.plan()
+	require.Empty(t, o.Stops)
+	require.Empty(t, o.Starts)
+	h.planner.AddJob(h.now, testJob(h.now, "a", stepOf(1)), false)
+	h.advance(idlePassInterval)
+	h.pollAll(running)
+	o = h.plan()
+	require.Empty(t, o.Stops)
+	require.Len(t, o.Starts, 1)
+	require.Equal(t, "b", o.Starts[0].Run.Task.Job)
+	require.Equal(t, 4000, h.planner.workers["w0"].free.Processor)
+}
+
+// TestRunOfJobThatStaysUnknownIsStopped checks that a run whose job stays unknown is stopped, but not
+// while the store is away, since the leader cannot learn of the job then.
+func TestRunOfJobThatStaysUnknownIsStopped(t *testing.T) {
+	h := newHarness(t, 1)
+	name := ladderflow.Run{Task: ladderflow.Task{Job: "a"}, Number: 1}
+	running := map[string][]ladderflow.ActiveRun{"w0": {{Run: name, Percent: 10}}}
+	h.planner.SetStoreServing(h.now, false)
+	h.pollAll(running)
+	h.advance(2 * unknownTimeout)
+	h.pollAll(running)
+	require.Empty(t, h.plan().Stops)
+	h.planner.SetStoreServing(h.now, true)
+	h.advance(unknownTimeout - time.Millisecond)
+	h.pollAll(running)
+	require.Empty(t, h.plan().Stops)
+	h.advance(2 * time.Millisecond)
+	h.pollAll(running)
+	require.Len(t, h.plan().Stops, 1)
+}
