Give up a task after three crashes of its workers

Cause: four crashes of a task that is no suspect were allowed, which leaves no margin for crashes that a leader can't know. Now three are, as for suspects. A task that crashes nothing and loses three workers is given up too, which the rule allows.

--- a/ladderplan/crash.go
+++ b/ladderplan/crash.go
@@ -8,12 +8,10 @@
 )
 
 const (
-	// A task is given up after maxCrashes crashes, or after maxSuspectCrashes if it is a suspect, or
-	// after maxSuspicions crashes just after its start if no other task that had just started has had
-	// as many.
-	maxCrashes        = 4
-	maxSuspectCrashes = 3
-	maxSuspicions     = 2
+	// A task is given up after maxCrashes crashes, or after maxSuspicions crashes just after its start
+	// if no other task that had just started has had as many.
+	maxCrashes    = 3
+	maxSuspicions = 2
 	// justStartedTime is how long before the last answered poll of a worker a run may have started and
 	// still count as just started when the worker crashed.
 	justStartedTime = 300 * time.Millisecond
@@ -84,7 +82,7 @@
 func (p *Planner) isGuilty(x *run, fresh []*run) bool {
 	t := x.task
 	switch {
-	case t.crashes >= maxCrashes, t.suspect() && t.crashes >= maxSuspectCrashes:
+	case t.crashes >= maxCrashes:
 		return true
 	case t.suspicions < maxSuspicions || t.step.spec.LongRunning || !slices.Contains(fresh, x):
 		return false
--- a/ladderplan/crash_test.go
+++ b/ladderplan/crash_test.go
@@ -77,7 +77,7 @@
 		"gang":            {gangOf(1), 0, maxSuspicions},
 		"task, later":     {stepOf(1), 500 * time.Millisecond, maxCrashes},
 		"gang, later":     {gangOf(1), 500 * time.Millisecond, maxCrashes},
-		"task that lasts": {lasting(stepOf(1)), 0, maxSuspectCrashes},
+		"task that lasts": {lasting(stepOf(1)), 0, maxCrashes},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(t, 4)
