--- a/ladderload/simulation.go
+++ b/ladderload/simulation.go
@@ -123,10 +123,9 @@
 	}
 	sim.planner = ladderplan.New(ladderplan.Options{
 		Fence: 1, LeaseDuration: leaseDuration, MaxLeaseDuration: leaseDuration, ElectedAt: sim.start, StopTimeout: time.Second,
-		JobRetention: time.Hour, RemoteFactor: 2, Log: ladderlog.Discard().Component("plan"), Order: order, MaxUnansweredStarts: ladderplan.OrdersPerSender,
+		JobRetention: time.Hour, RemoteFactor: 2, Log: ladderlog.Discard().Component("plan"), Order: order, MaxUnansweredStarts: ladderplan.MaxOrders,
 	})
 	sim.planner.SetFleet(fleetConfig(l))
-	sim.planner.SetSenders(1 + l.Delegates)
 	sim.addWorkers()
 	for i := range l.Queues {
 		name := l.Queues[i].Name
--- a/ladderplan/options.go
+++ b/ladderplan/options.go
@@ -33,18 +33,18 @@
 	// instead of one.
 	RemoteFactor float64
 	Log          Log
-	// MaxUnansweredStarts bounds the number of starts without a reply, for each VM that sends starts
-	// (see [Planner.SetSenders]). Zero means that there is no bound. Starts beyond the bound are left to a later plan, which has more recent ranks and
+	// MaxUnansweredStarts bounds the number of starts without a reply. Zero means that there is no
+	// bound. Starts beyond the bound are left to a later plan, which has more recent ranks and
 	// tickets.
 	MaxUnansweredStarts int
 	// Order is the rule by which steps are ranked. It defaults to ByObjective.
 	Order Order
 }
 
-// OrdersPerSender is how many orders one VM keeps in flight. A VM that sent all orders of a takeover at
-// once would be too busy to read the responses. It is several times what 600 starts per second at
-// 20 ms each keep in flight, which leaves capacity for orders that are never answered.
-const OrdersPerSender = 64
+// MaxOrders bounds the orders in flight. A leader that sent all orders of a takeover at once would be
+// too busy to read the responses. The bound is several times what 600 starts per second at 20 ms
+// each keep in flight, which leaves capacity for orders that are never answered.
+const MaxOrders = 64
 
 // Order is a rule for which steps start first.
 type Order int
--- a/ladderplan/place.go
+++ b/ladderplan/place.go
@@ -116,8 +116,7 @@
 // startLimitReached reports whether no more starts may be sent before others are answered. A gang
 // may exceed the limit, since its members must start together.
 func (p *Planner) startLimitReached() bool {
-	limit := p.options.MaxUnansweredStarts * max(1, p.senders)
-	return limit > 0 && p.unanswered >= limit
+	return p.options.MaxUnansweredStarts > 0 && p.unanswered >= p.options.MaxUnansweredStarts
 }
 
 // rankedSteps returns the ready steps with waiting tasks, in the order of placement.
--- a/ladderplan/planner.go
+++ b/ladderplan/planner.go
@@ -60,9 +60,7 @@
 	reservationPass int64
 	slotBuffer      []futureSlot
 	// unanswered is the number of starts without a reply.
-	unanswered int
-	// senders is the number of VMs that send starts.
-	senders         int
+	unanswered      int
 	speedsCheckedAt time.Time
 	// storeServingSince is since when the platform's store has served calls, or zero while it does not.
 	storeServingSince time.Time
@@ -87,11 +85,6 @@
 // SetFleet sets the configuration.
 func (p *Planner) SetFleet(f *ladderflow.FleetConfig) { p.fleet, p.placementDue = f, true }
 
-// SetSenders sets the number of VMs that send starts: the leader and its delegates. A bound for the
-// leader alone would limit the starts per second to the bound divided by the time until a start is
-// answered, however large the fleet is.
-func (p *Planner) SetSenders(n int) { p.senders = n }
-
 // AddJob adds a job that the store holds. The argument knownToEarlierLeader is true if an earlier
 // leader may have started tasks of the job.
 func (p *Planner) AddJob(now time.Time, spec *ladderflow.Job, knownToEarlierLeader bool) {
--- a/laddervm/term.go
+++ b/laddervm/term.go
@@ -93,7 +93,7 @@
 func newTerm(ctx context.Context, v *VM, lease *lease, fence int64, began time.Time) *term {
 	t := &term{
 		vm: v, log: v.logs.RateLimited("term", v.clock), lease: lease, fence: fence, began: began,
-		inbox: make(chan func(), inboxSize), orderSlots: make(chan struct{}, ladderplan.OrdersPerSender),
+		inbox: make(chan func(), inboxSize), orderSlots: make(chan struct{}, ladderplan.MaxOrders),
 		pollers: map[string]*poller{}, delegates: map[string]*delegateClient{}, excludedUntil: map[string]time.Time{},
 		roster: map[string]bool{}, waves: map[int64]bool{},
 	}
@@ -103,7 +103,7 @@
 	t.planner = ladderplan.New(ladderplan.Options{
 		Fence: fence, LeaseDuration: t.workerLease, MaxLeaseDuration: b.MaxWorkerLease,
 		ElectedAt: began, EarlierLeaderTimeout: leaderLease + outageGrace,
-		MaxUnansweredStarts: ladderplan.OrdersPerSender, StopTimeout: b.StopTimeout, JobRetention: b.JobRetention, RemoteFactor: b.RemoteFactor,
+		MaxUnansweredStarts: ladderplan.MaxOrders, StopTimeout: b.StopTimeout, JobRetention: b.JobRetention, RemoteFactor: b.RemoteFactor,
 		Log: v.logs.RateLimited("plan", v.clock),
 	})
 	t.planner.SetFleet(v.fleet.Load())
@@ -217,7 +217,6 @@
 		t.peersVersion = v
 		t.planner.SetVMs(t.vmNames())
 	}
-	t.planner.SetSenders(1 + len(t.delegates))
 	t.planner.SetStoreServing(now, !t.vm.storeCarrier.unavailable())
 	o := t.planner.Plan(now, t.wallClock.now(now), t.confidence())
 	t.vm.stats.planTime.UpdateDuration(now)
--- a/laddervm/workers.go
+++ b/laddervm/workers.go
@@ -253,7 +253,7 @@
 	}
 }
 
-// sendOrder waits until fewer than ladderplan.OrdersPerSender orders are in flight and then sends one with the
+// sendOrder waits until fewer than ladderplan.MaxOrders orders are in flight and then sends one with the
 // given function. The order's timeout begins after the wait.
 func (t *term) sendOrder(order func(ctx context.Context) (ladderflow.Refusal, error)) ladderplan.Result {
 	select {
