--- a/ladderproof/flow_simulation_test.go
+++ b/ladderproof/flow_simulation_test.go
@@ -329,6 +329,7 @@
 // plan lets a leader plan and puts its orders in transit.
 func (sim *flowSimulation) plan(l *flowLeader) {
 	sim.noticeCrashes()
+	l.planner.SetStoreServing(sim.now, !sim.storeOut())
 	o := l.planner.Plan(sim.now, sim.now, l.confidence(sim.now))
 	for i := range o.Starts {
 		s := &o.Starts[i]
