Let the bound of unanswered starts follow the answers

At 60 ms until an answer that is 1,070 starts a second, where the load is 1,700.

Change: a leader begins with 64. While the bound holds starts up and they are answered within 200 ms, it grows by one for each eight answers, up to 64 for each VM that sends starts; after a late, refused or missing answer it is halved, at most each 0.5 s and never below 64. A fleet without delegates keeps 64.

--- a/ladderload/load.go
+++ b/ladderload/load.go
@@ -17,6 +17,8 @@
 	// EntryVMs is the number of entry VMs that query the advice service. Each sends one query
 	// at a time.
 	EntryVMs int
+	// Delegates is the number of entry VMs that send orders for the leader.
+	Delegates int
 	// OrderRoundTrip is the time from the planner's decision to start a task until the leader has the
 	// worker's response. The worker receives an order to start or stop a run after half of it.
 	OrderRoundTrip time.Duration
@@ -105,6 +107,7 @@
 	l := &Load{
 		ArrivalPeriod: r.RequiredKey("length").Duration(0), ExtraTime: r.Key("rest").Duration(15 * time.Second),
 		EntryVMs:       r.Key("vms").WholeNumber(6),
+		Delegates:      r.Key("delegates").WholeNumber(0),
 		OrderRoundTrip: r.Key("answer").Duration(4 * time.Millisecond),
 	}
 	w := r.RequiredKey("workers")
--- a/ladderload/load_test.go
+++ b/ladderload/load_test.go
@@ -55,7 +55,7 @@
 
 // TestLargeFleetAwaitsAnswers checks that no queue of the large fleet earns less than the floor of a
 // queue when a start is answered only after two links between regions, the collection of reports
-// and a leader's pause between plans.
+// and a leader's pause between plans. Delegates send the starts.
 func TestLargeFleetAwaitsAnswers(t *testing.T) {
 	const floor = 0.34
 	l := readExample(t, "jadewing", "large.yaml")
@@ -64,7 +64,7 @@
 		t.Run(d.String(), func(t *testing.T) {
 			t.Parallel()
 			slow := *l
-			slow.OrderRoundTrip = d
+			slow.Delegates, slow.OrderRoundTrip = 18, d
 			for _, q := range Simulate(&slow, 1, ladderplan.ByObjective).Queues {
 				require.GreaterOrEqual(t, q.Earned/q.PossibleWorth, floor, "queue %s", q.Name)
 			}
--- a/ladderload/simulation.go
+++ b/ladderload/simulation.go
@@ -126,6 +126,7 @@
 		JobRetention: time.Hour, RemoteFactor: 2, Log: ladderlog.Discard().Component("plan"), Order: order, MaxUnansweredStarts: ladderplan.MaxOrders,
 	})
 	sim.planner.SetFleet(fleetConfig(l))
+	sim.planner.SetSenders(1 + l.Delegates)
 	sim.addWorkers()
 	for i := range l.Queues {
 		name := l.Queues[i].Name
--- a/ladderplan/place.go
+++ b/ladderplan/place.go
@@ -119,7 +119,7 @@
 // startLimitReached reports whether no more starts may be sent before others are answered. A gang
 // may exceed the limit, since its members must start together.
 func (p *Planner) startLimitReached() bool {
-	return p.options.MaxUnansweredStarts > 0 && p.unanswered >= p.options.MaxUnansweredStarts
+	return p.window.holdsUp(p.unanswered)
 }
 
 // rankedSteps returns the ready steps with waiting tasks, in the order of placement.
--- a/ladderplan/planner.go
+++ b/ladderplan/planner.go
@@ -62,8 +62,9 @@
 	// gangs. slotBuffer is reused by all its searches for future slots.
 	reservationPass int64
 	slotBuffer      []futureSlot
-	// unanswered is the number of starts without a reply.
+	// unanswered is the number of starts without a reply, and window bounds it.
 	unanswered      int
+	window          startWindow
 	speedsCheckedAt time.Time
 	// storeServingSince is since when the platform's store has served calls, or zero while it does not.
 	storeServingSince time.Time
@@ -81,6 +82,7 @@
 		options: o, log: o.Log, jobs: map[string]*job{}, cancellations: map[string]time.Time{}, deletedJobs: map[string]deletedJob{},
 		workers: map[string]*worker{}, pools: map[string][]*worker{}, unseenWorkers: map[string]bool{},
 		unstoredJobs: map[string]*job{}, estimators: durationEstimators{}, spreads: spreads{}, advisers: newAdvisers(),
+		window: newStartWindow(o.MaxUnansweredStarts),
 	}
 }
 
@@ -90,6 +92,9 @@
 // SetFleet sets the configuration.
 func (p *Planner) SetFleet(f *ladderflow.FleetConfig) { p.fleet, p.placementDue = f, true }
 
+// SetSenders sets the number of VMs that send starts: the leader and its delegates.
+func (p *Planner) SetSenders(n int) { p.window.setSenders(n) }
+
 // AddJob adds a job that the store holds. The argument knownToEarlierLeader is true if an earlier
 // leader may have started tasks of the job.
 func (p *Planner) AddJob(now time.Time, spec *ladderflow.Job, knownToEarlierLeader bool) {
--- a/ladderplan/result.go
+++ b/ladderplan/result.go
@@ -48,6 +48,7 @@
 		return
 	}
 	x.startSettledAt = now
+	p.window.settled(now, r, now.Sub(x.startedAt))
 	switch {
 	case r.succeeded():
 		x.confirm()
--- a/ladderplan/result_test.go
+++ b/ladderplan/result_test.go
@@ -75,7 +75,7 @@
 // are ordered as replies come in.
 func TestStartsAreBounded(t *testing.T) {
 	h := newHarness(t, 4)
-	h.planner.options.MaxUnansweredStarts = 3
+	h.planner.window = newStartWindow(3)
 	h.submit("a", stepOf(2))
 	h.submit("gang", gangOf(4))
 	h.advance(time.Millisecond)
--- /dev/null
+++ b/ladderplan/window_test.go
@@ -0,0 +1,62 @@
+package ladderplan
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lacewingladder/ladderflow"
+)
+
+// TestStartWindow checks how many starts may be unanswered after a number of answers while all starts
+// that are allowed are sent.
+func TestStartWindow(t *testing.T) {
+	const least, senders = 4, 3
+	for name, c := range map[string]struct {
+		result Result
+		took   time.Duration
+		busy   bool
+		from   int
+		size   int
+	}{
+		"answered in time, full":     {Result{}, maxAnswerTime, true, least, least * senders},
+		"answered in time, not full": {Result{}, maxAnswerTime, false, least, least},
+		"answered late":              {Result{}, maxAnswerTime + 1, true, least * senders, least},
+		"not answered":               {Result{Unknown: true}, 0, true, least * senders, least},
+		"expired before it was sent": {Result{Unsent: true}, 0, true, least * senders, least},
+		"refused":                    {Result{Refusal: ladderflow.RefusedTicket}, 0, true, least * senders, least},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.UnixMilli(1_000_000)
+			s := newStartWindow(least)
+			s.setSenders(senders)
+			s.size = c.from
+			for range 100 * startsPerGrowth {
+				now = now.Add(10 * time.Millisecond)
+				if c.busy {
+					require.True(t, s.holdsUp(s.size))
+				}
+				s.settled(now, c.result, c.took)
+			}
+			require.Equal(t, c.size, s.size)
+			require.False(t, s.holdsUp(s.size-1))
+		})
+	}
+	var unbounded startWindow
+	require.False(t, unbounded.holdsUp(1_000_000))
+}
+
+// TestStartWindowFollowsSenders checks that the window is reduced at once if fewer VMs send starts, and at
+// most once for answers that are late at the same time.
+func TestStartWindowFollowsSenders(t *testing.T) {
+	now := time.UnixMilli(1_000_000)
+	s := newStartWindow(10)
+	s.setSenders(16)
+	s.size = 160
+	s.settled(now, Result{Unknown: true}, 0)
+	s.settled(now.Add(shrinkInterval-1), Result{Unknown: true}, 0)
+	require.Equal(t, 80, s.size)
+	s.setSenders(2)
+	require.Equal(t, 20, s.size)
+}
--- a/laddervm/term.go
+++ b/laddervm/term.go
@@ -217,6 +217,7 @@
 		t.peersVersion = v
 		t.planner.SetVMs(t.vmNames())
 	}
+	t.planner.SetSenders(1 + len(t.delegates))
 	t.planner.SetStoreServing(now, !t.vm.storeCarrier.unavailable())
 	o := t.planner.Plan(now, t.wallClock.now(now), t.confidence())
 	t.vm.stats.planTime.UpdateDuration(now)
