--- a/ladderplan/capacity.go
+++ b/ladderplan/capacity.go
@@ -31,8 +31,8 @@
 }
 
 // startableCapacity returns the capacity of a worker that new tasks may use. It is none while the runs
-// there use more of a resource than the worker has. While the list of workers
-// is not current, the worker may have shrunk again to the least capacity that it has had.
+// there use more of a resource than the worker has. While the list of workers is not current, the worker
+// may have shrunk again to the least capacity that it has had.
 func (sp *stepPlacement) startableCapacity(w *worker) ladderflow.Size {
 	free := w.free
 	if w.leastCapacity != w.spec.Capacity && !sp.planner.listIsCurrent(sp.now) {
--- a/ladderplan/options.go
+++ b/ladderplan/options.go
@@ -34,9 +34,9 @@
 	RemoteFactor float64
 	Log          Log
 	// MaxUnansweredStarts bounds the number of starts without a reply, for each VM that sends starts
-	// (see [Planner.SetSenders]). The bound of a new leader is that of one VM, and grows while starts are answered in
-	// time. Zero means that there is no bound. Starts beyond the bound are left to a later plan, which
-	// has more recent ranks and tickets.
+	// (see [Planner.SetSenders]). The bound of a new leader is that of one VM, and grows while starts
+	// are answered in time. Zero means that there is no bound. Starts beyond the bound are left to a
+	// later plan, which has more recent ranks and tickets.
 	MaxUnansweredStarts int
 	// Order is the rule by which steps are ranked. It defaults to ByObjective.
 	Order Order
--- a/ladderplan/planner.go
+++ b/ladderplan/planner.go
@@ -121,7 +121,8 @@
 	p.startRound(now, j, 0, spec.Accepted)
 }
 
-// Cancel cancels a job whose cancellation the store holds. If the job is unknown, the cancellation is kept until the job is added.
+// Cancel cancels a job whose cancellation the store holds. If the job is unknown, the cancellation is
+// kept until the job is added.
 func (p *Planner) Cancel(now time.Time, id string) {
 	j, ok := p.jobs[id]
 	switch {
--- a/ladderplan/result.go
+++ b/ladderplan/result.go
@@ -48,7 +48,10 @@
 		return
 	}
 	x.startSettledAt = now
-	p.window.settled(now, r, now.Sub(x.startedAt))
+	if p.window.settled(now, r, now.Sub(x.startedAt)) {
+		p.log.Info("bound of unanswered starts reduced", "bound", p.window.size, "unanswered", p.unanswered,
+			"took", now.Sub(x.startedAt).Round(time.Millisecond), "reason", r.Refusal, "unknown", r.Unknown)
+	}
 	switch {
 	case r.succeeded():
 		x.confirm()
--- a/ladderplan/window.go
+++ b/ladderplan/window.go
@@ -46,8 +46,10 @@
 	return true
 }
 
-// settled records the outcome of a start that was ordered the given time ago.
-func (s *startWindow) settled(now time.Time, r Result, took time.Duration) {
+// settled records the outcome of a start that was ordered the given time ago. It reports whether the
+// window has shrunk.
+func (s *startWindow) settled(now time.Time, r Result, took time.Duration) bool {
+	before := s.size
 	switch {
 	case !r.succeeded() || took > maxAnswerTime:
 		s.answered = 0
@@ -59,4 +61,5 @@
 			s.size, s.answered, s.full = min(s.most, s.size+1), 0, false
 		}
 	}
+	return s.size < before
 }
--- a/ladderwave/wave.go
+++ b/ladderwave/wave.go
@@ -72,8 +72,8 @@
 
 // Observe records a list of machines from the machine service. A machine that was ordered
 // down is done when it is up with a new worker, if the order was confirmed or a list showed the
-// machine in maintenance: a worker is also replaced after a crash. If it is still up with the old worker after
-// listingDelay, the order had no effect. In that case, if the order was confirmed, the
+// machine in maintenance: a worker is also replaced after a crash. If it is still up after
+// listingDelay otherwise, the order had no effect. In that case, if the order was confirmed, the
 // machine had its maintenance before, on the order of an earlier leader, and is done;
 // otherwise the machine waits to be ordered down again.
 func (w *Wave) Observe(now time.Time, listed []ladderflow.Machine) {
