Log runs that were given up too early, and doubts about the leadership

Lines added: "run that was given up is listed again", "task has succeeded and has another run", "task has succeeded more than once", "confidence in the leadership changed", "job starts while runs of earlier leaders are unknown". No decision changes; ladderplan's tests pass.

--- a/ladderplan/model.go
+++ b/ladderplan/model.go
@@ -265,6 +265,8 @@
 	// expired holds the runs that were dropped when the worker's lease expired. Whether the worker has
 	// crashed shows later.
 	expired []*run
+	// lost holds the runs that were given up on the worker's present incarnation.
+	lost map[ladderflow.Run]lostRun
 	// freed lists the workers that were freed.
 	freed *freedLog
 	// lastPass is the number of the last placement pass in which the worker accepted new tasks.
--- a/ladderplan/place.go
+++ b/ladderplan/place.go
@@ -55,6 +55,11 @@
 	LeadershipConfirmed
 )
 
+// String returns the name of the confidence.
+func (c Confidence) String() string {
+	return [...]string{LeadershipNone: "none", LeadershipProbable: "probable", LeadershipConfirmed: "confirmed"}[c]
+}
+
 // Plan returns the orders to send now. The rounds of jobs with a schedule start when they are due by
 // the wall clock, which shows wall.
 func (p *Planner) Plan(now, wall time.Time, confidence Confidence) Orders {
@@ -403,6 +408,10 @@
 	first := !sp.step.round.job.started
 	if first {
 		sp.step.round.job.started, sp.step.round.job.startedAt = true, sp.now
+		if !p.earlierRunsKnown {
+			p.log.Info("job starts while runs of earlier leaders are unknown", "job", t.name().Job, "unseen", len(p.unseenWorkers),
+				"heardOf", sp.step.round.job.addedAt.Sub(p.options.ElectedAt).Round(time.Millisecond))
+		}
 	}
 	ticket := ""
 	if sp.needsTickets() {
--- a/ladderplan/planner.go
+++ b/ladderplan/planner.go
@@ -239,6 +239,7 @@
 	case t.step.spec.LongRunning:
 		p.unstoredJobs[j.spec.ID] = j
 	case e.Reason == ladderflow.EndDone:
+		p.logSuccess(w, t, e)
 		w.clearFailures()
 		if x != nil && !t.done && e.Run.Number == 1 {
 			p.estimators.observe(j.spec.Queue, t.step.spec.Estimate, now.Sub(x.startedAt))
--- a/ladderplan/poll.go
+++ b/ladderplan/poll.go
@@ -197,6 +197,7 @@
 	}
 	for _, e := range report.Ended {
 		if e.Sequence > w.lastSeenEnd {
+			p.logReturned(now, w, e.Run, string(e.Reason))
 			p.endRun(now, w, e)
 			w.lastSeenEnd = e.Sequence
 			w.justEnded[e.Run] = true
@@ -236,7 +237,7 @@
 		w.excludedUntil, w.backOffs, w.slowdown = now, 0, slowdown{}
 	}
 	w.incarnation, w.lastSeenEnd, w.lastStoredEnd, w.leaseEnd, w.incarnationSeenAt = incarnation, 0, 0, 0, now
-	w.unknownEnds = nil
+	w.unknownEnds, w.lost = nil, nil
 	if w.seenByLeader {
 		// The poll that revealed the restart may have extended the lease to a time computed from
 		// the clock of the old incarnation.
@@ -248,6 +249,7 @@
 func (p *Planner) recordActiveRun(now time.Time, w *worker, r ladderflow.ActiveRun) {
 	x, ok := w.runs[r.Run]
 	if !ok {
+		p.logReturned(now, w, r.Run, "running")
 		p.adoptOrStop(now, w, r)
 		return
 	}
@@ -330,20 +332,6 @@
 	}
 }
 
-// dropLostRuns removes runs that are gone without a listed end.
-func (p *Planner) dropLostRuns(now time.Time, w *worker, why string, runs ...*run) {
-	p.placementDue = true
-	for _, x := range runs {
-		p.log.Info("run was lost", "task", x.name.Task, "run", x.name.Number, "worker", w.spec.ID, "why", why)
-		w.removeRun(x)
-	}
-	for _, x := range runs {
-		if t := x.task; t != nil && t.step.spec.Gang && t.step.round.job.active() {
-			p.stopGang(now, t.step)
-		}
-	}
-}
-
 // PollFailed records that a worker did not answer a poll. If fenced is true, the worker rejected
 // the poll because it has seen a newer fencing token.
 func (p *Planner) PollFailed(id string, fenced bool) {
@@ -400,7 +388,10 @@
 	}
 }
 
-func (p *Planner) leaseExpired(now time.Time, w *worker) bool {
+func (p *Planner) leaseExpired(now time.Time, w *worker) bool { return p.leaseLeft(now, w) < 0 }
+
+// leaseLeft returns how much longer the runs of a worker that is not polled may last.
+func (p *Planner) leaseLeft(now time.Time, w *worker) time.Duration {
 	passed := now.Sub(w.polledAt) * (100 - maxClockDriftPercent) / 100
-	return w.clock+passed > w.leaseEnd+leaseEndMargin
+	return w.leaseEnd + leaseEndMargin - w.clock - passed
 }
--- a/laddervm/term.go
+++ b/laddervm/term.go
@@ -64,6 +64,8 @@
 	workerLease time.Duration
 	// planPause is the pause before the next plan.
 	planPause time.Duration
+	// lastConfidence is the confidence of the last plan.
+	lastConfidence ladderplan.Confidence
 	// loaded is true once the planner has the contents of the store.
 	loaded bool
 	// peersVersion is the version of the registry's peers that the planner has.
@@ -219,7 +221,13 @@
 	}
 	t.planner.SetSenders(1 + len(t.delegates))
 	t.planner.SetStoreServing(now, !t.vm.storeCarrier.unavailable())
-	o := t.planner.Plan(now, t.wallClock.now(now), t.confidence())
+	confidence := t.confidence()
+	if confidence != t.lastConfidence {
+		t.log.Info("confidence in the leadership changed", "fence", t.fence, "from", t.lastConfidence, "to", confidence,
+			"lease", t.lease.remaining().Round(time.Millisecond))
+		t.lastConfidence = confidence
+	}
+	o := t.planner.Plan(now, t.wallClock.now(now), confidence)
 	t.vm.stats.planTime.UpdateDuration(now)
 	t.planPause = min(max(minPlanPause, planPauseFactor*t.vm.clock.Now().Sub(now)), maxPlanPause)
 	t.sendOrders(o)
