Keep the runs of a worker that misses one poll until its lease expires

Callers could see a task run twice (TWICE): a worker that the store had not listed for 2.5 s counted as gone as soon as one poll failed. A worker that is cut off from the store alone loses its entry and answers polls; one reset connection, one held poll or a suspension of the leader was then enough to start its tasks elsewhere, while its lease let it run them for 5 s more. The same after an outage of the store in which entries expire.

A worker that this leader has reached now counts as gone only once its lease has expired as well. A failed poll and a missing entry prove nothing about it; a different worker at its address and a new incarnation still do.

The case "gone" of TestCrashesInAllForms expected the runs to be lost after 2.5 s, which is the fault; it now checks that they are kept then, and that the crash is counted once after the lease.

--- a/ladderplan/crash_test.go
+++ b/ladderplan/crash_test.go
@@ -110,6 +110,9 @@
 			h.planner.SetWorkers(h.now, nil)
 			h.advance(goneAfter)
 			h.plan()
+			require.NotEmpty(h.t, h.planner.workers[id].runs, "the worker's lease has not expired")
+			h.advance(15 * time.Second)
+			h.plan()
 		}, 1},
 		"restarted after its lease": {func(h *harness, id string) {
 			h.planner.PollFailed(id, false)
--- a/ladderplan/poll.go
+++ b/ladderplan/poll.go
@@ -15,8 +15,8 @@
 	// unresponsiveAfter is the time without an answered poll after which a worker gets no new
 	// tasks. It is more than the longest time that a poll waits.
 	unresponsiveAfter = 1600 * time.Millisecond
-	// goneAfter is how long a worker that does not answer must be missing from the platform's list to
-	// count as gone. The entry of a live worker is back within two seconds after an outage.
+	// goneAfter is how long a worker must be missing from the platform's list to count as gone, if this
+	// leader never reached it. The entry of a live worker is back within two seconds after an outage.
 	goneAfter = 2500 * time.Millisecond
 )
 
@@ -67,10 +67,16 @@
 }
 
 // isGone reports whether a worker has ended, with all its runs: it answers no poll, and the store has
-// listed it for none of the last goneAfter, although it was serving all the while.
+// listed it for none of the last goneAfter, although it was serving all the while. A worker that has
+// answered this leader may be cut off from the store alone, so its lease must have expired as well.
 func (p *Planner) isGone(now time.Time, w *worker) bool {
-	return !w.listed && (w.unresponsive || !w.seenByLeader) && !w.unlistedSince.IsZero() && !p.storeServingSince.IsZero() &&
-		now.Sub(later(w.unlistedSince, p.storeServingSince)) >= goneAfter
+	if w.listed || w.unlistedSince.IsZero() || p.storeServingSince.IsZero() {
+		return false
+	}
+	if w.seenByLeader && (!w.unresponsive || !p.leaseExpired(now, w)) {
+		return false
+	}
+	return now.Sub(later(w.unlistedSince, p.storeServingSince)) >= goneAfter
 }
 
 // AddEarlierWorker adds a worker on which an earlier leader may have started tasks.
--- a/ladderplan/takeover_test.go
+++ b/ladderplan/takeover_test.go
@@ -1,6 +1,7 @@
 package ladderplan
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -323,3 +324,39 @@
 	require.Len(t, o.Starts, 1)
 	require.Equal(t, "b", o.Starts[0].Run.Task.Job)
 }
+
+// TestWorkerThatMissesOnePollKeepsItsRuns leaves a worker that answers polls out of the store's list, and
+// then loses one poll. Its runs go on until its lease expires.
+func TestWorkerThatMissesOnePollKeepsItsRuns(t *testing.T) {
+	for name, outage := range map[string]time.Duration{
+		"it is cut off from the store":         0,
+		"its entry has expired in an outage":   4 * time.Second,
+		"the store is back when it falls away": 8 * time.Second,
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 2)
+			h.submit("a", stepOf(1))
+			lost := h.startAll()[0].Worker.ID
+			list := slices.DeleteFunc([]ladderflow.Worker{testWorker(0), testWorker(1)}, func(w ladderflow.Worker) bool { return w.ID == lost })
+			h.planner.SetWorkers(h.now, list)
+			for began := h.now; h.now.Sub(began) < 8*time.Second; h.advance(100 * time.Millisecond) {
+				h.planner.SetStoreServing(h.now, h.now.Sub(began) >= outage)
+				for id := range h.clock {
+					h.poll(id, ladderflow.StatusReport{Running: h.runsOf(id)})
+					h.planner.NextPoll(h.now, id)
+				}
+				require.Empty(t, h.plan().Starts)
+			}
+			h.planner.SetStoreServing(h.now, true)
+			h.planner.PollFailed(lost, false)
+			renewed := h.now.Add(-100 * time.Millisecond)
+			for len(h.plan().Starts) == 0 {
+				h.advance(50 * time.Millisecond)
+				h.poll(list[0].ID, ladderflow.StatusReport{})
+				require.Less(t, h.now.Sub(renewed), time.Minute)
+			}
+			require.InDelta(t, h.planner.options.LeaseDuration.Seconds(), h.now.Sub(renewed).Seconds(), 0.5)
+			require.GreaterOrEqual(t, h.now.Sub(renewed), h.planner.options.LeaseDuration)
+		})
+	}
+}
