Hold back jobs of which an earlier leader may be told after the election

Callers saw a task run on two workers at once (TWICE), or again after its end.

Cause: the store may remove a leader's key while the leader still relies on its lease by its own clock, for up to 1.2 s. A job that is stored in that time is told to the former leader, which starts it on a worker that the newest leader has not polled yet. The newest leader learned of the job later, from its watch, took it for one that no earlier leader knows, did not wait for that worker, and started the job elsewhere. A job that a message brought before the store was read counted as new as well.

Now each job counts as one that an earlier leader may have started, unless the leader learns of it after it has read all jobs at a time after the leases of all earlier leaders have ended. A job that it does not know by then was stored after that time, and a former leader starts no job that it first hears of when its lease is over. The argument needs neither the time of acceptance, which is that of another VM's wall clock, nor a bound on how late a watch or a message is. To keep the wait short, watches do not wait before that read. Only jobs of the first two seconds or so of a term, and only while a worker does not answer, wait longer than before.

TestOvertakenJobRunsOnce failed before: the next leader started the job on w0 while w1 ran it. TestUnseenWorkerHoldsBackItsTasks used a job that was added at the instant of the election as one that need not wait, which is the fault; the job is now added after the leader has read the jobs, and still must start.

--- a/ladderplan/options.go
+++ b/ladderplan/options.go
@@ -25,6 +25,9 @@
 	// earlier leader may still act as leader.
 	ElectedAt            time.Time
 	EarlierLeaderTimeout time.Duration
+	// EarlierLeaseEnd is when the leases of all earlier leaders have certainly ended. Until then, they
+	// may hear of jobs that this leader does not know, and start them.
+	EarlierLeaseEnd time.Time
 	// StopTimeout is how long a worker may take to stop a run.
 	StopTimeout time.Duration
 	// JobRetention is how long callers can query a job after its end.
--- a/ladderplan/planner.go
+++ b/ladderplan/planner.go
@@ -72,6 +72,8 @@
 	storeWasAway bool
 	// confirmedAt is when leadership was last confirmed.
 	confirmedAt time.Time
+	// jobsReadAt is the latest time for which all jobs that the store held then are known.
+	jobsReadAt time.Time
 	// nextPrune is when old cancellations and entries of deleted jobs are next discarded.
 	nextPrune time.Time
 }
@@ -95,8 +97,13 @@
 // SetSenders sets the number of VMs that send starts: the leader and its delegates.
 func (p *Planner) SetSenders(n int) { p.window.setSenders(n) }
 
+// SetJobsReadAt records that all jobs that the store held at the given time have been added, unless
+// they were deleted.
+func (p *Planner) SetJobsReadAt(at time.Time) { p.jobsReadAt = later(p.jobsReadAt, at) }
+
 // AddJob adds a job that the store holds. The argument knownToEarlierLeader is true if an earlier
-// leader may have started tasks of the job.
+// leader may have started tasks of the job. A job that is added before all jobs of the time until
+// [Options.EarlierLeaseEnd] are known counts as such in any case.
 func (p *Planner) AddJob(now time.Time, spec *ladderflow.Job, knownToEarlierLeader bool) {
 	p.placementDue = true
 	if _, ok := p.jobs[spec.ID]; ok {
@@ -107,7 +114,7 @@
 	}
 	j := newJob(spec)
 	j.estimateDurations(p.estimators, p.adviceTime(j))
-	j.addedAt, j.knownToEarlierLeader = now, knownToEarlierLeader
+	j.addedAt, j.knownToEarlierLeader = now, knownToEarlierLeader || !p.jobsReadAt.After(p.options.EarlierLeaseEnd)
 	p.jobs[spec.ID] = j
 	if _, ok := p.cancellations[spec.ID]; ok {
 		delete(p.cancellations, spec.ID)
--- a/ladderplan/planner_test.go
+++ b/ladderplan/planner_test.go
@@ -50,7 +50,7 @@
 func newPlanner(now time.Time) *Planner {
 	return New(Options{
 		Fence: fence, LeaseDuration: 6 * time.Second, MaxLeaseDuration: 10 * time.Second, ElectedAt: now,
-		EarlierLeaderTimeout: 2 * time.Second, StopTimeout: time.Second,
+		EarlierLeaderTimeout: 2 * time.Second, EarlierLeaseEnd: now.Add(time.Second), StopTimeout: time.Second,
 		JobRetention: time.Minute, RemoteFactor: 2, Log: ladderlog.Discard().Component("plan"),
 	})
 }
--- a/ladderplan/takeover_test.go
+++ b/ladderplan/takeover_test.go
@@ -74,7 +74,9 @@
 	h := newHarness(t, 2)
 	j := testJob(h.now, "a", stepOf(2))
 	next := h.nextLeader([]*ladderflow.Job{j}, nil, 2)
+	next.advance(2 * time.Second)
 	next.poll("w0", ladderflow.StatusReport{Running: []ladderflow.ActiveRun{{Run: ladderflow.Run{Task: ladderflow.Task{Job: "a"}, Number: 4}}}})
+	next.planner.SetJobsReadAt(next.now)
 	next.submit("b", stepOf(1))
 	starts := next.startAll()
 	require.Len(t, starts, 1, "only the new job starts")
@@ -323,3 +325,24 @@
 	require.Len(t, o.Starts, 1)
 	require.Equal(t, "b", o.Starts[0].Run.Task.Job)
 }
+
+// TestOvertakenJobRunsOnce tells only the former leader of a job, which the store holds after the next
+// one has read it. The former leader starts the job on a worker that the next one has not polled yet.
+func TestOvertakenJobRunsOnce(t *testing.T) {
+	h := newHarness(t, 2)
+	next := h.nextLeader(nil, nil, 2)
+	next.poll("w0", ladderflow.StatusReport{})
+	h.planner.PollFailed("w0", false)
+	h.submit("a", stepOf(1))
+	s := h.startAll()[0]
+	require.Equal(t, "w1", s.Worker.ID)
+
+	next.advance(2 * time.Second)
+	next.poll("w0", ladderflow.StatusReport{})
+	next.planner.AddJob(next.now, testJob(next.now, "a", stepOf(1)), false)
+	require.Empty(t, next.plan().Starts, "the former leader's run may be on w1")
+	next.poll("w1", ladderflow.StatusReport{Running: []ladderflow.ActiveRun{{Run: s.Run, Percent: 10}}})
+	o := next.plan()
+	require.Empty(t, o.Starts)
+	require.Empty(t, o.Stops)
+}
--- a/ladderproof/flow_fault_test.go
+++ b/ladderproof/flow_fault_test.go
@@ -96,4 +96,7 @@
 			l.planner.AddJob(sim.now, j, false)
 		}
 	}
+	if !sim.now.Before(sim.storeOutUntil.Add(flowCatchUpTime)) {
+		l.planner.SetJobsReadAt(sim.now.Add(-flowCatchUpTime))
+	}
 }
--- a/ladderproof/flow_simulation_test.go
+++ b/ladderproof/flow_simulation_test.go
@@ -240,7 +240,8 @@
 	}
 	sim.restoreCrashes(l)
 	l.planner = ladderplan.New(ladderplan.Options{
-		Fence: l.fence, LeaseDuration: flowWorkerLease, MaxLeaseDuration: flowMaxWorkerLease, ElectedAt: sim.now, EarlierLeaderTimeout: flowFormerLeaderTime, StopTimeout: time.Second,
+		Fence: l.fence, LeaseDuration: flowWorkerLease, MaxLeaseDuration: flowMaxWorkerLease, ElectedAt: sim.now, EarlierLeaderTimeout: flowFormerLeaderTime,
+		EarlierLeaseEnd: sim.now.Add(flowConfirmedTime), StopTimeout: time.Second,
 		JobRetention: time.Hour, RemoteFactor: 2, Log: ladderlog.Discard().Component("plan"),
 	})
 	l.planner.SetFleet(sim.fleet())
--- a/laddervm/lease.go
+++ b/laddervm/lease.go
@@ -85,6 +85,13 @@
 	return l.id
 }
 
+// duration returns the length of the lease. It is the requested one before the first grant.
+func (l *lease) duration() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return max(l.requested, l.length)
+}
+
 // remaining returns how much longer the lease is certainly valid. It is negative once the lease
 // may have expired.
 func (l *lease) remaining() time.Duration {
--- a/laddervm/registry.go
+++ b/laddervm/registry.go
@@ -403,10 +403,30 @@
 	// items that have changed since.
 	reset  func(items []platform.Item, revision int64)
 	change func([]platform.Item)
+	// complete, if set, is called once all items that the store held at a given time were passed on.
+	complete func(at time.Time)
+	// wait, if set, returns how long a watch call waits for changes. It defaults to watchWait.
+	wait func(now time.Time) time.Duration
 	// pause is the time between two watch calls, in which changes gather.
 	pause time.Duration
 }
 
+// completed reports that all items were passed on that the store held when a call began, which has
+// succeeded: the store's responses show all that it had acknowledged by then.
+func (f *follower) completed(began time.Time) {
+	if f.complete != nil {
+		f.complete(began)
+	}
+}
+
+// watchWait returns how long the next watch call waits for changes.
+func (f *follower) watchWait(now time.Time) time.Duration {
+	if f.wait == nil {
+		return watchWait
+	}
+	return f.wait(now)
+}
+
 // follow reads a prefix and then watches it until ctx ends. If the store no longer has the
 // history that the watch needs, all items are read again.
 func follow(ctx context.Context, v *VM, prefix string, f follower) {
@@ -419,11 +439,12 @@
 			revision, err = platform.ReadAll(ctx, v.store, prefix, func(item platform.Item) { items = append(items, item) })
 			if err == nil {
 				f.reset(items, revision)
+				f.completed(began)
 			}
 		} else {
 			var items []platform.Item
 			var next int64
-			items, next, err = v.store.Watch(ctx, prefix, revision, watchWait)
+			items, next, err = v.store.Watch(ctx, prefix, revision, f.watchWait(began))
 			switch {
 			case errors.Is(err, platform.ErrCompacted):
 				v.log.Info("store no longer has the history; reading all items again", "prefix", prefix, "revision", revision)
@@ -433,6 +454,7 @@
 				if len(items) > 0 {
 					f.change(items)
 				}
+				f.completed(began)
 			}
 		}
 		pause := f.pause
--- a/laddervm/term.go
+++ b/laddervm/term.go
@@ -53,9 +53,11 @@
 	fence int64
 	// began is when the VM began the election that it won, or when it found that it already
 	// holds the leader's key.
-	began  time.Time
-	ctx    context.Context
-	cancel context.CancelFunc
+	began time.Time
+	// earlierLeaseEnd is when the leases of all earlier leaders have certainly ended.
+	earlierLeaseEnd time.Time
+	ctx             context.Context
+	cancel          context.CancelFunc
 	// inbox holds the functions that wait for the control goroutine.
 	inbox   chan func()
 	planner *ladderplan.Planner
@@ -102,9 +104,12 @@
 	t.ctx, t.cancel = context.WithCancel(ctx)
 	b := v.bounds.Load()
 	t.workerLease = min(maxWorkerLease, b.MaxWorkerLease)
+	// The store no longer renews an earlier leader's lease once that leader's key is deleted, which was
+	// before this term's key was written. That leader may regard its lease as valid for its full length.
+	t.earlierLeaseEnd = v.clock.Now().Add(lease.duration())
 	t.planner = ladderplan.New(ladderplan.Options{
 		Fence: fence, LeaseDuration: t.workerLease, MaxLeaseDuration: b.MaxWorkerLease,
-		ElectedAt: began, EarlierLeaderTimeout: leaderLease + outageGrace,
+		ElectedAt: began, EarlierLeaderTimeout: leaderLease + outageGrace, EarlierLeaseEnd: t.earlierLeaseEnd,
 		MaxUnansweredStarts: ladderplan.MaxOrders, StopTimeout: b.StopTimeout, JobRetention: b.JobRetention, RemoteFactor: b.RemoteFactor,
 		Log: v.logs.RateLimited("plan", v.clock),
 	})
@@ -268,10 +273,29 @@
 	}
 	t.do(func() { t.applyContents(c, workers) })
 	go follow(t.ctx, t.vm, platform.WorkerPrefix, t.workerFollower())
-	go follow(t.ctx, t.vm, ladderjournal.WatchPrefix, follower{
+	go follow(t.ctx, t.vm, ladderjournal.WatchPrefix, t.jobFollower())
+}
+
+// jobFollower returns a follower that adds the jobs and cancellations of which no message tells. It
+// soon reads again after the leases of earlier leaders have ended: until it has, each new job may be
+// one that an earlier leader has started.
+func (t *term) jobFollower() follower {
+	var readAt time.Time
+	return follower{
 		reset:  func(items []platform.Item, _ int64) { t.applyChanges(items) },
-		change: t.applyChanges, pause: catchUpInterval,
-	})
+		change: t.applyChanges,
+		complete: func(at time.Time) {
+			readAt = at
+			t.do(func() { t.planner.SetJobsReadAt(at) })
+		},
+		wait: func(now time.Time) time.Duration {
+			if readAt.After(t.earlierLeaseEnd) {
+				return watchWait
+			}
+			return max(0, min(watchWait, t.earlierLeaseEnd.Sub(now)))
+		},
+		pause: catchUpInterval,
+	}
 }
 
 // applyContents passes the contents of the store to the planner.
