--- a/ladderproof/flow_simulation_test.go
+++ b/ladderproof/flow_simulation_test.go
@@ -160,8 +160,10 @@
 	crashers  map[ladderflow.Task]time.Duration
 	crashes   map[ladderflow.Task]*taskCrashes
 	unnoticed []crash
-	// storeOutUntil is until when the store takes nothing.
-	storeOutUntil time.Time
+	// storeOutUntil is until when the store takes nothing, and readsLateUntil until when no leader reads
+	// jobs from it.
+	storeOutUntil  time.Time
+	readsLateUntil time.Time
 	// steps and starts count the checked actions and the started runs of all simulations.
 	steps  *int
 	starts *int
@@ -240,7 +242,8 @@
 	}
 	sim.restoreCrashes(l)
 	l.planner = ladderplan.New(ladderplan.Options{
-		Fence: l.fence, LeaseDuration: flowWorkerLease, MaxLeaseDuration: flowMaxWorkerLease, ElectedAt: sim.now, EarlierLeaderTimeout: flowFormerLeaderTime, StopTimeout: time.Second,
+		Fence: l.fence, LeaseDuration: flowWorkerLease, MaxLeaseDuration: flowMaxWorkerLease, ElectedAt: sim.now, EarlierLeaderTimeout: flowFormerLeaderTime,
+		EarlierLeaseEnd: sim.now.Add(flowConfirmedTime), StopTimeout: time.Second,
 		JobRetention: time.Hour, RemoteFactor: 2, Log: ladderlog.Discard().Component("plan"),
 	})
 	l.planner.SetFleet(sim.fleet())
