Do not take a worker for gone that accepts connections

Cause: a new leader counts a worker as gone that the store has not listed for 2.5 s and that has answered none of its polls. After an outage in which entries expire, a worker that is cut off from the store is not listed, and two polls without an answer take longer than that. Its lease may last seconds more.

A poll that fails after the worker has accepted a new connection, or after it has answered with an error, shows that it runs. Such a worker counts as gone only once the longest lease that an earlier leader can have granted has ended. One to which no connection can be made, as after a loss of power, counts as gone after 2.5 s as before, so that it delays nothing. Delegates report the difference.

The new case of TestGoneWorkerDelaysNothing failed before: the job started after 2.5 s.

--- a/ladderdelegate/poller.go
+++ b/ladderdelegate/poller.go
@@ -184,5 +184,8 @@
 	case errors.Is(err, platform.ErrOtherWorker):
 		return laddermessage.PollOtherWorker
 	}
+	if platform.Reached(err) {
+		return laddermessage.PollUnanswered
+	}
 	return laddermessage.PollFailed
 }
--- a/laddermessage/delegate.go
+++ b/laddermessage/delegate.go
@@ -120,6 +120,8 @@
 	PollFenced
 	// PollOtherWorker means that a worker with a different ID answers at the address.
 	PollOtherWorker
+	// PollUnanswered means that the poll has failed although the worker runs (see [platform.Reached]).
+	PollUnanswered
 )
 
 // OrderResult is the result of an order to start or stop a run.
--- a/ladderplan/takeover_test.go
+++ b/ladderplan/takeover_test.go
@@ -277,6 +277,7 @@
 func TestGoneWorkerDelaysNothing(t *testing.T) {
 	for name, c := range map[string]struct {
 		listed  bool
+		reached bool
 		outage  time.Duration
 		started time.Duration
 	}{
@@ -284,6 +285,7 @@
 		"not listed, store back after a second":  {outage: time.Second, started: time.Second + goneAfter},
 		"listed, so it may run on behind a cut":  {listed: true, started: 8 * time.Second},
 		"not listed, store down for a long time": {outage: time.Minute, started: 8 * time.Second},
+		"not listed, but it runs":                {reached: true, started: 8 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := &harness{t: t, now: time.UnixMilli(1_000_000), clock: map[string]time.Duration{}, ends: map[string]int64{}}
@@ -304,6 +306,9 @@
 				h.planner.SetStoreServing(h.now, h.now.Sub(began) >= c.outage)
 				h.poll("w0", ladderflow.StatusReport{})
 				h.planner.PollFailed("w1", false)
+				if c.reached {
+					h.planner.WorkerReached(h.now, "w1")
+				}
 				require.Less(t, h.now.Sub(began), time.Minute)
 			}
 			require.InDelta(t, c.started.Seconds(), h.now.Sub(began).Seconds(), 0.5)
--- a/laddervm/delegate_client.go
+++ b/laddervm/delegate_client.go
@@ -350,9 +350,12 @@
 		t.planner.WorkerReplaced(now, report.Worker)
 	case laddermessage.PollFenced:
 		t.planner.PollFailed(report.Worker, true)
-	case laddermessage.PollFailed:
+	case laddermessage.PollFailed, laddermessage.PollUnanswered:
 		t.planner.DelegateLease(now, report.Worker, maxDelegation)
 		t.planner.PollFailed(report.Worker, false)
+		if report.Outcome == laddermessage.PollUnanswered {
+			t.planner.WorkerReached(now, report.Worker)
+		}
 		t.log.Debug("worker did not answer a delegate's status poll", "worker", report.Worker, "by", c.peer.name)
 	}
 }
--- a/laddervm/worker_carrier.go
+++ b/laddervm/worker_carrier.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/netip"
 	"sync"
 	"time"
@@ -108,7 +109,7 @@
 	case r.Unsent:
 		return platform.Reply{}, platform.ErrUnsent
 	case r.Failed:
-		return platform.Reply{}, errors.New("the worker did not answer the peer")
+		return platform.Reply{}, fmt.Errorf("through peer %s: %w", via, platform.ErrUnanswered)
 	}
 	return r.Reply, nil
 }
