Script the model's histories of restarted workers, and say which kind each is

Five of the six histories that the model finds on are of one kind: a worker restarts under its ID, knows no fencing token, and gets a start of a former leader whose leadership is probable before anything of the newest leader reaches it.

The model's simulation takes any test, not only one with draws; its draws and checks are unchanged.

--- /dev/null
+++ b/ladderproof/flow_history_test.go
@@ -0,0 +1,113 @@
+package ladderproof
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"lacewingladder/ladderflow"
+	"lacewingladder/ladderplan"
+)
+
+// history is a simulation whose steps are given one by one, with one job of one task. A former leader
+// knows the job and has started nothing. It has polled all workers, and so has the newest leader.
+type history struct {
+	*flowSimulation
+	former *flowLeader
+	job    *ladderflow.Job
+	task   ladderflow.Task
+}
+
+func newHistory(t checker) *history {
+	steps, starts := 0, 0
+	h := &history{flowSimulation: newFlowSimulation(t, 0, &steps, &starts)}
+	h.job = &ladderflow.Job{
+		ID: fmt.Sprintf("%016x", 0), Queue: flowQueue, Service: "s", Accepted: h.now,
+		Steps: []ladderflow.Step{{Tasks: 1, Need: ladderflow.Size{Processor: 1000, Memory: 100}, Estimate: time.Second}},
+	}
+	h.task = ladderflow.Task{Job: h.job.ID}
+	h.former = h.newest()
+	h.pollAll(h.former)
+	h.plan(h.former)
+	h.accept(h.job)
+	h.former.planner.AddJob(h.now, h.job, false)
+	h.elect()
+	h.pollAll(h.newest())
+	return h
+}
+
+// start lets a leader plan, and delivers its orders.
+func (h *history) start(l *flowLeader) {
+	before := len(h.orders)
+	h.advance(time.Millisecond)
+	h.plan(l)
+	for _, o := range h.orders[before:] {
+		h.deliver(o, true)
+	}
+	h.check()
+}
+
+// work lets the newest leader work until its predecessor is no longer confident of its leadership.
+func (h *history) work() {
+	for h.former.confidence(h.now) == ladderplan.LeadershipConfirmed {
+		h.steady(h.newest())
+	}
+}
+
+// endOn ends a run of the task.
+func (h *history) endOn(worker, number int, reason ladderflow.EndReason) {
+	r := ladderflow.Run{Task: h.task, Number: number}
+	h.workers[worker].end(r, reason)
+	h.recordEnd(r, reason)
+}
+
+// TestFormerLeaderStartsNothingOnRestartedWorker restarts a worker under its ID, so that it knows no
+// fencing token, just before it gets a start of a former leader whose leadership is still probable.
+func TestFormerLeaderStartsNothingOnRestartedWorker(t *testing.T) {
+	for name, play := range map[string]func(*history){
+		"after the end was acknowledged": func(h *history) {
+			h.start(h.newest())
+			h.endOn(0, 1, ladderflow.EndDone)
+			h.work()
+			h.crash(h.workers[0])
+		},
+		"while the task runs elsewhere": func(h *history) {
+			h.start(h.newest())
+			h.former.planner.PollFailed("w0", false)
+			h.work()
+			h.crash(h.workers[1])
+		},
+		"after two restarts, while a later run is elsewhere": func(h *history) {
+			h.start(h.newest())
+			h.work()
+			h.crash(h.workers[0])
+			h.pollAll(h.newest())
+			h.newest().planner.PollFailed("w0", false)
+			h.start(h.newest())
+			h.crash(h.workers[0])
+		},
+		"after its first start was lost": func(h *history) {
+			h.former.planner.PollFailed("w0", false)
+			h.plan(h.former)
+			h.settle(h.orders[0], ladderplan.Result{Unsent: true})
+			h.orders = nil
+			h.start(h.newest())
+			h.work()
+			h.crash(h.workers[1])
+		},
+		"after the job was shown as failed": func(h *history) {
+			h.start(h.newest())
+			h.endOn(0, 1, ladderflow.EndFailed)
+			h.steady(h.newest())
+			h.endOn(1, 2, ladderflow.EndFailed)
+			h.work()
+			h.crash(h.workers[0])
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHistory(t)
+			play(h)
+			h.start(h.former)
+		})
+	}
+}
--- a/ladderproof/flow_simulation_test.go
+++ b/ladderproof/flow_simulation_test.go
@@ -129,10 +129,17 @@
 	run         ladderflow.Run
 }
 
+// checker is the test that a simulation fails: one with drawn actions, or a scripted one.
+type checker interface {
+	Log(args ...any)
+	Fatal(args ...any)
+	Fatalf(format string, args ...any)
+}
+
 // flowSimulation simulates leaders, workers and the store, and decides when each message
 // arrives.
 type flowSimulation struct {
-	t           *rapid.T
+	t           checker
 	now         time.Time
 	clock       *ladderclock.Manual
 	store       *flowStore
@@ -186,7 +193,13 @@
 	sim.t.Fatalf(format, args...)
 }
 
-func newFlowSimulation(t *rapid.T, steps, starts *int) *flowSimulation {
+// drawFlowSimulation returns a simulation whose workers stop runs in a drawn time.
+func drawFlowSimulation(t *rapid.T, steps, starts *int) *flowSimulation {
+	stopTime := time.Duration(rapid.IntRange(0, 900).Draw(t, "stop ms")) * time.Millisecond
+	return newFlowSimulation(t, stopTime, steps, starts)
+}
+
+func newFlowSimulation(t checker, stopTime time.Duration, steps, starts *int) *flowSimulation {
 	sim := &flowSimulation{
 		t: t, now: time.UnixMilli(1_000_000), acknowledgedDone: map[ladderflow.Task]bool{},
 		acknowledgedFailures: map[ladderflow.Task]map[int]bool{}, succeeded: map[ladderflow.Task]bool{}, failures: map[ladderflow.Task]map[int]bool{}, cancelled: map[string]bool{},
@@ -195,7 +208,6 @@
 	sim.clock = ladderclock.NewManual(sim.now)
 	sim.store = &flowStore{store: ladderstand.NewStore(sim.clock), out: sim.storeOut}
 	sim.journal = ladderjournal.New(sim.store)
-	stopTime := time.Duration(rapid.IntRange(0, 900).Draw(t, "stop ms")) * time.Millisecond
 	for i := range 3 {
 		sim.workers = append(sim.workers, newFlowWorker(fmt.Sprintf("w%d", i), sim.now, stopTime))
 	}
--- a/ladderproof/flow_test.go
+++ b/ladderproof/flow_test.go
@@ -40,7 +40,7 @@
 func TestFlowUnderInterleaving(t *testing.T) {
 	steps, starts := 0, 0
 	rapid.Check(t, func(rt *rapid.T) {
-		sim := newFlowSimulation(rt, &steps, &starts)
+		sim := drawFlowSimulation(rt, &steps, &starts)
 		rt.Repeat(sim.actions())
 	})
 	_, _ = fmt.Fprintf(os.Stderr, "flow: %d steps, %d starts\n", steps, starts)
@@ -52,7 +52,7 @@
 func TestFlowOvertakenJobs(t *testing.T) {
 	steps, starts := 0, 0
 	rapid.Check(t, func(rt *rapid.T) {
-		sim := newFlowSimulation(rt, &steps, &starts)
+		sim := drawFlowSimulation(rt, &steps, &starts)
 		actions := sim.actions()
 		maps.Copy(actions, sim.overtakenActions())
 		rt.Repeat(actions)
@@ -141,14 +141,19 @@
 	if sim.storeOut() {
 		return
 	}
+	sim.accept(j)
+	sim.drawCrashers(t, j)
+	l.planner.AddJob(sim.now, j, false)
+}
+
+// accept stores a job.
+func (sim *flowSimulation) accept(j *ladderflow.Job) {
 	s := &ladderjournal.Submission{Job: j}
 	sim.journal.Accept(context.Background(), []*ladderjournal.Submission{s})
 	if s.Outcome != ladderjournal.Stored {
 		sim.t.Fatalf("the job was not stored: %v", s.Err)
 	}
 	sim.jobs = append(sim.jobs, j)
-	sim.drawCrashers(t, j)
-	l.planner.AddJob(sim.now, j, false)
 }
 
 // cancel stores the cancellation of a drawn job and passes it to the newest leader only.
