--- a/ladderplan/options.go
+++ b/ladderplan/options.go
@@ -74,6 +74,8 @@
 	AdviceQueries []AdviceQuery
 	// Polls names the workers to poll without delay.
 	Polls []string
+	// AtStartLimit is true if tasks were left waiting because too many starts are unanswered.
+	AtStartLimit bool
 }
 
 // StartOrder is an order to start a run.
--- a/ladderplan/place.go
+++ b/ladderplan/place.go
@@ -99,6 +99,7 @@
 			continue // The next leader may not know the job, and would not wait for its runs.
 		}
 		if p.startLimitReached() {
+			p.orders.AtStartLimit = true
 			break
 		}
 		sp := stepPlacement{planner: p, step: s, queue: q, service: p.service(s.round.job), now: now}
@@ -320,6 +321,7 @@
 			continue
 		}
 		if sp.planner.startLimitReached() {
+			sp.planner.orders.AtStartLimit = true
 			return
 		}
 		if t.suspect() {
--- a/laddervm/delegate_client.go
+++ b/laddervm/delegate_client.go
@@ -62,15 +62,19 @@
 	workers map[string]laddermessage.Assignment
 	outbox  laddermessage.Delegation
 	sending bool
-	// deadlines holds the time by which the result of each order must have arrived.
-	deadlines map[delegatedOrder]time.Time
+	// pending holds the orders whose result has not arrived.
+	pending map[delegatedOrder]pendingOrder
 }
 
+// pendingOrder holds when an order was handed to a delegate, and the time by which its result must
+// have arrived.
+type pendingOrder struct{ began, due time.Time }
+
 // newDelegateClient starts polling a delegate.
 func newDelegateClient(t *term, p peer) *delegateClient {
 	c := &delegateClient{
 		term: t, peer: p,
-		workers: map[string]laddermessage.Assignment{}, deadlines: map[delegatedOrder]time.Time{},
+		workers: map[string]laddermessage.Assignment{}, pending: map[delegatedOrder]pendingOrder{},
 	}
 	c.ctx, c.cancel = context.WithCancel(t.ctx)
 	t.log.Info("delegate starts to poll workers", "delegate", p.name, "zone", p.zone)
@@ -192,7 +196,8 @@
 
 // expectResult sets the time by which the result of an order must have arrived.
 func (c *delegateClient) expectResult(o delegatedOrder) {
-	c.deadlines[o] = c.term.vm.clock.Now().Add(sendOrdersTimeout + orderValidity + c.orderTimeout() + delegatePollSlack)
+	now := c.term.vm.clock.Now()
+	c.pending[o] = pendingOrder{began: now, due: now.Add(sendOrdersTimeout + orderValidity + c.orderTimeout() + delegatePollSlack)}
 }
 
 // reportDelegation informs the planner for how long the delegate may renew a worker's lease.
@@ -261,15 +266,17 @@
 // complete passes the result of an order to the planner. Only the first result of an order
 // counts.
 func (c *delegateClient) complete(o delegatedOrder, r ladderplan.Result) {
-	if _, ok := c.deadlines[o]; !ok {
+	pending, ok := c.pending[o]
+	if !ok {
 		return
 	}
-	delete(c.deadlines, o)
+	delete(c.pending, o)
 	if o.stop {
 		c.term.stopSettled(o.worker, o.run, r, c.peer.name)
 		return
 	}
-	c.term.startSettled(o.worker, o.run, r, c.peer.name)
+	c.term.vm.stats.delegatedStart.UpdateDuration(pending.began)
+	c.term.startSettled(o.worker, o.run, r, c.term.vm.clock.Now().Sub(pending.began), c.peer.name)
 }
 
 // poll polls the delegate for reports, one poll after the other, until the client is closed.
@@ -323,8 +330,8 @@
 // unknown.
 func (c *delegateClient) expireOrders() {
 	now := c.term.vm.clock.Now()
-	for o, due := range c.deadlines {
-		if now.After(due) {
+	for o, p := range c.pending {
+		if now.After(p.due) {
 			c.complete(o, ladderplan.Result{Unknown: true})
 		}
 	}
@@ -383,7 +390,7 @@
 	for _, s := range c.outbox.Stops {
 		c.complete(delegatedOrder{worker: s.Worker, run: s.Run, stop: true}, ladderplan.Result{Unsent: true})
 	}
-	for o := range c.deadlines {
+	for o := range c.pending {
 		c.complete(o, ladderplan.Result{Unknown: true})
 	}
 	for id := range c.workers {
--- a/laddervm/stats.go
+++ b/laddervm/stats.go
@@ -26,8 +26,13 @@
 	acceptTime   *metrics.Histogram
 	commitTime   *metrics.Histogram
 	adviceTime   *metrics.Histogram
-	startTime    *metrics.Histogram
-	planTime     *metrics.Histogram
+	// startTime is for starts that the leader sends itself, delegatedStart for those that a delegate
+	// sends, from the order until the leader has the answer.
+	startTime      *metrics.Histogram
+	delegatedStart *metrics.Histogram
+	planTime       *metrics.Histogram
+	// plansAtLimit counts the plans that left tasks waiting because too many starts were unanswered.
+	plansAtLimit *metrics.Counter
 	// waitTime is the time from when a step became ready until its start, measured at the first
 	// start of each job. endAcknowledged is the time from the report of a run's end until the
 	// end is stored, and cancelTime the time from the arrival of a cancellation to the response.
@@ -52,7 +57,9 @@
 		commitTime:      s.NewHistogram("ladder_commit_seconds"),
 		adviceTime:      s.NewHistogram("ladder_advice_seconds"),
 		startTime:       s.NewHistogram("ladder_start_seconds"),
+		delegatedStart:  s.NewHistogram("ladder_delegated_start_seconds"),
 		planTime:        s.NewHistogram("ladder_plan_seconds"),
+		plansAtLimit:    s.NewCounter("ladder_plans_at_limit_total"),
 		waitTime:        s.NewHistogram("ladder_wait_seconds"),
 		endAcknowledged: s.NewHistogram("ladder_end_noted_seconds"),
 		cancelTime:      s.NewHistogram("ladder_cancel_seconds"),
@@ -119,9 +126,15 @@
 func (t *term) writeGauges(gauge func(name string, value float64)) {
 	gauge("ladder_fence", float64(t.fence))
 	var o ladderplan.Overview
-	if !t.call(t.ctx, func() { o = t.overview(t.vm.clock.Now()) }) {
+	var unanswered, limit int
+	if !t.call(t.ctx, func() {
+		o = t.overview(t.vm.clock.Now())
+		unanswered, limit = t.planner.StartLimit()
+	}) {
 		return
 	}
+	gauge("ladder_starts_unanswered", float64(unanswered))
+	gauge("ladder_starts_unanswered_limit", float64(limit))
 	polled := map[string]int{}
 	for _, w := range o.Workers {
 		polled[w.Holder]++
--- a/laddervm/term.go
+++ b/laddervm/term.go
@@ -64,6 +64,7 @@
 	workerLease time.Duration
 	// planPause is the pause before the next plan.
 	planPause time.Duration
+	placement placementLog
 	// lastConfidence is the confidence of the last plan.
 	lastConfidence ladderplan.Confidence
 	// loaded is true once the planner has the contents of the store.
@@ -229,8 +230,14 @@
 	}
 	o := t.planner.Plan(now, t.wallClock.now(now), confidence)
 	t.vm.stats.planTime.UpdateDuration(now)
-	t.planPause = min(max(minPlanPause, planPauseFactor*t.vm.clock.Now().Sub(now)), maxPlanPause)
+	took := t.vm.clock.Now().Sub(now)
+	t.planPause = min(max(minPlanPause, planPauseFactor*took), maxPlanPause)
+	t.placement.planned(took, o)
+	if o.AtStartLimit {
+		t.vm.stats.plansAtLimit.Inc()
+	}
 	t.sendOrders(o)
+	t.logPlacement(now)
 	t.save()
 }
 
--- a/laddervm/workers.go
+++ b/laddervm/workers.go
@@ -281,7 +281,7 @@
 		}
 	}
 	t.vm.stats.startTime.UpdateDuration(began)
-	t.do(func() { t.startSettled(s.Worker.ID, s.Run, r, "") })
+	t.do(func() { t.startSettled(s.Worker.ID, s.Run, r, t.vm.clock.Now().Sub(began), "") })
 }
 
 // sendStart sends a start order to a worker once.
@@ -301,11 +301,12 @@
 	return r
 }
 
-// startSettled records the result of a start order. By is the name of the delegate that sent
-// the order, or empty if the leader sent it itself.
-func (t *term) startSettled(worker string, run ladderflow.Run, r ladderplan.Result, by string) {
+// startSettled records the result of a start order, which took the given time. By is the name of the
+// delegate that sent the order, or empty if the leader sent it itself.
+func (t *term) startSettled(worker string, run ladderflow.Run, r ladderplan.Result, took time.Duration, by string) {
 	t.vm.stats.starts.Inc()
-	t.log.Info("start order finished", "task", run.Task, "run", run.Number, "worker", worker, "by", by,
+	t.placement.answered(took)
+	t.log.Info("start order finished", "task", run.Task, "run", run.Number, "worker", worker, "by", by, "took", took.Round(time.Millisecond),
 		"refusal", r.Refusal, "unsent", r.Unsent, "unknown", r.Unknown)
 	t.planner.StartSettled(t.vm.clock.Now(), worker, run, r)
 	if p, ok := t.pollers[worker]; ok && p.delegate == nil && p.ctx != nil {
