--- a/ladderload/load.go
+++ b/ladderload/load.go
@@ -22,8 +22,13 @@
 	// OrderRoundTrip is the time from the planner's decision to start a task until the leader has the
 	// worker's response. The worker receives an order to start or stop a run after half of it.
 	OrderRoundTrip time.Duration
-	Queues         []Queue
-	Bursts         []Burst
+	// LateShare is the share of starts that take LateRoundTrip instead.
+	LateShare     float64
+	LateRoundTrip time.Duration
+	// PlanPause is the time in which the leader gathers events before it plans.
+	PlanPause time.Duration
+	Queues    []Queue
+	Bursts    []Burst
 }
 
 // Workers describes the machines that run tasks.
@@ -109,6 +114,11 @@
 		EntryVMs:       r.Key("vms").WholeNumber(6),
 		Delegates:      r.Key("delegates").WholeNumber(0),
 		OrderRoundTrip: r.Key("answer").Duration(4 * time.Millisecond),
+		PlanPause:      r.Key("pause").Duration(2 * time.Millisecond),
+	}
+	if late := r.Key("late"); late.Present() {
+		l.LateShare, l.LateRoundTrip = late.RequiredKey("share").Ratio(0), late.RequiredKey("answer").Duration(0)
+		late.CheckUnknownKeys()
 	}
 	w := r.RequiredKey("workers")
 	l.Workers = Workers{
--- a/ladderload/load_test.go
+++ b/ladderload/load_test.go
@@ -71,3 +71,16 @@
 		})
 	}
 }
+
+// TestFewLateAnswersStarveNoQueue checks that no queue of the large fleet earns less than the floor of a
+// queue when the leader plans less often than it can, and one answer in a hundred is late.
+func TestFewLateAnswersStarveNoQueue(t *testing.T) {
+	const floor = 0.34
+	l := readExample(t, "jadewing", "large.yaml")
+	l.ArrivalPeriod, l.ExtraTime = 20*time.Second, 20*time.Second
+	l.Delegates, l.OrderRoundTrip, l.PlanPause = 18, 60*time.Millisecond, 50*time.Millisecond
+	l.LateShare, l.LateRoundTrip = 0.01, 300*time.Millisecond
+	for _, q := range Simulate(l, 1, ladderplan.ByObjective).Queues {
+		require.GreaterOrEqual(t, q.Earned/q.PossibleWorth, floor, "queue %s", q.Name)
+	}
+}
--- a/ladderload/simulation.go
+++ b/ladderload/simulation.go
@@ -21,8 +21,6 @@
 	// messageDelay is the time that a worker's report of an ended run, or a response of the
 	// advice service, takes to reach the leader.
 	messageDelay = 3 * time.Millisecond
-	// planPause is the time in which the leader gathers events before it plans.
-	planPause = 2 * time.Millisecond
 	// pollInterval is the time between two regular status polls of a worker. The end of a
 	// run is reported without waiting for the next poll.
 	pollInterval = time.Second
@@ -218,18 +216,19 @@
 	sim.schedule(pollInterval, func() { sim.poll(w) })
 }
 
-// schedulePlan schedules a call of the planner after planPause, unless one is scheduled
+// schedulePlan schedules a call of the planner after the load's pause, unless one is scheduled
 // already, and the execution of the planner's orders.
 func (sim *simulation) schedulePlan() {
 	if sim.planScheduled {
 		return
 	}
 	sim.planScheduled = true
-	sim.schedule(planPause, func() {
+	sim.schedule(sim.load.PlanPause, func() {
 		sim.planScheduled = false
 		orders := sim.planner.Plan(sim.time(), sim.time(), ladderplan.LeadershipConfirmed)
 		for _, s := range orders.Starts {
-			sim.schedule(sim.load.OrderRoundTrip/2, func() { sim.startRun(s) })
+			roundTrip := sim.startRoundTrip(s.Run)
+			sim.schedule(roundTrip/2, func() { sim.startRun(s, roundTrip) })
 		}
 		for _, s := range orders.Stops {
 			sim.schedule(sim.load.OrderRoundTrip/2, func() { sim.stopRun(s) })
@@ -255,13 +254,25 @@
 	})
 }
 
+// startRoundTrip returns the time from a decision to start a run until the leader has the response.
+func (sim *simulation) startRoundTrip(r ladderflow.Run) time.Duration {
+	if sim.load.LateShare == 0 {
+		return sim.load.OrderRoundTrip
+	}
+	random := rand.New(rand.NewPCG(sim.seed, xxhash.Sum64String("start "+fmt.Sprint(r))))
+	if random.Float64() < sim.load.LateShare {
+		return sim.load.LateRoundTrip
+	}
+	return sim.load.OrderRoundTrip
+}
+
 // startRun starts a run on its worker and schedules its end. Whether the run fails
 // depends only on the seed and the run's name, not on when or where it starts.
-func (sim *simulation) startRun(s ladderplan.StartOrder) {
+func (sim *simulation) startRun(s ladderplan.StartOrder, roundTrip time.Duration) {
 	w, j := sim.workers[s.Worker.ID], sim.jobs[s.Run.Task.Job]
 	w.running[s.Run] = sim.now
 	j.recordStart(sim.now)
-	sim.schedule(sim.load.OrderRoundTrip/2, func() {
+	sim.schedule(roundTrip/2, func() {
 		sim.planner.StartSettled(sim.time(), s.Worker.ID, s.Run, ladderplan.Result{})
 		sim.schedulePlan()
 	})
--- a/ladderplan/window_test.go
+++ b/ladderplan/window_test.go
@@ -54,9 +54,42 @@
 	s := newStartWindow(10)
 	s.setSenders(16)
 	s.size = 160
-	s.settled(now, Result{Unknown: true}, 0)
-	s.settled(now.Add(shrinkInterval-1), Result{Unknown: true}, 0)
+	for range s.size {
+		s.settled(now, Result{Unknown: true}, 0)
+		s.settled(now.Add(shrinkInterval-1), Result{Unknown: true}, 0)
+	}
 	require.Equal(t, 80, s.size)
 	s.setSenders(2)
 	require.Equal(t, 20, s.size)
 }
+
+// TestFewLateAnswersKeepStartWindow checks that the window does not shrink, and still grows, while some
+// answers are late in each interval but most are not.
+func TestFewLateAnswersKeepStartWindow(t *testing.T) {
+	for name, late := range map[string]struct {
+		result Result
+		took   time.Duration
+	}{
+		"late":         {Result{}, 2 * maxAnswerTime},
+		"not answered": {Result{Unknown: true}, 2 * maxAnswerTime},
+		"refused":      {Result{Refusal: ladderflow.RefusedTicket}, time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.UnixMilli(1_000_000)
+			s := newStartWindow(64)
+			s.setSenders(19)
+			for i := range 20_000 {
+				now = now.Add(time.Millisecond)
+				if i%15 == 0 {
+					s.holdsUp(s.size) // a plan
+				}
+				if i%20 == 0 {
+					s.settled(now, late.result, late.took)
+					continue
+				}
+				require.False(t, s.settled(now, Result{}, maxAnswerTime/4))
+			}
+			require.Greater(t, s.size, 640)
+		})
+	}
+}
