Stop renewing workers' leases when the next leader stops waiting

Callers could see a task run twice (TWICE): a leader that was cut off together with some of its workers went on renewing their leases for as long as its term lasted, while the next leader, which reached neither, waited for those workers 5.2 s and a lease only, and then started their tasks elsewhere.

A leader now renews leases until 4 s after its lease in the store has ended, which the next leader waits for (leaderLease and outageGrace from its election). That alone would end long tasks in an outage of the store of more than 10 s, in which nobody can be elected. So a leader that the store does not serve asks all peers each second (StoreStatusQuery). If each of them answers that the store serves it no calls and that it knows no newer leader, nobody was elected before the round began, and the 4 s count from there. A leader counts its election from the store's answer, not from its own call, so that no election predates an answer in which the later leader denied it.

A leader with a peer that does not answer stops as well: the peer may lead.

TestFlowLongOutageEndsNoTask, a task of 13 s in an outage of 12 s, passes; it fails without the queries to the peers.

--- a/laddercodec/codec_test.go
+++ b/laddercodec/codec_test.go
@@ -76,6 +76,8 @@
 	}},
 	"relay reply":    laddermessage.RelayReply{Reply: platform.Reply{Status: 200, Body: []byte("b")}, Unsent: true, Failed: true},
 	"operator query": laddermessage.OperatorQuery{Job: "j", JSON: true},
+	"store query":    laddermessage.StoreStatusQuery{},
+	"store status":   laddermessage.StoreStatus{Unavailable: true, Leader: 5},
 	"fleet offer":    laddermessage.FleetOffer{From: "e", Revision: 7},
 	"fleet fetch":    laddermessage.FleetFetch{Have: 5},
 	"fleet state": laddermessage.FleetState{
--- a/laddercodec/flow.go
+++ b/laddercodec/flow.go
@@ -28,6 +28,8 @@
 	kindFleetOffer
 	kindFleetFetch
 	kindFleetState
+	kindStoreStatusQuery
+	kindStoreStatus
 )
 
 // The wire types of this file are encoded as CBOR arrays. Durations are in nanoseconds.
@@ -94,6 +96,13 @@
 	Failed bool
 }
 
+// storeStatusWire encodes a [laddermessage.StoreStatus].
+type storeStatusWire struct {
+	_           struct{} `cbor:",toarray"`
+	Unavailable bool
+	Leader      int64
+}
+
 // toFlowWire converts a message about jobs that consist of steps to its wire type. It
 // returns false for other messages.
 func toFlowWire(m laddermessage.Message) (kind, any, bool) {
@@ -135,6 +144,10 @@
 		return kindRelayReply, relayReplyWire{
 			Status: m.Reply.Status, Body: m.Reply.Body, Unsent: m.Unsent, Failed: m.Failed,
 		}, true
+	case laddermessage.StoreStatusQuery:
+		return kindStoreStatusQuery, struct{}{}, true
+	case laddermessage.StoreStatus:
+		return kindStoreStatus, storeStatusWire{Unavailable: m.Unavailable, Leader: m.Leader}, true
 	}
 	return toFleetWire(m)
 }
@@ -201,6 +214,12 @@
 		return decode(body, func(w int64) (laddermessage.FleetFetch, error) { return laddermessage.FleetFetch{Have: w}, nil })
 	case kindFleetState:
 		return decode(body, toFleetState)
+	case kindStoreStatusQuery:
+		return laddermessage.StoreStatusQuery{}, nil
+	case kindStoreStatus:
+		return decode(body, func(w storeStatusWire) (laddermessage.StoreStatus, error) {
+			return laddermessage.StoreStatus{Unavailable: w.Unavailable, Leader: w.Leader}, nil
+		})
 	default:
 		return decodeDelegate(k, body)
 	}
--- a/laddermessage/doc.go
+++ b/laddermessage/doc.go
@@ -9,7 +9,7 @@
 //     [JobsChanged] and [JobStatusQuery].
 //   - Requests about jobs that consist of steps, most of them to the leader:
 //     [JobAccepted], [JobCancelled], [JobStateQuery], [QueueLengthQuery],
-//     [AdviceQuery], [RelayCall] and [OperatorQuery].
+//     [AdviceQuery], [RelayCall], [StoreStatusQuery] and [OperatorQuery].
 //   - Requests of the leader to a delegate, a VM that polls workers on the leader's
 //     behalf: [Delegation] and [DelegatePoll].
 //
--- a/laddermessage/message.go
+++ b/laddermessage/message.go
@@ -230,6 +230,17 @@
 	Failed bool
 }
 
+// StoreStatusQuery asks a VM whether the platform's store serves it. The reply is [StoreStatus].
+type StoreStatusQuery struct{}
+
+// StoreStatus is what a VM sees of the platform's store.
+type StoreStatus struct {
+	// Unavailable is true if the store serves no calls of the sender.
+	Unavailable bool
+	// Leader is the fencing token of the newest leader that the sender knows, or zero.
+	Leader int64
+}
+
 // FleetOffer informs a VM of the same region that the sender knows all changes of the operators'
 // keys up to a revision of the store. The reply is [Ack].
 type FleetOffer struct {
--- a/laddertest/flow_test.go
+++ b/laddertest/flow_test.go
@@ -110,6 +110,19 @@
 	require.Equal(t, "gone", f.state(f.vms[0], "/fit/00000000000000aa"))
 }
 
+// TestFlowLongOutageEndsNoTask guards against leases of workers that expire in an outage of the store:
+// it takes longer than an earlier leader may act and a worker's lease together.
+func TestFlowLongOutageEndsNoTask(t *testing.T) {
+	f := startFlow(t, 3, func(ladderflow.Run, string) (time.Duration, bool) { return 13 * time.Second, false })
+	path := f.submit(f.vms[0], "/regrade/", longTasks)
+	f.await(path, "running", 3*time.Second)
+	f.setSwitch("down=true")
+	time.Sleep(12 * time.Second)
+	f.setSwitch("down=false")
+	f.await(path, "done", 6*time.Second)
+	require.Equal(t, 1, f.starts(path, 0, 0))
+}
+
 // TestFlowStoreSilent guards against callers that wait for a store that accepts connections but
 // does not answer. Once the VMs have noticed, new jobs must be rejected at once, and accepted
 // again as soon as the store answers.
--- a/laddervm/leadership.go
+++ b/laddervm/leadership.go
@@ -159,7 +159,6 @@
 	if known, _ := l.vm.registry.currentLeader(); known.revision != 0 || l.vm.leaving.Load() {
 		return
 	}
-	began := l.vm.clock.Now()
 	lease, err := l.lease.grant(ctx)
 	if err != nil {
 		l.log.Warn("leader lease was not granted; retrying at the next check", "err", err)
@@ -182,14 +181,14 @@
 			}
 			l.vm.registry.setLeader(leader{name: p.name, incarnation: p.incarnation, address: p.address, revision: item.ModRevision})
 			if p.incarnation == l.vm.registry.incarnation && item.Lease == lease {
-				l.startTerm(ctx, item.ModRevision, began)
+				l.startTerm(ctx, item.ModRevision, l.vm.clock.Now())
 			}
 		}
 	case err != nil:
 		l.log.Warn("election transaction failed; retrying at the next check", "err", err)
 	default:
 		l.vm.registry.setLeader(leader{name: l.vm.settings.Name, incarnation: l.vm.registry.incarnation, revision: revision})
-		l.startTerm(ctx, revision, began)
+		l.startTerm(ctx, revision, l.vm.clock.Now())
 	}
 }
 
--- a/laddervm/submit.go
+++ b/laddervm/submit.go
@@ -187,6 +187,8 @@
 	switch m := m.(type) {
 	case laddermessage.RelayCall:
 		return v.relayCall(ctx, m), nil
+	case laddermessage.StoreStatusQuery:
+		return v.storeStatus(), nil
 	case laddermessage.AdviceQuery:
 		return v.queryAdvice(ctx, m), nil
 	case laddermessage.FleetOffer:
--- a/laddervm/term.go
+++ b/laddervm/term.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"math"
+	"sync/atomic"
 	"time"
 
 	"lacewingladder/ladderflow"
@@ -21,8 +23,8 @@
 	maxWorkerLease = 5 * time.Second
 	// outageGrace is how long a leader whose lease may have expired continues while the store
 	// serves none of its calls, neither directly nor through a peer: no other VM can have been
-	// elected meanwhile. The next leader waits that much longer for workers that it cannot
-	// reach.
+	// elected meanwhile. Its polls renew leases for that long in any case. The next leader waits
+	// that much longer for workers that it cannot reach.
 	outageGrace = 4 * time.Second
 	// minPlanPause is the shortest pause between two plans, in which events gather, and
 	// maxPlanPause the longest. Between them, the pause is planPauseFactor times the duration
@@ -51,8 +53,7 @@
 	lease *lease
 	// fence is the term's fencing token, the revision of the leader's key.
 	fence int64
-	// began is when the VM began the election that it won, or when it found that it already
-	// holds the leader's key.
+	// began is when the VM learned that it holds the leader's key.
 	began  time.Time
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -70,6 +71,9 @@
 	loaded bool
 	// peersVersion is the version of the registry's peers that the planner has.
 	peersVersion int64
+	// outageSeenAt is when a round of queries began that showed that the store serves no VM, as a
+	// time since boot.
+	outageSeenAt atomic.Int64
 	// pollers holds the poller of each worker, by the worker's id.
 	pollers map[string]*poller
 	// delegates holds the delegates by incarnation. excludedUntil holds, by name, the time
@@ -100,6 +104,7 @@
 		roster: map[string]bool{}, waves: map[int64]bool{},
 	}
 	t.ctx, t.cancel = context.WithCancel(ctx)
+	t.outageSeenAt.Store(math.MinInt64 / 2)
 	b := v.bounds.Load()
 	t.workerLease = min(maxWorkerLease, b.MaxWorkerLease)
 	t.planner = ladderplan.New(ladderplan.Options{
@@ -174,6 +179,7 @@
 // run is the control goroutine.
 func (t *term) run() {
 	go t.load()
+	go t.followOutage()
 	timer := time.NewTimer(maxPlanInterval)
 	defer timer.Stop()
 	for {
--- a/laddervm/workers.go
+++ b/laddervm/workers.go
@@ -131,6 +131,9 @@
 	if next.LeaseUntil > 0 && !next.HasUnstoredEnds && !next.AwaitsStarts {
 		request.Wait = ladderdelegate.PollWait
 	}
+	if !t.mayRenewLeases() {
+		request.LeaseUntil = 0
+	}
 	w := p.worker
 	t.vm.stats.polls.Inc()
 	go func() {
