Start nothing on a worker that the roster being stored lacks

Callers could see a task run twice (TWICE). A worker that the store no longer lists and that has no runs is dropped, and a roster without it is stored. If it was listed again while that write was under way, or had an unknown outcome, the planner still went by the earlier roster and started tasks on it. A leader that was elected before the roster was stored once more did not know that the worker might have runs, did not wait for it, and could start them elsewhere.

From the start of a write on, a worker gets tasks only if it is in the last roster that is known to be stored and in each one that may have been stored since.

--- a/laddervm/save.go
+++ b/laddervm/save.go
@@ -157,13 +157,22 @@
 const saveFinalInterval = 10 * time.Millisecond
 
 // saveRoster stores the roster, the set of workers on which a leader may start tasks. The
-// planner starts nothing on workers outside the stored roster.
+// planner starts nothing on workers outside the stored roster. While a roster is being stored or
+// its outcome is unknown, that holds for each roster that the store may have.
 func (t *term) saveRoster() {
 	if t.savingRoster {
 		return
 	}
 	list := t.planner.Workers()
 	t.savingRoster = true
+	both := map[string]bool{}
+	for _, w := range list {
+		if t.roster[w.ID] {
+			both[w.ID] = true
+		}
+	}
+	t.roster = both
+	t.planner.SetRoster(both)
 	go func() {
 		err := t.rosterWriter.SaveRoster(t.ctx, list)
 		t.do(func() { t.rosterSaved(list, err) })
--- a/laddervm/term.go
+++ b/laddervm/term.go
@@ -88,7 +88,8 @@
 	// on which a leader may start tasks. Each is used by one goroutine at a time.
 	recordWriter *ladderjournal.ProgressWriter
 	rosterWriter *ladderjournal.ProgressWriter
-	// wallClock is the filtered time of day, and roster the stored roster.
+	// wallClock is the filtered time of day. roster holds the workers that are in the stored roster
+	// and in each one that may have been stored since.
 	wallClock filteredClock
 	roster    map[string]bool
 	// waves holds the numbers of the maintenance waves that this term has started.
