Adopt a leader's key only under the lease that the term renews

The transaction of an election may take effect after its call has failed and after the VM has been granted another lease for its next attempt. The VM found its own key, started a term and renewed the latest lease, to which the key was not bound. The key then expired, another VM was elected, and the first one went on by a lease that held nothing.

The registry now keeps the lease of the leader's key. A VM adopts its key only if that is its current lease; otherwise it deletes the key and contends again.

TestKeyUnderAnotherLeaseIsNotAdopted failed before.

--- a/laddervm/leadership.go
+++ b/laddervm/leadership.go
@@ -116,9 +116,10 @@
 
 // adoptKey starts a term if the leader's key names this VM although it has no term: the
 // transaction that wrote the key took effect after its call had failed. If the key belongs to
-// a term that has ended, or the VM is leaving, it deletes the key.
+// a term that has ended or is bound to an earlier lease, which nothing renews, or the VM is leaving,
+// it deletes the key.
 func (l *leadership) adoptKey(ctx context.Context, known leader) {
-	if known.revision > l.lastFence && !l.vm.leaving.Load() {
+	if known.revision > l.lastFence && known.lease == l.lease.current() && !l.vm.leaving.Load() {
 		l.startTerm(ctx, known.revision, l.vm.clock.Now())
 		return
 	}
@@ -179,7 +180,9 @@
 				l.log.Warn("leader's key cannot be decoded", "err", err)
 				continue
 			}
-			l.vm.registry.setLeader(leader{name: p.name, incarnation: p.incarnation, address: p.address, revision: item.ModRevision})
+			l.vm.registry.setLeader(leader{
+				name: p.name, incarnation: p.incarnation, address: p.address, revision: item.ModRevision, lease: item.Lease,
+			})
 			if p.incarnation == l.vm.registry.incarnation && item.Lease == lease {
 				l.startTerm(ctx, item.ModRevision, l.vm.clock.Now())
 			}
@@ -187,7 +190,7 @@
 	case err != nil:
 		l.log.Warn("election transaction failed; retrying at the next check", "err", err)
 	default:
-		l.vm.registry.setLeader(leader{name: l.vm.settings.Name, incarnation: l.vm.registry.incarnation, revision: revision})
+		l.vm.registry.setLeader(leader{name: l.vm.settings.Name, incarnation: l.vm.registry.incarnation, revision: revision, lease: lease})
 		l.startTerm(ctx, revision, l.vm.clock.Now())
 	}
 }
--- a/laddervm/registry.go
+++ b/laddervm/registry.go
@@ -61,12 +61,14 @@
 }
 
 // leader is the leader as last read from the store. Revision is that of the leader's key,
-// which is also the fencing token; it is zero if there is no leader.
+// which is also the fencing token; it is zero if there is no leader. Lease is the lease to which
+// the key is bound.
 type leader struct {
 	name        string
 	incarnation string
 	address     netip.AddrPort
 	revision    int64
+	lease       int64
 }
 
 // registry keeps the VM's lease and entry in the store, and records the peers and the leader.
@@ -352,7 +354,9 @@
 			r.log.Info("new leader", "leader", p.name, "revision", item.ModRevision)
 			r.previousSince, r.leaderSince = r.leaderSince, now
 		}
-		r.leader = leader{name: p.name, incarnation: p.incarnation, address: p.address, revision: item.ModRevision}
+		r.leader = leader{
+			name: p.name, incarnation: p.incarnation, address: p.address, revision: item.ModRevision, lease: item.Lease,
+		}
 		return
 	}
 	for otherName, other := range r.peers {
