End the polls of workers before a leader's last batch

A leader that resigns stores what it knows and then gives up its key. Its polls went on meanwhile: an end that a worker reported after the last batch was lost with the term. If the worker left before the next leader's first poll, its task started again although the end had been told (TWICE; by the users' rules an end counts as taken note of 100 ms after it was listed).

Now the polls end first, reports that have arrived are still handled, and then the last batch is stored. Ends after that are listed to the next leader, or to nobody.

--- a/laddervm/leadership.go
+++ b/laddervm/leadership.go
@@ -253,6 +253,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), resignTimeout)
 	defer cancel()
+	t.endPolls(ctx)
 	t.saveFinal(ctx)
 	l.endTerm(t, "this VM resigned")
 	l.deleteKey(ctx, t.fence)
--- a/laddervm/term.go
+++ b/laddervm/term.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -77,8 +78,11 @@
 	// outageSeenAt is when a round of queries began that showed that the store serves no VM, as a
 	// time since boot.
 	outageSeenAt atomic.Int64
-	// pollers holds the poller of each worker, by the worker's id.
-	pollers map[string]*poller
+	// pollers holds the poller of each worker, by the worker's id. resigning is true once no more polls
+	// are made, and polls counts those that are not answered yet.
+	pollers   map[string]*poller
+	resigning bool
+	polls     sync.WaitGroup
 	// delegates holds the delegates by incarnation. excludedUntil holds, by name, the time
 	// until which a VM that failed as a delegate is not chosen again.
 	delegates     map[string]*delegateClient
--- a/laddervm/workers.go
+++ b/laddervm/workers.go
@@ -113,6 +113,9 @@
 // poll makes the next poll of a worker, or defers it. If the planner does not know the worker or
 // the polling has ended, it removes the poller.
 func (t *term) poll(ctx context.Context, p *poller) {
+	if t.resigning {
+		return
+	}
 	now := t.vm.clock.Now()
 	next, ok := t.planner.NextPoll(now, p.worker.ID)
 	if !ok || ctx.Err() != nil {
@@ -136,10 +139,31 @@
 	}
 	w := p.worker
 	t.vm.stats.polls.Inc()
-	go func() {
+	t.polls.Go(func() {
 		sent, status, err := t.requestStatus(ctx, w, request)
 		t.do(func() { t.handleStatus(ctx, p, sent, status, err) })
-	}()
+	})
+}
+
+// endPolls ends the polls that the leader makes itself, and waits for the reports that have arrived. An
+// end that is reported after the last batch would be lost if its worker left before the next
+// leader's first poll.
+func (t *term) endPolls(ctx context.Context) {
+	ok := t.call(ctx, func() {
+		t.resigning = true
+		for _, p := range t.pollers {
+			p.cancel()
+		}
+	})
+	if !ok {
+		return
+	}
+	ended := make(chan struct{})
+	go func() { t.polls.Wait(); close(ended) }()
+	select {
+	case <-ended:
+	case <-ctx.Done():
+	}
 }
 
 // resumePoll makes a deferred poll.
@@ -165,7 +189,10 @@
 
 // handleStatus handles the result of a poll and makes the next one.
 func (t *term) handleStatus(ctx context.Context, p *poller, sent time.Time, status ladderflow.StatusReport, err error) {
-	if ctx.Err() != nil {
+	if t.resigning && err == nil {
+		t.applyStatus(p, t.vm.clock.Now(), sent, status)
+	}
+	if t.resigning || ctx.Err() != nil {
 		return
 	}
 	if err != nil {
@@ -231,7 +258,7 @@
 		go t.sendAdviceQuery(a)
 	}
 	for _, id := range o.Polls {
-		if p, ok := t.pollers[id]; ok && !p.extraPoll {
+		if p, ok := t.pollers[id]; ok && !p.extraPoll && !t.resigning {
 			p.extraPoll = true
 			go t.pollExtra(p)
 		}
