Forget a worker's clock while a delegate may not poll

Callers could see a task run on two workers at once (TWICE).

Cause: a delegate whose permission from the leader has expired stops polling, but kept the worker's clock for its next poll. If the worker restarts meanwhile and the leader sees that by a poll of its own, the delegate's next poll renews the lease to a time on the clock of the former process, up to the longest lease of 10 s. The leader counts on 5 s and what the delegate was permitted, takes the lease for expired and starts the tasks elsewhere.

Now the first poll after a pause renews nothing, as after a poll that failed.

TestLeaseAfterUnnoticedRestart failed before: the poll renewed the lease until 6.2 s on the new process's clock, which showed 1 s. The model's delegates follow: they forget the clock after 1.65 s without an answered poll, the longest time between two answers in the program, which polls without a pause while it may. A shorter time would not be shown by the program's bounds.

--- a/ladderdelegate/delegate_test.go
+++ b/ladderdelegate/delegate_test.go
@@ -147,6 +147,22 @@
 	eventually(t, func() bool { return len(w.pollsSoFar()) > n })
 }
 
+// TestLeaseAfterUnnoticedRestart restarts the worker while the leader's permission has expired. A lease that
+// is computed from the old incarnation's clock would last longer than the leader knows.
+func TestLeaseAfterUnnoticedRestart(t *testing.T) {
+	d, w, b := newDelegate(t)
+	require.True(t, d.Apply(newDelegation(b, 3)))
+	eventually(t, func() bool { return len(w.pollsSoFar()) > 1 })
+	b.now.Add(int64(2 * time.Second))
+	time.Sleep(20 * time.Millisecond)
+	n := len(w.pollsSoFar())
+	w.locked(func() { w.incarnation = 8 })
+	require.True(t, d.Apply(newDelegation(b, 3)))
+	eventually(t, func() bool { return len(w.pollsSoFar()) > n+1 })
+	require.Zero(t, w.pollsSoFar()[n].LeaseUntil)
+	require.Positive(t, w.pollsSoFar()[n+1].LeaseUntil)
+}
+
 // TestAcknowledgement checks that the delegate passes on the leader's acknowledgement of
 // ends, but not to a different incarnation of the worker.
 func TestAcknowledgement(t *testing.T) {
--- a/ladderdelegate/poller.go
+++ b/ladderdelegate/poller.go
@@ -79,7 +79,9 @@
 	for p.ctx.Err() == nil {
 		request, allowed := p.nextPoll(current, d.clock.Now())
 		if !allowed {
-			// The leader's permission has expired, so the worker's lease must not be renewed.
+			// The leader's permission has expired, so the worker's lease must not be renewed. The worker
+			// may restart before the next poll.
+			current.answered = false
 			p.pause(PollRetryDelay)
 			continue
 		}
--- a/ladderproof/flow_delegate_test.go
+++ b/ladderproof/flow_delegate_test.go
@@ -9,6 +9,11 @@
 	"lacewingladder/ladderplan"
 )
 
+// flowDelegatePause is the longest time between two answered polls of a delegate that may poll and whose
+// polls do not fail: those of ladderdelegate wait 1 s, time out after another 0.45 s, and are at most
+// 0.2 s apart.
+const flowDelegatePause = 1650 * time.Millisecond
+
 // flowAssignment is a worker that a delegate polls for a leader. It follows the rules of
 // package ladderdelegate.
 type flowAssignment struct {
@@ -87,6 +92,9 @@
 	if !sim.now.Before(a.validUntil) {
 		return
 	}
+	if sim.now.Sub(a.polledAt) > flowDelegatePause {
+		a.polledIncarnation = 0
+	}
 	acknowledged, until := int64(0), time.Duration(0)
 	if a.polledIncarnation != 0 {
 		until = a.polledClock + sim.now.Sub(a.polledAt) + flowWorkerLease
