Determine the pools of workers only when they may have changed

With 1,100 workers, each placement pass looked at each worker to learn which ones accept tasks.

Now whatever changes the answer marks the pools as stale, and the time at which it changes by itself (a worker is silent for too long, an exclusion or a probation ends) is known; a pass between them uses the pools as they are.

The harness of ladderplan's tests keeps a check after each plan.

--- a/ladderplan/health.go
+++ b/ladderplan/health.go
@@ -84,6 +84,7 @@
 	}
 	w.excludedUntil = now.Add(min(maxExcludeTime, excludeTime<<min(w.backOffs, 4)))
 	w.backOffs++
+	w.pools.stale = true
 }
 
 // onProbation reports whether the worker is excluded after a fault, or was excluded within the last
@@ -102,6 +103,7 @@
 
 // clearFailures resets the counts of faults and failures.
 func (w *worker) clearFailures() {
+	w.pools.stale = w.pools.stale || w.backOffs > 0
 	w.backOffs = 0
 	clear(w.failedJobs)
 }
--- a/ladderplan/maintenance.go
+++ b/ladderplan/maintenance.go
@@ -11,12 +11,14 @@
 const maintenanceTime = 5 * time.Second
 
 // SetNearMaintenance sets the workers that get no new tasks because their maintenance is near.
-func (p *Planner) SetNearMaintenance(ids map[string]bool) { p.nearMaintenance = ids }
+func (p *Planner) SetNearMaintenance(ids map[string]bool) {
+	p.nearMaintenance, p.pools.stale = ids, true
+}
 
 // MaintenanceOrdered records that a worker's machine was ordered down for maintenance now.
 func (p *Planner) MaintenanceOrdered(now time.Time, id string) {
 	if w, ok := p.workers[id]; ok {
-		w.maintenanceUntil = now.Add(maintenanceTime)
+		w.maintenanceUntil, p.pools.stale = now.Add(maintenanceTime), true
 	}
 }
 
--- a/ladderplan/model.go
+++ b/ladderplan/model.go
@@ -267,9 +267,11 @@
 	expired []*run
 	// lost holds the runs that were given up on the worker's present incarnation.
 	lost map[ladderflow.Run]lostRun
-	// freed lists the workers that were freed.
+	// freed lists the workers that were freed. pools is marked as stale whenever the worker may begin or
+	// cease to accept tasks.
 	freed *freedLog
-	// lastPass is the number of the last placement pass in which the worker accepted new tasks.
+	pools *workerPools
+	// lastPass is the number of [workerPools.pass] when the worker last accepted new tasks.
 	lastPass int64
 	// reservedPass is the last placement pass in which the worker was reserved for a gang, which was
 	// expected to start at reservedUntil, and earlierReservedPass the last one before that.
@@ -280,7 +282,7 @@
 	// the worker was excluded for faults without a success in between.
 	excludedUntil time.Time
 	backOffs      int
-	// probation is true for a placement pass in which the worker gets only one task at a time.
+	// probation is true while the worker gets only one task at a time.
 	probation bool
 	slowdown  slowdown
 	// failedJobs holds the jobs of which a run has failed on the worker since the last success.
@@ -294,9 +296,9 @@
 	maintenanceUntil time.Time
 }
 
-func newWorker(spec ladderflow.Worker, index int, freed *freedLog) *worker {
+func newWorker(spec ladderflow.Worker, index int, freed *freedLog, pools *workerPools) *worker {
 	return &worker{
-		spec: spec, index: index, freed: freed, free: spec.Capacity, leastCapacity: spec.Capacity, runs: map[ladderflow.Run]*run{}, justEnded: map[ladderflow.Run]bool{},
+		spec: spec, index: index, freed: freed, pools: pools, free: spec.Capacity, leastCapacity: spec.Capacity, runs: map[ladderflow.Run]*run{}, justEnded: map[ladderflow.Run]bool{},
 		failedJobs: map[string]bool{},
 	}
 }
@@ -322,6 +324,7 @@
 	w.free = w.free.Minus(r.size)
 	if r.sizeUnknown {
 		w.unknownRuns++
+		w.pools.stale = true
 	}
 	if t := r.task; t != nil {
 		if t.needsRun() {
@@ -344,6 +347,7 @@
 	w.free = w.free.Plus(r.size)
 	if r.sizeUnknown {
 		w.unknownRuns--
+		w.pools.stale = true
 	}
 	w.freed.add(w)
 	t := r.task
--- a/ladderplan/place.go
+++ b/ladderplan/place.go
@@ -212,44 +212,12 @@
 	heedsReservations bool
 }
 
-// refreshPools determines which workers accept new tasks, by service. It runs once in each
-// placement pass, since all steps use the result.
-func (p *Planner) refreshPools(now time.Time) {
-	for name := range p.pools {
-		p.pools[name] = p.pools[name][:0]
-	}
-	p.pass++
-	for _, w := range p.allWorkers() {
-		if p.acceptsTasks(now, w) {
-			onProbation := w.onProbation(now)
-			if w.lastPass != p.pass-1 || w.probation && !onProbation {
-				p.freed.add(w)
-			}
-			w.probation, w.lastPass = onProbation, p.pass
-			p.pools[w.spec.Service] = append(p.pools[w.spec.Service], w)
-		}
-	}
-}
-
-// acceptsTasks reports whether a worker accepts new tasks of any step.
-func (p *Planner) acceptsTasks(now time.Time, w *worker) bool {
-	switch {
-	case !w.listed, !w.seenByLeader, w.unresponsive, !w.leavesAt.IsZero(), now.Sub(w.polledAt) >= unresponsiveAfter:
-		return false
-	case !w.inRoster, now.Before(w.excludedUntil), now.Before(w.maintenanceUntil), p.nearMaintenance[w.spec.ID]:
-		return false
-	case w.incarnationSeenAt.After(p.confirmedAt), w.unknownRuns > 0:
-		return false
-	}
-	return w.spec.Incarnation == 0 || w.spec.Incarnation == w.incarnation
-}
-
 // pool returns the workers of the step's service that accept new tasks.
-func (sp *stepPlacement) pool() []*worker { return sp.planner.pools[sp.service] }
+func (sp *stepPlacement) pool() []*worker { return sp.planner.pools.byService[sp.service] }
 
 // inPool reports whether a worker is in the pool of the step.
 func (sp *stepPlacement) inPool(w *worker) bool {
-	return w.lastPass == sp.planner.pass && w.spec.Service == sp.service
+	return w.lastPass == sp.planner.pools.pass && w.spec.Service == sp.service
 }
 
 // accepts reports whether a worker is in the pool and may get tasks of the step.
--- a/ladderplan/planner.go
+++ b/ladderplan/planner.go
@@ -26,8 +26,7 @@
 	// sortedWorkers holds the workers sorted by id. It is nil after a worker was added or dropped.
 	// Decisions must not depend on the iteration order of a map.
 	sortedWorkers []*worker
-	// pools holds, by service, the workers that accept new tasks in the present placement pass.
-	pools map[string][]*worker
+	pools         workerPools
 	// readySteps holds the ready steps that may have tasks to start.
 	readySteps []*step
 	// scheduledJobs holds the jobs with a schedule whose rounds have not all started.
@@ -54,10 +53,7 @@
 	// task start. placedAt is when that pass was.
 	placementDue bool
 	placedAt     time.Time
-	// pass is the number of the present or last placement pass. Workers that accept new tasks in it
-	// have the number in lastPass.
-	pass  int64
-	freed freedLog
+	freed        freedLog
 	// reservationPass is the number of the present or last placement pass that reserved workers for
 	// gangs. slotBuffer is reused by all its searches for future slots.
 	reservationPass int64
@@ -80,7 +76,7 @@
 func New(o Options) *Planner {
 	return &Planner{
 		options: o, log: o.Log, jobs: map[string]*job{}, cancellations: map[string]time.Time{}, deletedJobs: map[string]deletedJob{},
-		workers: map[string]*worker{}, pools: map[string][]*worker{}, unseenWorkers: map[string]bool{},
+		workers: map[string]*worker{}, pools: workerPools{byService: map[string][]*worker{}, stale: true}, unseenWorkers: map[string]bool{},
 		unstoredJobs: map[string]*job{}, estimators: durationEstimators{}, spreads: spreads{}, advisers: newAdvisers(),
 		window: newStartWindow(o.MaxUnansweredStarts),
 	}
--- a/ladderplan/planner_test.go
+++ b/ladderplan/planner_test.go
@@ -102,9 +102,21 @@
 // plan returns the planner's orders and stores them in h.orders.
 func (h *harness) plan() Orders {
 	h.orders = h.planner.Plan(h.now, h.now, LeadershipConfirmed)
+	h.checkPools()
 	return h.orders
 }
 
+// checkPools checks that the pools hold just the workers that accept new tasks.
+func (h *harness) checkPools() {
+	p := h.planner
+	if p.pools.stale || !h.now.Before(p.pools.validUntil) {
+		return
+	}
+	for id, w := range p.workers {
+		require.Equal(h.t, p.acceptsTasks(h.now, w), w.lastPass == p.pools.pass, "worker %s", id)
+	}
+}
+
 // startAll plans and accepts all starts, which it returns.
 func (h *harness) startAll() []StartOrder {
 	o := h.plan()
--- a/ladderplan/poll.go
+++ b/ladderplan/poll.go
@@ -23,7 +23,7 @@
 // SetWorkers sets the workers that the platform's store lists. It drops workers that are no longer
 // listed and have no runs, and evacuates workers that have started to drain.
 func (p *Planner) SetWorkers(now time.Time, list []ladderflow.Worker) {
-	p.placementDue = true
+	p.placementDue, p.pools.stale = true, true
 	listed := map[string]bool{}
 	for _, spec := range list {
 		listed[spec.ID] = true
@@ -84,7 +84,7 @@
 // SetRoster sets the roster: the stored set of workers on which a leader may start tasks. No task
 // starts on other workers, since the next leader would not know that they may have runs.
 func (p *Planner) SetRoster(ids map[string]bool) {
-	p.roster, p.placementDue = ids, true
+	p.roster, p.placementDue, p.pools.stale = ids, true, true
 	for id, w := range p.workers {
 		w.inRoster = ids[id]
 	}
@@ -184,6 +184,9 @@
 	}
 	w.expired = nil
 	w.acknowledgeGuard.PollAnswered(sentAt, report.Clock, restarted)
+	if restarted || w.unresponsive || !w.seenByLeader || now.Sub(w.polledAt) >= unresponsiveAfter {
+		p.pools.stale = true
+	}
 	w.clock, w.polledAt, w.unresponsive = report.Clock, now, false
 	if !w.seenByLeader {
 		w.seenByLeader, p.placementDue = true, true
@@ -339,7 +342,7 @@
 		p.superseded = true
 	}
 	if w, ok := p.workers[id]; ok {
-		w.unresponsive = true
+		w.unresponsive, p.pools.stale = true, true
 	}
 }
 
@@ -350,7 +353,7 @@
 	if !ok {
 		return
 	}
-	w.unresponsive = true
+	w.unresponsive, p.pools.stale = true, true
 	delete(p.unseenWorkers, id)
 	p.recordCrash(now, w, notListed)
 	p.dropLostRuns(now, w, "a different worker answers at the address", slices.Clone(w.runOrder)...)
--- a/ladderplan/result.go
+++ b/ladderplan/result.go
@@ -80,12 +80,12 @@
 	t := x.task
 	switch {
 	case r.Unsent, r.Refusal == ladderflow.RefusedOther, r.Refusal == ladderflow.RefusedExpired:
-		w.excludedUntil = later(w.excludedUntil, now.Add(refusalExcludeTime))
+		w.excludedUntil, p.pools.stale = later(w.excludedUntil, now.Add(refusalExcludeTime)), true
 		p.orders.Polls = append(p.orders.Polls, w.spec.ID)
 	case r.Refusal == ladderflow.RefusedFenced:
 		p.superseded = true
 	case r.Refusal == ladderflow.RefusedNoCapacity:
-		w.excludedUntil = later(w.excludedUntil, now.Add(refusalExcludeTime))
+		w.excludedUntil, p.pools.stale = later(w.excludedUntil, now.Add(refusalExcludeTime)), true
 		p.orders.Polls = append(p.orders.Polls, w.spec.ID)
 	case r.Refusal == ladderflow.RefusedTicket && t != nil:
 		t.step.tickets.invalidate(w)
--- a/ladderplan/workers.go
+++ b/ladderplan/workers.go
@@ -9,17 +9,17 @@
 )
 
 func (p *Planner) addWorker(spec ladderflow.Worker) *worker {
-	w := newWorker(spec, p.workersAdded, &p.freed)
+	w := newWorker(spec, p.workersAdded, &p.freed, &p.pools)
 	p.workersAdded++
 	w.inRoster = p.roster[spec.ID]
 	p.workers[spec.ID] = w
-	p.sortedWorkers = nil
+	p.sortedWorkers, p.pools.stale = nil, true
 	return w
 }
 
 func (p *Planner) dropWorker(id string) {
 	delete(p.workers, id)
-	p.sortedWorkers = nil
+	p.sortedWorkers, p.pools.stale = nil, true
 }
 
 // allWorkers returns all workers sorted by id. The returned slice does not change when workers are
