Look for expired leases only among workers that are not regular

Each plan looked at each worker to learn whether it is gone, its lease has expired, or an end that is held there is too old: 4% of the processor time of a leader with 1,100 workers (profile of the commit before). Nothing of this can hold for a worker that is listed, answered its last poll and has no held ends. The planner now notes when a worker may cease to be such, and looks at the workers only while there may be others.

--- a/ladderplan/planner.go
+++ b/ladderplan/planner.go
@@ -31,6 +31,8 @@
 	readySteps []*step
 	// scheduledJobs holds the jobs with a schedule whose rounds have not all started.
 	scheduledJobs []*job
+	// hasIrregular is true if there may be workers that are not regular.
+	hasIrregular bool
 	// unseenWorkers holds the workers on which an earlier leader may have started tasks and that
 	// have not answered this leader yet.
 	unseenWorkers map[string]bool
@@ -218,6 +220,7 @@
 	}
 	if p.unknown(e.Run.Task) {
 		w.holdEnd(now, e)
+		p.hasIrregular = true
 		return
 	}
 	if t == nil || !j.active() {
--- a/ladderplan/planner_test.go
+++ b/ladderplan/planner_test.go
@@ -106,9 +106,13 @@
 	return h.orders
 }
 
-// checkPools checks that the pools hold just the workers that accept new tasks.
+// checkPools checks that the pools hold just the workers that accept new tasks, and that no irregular
+// worker was overlooked.
 func (h *harness) checkPools() {
 	p := h.planner
+	for id, w := range p.workers {
+		require.True(h.t, p.hasIrregular || w.regular(), "worker %s", id)
+	}
 	if p.pools.stale || !h.now.Before(p.pools.validUntil) {
 		return
 	}
--- a/ladderplan/poll.go
+++ b/ladderplan/poll.go
@@ -47,7 +47,7 @@
 			continue
 		}
 		if w.listed || w.unlistedSince.IsZero() {
-			w.listed, w.unlistedSince = false, now
+			w.listed, w.unlistedSince, p.hasIrregular = false, now, true
 		}
 		if len(w.runs) == 0 && len(w.expired) == 0 && !p.unseenWorkers[w.spec.ID] {
 			p.dropWorker(w.spec.ID)
@@ -342,7 +342,7 @@
 		p.superseded = true
 	}
 	if w, ok := p.workers[id]; ok {
-		w.unresponsive, p.pools.stale = true, true
+		w.unresponsive, p.pools.stale, p.hasIrregular = true, true, true
 	}
 }
 
@@ -353,7 +353,7 @@
 	if !ok {
 		return
 	}
-	w.unresponsive, p.pools.stale = true, true
+	w.unresponsive, p.pools.stale, p.hasIrregular = true, true, true
 	delete(p.unseenWorkers, id)
 	p.recordCrash(now, w, notListed)
 	p.dropLostRuns(now, w, "a different worker answers at the address", slices.Clone(w.runOrder)...)
@@ -363,7 +363,35 @@
 // then the workers that are no longer listed. It also ends the wait for the runs of earlier leaders,
 // once all their workers were seen or are gone, or all their leases must have expired.
 func (p *Planner) expireLeases(now time.Time) {
+	p.expireIrregular(now)
+	if p.earlierRunsKnown {
+		return
+	}
+	limit := p.options.ElectedAt.Add(p.options.EarlierLeaderTimeout +
+		p.options.LeaseDuration*(100+maxClockDriftPercent)/100 + leaseEndMargin)
+	if len(p.unseenWorkers) == 0 || now.After(limit) {
+		p.earlierRunsKnown, p.placementDue = true, true
+		p.log.Info("all runs of earlier leaders are known", "unseen", len(p.unseenWorkers),
+			"after", now.Sub(p.options.ElectedAt).Round(time.Millisecond))
+		clear(p.unseenWorkers)
+	}
+}
+
+// regular reports whether a worker is listed, has answered its last poll, and has no ends that are
+// held. Nothing of it expires then.
+func (w *worker) regular() bool { return w.listed && !w.unresponsive && len(w.unknownEnds) == 0 }
+
+// expireIrregular does the part of expireLeases that concerns the workers that are not regular.
+func (p *Planner) expireIrregular(now time.Time) {
+	if !p.hasIrregular {
+		return
+	}
+	p.hasIrregular = false
 	for _, w := range p.allWorkers() {
+		if w.regular() {
+			continue
+		}
+		p.hasIrregular = true
 		p.dropHeldEnds(now, w)
 		if p.isGone(now, w) {
 			delete(p.unseenWorkers, w.spec.ID)
@@ -378,17 +406,6 @@
 			p.dropWorker(w.spec.ID)
 		}
 	}
-	if p.earlierRunsKnown {
-		return
-	}
-	limit := p.options.ElectedAt.Add(p.options.EarlierLeaderTimeout +
-		p.options.LeaseDuration*(100+maxClockDriftPercent)/100 + leaseEndMargin)
-	if len(p.unseenWorkers) == 0 || now.After(limit) {
-		p.earlierRunsKnown, p.placementDue = true, true
-		p.log.Info("all runs of earlier leaders are known", "unseen", len(p.unseenWorkers),
-			"after", now.Sub(p.options.ElectedAt).Round(time.Millisecond))
-		clear(p.unseenWorkers)
-	}
 }
 
 func (p *Planner) leaseExpired(now time.Time, w *worker) bool { return p.leaseLeft(now, w) < 0 }
--- a/ladderplan/workers.go
+++ b/ladderplan/workers.go
@@ -13,7 +13,7 @@
 	p.workersAdded++
 	w.inRoster = p.roster[spec.ID]
 	p.workers[spec.ID] = w
-	p.sortedWorkers, p.pools.stale = nil, true
+	p.sortedWorkers, p.pools.stale, p.hasIrregular = nil, true, true
 	return w
 }
 
