--- a/ladderplan/poll.go
+++ b/ladderplan/poll.go
@@ -23,7 +23,7 @@
 // SetWorkers sets the workers that the platform's store lists. It drops workers that are no longer
 // listed and have no runs, and evacuates workers that have started to drain.
 func (p *Planner) SetWorkers(now time.Time, list []ladderflow.Worker) {
-	p.placementDue = true
+	p.placementDue, p.pools.stale = true, true
 	listed := map[string]bool{}
 	for _, spec := range list {
 		listed[spec.ID] = true
@@ -47,7 +47,7 @@
 			continue
 		}
 		if w.listed || w.unlistedSince.IsZero() {
-			w.listed, w.unlistedSince = false, now
+			w.listed, w.unlistedSince, p.hasIrregular = false, now, true
 		}
 		if len(w.runs) == 0 && len(w.expired) == 0 && !p.unseenWorkers[w.spec.ID] {
 			p.dropWorker(w.spec.ID)
@@ -91,7 +91,7 @@
 // SetRoster sets the roster: the stored set of workers on which a leader may start tasks. No task
 // starts on other workers, since the next leader would not know that they may have runs.
 func (p *Planner) SetRoster(ids map[string]bool) {
-	p.roster, p.placementDue = ids, true
+	p.roster, p.placementDue, p.pools.stale = ids, true, true
 	for id, w := range p.workers {
 		w.inRoster = ids[id]
 	}
@@ -191,6 +191,9 @@
 	}
 	w.expired = nil
 	w.acknowledgeGuard.PollAnswered(sentAt, report.Clock, restarted)
+	if restarted || w.unresponsive || !w.seenByLeader || now.Sub(w.polledAt) >= unresponsiveAfter {
+		p.pools.stale = true
+	}
 	w.clock, w.polledAt, w.unresponsive = report.Clock, now, false
 	if !w.seenByLeader {
 		w.seenByLeader, p.placementDue = true, true
@@ -346,7 +349,7 @@
 		p.superseded = true
 	}
 	if w, ok := p.workers[id]; ok {
-		w.unresponsive = true
+		w.unresponsive, p.pools.stale, p.hasIrregular = true, true, true
 	}
 }
 
@@ -364,7 +367,7 @@
 	if !ok {
 		return
 	}
-	w.unresponsive = true
+	w.unresponsive, p.pools.stale, p.hasIrregular = true, true, true
 	delete(p.unseenWorkers, id)
 	p.recordCrash(now, w, notListed)
 	p.dropLostRuns(now, w, "a different worker answers at the address", slices.Clone(w.runOrder)...)
@@ -374,7 +377,35 @@
 // then the workers that are no longer listed. It also ends the wait for the runs of earlier leaders,
 // once all their workers were seen or are gone, or all their leases must have expired.
 func (p *Planner) expireLeases(now time.Time) {
+	p.expireIrregular(now)
+	if p.earlierRunsKnown {
+		return
+	}
+	limit := p.options.ElectedAt.Add(p.options.EarlierLeaderTimeout +
+		p.options.LeaseDuration*(100+maxClockDriftPercent)/100 + leaseEndMargin)
+	if len(p.unseenWorkers) == 0 || now.After(limit) {
+		p.earlierRunsKnown, p.placementDue = true, true
+		p.log.Info("all runs of earlier leaders are known", "unseen", len(p.unseenWorkers),
+			"after", now.Sub(p.options.ElectedAt).Round(time.Millisecond))
+		clear(p.unseenWorkers)
+	}
+}
+
+// regular reports whether a worker is listed, has answered its last poll, and has no ends that are
+// held. Nothing of it expires then.
+func (w *worker) regular() bool { return w.listed && !w.unresponsive && len(w.unknownEnds) == 0 }
+
+// expireIrregular does the part of expireLeases that concerns the workers that are not regular.
+func (p *Planner) expireIrregular(now time.Time) {
+	if !p.hasIrregular {
+		return
+	}
+	p.hasIrregular = false
 	for _, w := range p.allWorkers() {
+		if w.regular() {
+			continue
+		}
+		p.hasIrregular = true
 		p.dropHeldEnds(w)
 		if p.isGone(now, w) {
 			delete(p.unseenWorkers, w.spec.ID)
@@ -389,17 +420,6 @@
 			p.dropWorker(w.spec.ID)
 		}
 	}
-	if p.earlierRunsKnown {
-		return
-	}
-	limit := p.options.ElectedAt.Add(p.options.EarlierLeaderTimeout +
-		p.options.LeaseDuration*(100+maxClockDriftPercent)/100 + leaseEndMargin)
-	if len(p.unseenWorkers) == 0 || now.After(limit) {
-		p.earlierRunsKnown, p.placementDue = true, true
-		p.log.Info("all runs of earlier leaders are known", "unseen", len(p.unseenWorkers),
-			"after", now.Sub(p.options.ElectedAt).Round(time.Millisecond))
-		clear(p.unseenWorkers)
-	}
 }
 
 func (p *Planner) leaseExpired(now time.Time, w *worker) bool { return p.leaseLeft(now, w) < 0 }
