Give the test of the stand-in's crashes more time

Cause: the test's own bounds. With twelve copies at a time beside the same load, 2 of 300 failed, at two other lines: "the worker is down" after the 100 ms of downtime had passed, and a condition that a starved goroutine had not checked within 1 s. None of the bounds is a promise of the stand-in.

--- a/ladderstand/platformworker_test.go
+++ b/ladderstand/platformworker_test.go
@@ -18,7 +18,8 @@
 // TestPlatformWorkerCrashes guards against a stand-in that keeps runs or ends over a crash, or whose
 // entry in the store stays that of the dead incarnation.
 func TestPlatformWorkerCrashes(t *testing.T) {
-	const downtime = 100 * time.Millisecond
+	// Both are far longer than a busy machine delays the test.
+	const downtime, patience = time.Second, 10 * time.Second
 	crashing, done := ladderflow.Task{Job: "00000000000000aa"}, ladderflow.Task{Job: "00000000000000bb"}
 	for name, c := range map[string]struct{ byTask bool }{
 		"by a task":   {true},
@@ -51,17 +52,17 @@
 					return 50 * time.Millisecond, r.Task == crashing
 				}})
 			}
-			require.NoError(t, post("/-/run-start", `{"task":"`+platform.FormatTask(done)+`","run":1,"untilMs":5000}`))
-			require.Eventually(t, func() bool { return w.Done(done) == 1 }, time.Second, time.Millisecond)
-			require.NoError(t, post("/-/run-start", `{"task":"`+platform.FormatTask(crashing)+`","run":1,"untilMs":5000}`))
+			require.NoError(t, post("/-/run-start", `{"task":"`+platform.FormatTask(done)+`","run":1,"untilMs":60000}`))
+			require.Eventually(t, func() bool { return w.Done(done) == 1 }, patience, time.Millisecond)
+			require.NoError(t, post("/-/run-start", `{"task":"`+platform.FormatTask(crashing)+`","run":1,"untilMs":60000}`))
 			require.Len(t, w.Running(), 1)
 			if !c.byTask {
 				w.Crash(store, downtime)
 			}
-			require.Eventually(t, func() bool { return len(w.Running()) == 0 }, time.Second, time.Millisecond)
+			require.Eventually(t, func() bool { return len(w.Running()) == 0 }, patience, time.Millisecond)
 			require.Zero(t, w.Done(done), "the end was lost")
 			require.Error(t, post("/-/hold", `{}`), "the worker is down")
-			require.Eventually(t, func() bool { return post("/-/hold", `{}`) == nil }, time.Second, 5*time.Millisecond)
+			require.Eventually(t, func() bool { return post("/-/hold", `{}`) == nil }, patience, 5*time.Millisecond)
 			after, _, _ := store.Get(platform.WorkerPrefix + "w0")
 			require.Greater(t, after.ModRevision, before.ModRevision)
 			require.NotEqual(t, before.Value, after.Value, "the entry names the new incarnation")
