--- a/ladderproof/flow_fault_test.go
+++ b/ladderproof/flow_fault_test.go
@@ -84,6 +84,28 @@
 				sim.steady(sim.newest())
 			}
 		},
+		"overtaken, one not reached": func(t *rapid.T) {
+			// As above, but the job may be accepted some time after the election, and the newest leader
+			// does not reach one of the workers for a while.
+			former := sim.newest()
+			sim.pollAll(former)
+			sim.elect()
+			sim.advance(time.Duration(rapid.IntRange(0, 999).Draw(t, "accepted after")) * time.Millisecond)
+			sim.submit(t, former)
+			before := len(sim.orders)
+			sim.plan(former)
+			for _, o := range sim.orders[before:] {
+				sim.deliver(o, true)
+			}
+			sim.check()
+			w := sim.worker(t)
+			for range rapid.IntRange(1, 5).Draw(t, "rounds") {
+				sim.advance(700 * time.Millisecond)
+				sim.crashDue()
+				sim.pollOthers(sim.newest(), w)
+				sim.check()
+			}
+		},
 	}
 }
 
