Count no run as lost that a full list of ends may hide

Callers could see a task run twice (TWICE): a worker lists its runs and at most 500 ends that are not acknowledged. A run that had ended behind 500 others was in neither list, so the leader took it for lost and started its task again. A new leader also took the worker's earlier runs for known.

With a full list, a run that is missing is left as it is, and the worker counts as not seen by a takeover, until the worker lists fewer ends.

TestRunThatEndedBehindALongListIsNotLost failed before, for the same leader and the next one: the task started after the first, full report.

--- a/ladderflow/worker.go
+++ b/ladderflow/worker.go
@@ -71,6 +71,10 @@
 	Checkpoint string
 }
 
+// MaxListedEnds is the number of ends that a status report lists at most. The worker lists further
+// ones once these are acknowledged.
+const MaxListedEnds = 500
+
 // StatusReport is a worker's response to a status poll.
 type StatusReport struct {
 	// Incarnation identifies the worker's incarnation, as in [Worker].
--- a/ladderplan/poll.go
+++ b/ladderplan/poll.go
@@ -212,12 +212,13 @@
 	for _, r := range report.Running {
 		p.recordActiveRun(now, w, r)
 	}
-	for _, x := range slices.Clone(w.runOrder) {
-		if !present[x.name] {
-			p.handleMissingRun(now, sentAt, w, x)
+	// A run that a full list lacks may have ended behind it.
+	if len(report.Ended) < ladderflow.MaxListedEnds {
+		for _, x := range slices.Clone(w.runOrder) {
+			if !present[x.name] {
+				p.handleMissingRun(now, sentAt, w, x)
+			}
 		}
-	}
-	if p.unseenWorkers[id] {
 		delete(p.unseenWorkers, id)
 	}
 	p.stopStalledRuns(now, w)
--- a/ladderplan/result_test.go
+++ b/ladderplan/result_test.go
@@ -1,6 +1,7 @@
 package ladderplan
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -224,3 +225,41 @@
 		})
 	}
 }
+
+// TestRunThatEndedBehindALongListIsNotLost lets a task end while its worker has more ends than a status
+// report lists. The task must not start again before its own end is listed.
+func TestRunThatEndedBehindALongListIsNotLost(t *testing.T) {
+	var others []ladderflow.EndedRun
+	for i := range ladderflow.MaxListedEnds {
+		others = append(others, ladderflow.EndedRun{
+			Sequence: int64(i + 1), Run: ladderflow.Run{Task: ladderflow.Task{Job: "b", Index: i}, Number: 1}, Reason: ladderflow.EndDone,
+		})
+	}
+	for name, takeover := range map[string]bool{"same leader": false, "next leader": true} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 2)
+			a, b := testJob(h.now, "a", stepOf(1)), testJob(h.now, "b", stepOf(len(others)+1))
+			h.planner.AddJob(h.now, a, false)
+			s := h.startAll()[0]
+			h.planner.AddJob(h.now, b, false)
+			if takeover {
+				h = h.nextLeader([]*ladderflow.Job{a, b}, nil, 2)
+			}
+			other := map[string]string{"w0": "w1", "w1": "w0"}[s.Worker.ID]
+			startsOfA := func() bool {
+				h.advance(idlePassInterval)
+				return slices.ContainsFunc(h.plan().Starts, func(o StartOrder) bool { return o.Run.Task.Job == "a" })
+			}
+			h.poll(other, ladderflow.StatusReport{})
+			h.poll(s.Worker.ID, ladderflow.StatusReport{Ended: others})
+			require.False(t, startsOfA())
+			h.storeAll()
+			h.poll(s.Worker.ID, ladderflow.StatusReport{Ended: []ladderflow.EndedRun{
+				{Sequence: int64(len(others) + 1), Run: s.Run, Reason: ladderflow.EndDone},
+			}})
+			require.False(t, startsOfA())
+			h.storeAll()
+			require.Equal(t, ladderflow.Done, h.planner.View(h.now, "a").State)
+		})
+	}
+}
