Acknowledge only ends that the stored batch covers

After each batch, 17 times a second, the leader compared what each worker's delegate knows of stored ends with the planner's state: 1,100 workers, of which few had new ends in the batch.

What a batch stores is what it may acknowledge, so only the workers with ends in the batch are looked at. A new incarnation of a worker is told with its first end: until then a delegate has nothing to acknowledge to it, and compares the incarnation before it does. No decision changes. The tests of laddervm, ladderdelegate and ladderproof pass.

--- a/ladderplan/record.go
+++ b/ladderplan/record.go
@@ -94,6 +94,12 @@
 	return b
 }
 
+// CoversEnds reports whether a batch covers ends of runs on a worker.
+func (b *Batch) CoversEnds(worker string) bool {
+	_, ok := b.ends[worker]
+	return ok
+}
+
 // BatchStored records that a batch was stored.
 func (p *Planner) BatchStored(b *Batch) {
 	for id, end := range b.ends {
--- a/laddervm/save.go
+++ b/laddervm/save.go
@@ -118,7 +118,9 @@
 	}
 	for _, p := range t.pollers {
 		if p.delegate != nil {
-			p.delegate.acknowledgeEnds(p.worker.ID)
+			if b.CoversEnds(p.worker.ID) {
+				p.delegate.acknowledgeEnds(p.worker.ID)
+			}
 			continue
 		}
 		t.resumePoll(p.ctx, p)
