Count a worker that a relayed poll has reached as running

Polls that get no answer go through one peer after the other, and a peer gave the worker the caller's whole time, so that its reply that the worker had accepted a connection came too late.

A peer now has three quarters of a call's time.

TestGoneWorkerDelaysNothing reaches the worker for a second only, and failed before with that.

--- a/ladderplan/poll.go
+++ b/ladderplan/poll.go
@@ -69,7 +69,7 @@
 // isGone reports whether a worker has ended, with all its runs: it answers no poll, and the store has
 // listed it for none of the last goneAfter, although it was serving all the while. A worker that has
 // answered this leader may be cut off from the store alone, so its lease must have expired as well. One
-// that has not must not have been reached during that time either.
+// that has not must not have been reached either.
 func (p *Planner) isGone(now time.Time, w *worker) bool {
 	if w.listed || w.unlistedSince.IsZero() || p.storeServingSince.IsZero() {
 		return false
@@ -77,7 +77,10 @@
 	if w.seenByLeader && (!w.unresponsive || !p.leaseExpired(now, w)) {
 		return false
 	}
-	return now.Sub(later(later(w.unlistedSince, p.storeServingSince), w.reachedAt)) >= goneAfter
+	if !w.seenByLeader && w.reached {
+		return false
+	}
+	return now.Sub(later(w.unlistedSince, p.storeServingSince)) >= goneAfter
 }
 
 // AddEarlierWorker adds a worker on which an earlier leader may have started tasks.
@@ -355,9 +358,9 @@
 }
 
 // WorkerReached records that a worker runs, although it did not answer a poll.
-func (p *Planner) WorkerReached(now time.Time, id string) {
+func (p *Planner) WorkerReached(id string) {
 	if w, ok := p.workers[id]; ok {
-		w.reachedAt = now
+		w.reached = true
 	}
 }
 
--- a/ladderplan/takeover_test.go
+++ b/ladderplan/takeover_test.go
@@ -306,8 +306,8 @@
 				h.planner.SetStoreServing(h.now, h.now.Sub(began) >= c.outage)
 				h.poll("w0", ladderflow.StatusReport{})
 				h.planner.PollFailed("w1", false)
-				if c.reached {
-					h.planner.WorkerReached(h.now, "w1")
+				if c.reached && h.now.Sub(began) < time.Second {
+					h.planner.WorkerReached("w1")
 				}
 				require.Less(t, h.now.Sub(began), time.Minute)
 			}
--- a/laddervm/delegate_client.go
+++ b/laddervm/delegate_client.go
@@ -361,7 +361,7 @@
 		t.planner.DelegateLease(now, report.Worker, maxDelegation)
 		t.planner.PollFailed(report.Worker, false)
 		if report.Outcome == laddermessage.PollUnanswered {
-			t.planner.WorkerReached(now, report.Worker)
+			t.planner.WorkerReached(report.Worker)
 		}
 		t.log.Debug("worker did not answer a delegate's status poll", "worker", report.Worker, "by", c.peer.name)
 	}
--- a/laddervm/worker_carrier.go
+++ b/laddervm/worker_carrier.go
@@ -16,6 +16,9 @@
 	// relayRouteTime is how long calls to a worker go through a peer before the direct route
 	// is tried again.
 	relayRouteTime = 2 * time.Second
+	// relayTimeoutPercent is the part of a call's time after which a peer gives the call up. The rest is for
+	// its reply, which says whether the worker was reached.
+	relayTimeoutPercent = 75
 	// defaultRelayTimeout bounds a relayed call whose context has no deadline.
 	defaultRelayTimeout = 5 * time.Second
 )
@@ -96,7 +99,7 @@
 	}
 	timeout := defaultRelayTimeout
 	if end, ok := ctx.Deadline(); ok {
-		timeout = time.Until(end)
+		timeout = time.Until(end) * relayTimeoutPercent / 100
 	}
 	m, err := c.vm.registry.call(ctx, p, laddermessage.RelayCall{To: to, Call: call, Timeout: timeout})
 	if err != nil {
--- a/laddervm/workers.go
+++ b/laddervm/workers.go
@@ -201,7 +201,7 @@
 		}
 		t.planner.PollFailed(p.worker.ID, errors.Is(err, platform.ErrFenced))
 		if platform.Reached(err) {
-			t.planner.WorkerReached(t.vm.clock.Now(), p.worker.ID)
+			t.planner.WorkerReached(p.worker.ID)
 		}
 		t.log.Debug("worker did not answer a status poll; retrying", "worker", p.worker.ID, "err", err)
 		t.vm.workerDirect.DropConnections(p.worker.Address)
