Keep the held ends of a worker that loses its entry

A worker that the store no longer lists and that has no runs was dropped, with the ends of unknown jobs that were held for it. If the job was read while the worker was not listed, as when it is cut off from the store, the job started anew; the end was listed and acknowledged later.

A worker with held ends is kept until they are settled, which a read of all jobs does.

TestHeldEndOutlivesItsWorkersEntry failed before. Left: a worker that restarts under its id discards held ends of its former life.

--- a/ladderplan/poll.go
+++ b/ladderplan/poll.go
@@ -49,12 +49,17 @@
 		if w.listed || w.unlistedSince.IsZero() {
 			w.listed, w.unlistedSince, p.hasIrregular = false, now, true
 		}
-		if len(w.runs) == 0 && len(w.expired) == 0 && !p.unseenWorkers[w.spec.ID] {
+		if p.holdsNothing(w) {
 			p.dropWorker(w.spec.ID)
 		}
 	}
 }
 
+// holdsNothing reports whether nothing of what is known of a worker matters once it is not listed.
+func (p *Planner) holdsNothing(w *worker) bool {
+	return len(w.runs) == 0 && len(w.expired) == 0 && len(w.unknownEnds) == 0 && !p.unseenWorkers[w.spec.ID]
+}
+
 // SetStoreServing records whether the platform's store serves calls now. While it does not, the list
 // of workers is not current, and workers can't renew their entries in it.
 func (p *Planner) SetStoreServing(now time.Time, serving bool) {
@@ -420,7 +425,7 @@
 			w.expired = append(w.expired, w.runOrder...)
 			p.dropLostRuns(now, w, "the worker's lease has expired", slices.Clone(w.runOrder)...)
 		}
-		if !w.listed && len(w.runs) == 0 && len(w.expired) == 0 && !p.unseenWorkers[w.spec.ID] && now.Sub(w.polledAt) > unresponsiveAfter {
+		if !w.listed && p.holdsNothing(w) && now.Sub(w.polledAt) > unresponsiveAfter {
 			p.dropWorker(w.spec.ID)
 		}
 	}
--- a/ladderplan/unknown_end_test.go
+++ b/ladderplan/unknown_end_test.go
@@ -146,3 +146,15 @@
 	h.pollAll(running)
 	require.Len(t, h.plan().Stops, 1)
 }
+
+// TestHeldEndOutlivesItsWorkersEntry lets a worker lose its entry, and get it back, after it has listed the end of
+// a job that the leader reads late.
+func TestHeldEndOutlivesItsWorkersEntry(t *testing.T) {
+	h := newHarness(t, 2)
+	h.poll("w0", ladderflow.StatusReport{Ended: []ladderflow.EndedRun{endOf("a", 1)}})
+	h.planner.SetWorkers(h.now, []ladderflow.Worker{testWorker(1)})
+	h.advance(500 * time.Millisecond)
+	h.pollAll(nil)
+	h.submit("a", stepOf(1))
+	require.Empty(t, h.plan().Starts, "the job has run on w0")
+}
