--- a/ladderplan/poll.go
+++ b/ladderplan/poll.go
@@ -49,12 +49,17 @@
 		if w.listed || w.unlistedSince.IsZero() {
 			w.listed, w.unlistedSince, p.hasIrregular = false, now, true
 		}
-		if len(w.runs) == 0 && len(w.expired) == 0 && !p.unseenWorkers[w.spec.ID] {
+		if p.holdsNothing(w) {
 			p.dropWorker(w.spec.ID)
 		}
 	}
 }
 
+// holdsNothing reports whether nothing of what is known of a worker matters once it is not listed.
+func (p *Planner) holdsNothing(w *worker) bool {
+	return len(w.runs) == 0 && len(w.expired) == 0 && len(w.unknownEnds) == 0 && !p.unseenWorkers[w.spec.ID]
+}
+
 // SetStoreServing records whether the platform's store serves calls now. While it does not, the list
 // of workers is not current, and workers can't renew their entries in it.
 func (p *Planner) SetStoreServing(now time.Time, serving bool) {
@@ -69,7 +74,7 @@
 // isGone reports whether a worker has ended, with all its runs: it answers no poll, and the store has
 // listed it for none of the last goneAfter, although it was serving all the while. A worker that has
 // answered this leader may be cut off from the store alone, so its lease must have expired as well. One
-// that has not must not have been reached during that time either.
+// that has not must not have been reached either.
 func (p *Planner) isGone(now time.Time, w *worker) bool {
 	if w.listed || w.unlistedSince.IsZero() || p.storeServingSince.IsZero() {
 		return false
@@ -77,7 +82,10 @@
 	if w.seenByLeader && (!w.unresponsive || !p.leaseExpired(now, w)) {
 		return false
 	}
-	return now.Sub(later(later(w.unlistedSince, p.storeServingSince), w.reachedAt)) >= goneAfter
+	if !w.seenByLeader && w.reached {
+		return false
+	}
+	return now.Sub(later(w.unlistedSince, p.storeServingSince)) >= goneAfter
 }
 
 // AddEarlierWorker adds a worker on which an earlier leader may have started tasks.
@@ -355,9 +363,9 @@
 }
 
 // WorkerReached records that a worker runs, although it did not answer a poll.
-func (p *Planner) WorkerReached(now time.Time, id string) {
+func (p *Planner) WorkerReached(id string) {
 	if w, ok := p.workers[id]; ok {
-		w.reachedAt = now
+		w.reached = true
 	}
 }
 
@@ -417,7 +425,7 @@
 			w.expired = append(w.expired, w.runOrder...)
 			p.dropLostRuns(now, w, "the worker's lease has expired", slices.Clone(w.runOrder)...)
 		}
-		if !w.listed && len(w.runs) == 0 && len(w.expired) == 0 && !p.unseenWorkers[w.spec.ID] && now.Sub(w.polledAt) > unresponsiveAfter {
+		if !w.listed && p.holdsNothing(w) && now.Sub(w.polledAt) > unresponsiveAfter {
 			p.dropWorker(w.spec.ID)
 		}
 	}
