--- a/ladderproof/flow_check_test.go
+++ b/ladderproof/flow_check_test.go
@@ -6,6 +6,13 @@
 	"lacewingladder/ladderflow"
 )
 
+// checker is the test that a simulation fails: one with drawn actions, or a scripted one.
+type checker interface {
+	Log(args ...any)
+	Fatal(args ...any)
+	Fatalf(format string, args ...any)
+}
+
 // checkStart checks a start against the ends that were acknowledged before.
 func (sim *flowSimulation) checkStart(r ladderflow.Run) {
 	key := r.Task
--- a/ladderproof/flow_simulation_test.go
+++ b/ladderproof/flow_simulation_test.go
@@ -129,13 +129,6 @@
 	run         ladderflow.Run
 }
 
-// checker is the test that a simulation fails: one with drawn actions, or a scripted one.
-type checker interface {
-	Log(args ...any)
-	Fatal(args ...any)
-	Fatalf(format string, args ...any)
-}
-
 // flowSimulation simulates leaders, workers and the store, and decides when each message
 // arrives.
 type flowSimulation struct {
