Look at workers with tickets without a list of them

Placement of a step with advice made a list of the workers with valid tickets for each try, only to go over it once. Now it goes over the tickets themselves.

--- a/ladderplan/explain.go
+++ b/ladderplan/explain.go
@@ -104,7 +104,7 @@
 			usable++
 		}
 	}
-	for _, w := range sp.startable() {
+	for w := range sp.startable() {
 		if sp.usable(w) {
 			withTickets++
 			slots += sp.freeSlots(w)
--- a/ladderplan/gang.go
+++ b/ladderplan/gang.go
@@ -18,7 +18,7 @@
 func (sp *stepPlacement) candidates() []gangCandidate {
 	var list []gangCandidate
 	total := 0
-	for _, w := range sp.startable() {
+	for w := range sp.startable() {
 		if !sp.usable(w) || sp.reserved(w) || w.probation {
 			continue
 		}
--- a/ladderplan/place.go
+++ b/ladderplan/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 	"time"
 
@@ -234,28 +235,28 @@
 
 // knownAllowed returns the workers of the pool that are known to be allowed for the step, sorted by
 // id. They may have no valid ticket.
-func (sp *stepPlacement) knownAllowed() []*worker { return sp.withTickets(time.Time{}) }
+func (sp *stepPlacement) knownAllowed() iter.Seq[*worker] { return sp.withTickets(time.Time{}) }
 
 // startable returns the workers of the pool on which the step may start now.
-func (sp *stepPlacement) startable() []*worker { return sp.withTickets(sp.now) }
+func (sp *stepPlacement) startable() iter.Seq[*worker] { return sp.withTickets(sp.now) }
 
 // withTickets returns the workers of the pool whose tickets for the step are valid at a given time.
 // A zero time selects all workers that are known to be allowed.
-func (sp *stepPlacement) withTickets(at time.Time) []*worker {
+func (sp *stepPlacement) withTickets(at time.Time) iter.Seq[*worker] {
 	if !sp.needsTickets() {
-		return sp.pool()
+		return slices.Values(sp.pool())
 	}
-	var list []*worker
-	for i := range sp.step.tickets.rows {
-		k := &sp.step.tickets.rows[i]
-		if !at.IsZero() && !at.Before(k.validUntil) {
-			continue
-		}
-		if sp.inPool(k.worker) {
-			list = append(list, k.worker)
+	return func(yield func(*worker) bool) {
+		for i := range sp.step.tickets.rows {
+			k := &sp.step.tickets.rows[i]
+			if !at.IsZero() && !at.Before(k.validUntil) {
+				continue
+			}
+			if sp.inPool(k.worker) && !yield(k.worker) {
+				return
+			}
 		}
 	}
-	return list
 }
 
 // freeSlots returns how many more tasks of the step may start on a worker.
@@ -275,7 +276,7 @@
 func (sp *stepPlacement) placeTasks() {
 	endsAt := sp.now.Add(backfillFactor * sp.step.expectedDuration())
 	var candidates []*worker
-	for _, w := range sp.startable() {
+	for w := range sp.startable() {
 		if sp.usable(w) && sp.freeSlots(w) > 0 && (!sp.reserved(w) || !endsAt.After(w.reservedUntil)) {
 			candidates = append(candidates, w)
 		}
--- a/ladderplan/preempt.go
+++ b/ladderplan/preempt.go
@@ -28,7 +28,7 @@
 	}
 	var victims []*run
 	least := 0
-	for _, w := range sp.startable() {
+	for w := range sp.startable() {
 		if !sp.usable(w) {
 			continue
 		}
--- a/ladderplan/reserve.go
+++ b/ladderplan/reserve.go
@@ -143,7 +143,7 @@
 	p := sp.planner
 	list := p.slotBuffer[:0]
 	var latest time.Time // No slot after it is needed, if it is not zero.
-	for _, w := range sp.knownAllowed() {
+	for w := range sp.knownAllowed() {
 		if !sp.usable(w) || w.reservedPass == p.reservationPass || w.probation || !slow && w.isSlow() {
 			continue
 		}
