Share one dial among the calls to a peer

Each call to a peer without a connection opened one of its own, until its own deadline. Many calls begin at once at a takeover, a handshake takes some ms of processor, so the leader was busy with handshakes that all came too late, and began them again.

Now the calls to a peer wait for the same dial, which goes on if the call that began it ends, for at most dialTimeout.

--- a/ladderpeer/client.go
+++ b/ladderpeer/client.go
@@ -56,8 +56,13 @@
 	// unusedTimeout is how long a connection is kept after its last exchange.
 	unusedTimeout time.Duration
 
+	// closed ends when the client is closed, and so ends its dials.
+	closed context.Context
+	cancel context.CancelFunc
+
 	mu    sync.Mutex
 	conns map[netip.AddrPort]*connection
+	dials map[netip.AddrPort]*dialing
 }
 
 // connection is an open connection to a peer.
@@ -90,7 +95,8 @@
 func newClient(t *tls.Config, d dialer) *Client {
 	cloned := t.Clone()
 	cloned.NextProtos = []string{protocol}
-	return &Client{tls: cloned, dial: d, unusedTimeout: defaultUnusedTimeout, conns: map[netip.AddrPort]*connection{}}
+	closed, cancel := context.WithCancel(context.Background())
+	return &Client{closed: closed, cancel: cancel, tls: cloned, dial: d, unusedTimeout: defaultUnusedTimeout, conns: map[netip.AddrPort]*connection{}, dials: map[netip.AddrPort]*dialing{}}
 }
 
 // Traffic returns the client's byte counts.
@@ -159,24 +165,63 @@
 	if ok {
 		return conn, nil
 	}
-	dialing, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	fresh, err := c.dial(dialing, net.UDPAddrFromAddrPort(peer), c.tls, clientConfig())
-	if err != nil {
-		return nil, err
+	d := c.startDial(peer)
+	select {
+	case <-d.done:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	if d.err != nil {
+		return nil, d.err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if other, ok := c.current(peer); ok {
-		_ = fresh.CloseWithError(abandoned, "one connection is enough")
-		return other, nil
+	if conn, ok = c.current(peer); !ok {
+		return nil, errors.New("the connection was closed at once")
 	}
-	conn = &connection{Conn: fresh, exchanges: 1}
-	conn.unused = time.AfterFunc(c.unusedTimeout, func() { c.closeUnused(peer, conn) })
-	c.conns[peer] = conn
 	return conn, nil
 }
 
+// dialing is the opening of a connection, for which all calls to a peer wait.
+type dialing struct {
+	// done is closed when the connection is open or could not be opened, which err tells.
+	done chan struct{}
+	err  error
+}
+
+// startDial opens a connection to a peer, unless that is under way. It goes on if the call that waits
+// for it ends: a client that is slow would otherwise begin again for each call and never succeed.
+func (c *Client) startDial(peer netip.AddrPort) *dialing {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if d, ok := c.dials[peer]; ok {
+		return d
+	}
+	d := &dialing{done: make(chan struct{})}
+	c.dials[peer] = d
+	go func() {
+		defer close(d.done)
+		ctx, cancel := context.WithTimeout(c.closed, dialTimeout)
+		defer cancel()
+		fresh, err := c.dial(ctx, net.UDPAddrFromAddrPort(peer), c.tls, clientConfig())
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.dials, peer)
+		if d.err = err; err != nil {
+			return
+		}
+		if c.closed.Err() != nil {
+			_ = fresh.CloseWithError(abandoned, "closing")
+			d.err = net.ErrClosed
+			return
+		}
+		conn := &connection{Conn: fresh}
+		conn.unused = time.AfterFunc(c.unusedTimeout, func() { c.closeUnused(peer, conn) })
+		c.conns[peer] = conn
+	}()
+	return d
+}
+
 // current returns the open connection to a peer, if there is one, and counts an exchange on it.
 // The caller must hold mu.
 func (c *Client) current(peer netip.AddrPort) (*connection, bool) {
@@ -225,6 +270,7 @@
 func (c *Client) Close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.cancel()
 	for peer, conn := range c.conns {
 		conn.unused.Stop()
 		_ = conn.CloseWithError(0, "closing")
--- /dev/null
+++ b/ladderpeer/dial_test.go
@@ -0,0 +1,51 @@
+package ladderpeer_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lacewingladder/laddermessage"
+	"lacewingladder/ladderpeer"
+)
+
+// TestConcurrentCallsShareDial guards against a client that opens a connection for each of many calls to a
+// peer that begin at once, and so is busy with handshakes only.
+func TestConcurrentCallsShareDial(t *testing.T) {
+	config := newTLS(t)
+	address := serve(t, config)
+	client := ladderpeer.NewClient(config)
+	defer client.Close()
+	dials := client.CountDials()
+	const calls = 50
+	errs := make(chan error, calls)
+	for range calls {
+		go func() {
+			_, err := client.Call(t.Context(), address, laddermessage.JobStatusQuery{Job: "j"})
+			errs <- err
+		}()
+	}
+	for range calls {
+		require.NoError(t, <-errs)
+	}
+	require.EqualValues(t, 1, dials.Load())
+}
+
+// TestDialOutlivesCall guards against a handshake that is given up with the call that began it and begun
+// again by the next one.
+func TestDialOutlivesCall(t *testing.T) {
+	config := newTLS(t)
+	address := serve(t, config)
+	client := ladderpeer.NewClient(config)
+	defer client.Close()
+	dials := client.CountDials()
+	short, cancel := context.WithTimeout(t.Context(), time.Microsecond)
+	defer cancel()
+	_, err := client.Call(short, address, laddermessage.JobStatusQuery{Job: "j"})
+	require.ErrorIs(t, err, ladderpeer.ErrUnsent)
+	_, err = client.Call(t.Context(), address, laddermessage.JobStatusQuery{Job: "j"})
+	require.NoError(t, err)
+	require.EqualValues(t, 1, dials.Load())
+}
