--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"net/http"
 	"sync"
 	"time"
 )
@@ -18,20 +17,23 @@
 
 // cases holds the cases by name. A case returns an error if it could not run.
 var cases = map[string]func(*world) error{
-	"service":           service,
-	"crashes":           crashes,
-	"dropped-route":     droppedRoute,
-	"dropped-advice":    droppedAdvice,
-	"cancelled-unknown": cancelledUnknown,
+	"service":        service,
+	"cut-workers":    cutWorkers,
+	"gone-in-outage": goneInOutage,
+	"dropped-route":  droppedRoute,
+	"dropped-advice": droppedAdvice,
 }
 
 var errNotAccepted = errors.New("a job was not accepted")
 
 const (
-	// crashShare is the largest share of the workers that crash at once, and maxCrashTime the longest time
-	// that they are down, in the site file.
+	// The largest doses of the site file: crashShare of the workers crash at once, for maxCrashTime; cutShare
+	// of them are cut off, for cutTime; the store is down for outageTime.
 	crashShare   = 0.14
 	maxCrashTime = 4500 * time.Millisecond
+	cutShare     = 0.17
+	cutTime      = 5500 * time.Millisecond
+	outageTime   = 4500 * time.Millisecond
 )
 
 // crashSome lets crashShare of the workers crash, chosen by r, and returns them.
@@ -151,43 +153,6 @@
 	return n
 }
 
-// crashes lets workers crash and come back while services and batch jobs run. No run ends as failed.
-func crashes(x *world) error {
-	const crashTime, pause = 2 * time.Second, 2500 * time.Millisecond
-	lasts := step{Count: 24, CPU: 1400, MemMb: 2000, EstimateMs: 5000, Lasts: true, MaxPer: 1}
-	var services []string
-	for i := range 4 {
-		path := reminders.Prefix + newID()
-		if !x.submit(i, path, jobBody(work{}, lasts)) {
-			return errNotAccepted
-		}
-		services = append(services, path)
-	}
-	until := time.Now().Add(80 * time.Second)
-	var wait sync.WaitGroup
-	wait.Go(func() {
-		r := rand.New(rand.NewPCG(1, 2))
-		time.Sleep(3 * time.Second)
-		for x.trouble && time.Now().Before(until) {
-			for _, w := range x.crashSome(r) {
-				time.AfterFunc(crashTime, func() {
-					if err := w.start(); err != nil {
-						x.note("worker %s can not start: %v", w.id, err)
-					}
-				})
-			}
-			time.Sleep(pause)
-		}
-	})
-	once := step{Count: 8, CPU: 4500, MemMb: 8800, EstimateMs: 5000}
-	batch := x.stream(deeds, jobBody(work{Ms: 5000}, once), 700*time.Millisecond, until)
-	wait.Wait()
-	time.Sleep(15 * time.Second)
-	x.checkFailed(reminders, services, lasts.Count)
-	x.checkFailed(deeds, batch, once.Count)
-	return nil
-}
-
 // checkFailed checks that no job is shown as failed without as many failed ends as the queue allows.
 func (x *world) checkFailed(q queue, paths []string, tasks int) {
 	for i, path := range paths {
@@ -206,6 +171,97 @@
 	}
 }
 
+// outage lets the store be down for outageTime, and cuts off cutShare of the workers for cutTime from shortly
+// before its end. Entries of workers expire meanwhile. The store's leases pause or expire.
+func (x *world) outage(r *rand.Rand, leasesPause bool) error {
+	const cutBefore = 300 * time.Millisecond
+	x.setStoreDown(true)
+	x.clock.pause(leasesPause)
+	time.Sleep(outageTime - cutBefore)
+	var cut []*worker
+	for _, i := range r.Perm(len(x.workers))[:int(cutShare*float64(len(x.workers)))] {
+		cut = append(cut, x.workers[i])
+		if err := x.workers[i].setCut(true); err != nil {
+			return err
+		}
+	}
+	time.Sleep(cutBefore)
+	// The workers have not reached the store for three heartbeats.
+	for _, w := range x.workers {
+		x.removeEntry(w)
+	}
+	x.clock.pause(false)
+	x.setStoreDown(false)
+	for _, w := range x.workers {
+		w.registerSoon()
+	}
+	time.Sleep(cutTime - cutBefore)
+	for _, w := range cut {
+		if err := w.setCut(false); err != nil {
+			return err
+		}
+		w.registerSoon()
+	}
+	return nil
+}
+
+// submitLong submits jobs of long tasks, and returns their paths.
+func (x *world) submitLong(jobs, tasks int) ([]string, error) {
+	long := jobBody(work{Ms: 60_000}, step{Count: tasks, CPU: 4500, MemMb: 8800, EstimateMs: 60_000})
+	var paths []string
+	for i := range jobs {
+		path := deeds.Prefix + newID()
+		if !x.submit(i, path, long) {
+			return nil, errNotAccepted
+		}
+		paths = append(paths, path)
+	}
+	time.Sleep(2 * time.Second)
+	return paths, nil
+}
+
+// cutWorkers plays several outages with cuts of workers. The leader stays, and no worker crashes.
+func cutWorkers(x *world) error {
+	const outages, pause, tasks = 6, 5 * time.Second, 8
+	paths, err := x.submitLong(18, tasks)
+	if err != nil {
+		return err
+	}
+	r := rand.New(rand.NewPCG(5, 6))
+	for range outages {
+		if !x.trouble {
+			break
+		}
+		if err := x.outage(r, true); err != nil {
+			return err
+		}
+		time.Sleep(pause)
+	}
+	time.Sleep(finishTime)
+	x.checkFailed(deeds, paths, tasks)
+	return nil
+}
+
+// goneInOutage plays one outage with a cut of workers, in which the leader's lease expires.
+func goneInOutage(x *world) error {
+	if _, err := x.submitLong(15, 8); err != nil {
+		return err
+	}
+	if x.trouble {
+		if err := x.outage(rand.New(rand.NewPCG(5, 6)), false); err != nil {
+			return err
+		}
+	}
+	time.Sleep(5 * time.Second)
+	x.mu.Lock()
+	twice := x.twice
+	x.mu.Unlock()
+	for _, text := range twice {
+		x.breakRule("TWICE: %s", text)
+	}
+	return nil
+}
+
 // droppedRoute takes a route out of the configuration for some seconds, in which one run of each of its jobs
 // ends as failed.
 func droppedRoute(x *world) error {
@@ -309,37 +365,3 @@
 	}
 	return done < tasks && used < halfOfService
 }
-
-// cancelledUnknown cancels jobs that nobody has submitted, and asks for them. Then it submits each and asks
-// again, for the record only.
-func cancelledUnknown(x *world) error {
-	const jobs = 10
-	var paths []string
-	for i := range jobs {
-		path := holds.Prefix + newID()
-		paths = append(paths, path)
-		answer := 0
-		if x.trouble {
-			answer, _ = x.call(x.vms[i%len(x.vms)], http.MethodDelete, path, "")
-		}
-		time.Sleep(500 * time.Millisecond)
-		state := x.state(x.vms[(i+1)%len(x.vms)], path)
-		switch state {
-		case "queued", "running", "done", "failed", "cancelled":
-			x.breakRule("MIXED: nobody submitted job %s, its cancelling was answered %d, and it is shown as %s", path, answer, state)
-		}
-	}
-	for i, path := range paths {
-		if !x.submit(i, path, jobBody(work{Ms: 500}, step{Count: 2, CPU: 1400, MemMb: 2000, EstimateMs: 500})) {
-			return errNotAccepted
-		}
-	}
-	time.Sleep(4 * time.Second)
-	for i, path := range paths {
-		x.mu.Lock()
-		done := x.done[path[len(holds.Prefix):]+".0.0.0"]
-		x.mu.Unlock()
-		x.note("job %s is shown as %s 4 s after it was accepted; its first task has been done %d times", path, x.state(x.vms[i%len(x.vms)], path), done)
-	}
-	return nil
-}
--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -52,6 +53,8 @@
 }
 
 const (
+	// heartbeat is heartbeatMs of the settings.
+	heartbeat = 1500 * time.Millisecond
 	// maxHold is the bound maxHoldMs of the settings.
 	maxHold = 10 * time.Second
 	// startupTime is the time after which a task that lasts is at work.
@@ -75,6 +78,7 @@
 	mu      sync.Mutex
 	server  *http.Server
 	up      bool
+	cut     bool
 	born    time.Time
 	fence   int64
 	until   time.Duration
@@ -110,16 +114,26 @@
 
 // start begins a life of the worker and writes its entry to the store.
 func (w *worker) start() error {
-	listener, err := net.Listen("tcp", w.address)
-	if err != nil {
-		return err
-	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.address = listener.Addr().String()
+	if err := w.listen(); err != nil {
+		return err
+	}
 	w.born, w.fence, w.until, w.ends, w.lastEnd = time.Now(), 0, 0, nil, 0
 	w.runs, w.refused = map[string]*run{}, map[string]int{}
 	w.changed, w.stop, w.up = make(chan struct{}), make(chan struct{}), true
+	go w.live(w.stop)
+	w.register()
+	return nil
+}
+
+// listen serves the worker's interface at its address, or at a free one if it has none. The caller holds mu.
+func (w *worker) listen() error {
+	listener, err := net.Listen("tcp", w.address)
+	if err != nil {
+		return err
+	}
+	w.address = listener.Addr().String()
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /-/run-start", w.serveStart)
 	mux.HandleFunc("POST /-/run-stop", w.serveStop)
@@ -128,8 +142,6 @@
 	mux.HandleFunc("GET /health", func(http.ResponseWriter, *http.Request) {})
 	w.server = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
 	go func(s *http.Server) { _ = s.Serve(listener) }(w.server)
-	go w.live(w.stop)
-	w.register()
 	return nil
 }
 
@@ -255,6 +267,30 @@
 	return o, true
 }
 
+// setCut cuts the worker off from the VMs and the store, or ends that. Its runs continue. While it is cut off,
+// its connections are reset and refused.
+func (w *worker) setCut(on bool) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut = on
+	w.world.note("worker %s is cut off: %v; runs: %d", w.id, on, len(w.runs))
+	if on {
+		return w.server.Close()
+	}
+	return w.listen()
+}
+
+// registerSoon writes the worker's entry within a heartbeat, unless it is cut off by then.
+func (w *worker) registerSoon() {
+	time.AfterFunc(time.Duration(rand.Int64N(int64(heartbeat))), func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.up && !w.cut {
+			w.register()
+		}
+	})
+}
+
 // reply sends a response. The caller holds mu.
 func (w *worker) reply(rw http.ResponseWriter, status int, body map[string]any) {
 	body["clockMs"], body["born"] = w.clock().Milliseconds(), w.born.UnixMilli()
@@ -347,7 +383,7 @@
 			return
 		}
 		w.mu.Lock()
-		if !w.up || w.born != born {
+		if !w.up || w.cut || w.born != born {
 			w.mu.Unlock()
 			panic(http.ErrAbortHandler)
 		}
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -37,6 +37,7 @@
 	dir     string
 	store   *ladderstand.Store
 	address string
+	clock   pausingClock
 	// advice is the address of the advice service.
 	advice  string
 	workers []*worker
@@ -57,6 +58,8 @@
 	// want of a ticket.
 	done     map[string]int
 	rejected int
+	// twice tells of each start of a task that had a run on another worker that is up.
+	twice []string
 	// log holds all runs that were started.
 	log []startedRun
 }
@@ -86,7 +89,7 @@
 		trouble: trouble, began: time.Now(), dir: dir, record: record, client: &http.Client{Timeout: 4 * time.Second},
 		running: map[string]map[*worker]bool{}, awaySince: map[string]time.Time{}, failed: map[string]int{}, crashed: map[string]int{}, done: map[string]int{},
 	}
-	stand := ladderstand.NewPlatform(ladderclock.System{})
+	stand := ladderstand.NewPlatform(&x.clock)
 	x.store = stand.Store()
 	if x.address, err = serve(stand.Handler()); err != nil {
 		return nil, err
@@ -97,6 +100,47 @@
 	return x, x.addWorkers(workers)
 }
 
+// setStoreDown makes the store answer each call with 503, or serve again.
+func (x *world) setStoreDown(on bool) {
+	response, err := x.client.Post(fmt.Sprintf("http://%s/switch?down=%v", x.address, on), "", nil)
+	if err != nil {
+		x.note("the store can not be switched: %v", err)
+		return
+	}
+	_ = response.Body.Close()
+	x.note("the store is down: %v", on)
+}
+
+// pausingClock is the clock of the store. It can be paused.
+type pausingClock struct {
+	ladderclock.System
+	mu       sync.Mutex
+	pausedAt time.Time
+	lost     time.Duration
+}
+
+// Now implements [ladderclock.Clock].
+func (c *pausingClock) Now() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.pausedAt.IsZero() {
+		return c.pausedAt.Add(-c.lost)
+	}
+	return time.Now().Add(-c.lost)
+}
+
+func (c *pausingClock) pause(on bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case on && c.pausedAt.IsZero():
+		c.pausedAt = time.Now()
+	case !on && !c.pausedAt.IsZero():
+		c.lost += time.Since(c.pausedAt)
+		c.pausedAt = time.Time{}
+	}
+}
+
 // serve serves HTTP on a free port and returns the address.
 func serve(h http.Handler) (string, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -152,6 +196,9 @@
 	if x.running[r.task] == nil {
 		x.running[r.task] = map[*worker]bool{}
 	}
+	for o := range x.running[r.task] {
+		x.twice = append(x.twice, fmt.Sprintf("%s runs on worker %s and starts on worker %s as well", r.task, o.id, w.id))
+	}
 	x.running[r.task][w] = true
 	delete(x.awaySince, r.task)
 	x.log = append(x.log, startedRun{time.Now(), w, r})
