Wait for the lease of a worker that the new leader has not reached

Cause: Planner.isGone took a worker that this leader had never reached for gone once the store had not listed it for 2.5 s. The earlier leader had renewed its lease through the outage, so its runs went on.

Why it works: only the lease bounds what runs on a worker that is cut off, and the planner knows when the last one of an earlier leader must have expired. The list of workers plays no part in it any more.

TestUnreachedWorkerKeepsItsLease replaces TestGoneWorkerDelaysNothing, which expected the fault: it asked for a start 2.5 s after the worker was missing from the list. Its cases stay, with the end of the lease as lower and upper bound. The case of a worker that a call has reached is gone with the distinction, which only this decision needed; whether a call has reached a worker is logged.

--- a/ladderplan/model.go
+++ b/ladderplan/model.go
@@ -240,10 +240,8 @@
 	// were listed in it and in others with the same reading of the worker's clock, in milliseconds.
 	reportSentAt time.Time
 	justEnded    map[ladderflow.Run]bool
-	// unresponsive is true from a poll that was not answered to the next one that is, and reached is true
-	// once such a poll has shown that the worker runs.
+	// unresponsive is true from a poll that was not answered to the next one that is.
 	unresponsive bool
-	reached      bool
 	// Each worker numbers the ends that it lists, in [ladderflow.EndedRun.Sequence]. lastSeenEnd is
 	// the highest number that was handled, and lastStoredEnd is the highest number whose end the
 	// store holds.
--- a/ladderplan/poll.go
+++ b/ladderplan/poll.go
@@ -15,8 +15,8 @@
 	// unresponsiveAfter is the time without an answered poll after which a worker gets no new
 	// tasks. It is more than the longest time that a poll waits.
 	unresponsiveAfter = 1600 * time.Millisecond
-	// goneAfter is how long a worker must be missing from the platform's list to count as gone, if this
-	// leader never reached it. The entry of a live worker is back within two seconds after an outage.
+	// goneAfter is how long a worker must be missing from the platform's list to count as gone. The entry
+	// of a live worker is back within two seconds after an outage.
 	goneAfter = 2500 * time.Millisecond
 )
 
@@ -71,23 +71,26 @@
 	}
 }
 
-// isGone reports whether a worker has ended, with all its runs: it answers no poll, and the store has
-// listed it for none of the last goneAfter, although it was serving all the while. A worker that has
-// answered this leader may be cut off from the store alone, so its lease must have expired as well. One
-// that has not must not have been reached either.
+// isGone reports whether a worker has ended, with all its runs: it answers no poll, its lease has expired,
+// and the store has listed it for none of the last goneAfter, although it was serving all the while. A
+// worker may be missing from the list and run on, so the list alone is no proof. Of a worker that has not
+// answered this leader, the lease is not known; see earlierLeasesExpired.
 func (p *Planner) isGone(now time.Time, w *worker) bool {
 	if w.listed || w.unlistedSince.IsZero() || p.storeServingSince.IsZero() {
 		return false
 	}
-	if w.seenByLeader && (!w.unresponsive || !p.leaseExpired(now, w)) {
-		return false
-	}
-	if !w.seenByLeader && w.reached {
+	if !w.seenByLeader || !w.unresponsive || !p.leaseExpired(now, w) {
 		return false
 	}
 	return now.Sub(later(w.unlistedSince, p.storeServingSince)) >= goneAfter
 }
 
+// earlierLeasesExpired reports whether each lease that an earlier leader has granted must have expired.
+func (p *Planner) earlierLeasesExpired(now time.Time) bool {
+	return now.After(p.options.ElectedAt.Add(p.options.EarlierLeaderTimeout +
+		p.options.LeaseDuration*(100+maxClockDriftPercent)/100 + leaseEndMargin))
+}
+
 // AddEarlierWorker adds a worker on which an earlier leader may have started tasks.
 func (p *Planner) AddEarlierWorker(spec ladderflow.Worker) {
 	if _, ok := p.workers[spec.ID]; !ok {
@@ -362,13 +365,6 @@
 	}
 }
 
-// WorkerReached records that a worker runs, although it did not answer a poll.
-func (p *Planner) WorkerReached(id string) {
-	if w, ok := p.workers[id]; ok {
-		w.reached = true
-	}
-}
-
 // WorkerReplaced records that a worker has ended beyond doubt, because a different one answers at its
 // address.
 func (p *Planner) WorkerReplaced(now time.Time, id string) {
@@ -390,9 +386,7 @@
 	if p.earlierRunsKnown {
 		return
 	}
-	limit := p.options.ElectedAt.Add(p.options.EarlierLeaderTimeout +
-		p.options.LeaseDuration*(100+maxClockDriftPercent)/100 + leaseEndMargin)
-	if len(p.unseenWorkers) == 0 || now.After(limit) {
+	if len(p.unseenWorkers) == 0 || p.earlierLeasesExpired(now) {
 		p.earlierRunsKnown, p.placementDue = true, true
 		p.log.Info("all runs of earlier leaders are known", "unseen", len(p.unseenWorkers),
 			"after", now.Sub(p.options.ElectedAt).Round(time.Millisecond))
--- a/ladderplan/takeover_test.go
+++ b/ladderplan/takeover_test.go
@@ -271,21 +271,18 @@
 	}
 }
 
-// TestGoneWorkerDelaysNothing takes over while a worker of the roster is gone. Jobs of the earlier
-// leader start once the worker counts as gone, which is long before its lease must have expired, and
-// not before its entry may be back in the list after an outage of the store.
-func TestGoneWorkerDelaysNothing(t *testing.T) {
+// TestUnreachedWorkerKeepsItsLease takes over while a worker of the roster does not answer. An earlier
+// leader may have renewed its lease until it stopped acting as leader, whatever the list says, so the jobs of
+// that leader start when the lease must have expired, and not before.
+func TestUnreachedWorkerKeepsItsLease(t *testing.T) {
 	for name, c := range map[string]struct {
-		listed  bool
-		reached bool
-		outage  time.Duration
-		started time.Duration
+		listed bool
+		outage time.Duration
 	}{
-		"not listed":                             {started: goneAfter},
-		"not listed, store back after a second":  {outage: time.Second, started: time.Second + goneAfter},
-		"listed, so it may run on behind a cut":  {listed: true, started: 8 * time.Second},
-		"not listed, store down for a long time": {outage: time.Minute, started: 8 * time.Second},
-		"not listed, but it runs":                {reached: true, started: 8 * time.Second},
+		"not listed":                             {},
+		"not listed, store back after a second":  {outage: time.Second},
+		"listed":                                 {listed: true},
+		"not listed, store down for a long time": {outage: time.Minute},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := &harness{t: t, now: time.UnixMilli(1_000_000), clock: map[string]time.Duration{}, ends: map[string]int64{}}
@@ -306,12 +303,12 @@
 				h.planner.SetStoreServing(h.now, h.now.Sub(began) >= c.outage)
 				h.poll("w0", ladderflow.StatusReport{})
 				h.planner.PollFailed("w1", false)
-				if c.reached && h.now.Sub(began) < time.Second {
-					h.planner.WorkerReached("w1")
-				}
 				require.Less(t, h.now.Sub(began), time.Minute)
 			}
-			require.InDelta(t, c.started.Seconds(), h.now.Sub(began).Seconds(), 0.5)
+			o := h.planner.options
+			leaseEnd := (o.EarlierLeaderTimeout + o.LeaseDuration).Seconds()
+			require.Greater(t, h.now.Sub(began).Seconds(), leaseEnd)
+			require.Less(t, h.now.Sub(began).Seconds(), leaseEnd+0.5)
 		})
 	}
 }
--- a/laddervm/delegate_client.go
+++ b/laddervm/delegate_client.go
@@ -360,10 +360,8 @@
 	case laddermessage.PollFailed, laddermessage.PollUnanswered:
 		t.planner.DelegateLease(now, report.Worker, maxDelegation)
 		t.planner.PollFailed(report.Worker, false)
-		if report.Outcome == laddermessage.PollUnanswered {
-			t.planner.WorkerReached(report.Worker)
-		}
-		t.log.Debug("worker did not answer a delegate's status poll", "worker", report.Worker, "by", c.peer.name)
+		t.log.Debug("worker did not answer a delegate's status poll", "worker", report.Worker, "by", c.peer.name,
+			"reached", report.Outcome == laddermessage.PollUnanswered)
 	}
 }
 
--- a/laddervm/workers.go
+++ b/laddervm/workers.go
@@ -200,10 +200,7 @@
 			t.planner.WorkerReplaced(t.vm.clock.Now(), p.worker.ID)
 		}
 		t.planner.PollFailed(p.worker.ID, errors.Is(err, platform.ErrFenced))
-		if platform.Reached(err) {
-			t.planner.WorkerReached(p.worker.ID)
-		}
-		t.log.Debug("worker did not answer a status poll; retrying", "worker", p.worker.ID, "err", err)
+		t.log.Debug("worker did not answer a status poll; retrying", "worker", p.worker.ID, "reached", platform.Reached(err), "err", err)
 		t.vm.workerDirect.DropConnections(p.worker.Address)
 		time.AfterFunc(ladderdelegate.PollRetryDelay, func() { t.do(func() { t.poll(ctx, p) }) })
 		return
