Count a crash of a worker only on proof that its process has ended

What callers saw: jobs were shown as failed (LOST) though no run of theirs had failed and no worker had crashed; their workers had been cut off three times until leases and entries had ended.

Cause: Planner.expireIrregular counted a worker that was gone as a crash under each of its tasks, and the third such count fails the job. Nothing took the count back when the worker answered again with the incarnation that it had.

Why it works: a crash is counted when another incarnation answers, or another worker at the address. A worker that is dropped after its lease has expired is remembered for 30 s after its last answer, so that a later proof still counts. A task that crashes its workers is found as before: they answer again within seconds, with another incarnation or ID.

--- a/ladderplan/crash.go
+++ b/ladderplan/crash.go
@@ -1,6 +1,7 @@
 package ladderplan
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -25,6 +26,9 @@
 	// maxSuspectStarts is the number of suspects of one step that may start within suspectTime. Tasks
 	// of one image behave alike, so that all of them may crash their workers.
 	maxSuspectStarts = 2
+	// departedRetention is how long after its last answer a worker is remembered that was dropped and may
+	// have crashed.
+	departedRetention = 30 * time.Second
 	// maxCrashHold is how long a task waits after a crash for the store to hold the count.
 	maxCrashHold = 3 * time.Second
 )
@@ -68,6 +72,24 @@
 	}
 }
 
+// resolveDeparted decides whether departed workers have crashed, when a worker answers its first poll. A worker
+// has crashed if it answers with another incarnation, or another worker answers at its address. One that comes
+// back with the incarnation that it had was only cut off.
+func (p *Planner) resolveDeparted(now time.Time, w *worker, incarnation int64) {
+	if d, ok := p.departed[w.spec.ID]; ok {
+		delete(p.departed, w.spec.ID)
+		if d.incarnation != incarnation {
+			p.recordCrash(now, d, notListed)
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(p.departed)) {
+		if d := p.departed[id]; d.spec.Address.IsValid() && d.spec.Address == w.spec.Address {
+			delete(p.departed, id)
+			p.recordCrash(now, d, notListed)
+		}
+	}
+}
+
 // underWay reports whether a worker has had the run and is not known to have ended it, and the run's
 // task still matters.
 func (x *run) underWay() bool {
--- a/ladderplan/model.go
+++ b/ladderplan/model.go
@@ -221,10 +221,8 @@
 	order int
 	// inRoster is true if the worker is in the stored roster.
 	inRoster bool
-	// listed is true while the platform's store lists the worker, and unlistedSince is when it first
-	// was not.
-	listed        bool
-	unlistedSince time.Time
+	// listed is true while the platform's store lists the worker.
+	listed bool
 	// seenByLeader is true once the worker has answered a poll under this leader's fencing token.
 	seenByLeader bool
 	// incarnation distinguishes the worker's present process from those before a restart.
--- a/ladderplan/planner.go
+++ b/ladderplan/planner.go
@@ -21,6 +21,8 @@
 	// deletedJobs holds the jobs that were deleted from the store lately.
 	deletedJobs map[string]deletedJob
 	workers     map[string]*worker
+	// departed holds workers that were dropped and may have crashed under runs, by id.
+	departed map[string]*worker
 	// workersAdded counts the workers that were ever added.
 	workersAdded int
 	// sortedWorkers holds the workers sorted by id. It is nil after a worker was added or dropped.
@@ -80,7 +82,7 @@
 func New(o Options) *Planner {
 	return &Planner{
 		options: o, log: o.Log, jobs: map[string]*job{}, cancellations: map[string]time.Time{}, deletedJobs: map[string]deletedJob{},
-		workers: map[string]*worker{}, pools: workerPools{byService: map[string][]*worker{}, stale: true}, unseenWorkers: map[string]bool{},
+		workers: map[string]*worker{}, departed: map[string]*worker{}, pools: workerPools{byService: map[string][]*worker{}, stale: true}, unseenWorkers: map[string]bool{},
 		unstoredJobs: map[string]*job{}, estimators: durationEstimators{}, spreads: spreads{}, advisers: newAdvisers(),
 		window: newStartWindow(o.MaxUnansweredStarts),
 	}
--- a/ladderplan/poll.go
+++ b/ladderplan/poll.go
@@ -15,9 +15,6 @@
 	// unresponsiveAfter is the time without an answered poll after which a worker gets no new
 	// tasks. It is more than the longest time that a poll waits.
 	unresponsiveAfter = 1600 * time.Millisecond
-	// goneAfter is how long a worker must be missing from the platform's list to count as gone. The entry
-	// of a live worker is back within two seconds after an outage.
-	goneAfter = 2500 * time.Millisecond
 )
 
 // SetWorkers sets the workers that the platform's store lists. It drops workers that are no longer
@@ -46,8 +43,8 @@
 		if listed[w.spec.ID] {
 			continue
 		}
-		if w.listed || w.unlistedSince.IsZero() {
-			w.listed, w.unlistedSince, p.hasIrregular = false, now, true
+		if w.listed {
+			w.listed, p.hasIrregular = false, true
 		}
 		if p.holdsNothing(w) {
 			p.dropWorker(w.spec.ID)
@@ -57,7 +54,7 @@
 
 // holdsNothing reports whether nothing of what is known of a worker matters once it is not listed.
 func (p *Planner) holdsNothing(w *worker) bool {
-	return len(w.runs) == 0 && len(w.expired) == 0 && len(w.unknownEnds) == 0 && !p.unseenWorkers[w.spec.ID]
+	return len(w.runs) == 0 && len(w.unknownEnds) == 0 && !p.unseenWorkers[w.spec.ID]
 }
 
 // SetStoreServing records whether the platform's store serves calls now. While it does not, the list
@@ -71,20 +68,6 @@
 	}
 }
 
-// isGone reports whether a worker has ended, with all its runs: it answers no poll, its lease has expired,
-// and the store has listed it for none of the last goneAfter, although it was serving all the while. A
-// worker may be missing from the list and run on, so the list alone is no proof. Of a worker that has not
-// answered this leader, the lease is not known; see earlierLeasesExpired.
-func (p *Planner) isGone(now time.Time, w *worker) bool {
-	if w.listed || w.unlistedSince.IsZero() || p.storeServingSince.IsZero() {
-		return false
-	}
-	if !w.seenByLeader || !w.unresponsive || !p.leaseExpired(now, w) {
-		return false
-	}
-	return now.Sub(later(w.unlistedSince, p.storeServingSince)) >= goneAfter
-}
-
 // earlierLeasesExpired reports whether each lease that an earlier leader has granted must have expired.
 func (p *Planner) earlierLeasesExpired(now time.Time) bool {
 	return now.After(p.options.ElectedAt.Add(p.options.EarlierLeaderTimeout +
@@ -195,6 +178,7 @@
 		clear(w.justEnded)
 	}
 	if restarted {
+		p.resolveDeparted(now, w, report.Incarnation)
 		if w.incarnation != 0 {
 			p.recordCrash(now, w, func(x *run) bool { return !x.startSettledAt.Before(sentAt) || lists(report, x.name) })
 		}
@@ -410,14 +394,12 @@
 		}
 		p.hasIrregular = true
 		p.dropHeldEnds(w)
-		if p.isGone(now, w) {
+		if w.unresponsive && w.seenByLeader && p.leaseExpired(now, w) {
 			delete(p.unseenWorkers, w.spec.ID)
-			p.recordCrash(now, w, notListed)
-			p.dropLostRuns(now, w, "the worker is gone", slices.Clone(w.runOrder)...)
-		}
-		if w.unresponsive && w.seenByLeader && len(w.runs) > 0 && p.leaseExpired(now, w) {
-			w.expired = append(w.expired, w.runOrder...)
-			p.dropLostRuns(now, w, "the worker's lease has expired", slices.Clone(w.runOrder)...)
+			if len(w.runs) > 0 {
+				w.expired = append(w.expired, w.runOrder...)
+				p.dropLostRuns(now, w, "the worker's lease has expired", slices.Clone(w.runOrder)...)
+			}
 		}
 		if !w.listed && p.holdsNothing(w) && now.Sub(w.polledAt) > unresponsiveAfter {
 			p.dropWorker(w.spec.ID)
--- a/ladderplan/record.go
+++ b/ladderplan/record.go
@@ -254,7 +254,7 @@
 const deletedJobRetention = 2
 
 // prune discards the cancellations of jobs that have not become known within [Options.JobRetention],
-// and old entries of deleted jobs.
+// and old entries of deleted jobs and departed workers.
 func (p *Planner) prune(now time.Time) {
 	if now.Before(p.nextPrune) {
 		return
@@ -270,6 +270,11 @@
 			delete(p.deletedJobs, id)
 		}
 	}
+	for id, w := range p.departed {
+		if now.Sub(w.polledAt) > departedRetention {
+			delete(p.departed, id)
+		}
+	}
 }
 
 // ExpiredJobs returns the ids of at most limit ended jobs that callers can no longer query.
--- a/ladderplan/workers.go
+++ b/ladderplan/workers.go
@@ -17,7 +17,12 @@
 	return w
 }
 
+// dropWorker removes a worker on which nothing runs. It is remembered if its runs were given up because its
+// lease expired.
 func (p *Planner) dropWorker(id string) {
+	if w := p.workers[id]; len(w.expired) > 0 {
+		p.departed[id] = w
+	}
 	delete(p.workers, id)
 	p.sortedWorkers, p.pools.stale = nil, true
 }
