--- a/ladderflow/job.go
+++ b/ladderflow/job.go
@@ -22,6 +22,10 @@
 	// workers that the queue used at that time.
 	Queue   string
 	Service string
+	// Rules is the queue as it was configured when the job was accepted. They hold for the job while the
+	// configuration does not have the queue. Rules is nil for a job that an earlier build has stored. Only
+	// the service, the priority, the number of failures, the objective and the advice are stored.
+	Rules *Queue
 	// Payload is passed unchanged to each task.
 	Payload string
 	Steps   []Step
--- a/ladderjournal/codec.go
+++ b/ladderjournal/codec.go
@@ -35,8 +35,82 @@
 	FirstDue int64
 	Interval int64
 	Accepted int64
+	Rules    *rulesWire
 }
 
+// jobWireWithoutRules is the stored form of a job from before its rules were stored.
+type jobWireWithoutRules struct {
+	_        struct{} `cbor:",toarray"`
+	Queue    string
+	Service  string
+	Payload  string
+	Steps    []stepWire
+	Rounds   int
+	FirstDue int64
+	Interval int64
+	Accepted int64
+}
+
+// cborArrayOfEight is the first byte of a stored jobWireWithoutRules.
+const cborArrayOfEight = 0x88
+
+// UnmarshalCBOR decodes both stored forms of a job.
+func (w *jobWire) UnmarshalCBOR(data []byte) error {
+	if len(data) > 0 && data[0] == cborArrayOfEight {
+		var o jobWireWithoutRules
+		if err := decoder.Unmarshal(data, &o); err != nil {
+			return err
+		}
+		*w = jobWire{
+			Queue: o.Queue, Service: o.Service, Payload: o.Payload, Steps: o.Steps, Rounds: o.Rounds,
+			FirstDue: o.FirstDue, Interval: o.Interval, Accepted: o.Accepted,
+		}
+		return nil
+	}
+	type plain jobWire // It has no methods, so that its decoding does not come back here.
+	return decoder.Unmarshal(data, (*plain)(w))
+}
+
+// rulesWire is the stored form of [ladderflow.Job.Rules]. BaseObjective is in milliseconds.
+type rulesWire struct {
+	_               struct{} `cbor:",toarray"`
+	Priority        int
+	MaxFailures     int
+	ObjectiveFactor float64
+	BaseObjective   int64
+	// Advice holds the times of [ladderflow.AdviceConfig] in microseconds, or is empty.
+	Advice []int64
+}
+
+func encodeRules(q *ladderflow.Queue) *rulesWire {
+	if q == nil {
+		return nil
+	}
+	w := &rulesWire{
+		Priority: q.Priority, MaxFailures: q.MaxFailures, ObjectiveFactor: q.ObjectiveFactor, BaseObjective: q.BaseObjective.Milliseconds(),
+	}
+	if a := q.Advice; a != nil {
+		w.Advice = []int64{a.BaseTime.Microseconds(), a.TimePerWorker.Microseconds(), a.TicketLifetime.Microseconds()}
+	}
+	return w
+}
+
+func (w *rulesWire) decode(queue, service string) *ladderflow.Queue {
+	if w == nil {
+		return nil
+	}
+	q := &ladderflow.Queue{
+		Name: queue, Service: service, Priority: w.Priority, MaxFailures: w.MaxFailures, ObjectiveFactor: w.ObjectiveFactor,
+		BaseObjective: millis(w.BaseObjective),
+	}
+	if a := w.Advice; len(a) == 3 {
+		q.Advice = &ladderflow.AdviceConfig{BaseTime: micros(a[0]), TimePerWorker: micros(a[1]), TicketLifetime: micros(a[2])}
+	}
+	return q
+}
+
+func micros(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
+
 // stepWire is the stored form of a step. Durations are in milliseconds. Need holds the
 // amounts of processor, memory and accelerators, in the units of [ladderflow.Size].
 type stepWire struct {
@@ -86,7 +160,7 @@
 func EncodeJob(j *ladderflow.Job) ([]byte, error) {
 	w := jobWire{
 		Queue: j.Queue, Service: j.Service, Payload: j.Payload, Rounds: j.Rounds, FirstDue: j.FirstDue.UnixMilli(),
-		Interval: j.Interval.Milliseconds(), Accepted: j.Accepted.UnixMilli(),
+		Interval: j.Interval.Milliseconds(), Accepted: j.Accepted.UnixMilli(), Rules: encodeRules(j.Rules),
 	}
 	for i := range j.Steps {
 		s := &j.Steps[i]
@@ -114,6 +188,7 @@
 	j := &ladderflow.Job{
 		ID: id, Queue: w.Queue, Service: w.Service, Payload: w.Payload, Rounds: w.Rounds,
 		FirstDue: time.UnixMilli(w.FirstDue), Interval: millis(w.Interval), Accepted: time.UnixMilli(w.Accepted),
+		Rules: w.Rules.decode(w.Queue, w.Service),
 	}
 	for _, x := range w.Steps {
 		s := ladderflow.Step{
--- a/ladderjournal/journal_test.go
+++ b/ladderjournal/journal_test.go
@@ -183,6 +183,10 @@
 	return &ladderflow.Job{
 		ID: id, Queue: "booths", Service: "fitting", Payload: "cut", Rounds: 2, FirstDue: time.UnixMilli(5000),
 		Interval: time.Second, Accepted: time.UnixMilli(4000),
+		Rules: &ladderflow.Queue{
+			Name: "booths", Service: "fitting", Priority: 2, MaxFailures: 3, ObjectiveFactor: 1.5, BaseObjective: 400 * time.Millisecond,
+			Advice: &ladderflow.AdviceConfig{BaseTime: 12 * time.Millisecond, TimePerWorker: 170 * time.Microsecond, TicketLifetime: 2 * time.Second},
+		},
 		Steps: []ladderflow.Step{{
 			Tasks: 3, Need: ladderflow.Size{Processor: 1500, Memory: 200, Accelerators: 1}, Estimate: time.Second,
 			DependsOn: []int{0, 1}, Checkpointable: true, Gang: true, PreferSameRack: true, WorkerLabel: "b", PreferredRack: "r1", MaxPerWorker: 2,
@@ -291,3 +295,14 @@
 		}}},
 	}}}, r)
 }
+
+// TestDecodeJobWithoutRules decodes a job from before its queue's rules were stored with it.
+func TestDecodeJobWithoutRules(t *testing.T) {
+	data, err := cbor.Marshal([]any{"booths", "fitting", "cut", []any{}, 2, 5000, 1000, 4000})
+	require.NoError(t, err)
+	j, err := DecodeJob("j", data)
+	require.NoError(t, err)
+	want := fullJob("j")
+	want.Rules, want.Steps = nil, nil
+	require.Equal(t, want, j)
+}
--- a/ladderplan/explain.go
+++ b/ladderplan/explain.go
@@ -95,8 +95,7 @@
 	if !p.earlierRunsKnown && s.round.job.knownToEarlierLeader {
 		return fmt.Sprintf("an earlier leader may have started it on %d workers that were not seen yet", len(p.unseenWorkers))
 	}
-	q, _ := p.queue(s.round.job)
-	sp := stepPlacement{planner: p, step: s, queue: q, service: p.service(s.round.job), now: now}
+	sp := p.stepPlacement(now, s)
 	usable, withTickets, slots := 0, 0, 0
 	p.refreshPools(now)
 	for _, w := range sp.pool() {
--- a/ladderplan/model.go
+++ b/ladderplan/model.go
@@ -41,7 +41,7 @@
 	// ready.
 	durations     []time.Duration
 	criticalPaths []time.Duration
-	// queue is the job's queue in the configuration queueFleet, or nil if that does not have it.
+	// queue holds the rules of the job under the configuration queueFleet; see [Planner.queue].
 	queue      *ladderflow.Queue
 	queueFleet *ladderflow.FleetConfig
 }
--- a/ladderplan/place.go
+++ b/ladderplan/place.go
@@ -89,8 +89,7 @@
 	gangs, maxGangs := 0, max(minReservingGangs, len(p.workers)/workersPerReservingGang)
 	for _, k := range p.rankedSteps(now) {
 		s := k.step
-		q, ok := p.queue(s.round.job)
-		if !ok && p.fleet == nil {
+		if p.fleet == nil {
 			continue
 		}
 		if !p.earlierRunsKnown && s.round.job.knownToEarlierLeader {
@@ -103,7 +102,7 @@
 			p.orders.AtStartLimit = true
 			break
 		}
-		sp := stepPlacement{planner: p, step: s, queue: q, service: p.service(s.round.job), now: now}
+		sp := p.stepPlacement(now, s)
 		sp.heedsReservations = k.class > 0
 		hopeless := sp.hopeless()
 		switch {
@@ -159,16 +158,13 @@
 		remaining -= p.adviceTime(j) // The first query has been answered.
 	}
 	k := rank{step: s, latestStart: s.round.due.Add(objective - remaining)}
-	q, ok := p.queue(j)
-	urgent := ok && q.Priority == 0 || s.spec.LongRunning
+	q := p.queue(j)
+	urgent := q.Priority == 0 || s.spec.LongRunning
 	switch p.options.Order {
 	case ByArrival:
 		return rank{step: s, latestStart: s.readySince}
 	case ByPriority:
-		if ok {
-			k.class = q.Priority
-		}
-		k.latestStart = s.readySince
+		k.class, k.latestStart = q.Priority, s.readySince
 		return k
 	case ByDeadline:
 		return rank{step: s, latestStart: s.round.due.Add(objective)}
@@ -196,10 +192,7 @@
 
 // objective returns the time within which a job should end.
 func (p *Planner) objective(j *job) time.Duration {
-	q, ok := p.queue(j)
-	if !ok {
-		return j.longestPath()
-	}
+	q := p.queue(j)
 	return time.Duration(q.ObjectiveFactor*float64(j.longestPath())) + q.BaseObjective
 }
 
@@ -214,6 +207,11 @@
 	heedsReservations bool
 }
 
+func (p *Planner) stepPlacement(now time.Time, s *step) stepPlacement {
+	q := p.queue(s.round.job)
+	return stepPlacement{planner: p, step: s, queue: q, service: q.Service, now: now}
+}
+
 // pool returns the workers of the step's service that accept new tasks.
 func (sp *stepPlacement) pool() []*worker { return sp.planner.pools.byService[sp.service] }
 
@@ -232,7 +230,7 @@
 }
 
 // needsTickets reports whether the advice service decides on which workers the step may run.
-func (sp *stepPlacement) needsTickets() bool { return sp.queue != nil && sp.queue.Advice != nil }
+func (sp *stepPlacement) needsTickets() bool { return sp.queue.Advice != nil }
 
 // knownAllowed returns the workers of the pool that are known to be allowed for the step, sorted by
 // id. They may have no valid ticket.
--- a/ladderplan/planner.go
+++ b/ladderplan/planner.go
@@ -319,7 +319,7 @@
 	(*failedWorkers)[w.spec.ID] = true
 	w.recordFailure(now, j.spec.ID)
 	p.unstoredJobs[j.spec.ID] = j
-	limit := p.maxFailures(j)
+	limit := max(1, p.queue(j).MaxFailures)
 	p.log.Info("run failed", "task", t.name(), "run", number, "worker", w.spec.ID,
 		"fails", len(*failedRuns), "attempts", limit)
 	if len(*failedRuns) >= limit {
@@ -327,40 +327,28 @@
 	}
 }
 
-func (p *Planner) maxFailures(j *job) int {
-	if q, ok := p.queue(j); ok {
-		return max(1, q.MaxFailures)
+// queue returns the rules by which a job runs: those of its queue in the present configuration or, if that
+// does not have the queue, those under which the job was accepted.
+func (p *Planner) queue(j *job) *ladderflow.Queue {
+	if j.queue != nil && j.queueFleet == p.fleet {
+		return j.queue
+	}
+	j.queue, j.queueFleet = nil, p.fleet
+	if p.fleet != nil {
+		j.queue, _ = p.fleet.Queue(j.spec.Queue)
 	}
-	return 1
-}
-
-// queue returns the configuration of a job's queue.
-func (p *Planner) queue(j *job) (*ladderflow.Queue, bool) {
-	if p.fleet == nil {
-		return nil, false
+	if j.queue == nil {
+		j.queue = j.spec.Rules
 	}
-	if j.queueFleet != p.fleet {
-		j.queue, _ = p.fleet.Queue(j.spec.Queue)
-		j.queueFleet = p.fleet
+	if j.queue == nil {
+		// An earlier build has stored the job.
+		j.queue = &ladderflow.Queue{Name: j.spec.Queue, Service: j.spec.Service, Priority: 1, MaxFailures: 1, ObjectiveFactor: 1}
 	}
-	return j.queue, j.queue != nil
+	return j.queue
 }
 
 // adviceTime returns the time that a job's objective allows for advice about each step.
-func (p *Planner) adviceTime(j *job) time.Duration {
-	if q, ok := p.queue(j); ok {
-		return q.AdviceTime()
-	}
-	return 0
-}
-
-// service returns the name of the worker pool that runs the job's tasks now.
-func (p *Planner) service(j *job) string {
-	if q, ok := p.queue(j); ok {
-		return q.Service
-	}
-	return j.spec.Service
-}
+func (p *Planner) adviceTime(j *job) time.Duration { return p.queue(j).AdviceTime() }
 
 // stopRun orders a run to stop, unless an earlier stop may still be in progress.
 func (p *Planner) stopRun(now time.Time, x *run, why string) {
--- a/ladderplan/preempt.go
+++ b/ladderplan/preempt.go
@@ -22,7 +22,7 @@
 // checkpoint, on the worker where the runs to stop have the least processor demand.
 func (sp *stepPlacement) preempt() {
 	s := sp.step
-	if s.waiting == 0 || s.onlySuspectsWait() || sp.queue == nil || sp.queue.Priority > 0 || s.spec.Gang ||
+	if s.waiting == 0 || s.onlySuspectsWait() || sp.queue.Priority > 0 || s.spec.Gang ||
 		sp.now.Sub(s.readySince) < preemptDelay || sp.now.Sub(s.preemptedAt) < preemptInterval {
 		return
 	}
@@ -81,7 +81,6 @@
 		return false
 	}
 	s := x.task.step
-	q, ok := sp.planner.queue(s.round.job)
-	return ok && !x.task.preempted && q.Priority > sp.queue.Priority && s.spec.Checkpointable && !s.spec.Gang && !s.spec.LongRunning &&
+	return !x.task.preempted && sp.planner.queue(s.round.job).Priority > sp.queue.Priority && s.spec.Checkpointable && !s.spec.Gang && !s.spec.LongRunning &&
 		x.size != ladderflow.Size{}
 }
--- a/laddervm/frontend.go
+++ b/laddervm/frontend.go
@@ -187,7 +187,7 @@
 		x.fail(http.StatusBadRequest, err.Error())
 		return
 	}
-	job.ID, job.Queue, job.Service, job.Accepted = x.jobID, x.queue.Name, x.queue.Service, began
+	job.ID, job.Queue, job.Service, job.Rules, job.Accepted = x.jobID, x.queue.Name, x.queue.Service, x.queue, began
 	if err := job.Check("body").Err(); err != nil {
 		x.fail(http.StatusBadRequest, err.Error())
 		return
