Give up runs of expired leases only while the leadership is confirmed

Cause: a leader whose lease may have expired goes on for 4 s while the store serves no call of it. Within these, leases of workers that it can't reach expire by its reckoning, and it starts their tasks elsewhere. The next leader has polled these workers and renewed their leases.

Evidence: TestFormerLeaderRestartsNoTaskThatTheNextOneKeepsRunning scripts it with the real planner, and fails on the code before: the task runs on w0 and w1.

Why it works: the end of a lease proves the end of the runs only if no other leader may have renewed it, and only a confirmed leader knows that.

--- a/ladderplan/place.go
+++ b/ladderplan/place.go
@@ -64,11 +64,12 @@
 // Plan returns the orders to send now. The rounds of jobs with a schedule start when they are due by
 // the wall clock, which shows wall.
 func (p *Planner) Plan(now, wall time.Time, confidence Confidence) Orders {
-	p.expireLeases(now)
 	p.startDueRounds(now, wall)
 	p.prune(now)
 	if confidence == LeadershipConfirmed {
 		p.confirmedAt = now
+		// Only a leader knows that no other VM has renewed a lease since.
+		p.expireLeases(now)
 	}
 	if confidence != LeadershipNone {
 		if p.placementDue || now.Sub(p.placedAt) >= idlePassInterval {
--- a/ladderproof/flow_history_test.go
+++ b/ladderproof/flow_history_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"lacewingladder/ladderflow"
 	"lacewingladder/ladderplan"
 )
@@ -111,3 +113,35 @@
 		})
 	}
 }
+
+// TestFormerLeaderRestartsNoTaskThatTheNextOneKeepsRunning cuts a former leader off from a worker, whose lease the
+// next leader renews, and the next leader from another one.
+func TestFormerLeaderRestartsNoTaskThatTheNextOneKeepsRunning(t *testing.T) {
+	steps, starts := 0, 0
+	h := &history{flowSimulation: newFlowSimulation(t, 0, &steps, &starts)}
+	h.job = &ladderflow.Job{
+		ID: fmt.Sprintf("%016x", 0), Queue: flowQueue, Service: "s", Accepted: h.now,
+		Steps: []ladderflow.Step{{Tasks: 1, Need: ladderflow.Size{Processor: 1000, Memory: 100}, Estimate: time.Second}},
+	}
+	h.former = h.newest()
+	h.pollAll(h.former)
+	h.advance(flowMaxWorkerLease) // The leases that an earlier leader may have granted have expired.
+	h.pollAll(h.former)
+	h.accept(h.job)
+	h.former.planner.AddJob(h.now, h.job, false)
+	h.start(h.former)
+	kept, unreached := h.workers[0], h.workers[1]
+	require.NotEmpty(t, kept.running)
+	h.former.planner.PollFailed(kept.id, false)
+	for range 4 {
+		h.advance(time.Second)
+		h.poll(h.former, unreached)
+	}
+	h.elect()
+	for h.former.confidence(h.now) != ladderplan.LeadershipNone {
+		h.advance(100 * time.Millisecond)
+		h.pollOthers(h.newest(), unreached)
+		h.poll(h.former, unreached)
+		h.start(h.former)
+	}
+}
