Store in the roster only workers that have answered

What callers would see: with one whole entry of a worker that does not exist among those of the workers, all jobs of the former leader wait 10.5 s at each change of leader.

Cause: the roster named each listed worker, and a new leader waits for the workers of the roster that it can't reach. Nothing starts on a worker before it has answered a poll, so the entry alone is no reason to name it.

Why it works: a worker is added to the roster when it has answered, and a task starts on it only once the roster with it is stored, as before.

--- a/ladderplan/poll.go
+++ b/ladderplan/poll.go
@@ -100,6 +100,14 @@
 	return list
 }
 
+// InRoster reports whether the stored roster must name a worker: it has answered this leader, so that tasks
+// may start on it, or an earlier leader may have started tasks on it. An entry in the platform's list alone
+// may name a worker that does not exist, for which the next leader would wait.
+func (p *Planner) InRoster(id string) bool {
+	w, ok := p.workers[id]
+	return ok && (w.seenByLeader || p.unseenWorkers[id])
+}
+
 // PollParams holds the parameters of the next status poll of a worker.
 type PollParams struct {
 	// Acknowledged is the number up to which the store holds the worker's ends. The poll
--- a/laddervm/save.go
+++ b/laddervm/save.go
@@ -165,7 +165,12 @@
 	if t.savingRoster {
 		return
 	}
-	list := t.planner.Workers()
+	var list []ladderflow.Worker
+	for _, w := range t.planner.Workers() {
+		if t.planner.InRoster(w.ID) {
+			list = append(list, w)
+		}
+	}
 	t.savingRoster = true
 	both := map[string]bool{}
 	for _, w := range list {
@@ -200,7 +205,7 @@
 	}
 	t.planner.SetRoster(t.roster)
 	for id := range t.pollers {
-		if !t.roster[id] {
+		if t.planner.InRoster(id) != t.roster[id] {
 			t.saveRoster()
 			return
 		}
--- a/laddervm/workers.go
+++ b/laddervm/workers.go
@@ -52,7 +52,6 @@
 	now := t.vm.clock.Now()
 	t.planner.SetWorkers(now, list)
 	listed := map[string]bool{}
-	added := false
 	for _, w := range t.planner.Workers() {
 		listed[w.ID] = true
 		p, ok := t.pollers[w.ID]
@@ -65,7 +64,6 @@
 		}
 		p = &poller{worker: w, cancel: func() {}}
 		t.pollers[w.ID] = p
-		added = added || !t.roster[w.ID]
 	}
 	for id, p := range t.pollers {
 		if !listed[id] {
@@ -73,15 +71,14 @@
 		}
 	}
 	t.assignDelegates()
-	removed := false
-	for id := range t.roster {
-		removed = removed || !listed[id]
-	}
 	// A worker that is gone must be removed from the stored roster as well: the next leader
 	// waits for tasks that an earlier one may have started on workers of the roster that cannot
 	// be reached.
-	if added || removed {
-		t.saveRoster()
+	for id := range t.roster {
+		if !listed[id] {
+			t.saveRoster()
+			break
+		}
 	}
 }
 
