Leave out of the roster the workers that have drained

What callers saw: on the large fleet, all jobs of the former leader wait until 10.5 s after a change of leader, since one worker of a thousand has just left.

Cause: a new leader waits for each worker of the roster that it can't reach, now until its lease must have expired. A worker that shuts down stayed in the roster until its entry was gone, and the next leader met it there.

Why it works: nothing starts on a draining worker, so once its last run has ended and the store holds that, no leader needs to know of it. It has drained for seconds by the time it leaves.

--- a/ladderplan/poll.go
+++ b/ladderplan/poll.go
@@ -102,10 +102,15 @@
 
 // InRoster reports whether the stored roster must name a worker: it has answered this leader, so that tasks
 // may start on it, or an earlier leader may have started tasks on it. An entry in the platform's list alone
-// may name a worker that does not exist, for which the next leader would wait.
+// may name a worker that does not exist, for which the next leader would wait. A draining worker leaves the
+// roster when its last run has ended and the store holds that, since nothing more starts on it.
 func (p *Planner) InRoster(id string) bool {
 	w, ok := p.workers[id]
-	return ok && (w.seenByLeader || p.unseenWorkers[id])
+	if !ok || !w.seenByLeader {
+		return ok && p.unseenWorkers[id]
+	}
+	empty := len(w.runs) == 0 && w.lastStoredEnd >= w.lastSeenEnd && !p.unseenWorkers[id]
+	return !w.spec.Draining || !empty
 }
 
 // PollParams holds the parameters of the next status poll of a worker.
--- a/laddervm/workers.go
+++ b/laddervm/workers.go
@@ -75,7 +75,7 @@
 	// waits for tasks that an earlier one may have started on workers of the roster that cannot
 	// be reached.
 	for id := range t.roster {
-		if !listed[id] {
+		if !t.planner.InRoster(id) {
 			t.saveRoster()
 			break
 		}
@@ -216,7 +216,7 @@
 	t.vm.stats.ends.Add(len(status.Ended))
 	t.saver.endsReported(now, len(status.Ended))
 	t.planner.RecordReport(now, p.worker.ID, sent, status)
-	if !t.roster[p.worker.ID] {
+	if t.planner.InRoster(p.worker.ID) && !t.roster[p.worker.ID] {
 		t.saveRoster()
 	}
 }
