Rank the tasks that last by what they are, not by their job's age

Cause: Planner.rank gives the last class to a step whose job is older than three times its objective, before it looks whether the step's tasks last. A service is older than that within seconds.

TestLastingTaskThatLostItsWorkerStartsFirst fails on the code before.

Why it works: such a step ranks as urgent at any age, and as due now once it is overdue, so that it may preempt as well.

--- a/ladderplan/place.go
+++ b/ladderplan/place.go
@@ -160,7 +160,7 @@
 	}
 	k := rank{step: s, latestStart: s.round.due.Add(objective - remaining)}
 	q := p.queue(j)
-	urgent := q.Priority == 0 || s.spec.LongRunning
+	urgent := q.Priority == 0
 	switch p.options.Order {
 	case ByArrival:
 		return rank{step: s, latestStart: s.readySince}
@@ -174,6 +174,9 @@
 	case ByObjective:
 	}
 	switch {
+	case s.spec.LongRunning:
+		// Its tasks are of use for as long as the job lasts, whenever that was accepted.
+		k.class, k.latestStart = 0, later(k.latestStart, now)
 	case now.Add(remaining).After(s.round.due.Add(worthlessFactor * objective)):
 		k.class = 3
 	case urgent:
--- a/ladderplan/planner_test.go
+++ b/ladderplan/planner_test.go
@@ -359,3 +359,31 @@
 	next.planner.Cancel(next.now, "a")
 	require.Equal(t, ladderflow.Cancelled, next.planner.View(next.now, "a").State)
 }
+
+// TestLastingTaskThatLostItsWorkerStartsFirst ends a run of a long-running task long after its job was accepted,
+// while the tasks of a less urgent queue wait that fill all workers.
+func TestLastingTaskThatLostItsWorkerStartsFirst(t *testing.T) {
+	for name, priority := range map[string]int{"urgent queue": 0, "another queue": 1} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 1)
+			h.planner.fleet.Queues[0].Priority = priority
+			batch := h.planner.fleet.Queues[0]
+			batch.Name, batch.Priority = "batch", 1
+			h.planner.fleet.Queues = append(h.planner.fleet.Queues, batch)
+			h.submit("service", lasting(stepOf(2)))
+			lost := h.startAll()[0]
+			for range 100 {
+				h.advance(time.Second)
+				h.poll("w0", ladderflow.StatusReport{Running: h.runsOf("w0")})
+			}
+			j := testJob(h.now, "batch", stepOf(8))
+			j.Queue = "batch"
+			h.planner.AddJob(h.now, j, false)
+			require.Len(t, h.startAll(), 2, "the worker has room for two more tasks")
+			h.endRun(lost, ladderflow.EndFailed)
+			starts := h.startAll()
+			require.Len(t, starts, 1)
+			require.Equal(t, "service", starts[0].Run.Task.Job)
+		})
+	}
+}
