Bound the counts, amounts and rounds of a job

What callers would see: one job with two huge counts, whose sum overflows, passes the check and is stored. The leader that adds it panics, and so does each later one, so that nothing is served any more (LOST, processes that end).

Cause: Job.Check compared the sum of the counts alone, and bounded neither the amounts of resources nor the rounds of a schedule.

Why it works: each count is bounded before it is added, and a finding names the step. Rounds whose tasks would exceed one record wait for earlier ones.

--- a/ladderflow/job.go
+++ b/ladderflow/job.go
@@ -10,9 +10,18 @@
 // MaxPayloadBytes is the maximum size of a job's payload, in bytes.
 const MaxPayloadBytes = 4000
 
-// maxTasks is the maximum number of tasks in a job. It keeps a job, and the progress
-// of all its tasks, small enough for one value of the store.
-const maxTasks = 20_000
+const (
+	// MaxTasks is the maximum number of tasks in a job. It keeps a job, and the progress
+	// of all its tasks, small enough for one value of the store.
+	MaxTasks = 20_000
+	// MaxAmount is the largest amount of a resource, in the units of [Size], so that sums of
+	// amounts can't overflow.
+	MaxAmount = 1 << 40
+	// maxRounds is the maximum number of rounds of a job, and maxSchedule the longest time from
+	// its first round to its last one.
+	maxRounds   = 100_000
+	maxSchedule = 10 * 365 * 24 * time.Hour
+)
 
 // Job is a job as a caller submitted it.
 type Job struct {
@@ -164,14 +173,17 @@
 	if j.Rounds < 0 || j.Interval < 0 {
 		addFinding("the number of rounds and the time between them must not be negative")
 	}
+	if j.Rounds > maxRounds || j.Interval > 0 && j.Rounds > int(maxSchedule/j.Interval) {
+		addFinding("the job has %d rounds, one each %v; at most %d within %v are taken", j.Rounds, j.Interval, maxRounds, maxSchedule)
+	}
 	total := 0
 	for i := range j.Steps {
 		s := &j.Steps[i]
-		total += max(s.Tasks, 0)
+		total += min(max(s.Tasks, 0), MaxTasks+1) // The sum of all counts could overflow.
 		checkStep(i, s, addFinding)
 	}
-	if total > maxTasks {
-		addFinding("the job has %d tasks; at most %d are taken", total, maxTasks)
+	if total > MaxTasks {
+		addFinding("the job has too many tasks; at most %d are taken", MaxTasks)
 	}
 	return &list
 }
@@ -184,6 +196,9 @@
 	if s.Need.Processor < 0 || s.Need.Memory < 0 || s.Need.Accelerators < 0 || s.Estimate < 0 || s.MaxPerWorker < 0 || s.MaxUnavailable < 0 {
 		addFinding("step %d has a negative size", index)
 	}
+	if s.Need.Processor > MaxAmount || s.Need.Memory > MaxAmount || s.Need.Accelerators > MaxAmount {
+		addFinding("step %d needs %v for each task; at most %d of a resource are taken", index, s.Need, MaxAmount)
+	}
 	for _, dependency := range s.DependsOn {
 		if dependency < 0 || dependency >= index {
 			addFinding("step %d comes after step %d, which is not an earlier step", index, dependency)
--- a/ladderplan/planner.go
+++ b/ladderplan/planner.go
@@ -175,7 +175,7 @@
 func (p *Planner) startDueRounds(now, wall time.Time) {
 	kept := p.scheduledJobs[:0]
 	for _, j := range p.scheduledJobs {
-		for j.active() && j.nextRound < j.spec.Rounds && !wall.Before(j.spec.Due(j.nextRound)) {
+		for j.active() && j.nextRound < j.spec.Rounds && !wall.Before(j.spec.Due(j.nextRound)) && j.hasRoomForRound() {
 			if j.completedRounds[j.nextRound] {
 				j.nextRound++
 				continue
@@ -194,6 +194,16 @@
 	p.scheduledJobs = kept
 }
 
+// hasRoomForRound reports whether one more round of the job may be in progress. All their tasks must fit into
+// one record.
+func (j *job) hasRoomForRound() bool {
+	tasks := 0
+	for i := range j.spec.Steps {
+		tasks += j.spec.Steps[i].Tasks
+	}
+	return len(j.rounds) == 0 || (len(j.rounds)+1)*tasks <= ladderflow.MaxTasks
+}
+
 // finish sets the final state of a job and stops its runs.
 func (p *Planner) finish(now time.Time, j *job, state ladderflow.State) {
 	j.state, j.endedAt = state, now
