Wait less for the leases of leaders whose process has ended

What callers saw: after a leader was killed, all its jobs waited 10.5 s for one worker that had gone as well, which on a thousand workers is common.

Cause: a new leader could not tell a leader that has ended from one that is cut off and renews leases for 5.2 s more.

Why it works: each leader stores its term before it renews a lease or orders a start, with the earlier terms that may not be over. The next leader so knows all that may act. One has certainly ended if a later process of its VM, at its address, has registered after its election. Its delegates renew leases for 1.2 s more at most, which is added. Leaders that are not known, as of an earlier build, are waited for as before.

--- a/ladderjournal/journal.go
+++ b/ladderjournal/journal.go
@@ -234,16 +234,6 @@
 	return p.write(ctx, recordOrderKey, &p.recordOrder, writes)
 }
 
-// SaveRoster stores the workers on which the leader may start tasks. It returns
-// [ErrSuperseded] if the leader's term is over.
-func (p *ProgressWriter) SaveRoster(ctx context.Context, workers []ladderflow.Worker) error {
-	value, err := encodeRoster(workers)
-	if err != nil {
-		return err
-	}
-	return p.write(ctx, rosterOrderKey, &p.rosterOrder, []platform.Write{{Key: rosterKey, Value: value}})
-}
-
 // write commits writes in one transaction that also changes orderKey, whose last known
 // revision is *order. If the key has a different revision, a call whose outcome was
 // unknown has taken effect. That is either another copy of this write, sent on another
@@ -328,6 +318,8 @@
 	Cancelled []string
 	Records   []ladderplan.Record
 	Roster    []ladderflow.Worker
+	// Terms holds the terms that may not be over.
+	Terms []Term
 	// DecodeErrors holds an error for each value that could not be decoded. Such values stay
 	// in the store as they are.
 	DecodeErrors []error
@@ -354,10 +346,23 @@
 		return nil, err
 	}
 	if ok {
+		// Whoever has stored the roster may have started tasks.
+		c.Terms = []Term{{}}
 		if c.Roster, err = decodeRoster(roster.Value); err != nil {
 			c.DecodeErrors = append(c.DecodeErrors, err)
 		}
 	}
+	terms, ok, err := j.store.Get(ctx, termsKey)
+	if err != nil {
+		return nil, err
+	}
+	if ok {
+		if known, err := decodeTerms(terms.Value); err == nil {
+			c.Terms = known
+		} else {
+			c.DecodeErrors = append(c.DecodeErrors, err)
+		}
+	}
 	for _, prefix := range []string{jobPrefix, cancelPrefix, recordPrefix} {
 		if _, err := platform.ReadAll(ctx, j.store, prefix, c.add); err != nil {
 			return nil, err
--- a/ladderplan/planner.go
+++ b/ladderplan/planner.go
@@ -41,6 +41,8 @@
 	// earlierRunsKnown is true once all runs that earlier leaders started are known, or must have
 	// ended with the lease of their worker.
 	earlierRunsKnown bool
+	// earlierLeadersEnded is a time after which no earlier leader acts, or zero.
+	earlierLeadersEnded time.Time
 	// roster holds the stored set of workers on which tasks may start.
 	roster map[string]bool
 	// nearMaintenance holds the workers that get no new tasks because their maintenance is near.
--- a/ladderplan/poll.go
+++ b/ladderplan/poll.go
@@ -70,10 +70,16 @@
 
 // earlierLeasesExpired reports whether each lease that an earlier leader has granted must have expired.
 func (p *Planner) earlierLeasesExpired(now time.Time) bool {
-	return now.After(p.options.ElectedAt.Add(p.options.EarlierLeaderTimeout +
-		p.options.LeaseDuration*(100+maxClockDriftPercent)/100 + leaseEndMargin))
+	ended := p.options.ElectedAt.Add(p.options.EarlierLeaderTimeout)
+	if at := p.earlierLeadersEnded; !at.IsZero() && at.Before(ended) {
+		ended = at
+	}
+	return now.After(ended.Add(p.options.LeaseDuration*(100+maxClockDriftPercent)/100 + leaseEndMargin))
 }
 
+// EarlierLeadersEnded records that no earlier leader, nor a delegate of one, acts after a time.
+func (p *Planner) EarlierLeadersEnded(at time.Time) { p.earlierLeadersEnded = at }
+
 // AddEarlierWorker adds a worker on which an earlier leader may have started tasks.
 func (p *Planner) AddEarlierWorker(spec ladderflow.Worker) {
 	if _, ok := p.workers[spec.ID]; !ok {
--- a/laddertest/flow_leader_test.go
+++ b/laddertest/flow_leader_test.go
@@ -198,3 +198,29 @@
 		require.Equal(t, 1, f.starts(path, 0, i))
 	}
 }
+
+// TestFlowKilledLeaderAndWorkerDelayOthersBriefly guards against tasks that wait for longer than the leases that
+// a killed leader has granted. A worker goes with the leader, whose VM starts again at once.
+func TestFlowKilledLeaderAndWorkerDelayOthersBriefly(t *testing.T) {
+	f := startFlow(t, 3, func(ladderflow.Run, string) (time.Duration, bool) { return 1500 * time.Millisecond, false })
+	f.await(f.submit(f.vms[0], "/regrade/", twoTasks), "done", 5*time.Second)
+	path := f.submit(f.vms[0], "/regrade/", `[{"count":6,"cpu":8000,"memMb":100,"estimateMs":1500}]`)
+	f.await(path, "running", 3*time.Second)
+	former := f.leader()
+	former.signal(t, syscall.SIGKILL)
+	<-former.exited
+	f.workers[2].SetUnresponsive(true)
+	f.platform.Store().Txn(platform.Txn{Deletes: []string{platform.WorkerPrefix + "w2"}})
+	killed := time.Now()
+	f.launch(former, former.name)
+	began := func() int {
+		n := 0
+		for i := range 6 {
+			n += f.starts(path, 0, i)
+		}
+		return n
+	}
+	require.Eventually(t, func() bool { return began() > 3 }, 12*time.Second, 10*time.Millisecond)
+	require.Greater(t, time.Since(killed), 3500*time.Millisecond, "the lease of the worker that is gone may not have ended")
+	require.Less(t, time.Since(killed), 9*time.Second)
+}
--- a/laddervm/registry.go
+++ b/laddervm/registry.go
@@ -56,6 +56,8 @@
 	// processor is the VM's processor capacity, in thousandths of a core.
 	processor int
 	zone      string
+	// revision is that of the VM's entry.
+	revision int64
 	// removedAt is when the VM's entry was removed from the store, or zero.
 	removedAt time.Time
 }
@@ -365,6 +367,7 @@
 			delete(r.peers, otherName)
 		}
 	}
+	p.revision = item.ModRevision
 	r.peers[name] = p
 }
 
--- a/laddervm/save.go
+++ b/laddervm/save.go
@@ -180,8 +180,9 @@
 	}
 	t.roster = both
 	t.planner.SetRoster(both)
+	terms := t.terms()
 	go func() {
-		err := t.rosterWriter.SaveRoster(t.ctx, list)
+		err := t.rosterWriter.SaveRoster(t.ctx, list, terms)
 		t.do(func() { t.rosterSaved(list, err) })
 	}()
 }
--- a/laddervm/term.go
+++ b/laddervm/term.go
@@ -99,6 +99,9 @@
 	// and in each one that may have been stored since.
 	wallClock filteredClock
 	roster    map[string]bool
+	// earlier holds the terms of earlier leaders that may still act, until earlierEnded is true.
+	earlier      []ladderjournal.Term
+	earlierEnded bool
 	// waves holds the numbers of the maintenance waves that this term has started.
 	waves        map[int64]bool
 	savingRoster bool
@@ -238,6 +241,7 @@
 	}
 	t.planner.SetSenders(1 + len(t.delegates))
 	t.planner.SetStoreServing(now, !t.vm.storeCarrier.unavailable())
+	t.checkEarlierTerms(now)
 	confidence := t.confidence()
 	if confidence != t.lastConfidence {
 		t.log.Info("confidence in the leadership changed", "fence", t.fence, "from", t.lastConfidence, "to", confidence,
@@ -289,7 +293,11 @@
 	for _, err := range c.DecodeErrors {
 		t.log.Error("stored value cannot be decoded; ignored", "err", err)
 	}
-	t.do(func() { t.applyContents(c, workers) })
+	rosterWriter := t.vm.journal.ProgressWriter(t.fence, c)
+	if !t.saveTerms(rosterWriter, c.Terms) {
+		return
+	}
+	t.do(func() { t.applyContents(c, workers, rosterWriter) })
 	go follow(t.ctx, t.vm, platform.WorkerPrefix, t.workerFollower())
 	go follow(t.ctx, t.vm, ladderjournal.WatchPrefix, t.jobFollower())
 }
@@ -317,10 +325,9 @@
 }
 
 // applyContents passes the contents of the store to the planner.
-func (t *term) applyContents(c *ladderjournal.Contents, workers []ladderflow.Worker) {
+func (t *term) applyContents(c *ladderjournal.Contents, workers []ladderflow.Worker, rosterWriter *ladderjournal.ProgressWriter) {
 	now := t.vm.clock.Now()
-	t.recordWriter = t.vm.journal.ProgressWriter(t.fence, c)
-	t.rosterWriter = t.vm.journal.ProgressWriter(t.fence, c)
+	t.recordWriter, t.rosterWriter, t.earlier = t.vm.journal.ProgressWriter(t.fence, c), rosterWriter, c.Terms
 	for _, j := range c.Jobs {
 		t.planner.AddJob(now, j, true)
 	}
