Pause after a start that is refused for want of a ticket

Cause: startFailed discarded the ticket and let the step try again at once. Where the queue has no advice, there is none to discard, and the same start followed.

--- a/ladderplan/removed_queue_test.go
+++ b/ladderplan/removed_queue_test.go
@@ -83,3 +83,20 @@
 	require.Len(t, starts, 1)
 	require.Equal(t, "x", starts[0].Ticket)
 }
+
+// TestStartRefusedForWantOfTicketIsNotRepeatedAtOnce refuses starts of a queue without advice for want of a ticket.
+func TestStartRefusedForWantOfTicketIsNotRepeatedAtOnce(t *testing.T) {
+	h := newHarness(t, 2)
+	h.submit("a", stepOf(1))
+	starts := 0
+	for range 100 {
+		for _, s := range h.plan().Starts {
+			starts++
+			h.planner.StartSettled(h.now, s.Worker.ID, s.Run, Result{Refusal: ladderflow.RefusedTicket})
+		}
+		h.advance(10 * time.Millisecond)
+		h.pollAll(nil)
+	}
+	require.LessOrEqual(t, starts, 4, "two workers in a second")
+	require.Positive(t, starts)
+}
--- a/ladderplan/result.go
+++ b/ladderplan/result.go
@@ -87,8 +87,11 @@
 	case r.Refusal == ladderflow.RefusedNoCapacity:
 		w.excludedUntil, p.pools.stale = later(w.excludedUntil, now.Add(refusalExcludeTime)), true
 		p.orders.Polls = append(p.orders.Polls, w.spec.ID)
-	case r.Refusal == ladderflow.RefusedTicket && t != nil:
+	case r.Refusal == ladderflow.RefusedTicket && t != nil && p.queue(t.step.round.job).Advice != nil:
 		t.step.tickets.invalidate(w)
+	case r.Refusal == ladderflow.RefusedTicket:
+		// No ticket is to be had, so that the same start would be refused again at once.
+		w.excludedUntil, p.pools.stale = later(w.excludedUntil, now.Add(refusalExcludeTime)), true
 	}
 	if t != nil && t.step.spec.Gang && t.step.round.job.active() {
 		p.stopGang(now, t.step)
