Start the runs of a worker that has left elsewhere at once

What callers saw: the tasks that a leaving worker did not finish waited for its lease, and if the leader was killed meanwhile, the next one waited 6.6 s for the worker, with all jobs of the former leader.

Cause: that a draining worker deletes its entry was not told from an entry that expires, so that nothing but the lease ended its runs.

Why it works: an entry expires after three heartbeats of silence. One that is deleted sooner, while the store serves, was deleted by its worker, which has then ended with all that ran on it. The times of the last write and of the deletion are taken so that the interval is never shorter than it was. An entry that may have expired still proves nothing.

--- a/ladderplan/poll.go
+++ b/ladderplan/poll.go
@@ -368,6 +368,19 @@
 	}
 }
 
+// WorkerLeft records that a draining worker has left, and its runs have ended: it has deleted its entry in the
+// store. The entry was written and deleted after the time since. It is ignored if the store was away since, which
+// may have removed the entry as well.
+func (p *Planner) WorkerLeft(now time.Time, id string, since time.Time) {
+	w, ok := p.workers[id]
+	if !ok || w.leavesAt.IsZero() || p.storeServingSince.IsZero() || p.storeServingSince.After(since) {
+		return
+	}
+	w.unresponsive, p.pools.stale, p.hasIrregular = true, true, true
+	delete(p.unseenWorkers, id)
+	p.dropLostRuns(now, w, "the worker has left", slices.Clone(w.runOrder)...)
+}
+
 // WorkerReplaced records that a worker has ended beyond doubt, because a different one answers at its
 // address.
 func (p *Planner) WorkerReplaced(now time.Time, id string) {
--- a/ladderplan/roster_test.go
+++ b/ladderplan/roster_test.go
@@ -55,3 +55,43 @@
 		})
 	}
 }
+
+// TestRunsOfWorkerThatLeftStartElsewhereAtOnce deletes the entry of a worker that has a run.
+func TestRunsOfWorkerThatLeftStartElsewhereAtOnce(t *testing.T) {
+	for name, c := range map[string]struct {
+		draining  bool
+		storeAway bool
+		starts    int
+	}{
+		"draining, so that it has left":             {draining: true, starts: 1},
+		"not draining":                              {},
+		"draining, the store was away in that time": {draining: true, storeAway: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 2)
+			h.planner.SetStoreServing(h.now, true)
+			h.submit("a", stepOf(1))
+			lost := h.startAll()[0].Worker
+			other := testWorker(0)
+			if lost.ID == other.ID {
+				other = testWorker(1)
+			}
+			lost.Draining, lost.RemainingTime = c.draining, 3*time.Second
+			h.planner.SetWorkers(h.now, []ladderflow.Worker{lost, other})
+			h.advance(time.Second)
+			written := h.now
+			if c.storeAway {
+				h.planner.SetStoreServing(h.now, false)
+				h.advance(time.Second)
+				h.planner.SetStoreServing(h.now, true)
+			}
+			h.advance(time.Second)
+			h.poll(other.ID, ladderflow.StatusReport{})
+			h.planner.WorkerLeft(h.now, lost.ID, written)
+			h.planner.SetWorkers(h.now, []ladderflow.Worker{other})
+			h.planner.PollFailed(lost.ID, false)
+			require.Len(t, h.startAll(), c.starts)
+			require.Equal(t, c.starts == 0, h.planner.InRoster(lost.ID))
+		})
+	}
+}
