Log how late the leader itself is, and what it exchanges with peers

What operators saw: on the large fleet a leader gives up its delegates, and no line tells whether they were late or the leader itself was: 'placement' has answers and plans, but not how long events wait for the control goroutine, nor how long goroutines wait for the processor, nor what the exchanges with 146 peers are.

The leader now logs both once a second ('leader's load', 'exchanges with peers'): the scheduling latency comes from the runtime's own histogram, the waits from the time at which an event was queued, the exchanges are counted by message. No decision uses them. The test that built a term without a VM gives it a clock, as events are timed now.

--- a/laddervm/placement_log.go
+++ b/laddervm/placement_log.go
@@ -52,6 +52,7 @@
 		"atLimit", l.atLimit, "limit", limit, "unanswered", unanswered, "answers", l.answers,
 		"meanAnswer", (l.answerTime / time.Duration(max(1, l.answers))).Round(time.Millisecond),
 		"maxAnswer", l.maxAnswerTime.Round(time.Millisecond), "inbox", len(t.inbox), "delegates", len(t.delegates))
+	t.logLoad(elapsed)
 	for _, b := range t.planner.Backlogs() {
 		t.log.Info("steps wait", "queue", b.Queue, "steps", b.Steps, "tasks", b.Tasks, "awaitingAdvice", b.AwaitingAdvice)
 	}
--- a/laddervm/registry.go
+++ b/laddervm/registry.go
@@ -395,6 +395,7 @@
 	if backedOff {
 		return nil, fmt.Errorf("peer %s could not be reached a moment ago: %w", p.name, ladderpeer.ErrUnsent)
 	}
+	r.vm.exchanges.count("out", m)
 	reply, err := r.vm.peers.Call(ctx, p.address, m)
 	if errors.Is(err, ladderpeer.ErrUnsent) && ctx.Err() == nil {
 		r.mu.Lock()
--- a/laddervm/submit.go
+++ b/laddervm/submit.go
@@ -184,6 +184,7 @@
 // Handle implements [ladderpeer.Handler].
 func (h peerHandler) Handle(ctx context.Context, m laddermessage.Message) (laddermessage.Message, error) {
 	v := h.vm
+	v.exchanges.count("in", m)
 	switch m := m.(type) {
 	case laddermessage.RelayCall:
 		return v.relayCall(ctx, m), nil
--- a/laddervm/term.go
+++ b/laddervm/term.go
@@ -67,8 +67,10 @@
 	// whole term, even if the settings change.
 	workerLease time.Duration
 	// planPause is the pause before the next plan.
-	planPause time.Duration
-	placement placementLog
+	planPause   time.Duration
+	placement   placementLog
+	control     controlLoad
+	runtimeLoad *runtimeLoad
 	// lastConfidence is the confidence of the last plan.
 	lastConfidence ladderplan.Confidence
 	// loaded is true once the planner has the contents of the store.
@@ -112,7 +114,7 @@
 		vm: v, log: v.logs.RateLimited("term", v.clock), lease: lease, fence: fence, began: began,
 		inbox: make(chan func(), inboxSize), orderSlots: make(chan struct{}, ladderplan.MaxOrders),
 		pollers: map[string]*poller{}, delegates: map[string]*delegateClient{}, excludedUntil: map[string]time.Time{},
-		roster: map[string]bool{}, waves: map[int64]bool{},
+		roster: map[string]bool{}, waves: map[int64]bool{}, runtimeLoad: newRuntimeLoad(),
 	}
 	t.ctx, t.cancel = context.WithCancel(ctx)
 	t.outageSeenAt.Store(math.MinInt64 / 2)
@@ -135,17 +137,27 @@
 // first.
 func (t *term) do(f func()) {
 	select {
-	case t.inbox <- f:
+	case t.inbox <- t.timed(f):
 	case <-t.ctx.Done():
 	}
 }
 
+// timed returns a function that calls f and records, for the log, how long it was queued and took.
+func (t *term) timed(f func()) func() {
+	queued := t.vm.clock.Now()
+	return func() {
+		began := t.vm.clock.Now()
+		f()
+		t.control.handled(began.Sub(queued), t.vm.clock.Now().Sub(began))
+	}
+}
+
 // call runs a function on the control goroutine and waits for it. It returns false if the
 // term or ctx ends first.
 func (t *term) call(ctx context.Context, f func()) bool {
 	done := make(chan struct{})
 	select {
-	case t.inbox <- func() { f(); close(done) }:
+	case t.inbox <- t.timed(func() { f(); close(done) }):
 	case <-t.ctx.Done():
 		return false
 	case <-ctx.Done():
--- a/laddervm/term_test.go
+++ b/laddervm/term_test.go
@@ -6,13 +6,15 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"lacewingladder/ladderclock"
 )
 
 // TestJobsAreReadAgainAfterEarlierLeases checks that no watch call waits before the leader has read the
 // jobs at a time after the leases of earlier leaders have ended.
 func TestJobsAreReadAgainAfterEarlierLeases(t *testing.T) {
 	now := time.UnixMilli(1_000_000)
-	tm := &term{ctx: context.Background(), inbox: make(chan func(), inboxSize), earlierLeaseEnd: now.Add(leaderLease)}
+	tm := &term{vm: &VM{clock: ladderclock.System{}}, ctx: context.Background(), inbox: make(chan func(), inboxSize), earlierLeaseEnd: now.Add(leaderLease)}
 	f := tm.jobFollower()
 	require.Equal(t, leaderLease, f.watchWait(now))
 	f.complete(now)
--- a/laddervm/vm.go
+++ b/laddervm/vm.go
@@ -91,6 +91,8 @@
 	// delegate polls workers and sends orders on behalf of a leader that is another VM.
 	delegate *ladderdelegate.Delegate
 	stats    *stats
+	// exchanges counts the exchanges with peers for the leader's log.
+	exchanges exchangeCounts
 
 	// metricsPort is the port of metrics and operator queries.
 	metricsPort uint16
