--- a/ladderpeer/client.go
+++ b/ladderpeer/client.go
@@ -74,10 +74,12 @@
 	unused    *time.Timer
 }
 
-// Traffic counts the bytes of encoded messages that were sent and received.
+// Traffic counts the bytes of encoded messages that were sent and received, and the connections that were
+// opened. Each connection costs both ends a handshake.
 type Traffic struct {
-	Sent     atomic.Int64
-	Received atomic.Int64
+	Sent        atomic.Int64
+	Received    atomic.Int64
+	Connections atomic.Int64
 }
 
 // dialer opens a QUIC connection.
@@ -215,6 +217,7 @@
 			d.err = net.ErrClosed
 			return
 		}
+		c.bytes.Connections.Add(1)
 		conn := &connection{Conn: fresh}
 		conn.unused = time.AfterFunc(c.unusedTimeout, func() { c.closeUnused(peer, conn) })
 		c.conns[peer] = conn
--- a/ladderpeer/peer_test.go
+++ b/ladderpeer/peer_test.go
@@ -89,6 +89,7 @@
 
 	_, err = client.Call(t.Context(), address, laddermessage.JobStatusQuery{Job: "next"})
 	require.NoError(t, err, "an exchange without a reply must not affect the next one")
+	require.Positive(t, client.Traffic().Connections.Load())
 }
 
 func TestPeerWithAnotherAuthorityIsRefused(t *testing.T) {
--- a/ladderpeer/server.go
+++ b/ladderpeer/server.go
@@ -74,6 +74,7 @@
 			}
 			return fmt.Errorf("accept peer: %w", err)
 		}
+		s.bytes.Connections.Add(1)
 		s.connections.Go(func() { s.serveConn(ctx, conn) })
 	}
 }
--- a/laddervm/load_log.go
+++ b/laddervm/load_log.go
@@ -157,5 +157,8 @@
 		"meanWait", (l.waits / time.Duration(max(1, l.events))).Round(time.Millisecond), "maxWait", l.maxWait.Round(time.Millisecond),
 	}
 	t.log.Info("leader's load", append(keyvals, t.runtimeLoad.take()...)...)
-	t.log.Info("exchanges with peers", t.vm.exchanges.take()...)
+	dialed, accepted := t.vm.peers.Traffic().Connections.Load(), t.vm.server.Traffic().Connections.Load()
+	keyvals = []any{"dialed", dialed - t.dialed, "accepted", accepted - t.accepted}
+	t.dialed, t.accepted = dialed, accepted
+	t.log.Info("exchanges with peers", append(keyvals, t.vm.exchanges.take()...)...)
 }
--- a/laddervm/term.go
+++ b/laddervm/term.go
@@ -71,6 +71,8 @@
 	placement   placementLog
 	control     controlLoad
 	runtimeLoad *runtimeLoad
+	// dialed and accepted are the numbers of connections with peers at the last summary of the load.
+	dialed, accepted int64
 	// lastConfidence is the confidence of the last plan.
 	lastConfidence ladderplan.Confidence
 	// loaded is true once the planner has the contents of the store.
