Log what holds up the gangs that wait

The leader's log said how many steps of a queue wait, but not what for: no line told whether a gang lacks advice, tickets, room, a reservation, or the answers to earlier starts.

Each placement pass now notes what held a step up, one byte for each. Once a second, beside "steps wait", "gangs wait" counts the waiting gangs by that reason, and "oldest gang waits" describes the one whose job was accepted first: members, answers of the advice service, the members that fit now on any worker, on those that are known to be allowed, on those of them that are not reserved for others, and on those of these with valid tickets, and its reservation. Both lines are of bounded length. `explain` names the reason too.

No decision changes: after the limit of unanswered starts is reached, the pass goes on through the steps only to note it.

--- a/ladderplan/explain.go
+++ b/ladderplan/explain.go
@@ -81,6 +81,10 @@
 		e.Failed = append(e.Failed, fmt.Sprintf("gang run %d", n))
 	}
 	e.Why = p.why(now, s)
+	if s.spec.Gang && s.ready && s.waiting > 0 {
+		sp := p.stepPlacement(now, s)
+		e.Why += "; last plan: " + sp.waitReason().String()
+	}
 	return e
 }
 
--- a/ladderplan/model.go
+++ b/ladderplan/model.go
@@ -88,6 +88,7 @@
 	preemptedAt time.Time
 	readySince  time.Time
 	lastTry     lastTry
+	waitReason  waitReason
 	// durations holds the durations of the runs that were not interrupted, until the step is finished.
 	durations []taskDuration
 }
--- a/ladderplan/place.go
+++ b/ladderplan/place.go
@@ -94,23 +94,32 @@
 			continue
 		}
 		if !p.earlierRunsKnown && s.round.job.knownToEarlierLeader {
+			s.waitReason = waitEarlierRuns
 			continue
 		}
 		if s.round.job.addedAt.After(p.confirmedAt) {
+			s.waitReason = waitUnconfirmed
 			continue // The next leader may not know the job, and would not wait for its runs.
 		}
 		if p.startLimitReached() {
 			p.orders.AtStartLimit = true
-			break
+			s.waitReason = waitStartLimit
+			continue
 		}
 		sp := p.stepPlacement(now, s)
 		sp.heedsReservations = k.class > 0
 		hopeless := sp.hopeless()
 		switch {
-		case s.spec.Gang && (hopeless || !sp.placeGang()) && gangs < maxGangs && sp.fitsEmptyWorkers():
+		case s.spec.Gang && !hopeless && sp.placeGang():
+			s.waitReason = waitEarlierAttempt // If it has started, it does not wait.
+		case s.spec.Gang && gangs >= maxGangs:
+			s.waitReason = waitReservingGangs
+		case s.spec.Gang && !sp.fitsEmptyWorkers():
+			s.waitReason = waitTooLarge
+		case s.spec.Gang:
 			gangs++
 			sp.reserveForGang(hopeless)
-		case !s.spec.Gang && !hopeless:
+		case !hopeless:
 			sp.placeTasks()
 			sp.queryForTasks()
 			if k.class == 0 && !now.After(k.latestStart) {
--- a/ladderplan/reserve.go
+++ b/ladderplan/reserve.go
@@ -56,6 +56,7 @@
 	t, g := &sp.step.tickets, &sp.step.gang
 	needsTickets := sp.needsTickets()
 	if needsTickets && len(t.rows) == 0 {
+		sp.step.waitReason = waitFirstTickets
 		sp.queryForTasks()
 		return
 	}
@@ -71,11 +72,13 @@
 	if !holds {
 		g.reservation = reservation{slots: sp.bestSlots(need), madeAt: sp.now}
 		if len(g.reservation.slots) < need {
+			sp.step.waitReason = waitReserved
 			sp.queryForTasks() // The gang does not fit on the workers known to be allowed.
 			return
 		}
 	}
 	startAt := g.reservation.startAt()
+	sp.step.waitReason = waitCapacity
 	horizon := time.Duration(0)
 	if needsTickets {
 		horizon = sp.queue.Advice.ResponseTime(need)
@@ -98,6 +101,13 @@
 			names = append(names, o.worker.spec.ID)
 		}
 	}
+	switch {
+	case startAt.After(sp.now):
+	case len(names) > 0:
+		sp.step.waitReason = waitTickets
+	case sp.step.spec.PreferSameRack:
+		sp.step.waitReason = waitRack
+	}
 	sp.sendQuery(names)
 }
 
--- a/laddervm/placement_log.go
+++ b/laddervm/placement_log.go
@@ -1,6 +1,7 @@
 package laddervm
 
 import (
+	"fmt"
 	"time"
 
 	"lacewingladder/ladderplan"
@@ -56,4 +57,17 @@
 	for _, b := range t.planner.Backlogs() {
 		t.log.Info("steps wait", "queue", b.Queue, "steps", b.Steps, "tasks", b.Tasks, "awaitingAdvice", b.AwaitingAdvice)
 	}
+	if g, ok := t.planner.GangBacklog(now); ok {
+		t.logGangs(g)
+	}
+}
+
+// logGangs logs what holds up the gangs that wait, and in detail the oldest of them.
+func (t *term) logGangs(b ladderplan.GangBacklog) {
+	g := b.Oldest
+	t.log.Info("gangs wait", "steps", b.Steps, "reasons", fmt.Sprint(b.Reasons))
+	t.log.Info("oldest gang waits", "step", g.Step, "queue", g.Queue, "reason", g.Reason, "age", g.Age.Round(time.Millisecond),
+		"members", g.Members, "need", g.Need, "allowed", g.Allowed, "denied", g.Denied, "querying", g.Querying,
+		"slots", g.Slots, "allowedSlots", g.AllowedSlots, "unreservedSlots", g.UnreservedSlots, "ticketSlots", g.TicketSlots,
+		"reserved", g.Reserved, "startsIn", g.StartsIn.Round(time.Millisecond))
 }
