Look for jobs to delete among the oldest ends only

Cause: each time that progress is stored, up to 17 times a second, the leader looked at all jobs that it knows for those whose ends are old enough to be deleted.

Why it works: the ends are kept in the order in which they were stored, so the search stops at the first one that is too young. TestExpiredJobsInOrderOfTheirEnds: which jobs are deleted and when is as before; that they come in that order is new.

--- /dev/null
+++ b/ladderplan/expired_jobs_test.go
@@ -0,0 +1,63 @@
+package ladderplan
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lacewingladder/ladderflow"
+	"lacewingladder/ladderlog"
+)
+
+// TestExpiredJobsInOrderOfTheirEnds checks which ended jobs are to be deleted, and that a batch which was
+// not stored deletes none.
+func TestExpiredJobsInOrderOfTheirEnds(t *testing.T) {
+	const retention = time.Minute
+	now := time.UnixMilli(1_000_000)
+	p := New(Options{Log: ladderlog.Discard().Component("plan"), JobRetention: retention})
+	for i := range 5 {
+		p.AddJob(now, &ladderflow.Job{ID: fmt.Sprintf("job%d", i), Queue: "q", Steps: []ladderflow.Step{{Tasks: 1}}}, false)
+	}
+	end := func(id string) {
+		p.Cancel(now, id)
+		p.BatchStored(p.NextBatch())
+	}
+	end("job3")
+	end("job1")
+	now = now.Add(time.Second)
+	end("job4")
+	p.Restore(now, Record{Job: "job0", State: ladderflow.Done})
+	p.Restore(now, Record{Job: "job0", State: ladderflow.Done})
+
+	firstExpires := now.Add(retention * 5 / 4)
+	require.Empty(t, p.ExpiredJobs(firstExpires.Add(-time.Second), 10))
+	require.Equal(t, []string{"job3", "job1"}, p.ExpiredJobs(firstExpires, 10))
+	last := firstExpires.Add(time.Second)
+	require.Equal(t, []string{"job3", "job1", "job4"}, p.ExpiredJobs(last, 3))
+
+	b := p.NextBatch()
+	b.JobsToDelete = []string{"job3", "job1"}
+	p.BatchNotStored(b)
+	require.Equal(t, []string{"job3", "job1", "job4", "job0"}, p.ExpiredJobs(last, 10))
+	p.BatchStored(b)
+	require.Equal(t, []string{"job4", "job0"}, p.ExpiredJobs(last, 10))
+	require.Len(t, p.endedJobs, 2)
+	require.Len(t, p.jobs, 3)
+}
+
+// BenchmarkExpiredJobs looks for jobs to delete among 6,000 that have ended lately.
+func BenchmarkExpiredJobs(b *testing.B) {
+	now := time.UnixMilli(1_000_000)
+	p := New(Options{Log: ladderlog.Discard().Component("plan"), JobRetention: time.Minute})
+	for i := range 6000 {
+		id := fmt.Sprintf("%016x", i)
+		p.AddJob(now, &ladderflow.Job{ID: id, Queue: "q", Steps: []ladderflow.Step{{Tasks: 4}}}, false)
+		p.Cancel(now, id)
+	}
+	p.BatchStored(p.NextBatch())
+	for b.Loop() {
+		p.ExpiredJobs(now, 30)
+	}
+}
--- a/ladderplan/planner.go
+++ b/ladderplan/planner.go
@@ -32,6 +32,9 @@
 	// queuedJobs holds, by queue, the jobs that may have neither begun nor ended. Jobs with a schedule are
 	// left out.
 	queuedJobs map[string][]*job
+	// endedJobs holds the jobs whose ends are stored, in the order in which they were. Some at its start may
+	// have been deleted.
+	endedJobs []*job
 	// readySteps holds the ready steps that may have tasks to start.
 	readySteps []*step
 	// scheduledJobs holds the jobs with a schedule whose rounds have not all started.
--- a/ladderplan/record.go
+++ b/ladderplan/record.go
@@ -112,7 +112,7 @@
 			if s.Final() && !j.storedState.Final() {
 				p.log.Info("end of a job stored", "job", id, "state", s)
 			}
-			j.storedState = s
+			p.endStored(j, s)
 			if n := b.crashes[id]; n > j.storedCrashes {
 				j.storedCrashes, p.placementDue = n, true
 			}
@@ -124,6 +124,9 @@
 		}
 		delete(p.jobs, id)
 	}
+	for len(p.endedJobs) > 0 && p.jobs[p.endedJobs[0].spec.ID] != p.endedJobs[0] {
+		p.endedJobs = p.endedJobs[1:]
+	}
 }
 
 // BatchNotStored records that a batch may not have been stored. The next batch includes records of
@@ -177,7 +180,7 @@
 	if !ok {
 		return
 	}
-	j.storedState = r.State
+	p.endStored(j, r.State)
 	if r.State.Final() {
 		j.state, j.endedAt = r.State, now
 		clear(j.rounds)
@@ -285,13 +288,21 @@
 // ExpiredJobs returns the ids of at most limit ended jobs that callers can no longer query.
 func (p *Planner) ExpiredJobs(now time.Time, limit int) []string {
 	var ids []string
-	for id, j := range p.jobs {
-		if len(ids) == limit {
+	for _, j := range p.endedJobs {
+		if len(ids) == limit || now.Sub(j.endedAt) <= p.options.JobRetention*5/4 {
 			break
 		}
-		if j.storedState.Final() && now.Sub(j.endedAt) > p.options.JobRetention*5/4 {
-			ids = append(ids, id)
+		if p.jobs[j.spec.ID] == j {
+			ids = append(ids, j.spec.ID)
 		}
 	}
 	return ids
 }
+
+// endStored records that the store holds the end of a job.
+func (p *Planner) endStored(j *job, state ladderflow.State) {
+	if state.Final() && !j.storedState.Final() {
+		p.endedJobs = append(p.endedJobs, j)
+	}
+	j.storedState = state
+}
