Bound the short queries for advice that are unanswered

Cause: a leader with many waiting steps asks for advice about all of them as soon as the bound of unanswered starts leaves room for one more pass: each query is an exchange with one of 146 VMs. Long queries wait for a VM with a short backlog; short ones did not wait for anything. The tickets expire after 2 s, most of them unused, and then all are asked for again: load that makes work.

In the next 3.3 s the leader sends 3,413 queries, 5,990 goroutines exist, two plans are made, and starts go from 320 answers a second to 7 in all; it does not recover. TestBacklogDoesNotAskForAllAdviceAtOnce: two VMs, 100 steps; 100 queries at once before, 8 now.

Why it works: four short queries for each VM may be unanswered, so that VMs are busy while answers are on their way (the advice service takes one call at a time from each). The other steps ask as answers arrive, in the order of placement. Long queries keep their own bound.

--- a/ladderplan/advice.go
+++ b/ladderplan/advice.go
@@ -18,6 +18,9 @@
 	longQueryCost = 150 * time.Millisecond
 	// maxLongQueryBacklog is the longest backlog of a VM that a long query may be added to.
 	maxLongQueryBacklog = 300 * time.Millisecond
+	// maxShortQueries is the number of short queries to each VM, on average, that may be unanswered. It keeps
+	// the VMs busy while answers are on their way.
+	maxShortQueries = 4
 	// queryRetryDelay is how long a step waits after a query that was rejected or not answered.
 	queryRetryDelay = 150 * time.Millisecond
 	// minQueryWorkers and maxQueryWorkers bound the number of workers in one query.
@@ -59,6 +62,8 @@
 	longQueriesWaitUntil time.Time
 	// longQueryPutOffAt is when a long query was last put off because no backlog was short enough.
 	longQueryPutOffAt time.Time
+	// shortQueries is the number of short queries that are unanswered.
+	shortQueries int
 }
 
 func newAdvisers() advisers {
@@ -108,9 +113,13 @@
 	return found, true
 }
 
-// mayQuery reports whether a VM may have a backlog that is short enough for a query of the given cost.
+// mayQuery reports whether a query of the given cost may be sent: for a long one, a VM may have a backlog
+// that is short enough; few enough short ones are unanswered.
 func (a *advisers) mayQuery(now time.Time, cost time.Duration) bool {
-	return cost < longQueryCost || !now.Before(a.longQueriesWaitUntil)
+	if cost < longQueryCost {
+		return a.shortQueries < maxShortQueries*len(a.vmNames)
+	}
+	return !now.Before(a.longQueriesWaitUntil)
 }
 
 // allowedShare estimates which share of a queue's workers is allowed.
@@ -152,6 +161,9 @@
 		return
 	}
 	t.querying = true
+	if cost < longQueryCost {
+		sp.planner.shortQueries++
+	}
 	sp.planner.orders.AdviceQueries = append(sp.planner.orders.AdviceQueries,
 		AdviceQuery{VM: vm, Step: sp.step.ref(), Workers: names, ResponseTime: cost})
 }
@@ -245,6 +257,9 @@
 // query.
 func (p *Planner) AdviceAnswered(now time.Time, query AdviceQuery, allowed []ladderflow.Ticket, lifetime time.Duration, refused bool) {
 	p.placementDue = true
+	if query.ResponseTime < longQueryCost {
+		p.shortQueries--
+	}
 	if lifetime == 0 {
 		p.adviserExcludedUntil[query.VM] = now.Add(adviserExcludeTime)
 	}
--- a/ladderplan/advice_test.go
+++ b/ladderplan/advice_test.go
@@ -1,10 +1,13 @@
 package ladderplan
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"lacewingladder/ladderflow"
 )
 
 // TestShortQueriesLeaveRoomForLongOnes sends more short queries than the VMs can answer. A long one
@@ -24,3 +27,39 @@
 	}
 	require.Greater(t, sent, 20)
 }
+
+// TestBacklogDoesNotAskForAllAdviceAtOnce lets more steps wait than the VMs can ask about at a time. The rest
+// must ask as answers arrive, and the first ones in the order of placement first. A long query of a step
+// behind them must be sent all the same.
+func TestBacklogDoesNotAskForAllAdviceAtOnce(t *testing.T) {
+	h := newHarness(t, 1)
+	q := &h.planner.fleet.Queues[0]
+	q.Advice = &ladderflow.AdviceConfig{BaseTime: 10 * time.Millisecond, TicketLifetime: 2 * time.Second}
+	slow := *q
+	slow.Name, slow.Advice = "slow", &ladderflow.AdviceConfig{BaseTime: 2 * longQueryCost, TicketLifetime: 2 * time.Second}
+	h.planner.fleet.Queues = append(h.planner.fleet.Queues, slow)
+	h.planner.SetVMs([]string{"e1", "e2"})
+	for i := range 100 {
+		h.submit(fmt.Sprintf("job%02d", i), stepOf(1))
+	}
+	last := testJob(h.now, "slow", stepOf(1))
+	last.Queue = "slow"
+	h.planner.AddJob(h.now, last, false)
+
+	asked := map[string]bool{}
+	for len(asked) < 100 {
+		queries := h.plan().AdviceQueries
+		short := 0
+		for _, a := range queries {
+			short += boolToInt(a.Step.Job != "slow")
+			asked[a.Step.Job] = true
+		}
+		require.NotZero(t, short)
+		require.LessOrEqual(t, short, 2*maxShortQueries)
+		require.True(t, asked["slow"])
+		h.advance(retryInterval)
+		for _, a := range queries {
+			h.planner.AdviceAnswered(h.now, a, nil, time.Second, false)
+		}
+	}
+}
