Keep a connection on which the peer is heard

Cause: each call that got no reply by its deadline abandoned its connection, and the next call made a handshake: 2 ms of processor at each end, some twenty exchanges. State queries of callers wait 300 ms. So a leader that was late by that much got a handshake from each of 146 VMs for each late reply, which made it later: the state outlived the burst of load that began it. The same held for its own calls to delegates and for advice.

TestLateReplyKeepsConnection, three calls that the peer answers too late, with one that it answers after each: four connections before, one now. TestSilentConnectionIsReplaced, which passes before and after: a connection that has gone silent for good is replaced after the first call on it.

Why it works: QUIC acknowledges what the peer has received. If packets of the peer have arrived since the late call began, by the time of the next one, a new connection would not be answered sooner.

--- a/ladderpeer/client.go
+++ b/ladderpeer/client.go
@@ -72,8 +72,15 @@
 	// connection when it fires.
 	exchanges int
 	unused    *time.Timer
+	// doubted is true after an exchange that got no reply in time. Received is the number of packets that had
+	// arrived from the peer when that exchange began.
+	doubted  bool
+	received uint64
 }
 
+// packetsReceived returns the number of packets that have arrived from the peer.
+func (c *connection) packetsReceived() uint64 { return c.ConnectionStats().PacketsReceived }
+
 // Traffic counts the bytes of encoded messages that were sent and received, and the connections that were
 // opened. Each connection costs both ends a handshake.
 type Traffic struct {
@@ -116,17 +123,18 @@
 		return nil, errors.Join(ErrUnsent, fmt.Errorf("connect to peer %v: %w", peer, err))
 	}
 	defer c.release(conn)
+	received := conn.packetsReceived()
 	stream, err := conn.OpenStreamSync(ctx)
 	if err != nil {
-		c.abandon(peer, conn)
+		c.doubt(conn, received)
 		return nil, errors.Join(ErrUnsent, fmt.Errorf("open stream to peer %v: %w", peer, err))
 	}
 	reply, err := c.exchange(ctx, stream, data)
 	if err != nil {
 		stream.CancelRead(0)
 		// If the call was canceled by its caller, the connection may well be working.
-		if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			c.abandon(peer, conn)
+		if ctx.Err() == nil || errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+			c.doubt(conn, received)
 		}
 		return nil, fmt.Errorf("exchange with peer %v: %w", peer, err)
 	}
@@ -232,6 +240,11 @@
 	if !ok || conn.Context().Err() != nil {
 		return nil, false
 	}
+	if conn.doubted && conn.packetsReceived() == conn.received {
+		c.abandon(peer, conn)
+		return nil, false
+	}
+	conn.doubted = false
 	conn.exchanges++
 	return conn, true
 }
@@ -257,14 +270,17 @@
 	_ = conn.CloseWithError(0, "not used")
 }
 
-// abandon removes a connection from the client, so that the next exchange opens a new one.
-// The connection is closed after abandonGrace, so that other exchanges on it can finish.
-func (c *Client) abandon(peer netip.AddrPort, conn *connection) {
+// doubt records that an exchange on a connection got no reply in time. The peer, or this process, may only be
+// late: the connection works if anything has arrived from the peer by the time of the next exchange.
+func (c *Client) doubt(conn *connection, received uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.conns[peer] != conn {
-		return
-	}
+	conn.doubted, conn.received = true, received
+}
+
+// abandon removes a connection from the client, so that the next exchange opens a new one. The connection
+// is closed after abandonGrace, so that other exchanges on it can finish. The caller must hold mu.
+func (c *Client) abandon(peer netip.AddrPort, conn *connection) {
 	delete(c.conns, peer)
 	time.AfterFunc(abandonGrace, func() { _ = conn.CloseWithError(abandoned, "no answer") })
 }
--- a/ladderpeer/dial_test.go
+++ b/ladderpeer/dial_test.go
@@ -49,3 +49,41 @@
 	require.NoError(t, err)
 	require.EqualValues(t, 1, dials.Load())
 }
+
+// TestLateReplyKeepsConnection guards against a handshake after each call that the peer answers too late.
+func TestLateReplyKeepsConnection(t *testing.T) {
+	config := newTLS(t)
+	address := serve(t, config)
+	client := ladderpeer.NewClient(config)
+	defer client.Close()
+	dials := client.CountDials()
+	for range 3 {
+		short, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		_, err := client.Call(short, address, laddermessage.JobStatusQuery{Job: "slow"})
+		cancel()
+		require.Error(t, err)
+		_, err = client.Call(t.Context(), address, laddermessage.JobStatusQuery{Job: "j"})
+		require.NoError(t, err)
+	}
+	require.EqualValues(t, 1, dials.Load())
+}
+
+// TestSilentConnectionIsReplaced cuts a connection off for good, as a firewall does that has forgotten it. The
+// call that is made on it then must be the last one.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	config := newTLS(t)
+	r := newRelay(t, serve(t, config))
+	client := ladderpeer.NewClient(config)
+	defer client.Close()
+	dials := client.CountDials()
+	_, err := client.Call(t.Context(), r.address, laddermessage.JobStatusQuery{Job: "j"})
+	require.NoError(t, err)
+	r.silence()
+	short, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	_, err = client.Call(short, r.address, laddermessage.JobStatusQuery{Job: "j"})
+	require.Error(t, err)
+	_, err = client.Call(t.Context(), r.address, laddermessage.JobStatusQuery{Job: "j"})
+	require.NoError(t, err)
+	require.EqualValues(t, 2, dials.Load())
+}
--- a/ladderpeer/unused_test.go
+++ b/ladderpeer/unused_test.go
@@ -20,6 +20,18 @@
 	// handshake counts the datagrams of the client that belong to a handshake: their first bit is
 	// set (RFC 9000, section 17.2).
 	handshake atomic.Int64
+	// silent holds the address of the client's connection that is cut off.
+	silent atomic.Pointer[netip.AddrPort]
+	client atomic.Pointer[netip.AddrPort]
+}
+
+// silence drops all datagrams of the client's present connection from now on.
+func (r *relay) silence() { r.silent.Store(r.client.Load()) }
+
+// isSilent reports whether the connection of a client's address is cut off.
+func (r *relay) isSilent(client netip.AddrPort) bool {
+	silent := r.silent.Load()
+	return silent != nil && *silent == client
 }
 
 func newRelay(t *testing.T, server netip.AddrPort) *relay {
@@ -35,14 +47,16 @@
 	address, err := netip.ParseAddrPort(front.LocalAddr().String())
 	require.NoError(t, err)
 	r := &relay{address: address}
-	var client atomic.Pointer[netip.AddrPort]
 	go func() {
 		for buffer := make([]byte, 2048); ; r.passed.Add(1) {
 			n, from, err := front.ReadFromUDPAddrPort(buffer)
 			if err != nil {
 				return
 			}
-			client.Store(&from)
+			if r.isSilent(from) {
+				continue
+			}
+			r.client.Store(&from)
 			r.handshake.Add(int64(buffer[0] >> 7))
 			_, _ = back.Write(buffer[:n])
 		}
@@ -53,7 +67,9 @@
 			if err != nil {
 				return
 			}
-			_, _ = front.WriteToUDPAddrPort(buffer[:n], *client.Load())
+			if client := *r.client.Load(); !r.isSilent(client) {
+				_, _ = front.WriteToUDPAddrPort(buffer[:n], client)
+			}
 		}
 	}()
 	return r
