Judge delegates by the time in which the leader was punctual

After a loss of power the leader gave up its delegates one after the other, each of which moves some 60 workers, and in the end polled none of 1,100 workers in 8.5 s.

Cause: a delegate counted as failed if a message was not answered within 500 ms, or a poll within 900 ms, of real time. A leader that is short of processor time reads answers later than that, and takes its own delay for the failure of all delegates. Moving their workers costs connections, first polls and handshakes, which make the leader later: the state outlives its trigger.

Evidence: TestLateLeaderKeepsItsDelegates runs a leader as a process of its own with two delegates that answer. On both cases fail, "delegate failed ... it did not answer a poll", when the process is stopped for 1.5 s and when its replies wait behind 150 goroutines that use the processor for 5 ms each. Both pass with this change. TestSilentDelegateIsGivenUp, which passes before and after: a delegate that is gone is given up after 0.90 s by a punctual leader (0.90 s before), and after 2.2 s by one whose goroutines wait 100 ms for each turn (0.90 s before).

Why it works: ladderclock.Progress advances by at most 25 ms each time that a timer of 20 ms has fired and all goroutines that were ready have had a turn. A call to a delegate is late once its timeout has passed on that clock, so that a leader with a tenth of the processor waits ten times as long. A call that is late ends with DeadlineExceeded as its cause, so that the connection is still abandoned then, and not before. A message that could not be sent is sent again until then, since the leader's delay also makes handshakes fail. A delegate that alone is silent is given up after 2.15 s of real time, in time for others to renew its workers' leases, provided that half of the other delegates have answered later calls: if they have not, the leader is the common part. Permissions to renew leases and to send orders end in real time as before.

The log line "delegate failed" says how long the leader waited, for how much of that it was itself late, and how many events wait for its control goroutine.

--- a/laddervm/delegate_client.go
+++ b/laddervm/delegate_client.go
@@ -24,7 +24,8 @@
 	orderValidity = 500 * time.Millisecond
 	// delegatePollWait is how long a delegate may wait for events before it answers a poll, and
 	// delegatePollSlack the additional time after which it counts as failed. The slack is longer
-	// than the retransmission of a lost packet takes.
+	// than the retransmission of a lost packet takes. It and sendOrdersTimeout are counted by the
+	// progress clock.
 	delegatePollWait  = 400 * time.Millisecond
 	delegatePollSlack = 500 * time.Millisecond
 	// sendOrdersTimeout bounds a message that hands orders to a delegate.
@@ -77,6 +78,7 @@
 		workers: map[string]laddermessage.Assignment{}, pending: map[delegatedOrder]pendingOrder{},
 	}
 	c.ctx, c.cancel = context.WithCancel(t.ctx)
+	t.calls.add(t.ctx, c)
 	t.log.Info("delegate starts to poll workers", "delegate", p.name, "zone", p.zone)
 	go c.poll()
 	return c
@@ -236,17 +238,15 @@
 	m.Fence, m.LeaseDuration, m.OrderTimeout, m.RenewUntil = c.term.fence, c.term.workerLease, c.orderTimeout(), c.delegationEnd()
 	m.SendBefore = c.clockBound.ToDelegate(c.term.vm.boot.SinceBoot() + min(orderValidity, c.term.authorityRemaining()))
 	go func() {
-		ctx, cancel := context.WithTimeout(c.ctx, sendOrdersTimeout)
-		defer cancel()
-		reply, err := c.term.vm.registry.call(ctx, c.peer, m)
+		reply, took, err := c.call(m, sendOrdersTimeout)
 		_, accepted := reply.(laddermessage.Ack)
-		c.term.do(func() { c.handleSent(m, accepted, err) })
+		c.term.do(func() { c.handleSent(m, accepted, took, err) })
 	}()
 }
 
 // handleSent handles the result of sending a message. If the delegate did not accept it, the
 // orders in it complete as unsent or with an unknown outcome, and the delegate has failed.
-func (c *delegateClient) handleSent(m laddermessage.Delegation, accepted bool, err error) {
+func (c *delegateClient) handleSent(m laddermessage.Delegation, accepted bool, took callTime, err error) {
 	c.sending = false
 	if !accepted {
 		r := ladderplan.Result{Unknown: err != nil && !errors.Is(err, ladderpeer.ErrUnsent)}
@@ -257,7 +257,7 @@
 		for _, s := range m.Stops {
 			c.complete(delegatedOrder{worker: s.Worker, run: s.Run, stop: true}, r)
 		}
-		c.fail("it did not accept orders", err)
+		c.fail("it did not accept orders", took, err)
 		return
 	}
 	c.flush()
@@ -287,12 +287,10 @@
 			return
 		}
 		sent := c.term.vm.boot.SinceBoot()
-		ctx, cancel := context.WithTimeout(c.ctx, m.Wait+delegatePollSlack)
-		reply, err := c.term.vm.registry.call(ctx, c.peer, m)
-		cancel()
+		reply, took, err := c.call(m, m.Wait+delegatePollSlack)
 		report, ok := reply.(laddermessage.DelegateReport)
 		if !ok {
-			c.term.do(func() { c.fail("it did not answer a poll", err) })
+			c.term.do(func() { c.fail("it did not answer a poll", took, err) })
 			return
 		}
 		bound := ladderdelegate.NewClockBound(sent, c.term.vm.boot.SinceBoot(), report.ReceivedAt, report.RepliedAt)
@@ -307,7 +305,7 @@
 		return
 	}
 	if c.session != "" && c.session != r.Session {
-		c.fail("it began a new session", nil)
+		c.fail("it began a new session", callTime{}, nil)
 		return
 	}
 	c.session, c.lastReport, c.clockBound = r.Session, r.Number, bound
@@ -365,13 +363,15 @@
 	}
 }
 
-// fail excludes a delegate for delegateExclusion and assigns its workers to others.
-func (c *delegateClient) fail(why string, err error) {
+// fail excludes a delegate for delegateExclusion and assigns its workers to others. Took is how long the
+// call took by which the failure showed.
+func (c *delegateClient) fail(why string, took callTime, err error) {
 	if c.ctx.Err() != nil {
 		return
 	}
 	c.term.log.Warn("delegate failed; its workers are assigned to others",
-		"delegate", c.peer.name, "why", why, "workers", len(c.workers), "err", err)
+		"delegate", c.peer.name, "why", why, "workers", len(c.workers), "waited", took.total.Round(time.Millisecond),
+		"ownDelay", took.delay.Round(time.Millisecond), "inbox", len(c.term.inbox), "err", err)
 	c.term.excludedUntil[c.peer.name] = c.term.vm.clock.Now().Add(delegateExclusion)
 	c.close()
 	c.term.assignDelegates()
@@ -384,6 +384,7 @@
 		return
 	}
 	c.cancel()
+	c.term.calls.remove(c)
 	delete(c.term.delegates, c.peer.incarnation)
 	for _, s := range c.outbox.Starts {
 		c.complete(delegatedOrder{worker: s.Worker, run: s.Start.Run}, ladderplan.Result{Unsent: true})
--- a/laddervm/term.go
+++ b/laddervm/term.go
@@ -91,7 +91,9 @@
 	// until which a VM that failed as a delegate is not chosen again.
 	delegates     map[string]*delegateClient
 	excludedUntil map[string]time.Time
-	saver         saver
+	// calls holds the calls to delegates that are in progress.
+	calls *delegateCalls
+	saver saver
 	// orderSlots bounds the orders in flight, and orderLatency is their typical latency.
 	orderSlots   chan struct{}
 	orderLatency typicalLatency
@@ -122,6 +124,7 @@
 	t.outageSeenAt.Store(math.MinInt64 / 2)
 	b := v.bounds.Load()
 	t.workerLease = min(maxWorkerLease, b.MaxWorkerLease)
+	t.calls = newDelegateCalls(v.clock, t.workerLease)
 	// The store no longer renews an earlier leader's lease once that leader's key is deleted, which was
 	// before this term's key was written. That leader may regard its lease as valid for its full length.
 	t.earlierLeaseEnd = v.clock.Now().Add(lease.duration())
