Move only the workers of a delegate that is lost

Cause: the racks of a zone were assigned by their index among the racks modulo the number of delegates, in the order of the delegates. Without one of the delegates, or without one rack, the indices after it change, and nearly all workers of the zone get another delegate: an assignment, a new poller, a first poll and often a connection each. The delegate comes back after 4 s, and all move again.

Evidence: 190 workers of a zone in racks of eight, three large VMs and a small one. Without the first, second or third delegate 190, 126 and 64 workers moved; 64 are those of the delegate itself. Without the first rack all 182 workers of the others moved, with no failure at all. TestLostDelegateMovesOnlyItsWorkers and TestChangedRackMovesNoOther fail on the code before and pass now.

Why it works: a rack keeps its delegate unless that is no longer chosen or has more than its share of the racks. The other racks go to the delegates with the fewest. So only the workers of the lost delegate move, and only they move back.

--- a/ladderdelegate/assign.go
+++ b/ladderdelegate/assign.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 )
 
@@ -36,12 +37,14 @@
 // Assign returns the name of the delegate of each worker, by worker id. The leader itself
 // polls the workers that have no delegate: all workers if there are few, and otherwise
 // those in zones without a VM. The workers of a zone are distributed by rack over the
-// VMs with the largest processors in the zone. Delegated is true if there are delegates
-// already.
-func Assign(workers []PolledWorker, vms []VM, delegated bool) map[string]string {
+// VMs with the largest processors in the zone. Current holds the delegates that workers
+// have now. A rack changes its delegate only if that is no longer one of these VMs or has
+// more than its share of the racks: each change costs connections and a status poll of
+// each worker.
+func Assign(workers []PolledWorker, vms []VM, current map[string]string) map[string]string {
 	delegateOf := map[string]string{}
 	threshold := DelegationThreshold
-	if delegated {
+	if len(current) > 0 {
 		threshold = DelegationThreshold * keepDelegatesPercent / 100
 	}
 	if len(workers) <= threshold {
@@ -60,16 +63,46 @@
 			return cmp.Or(cmp.Compare(b.Processor, a.Processor), cmp.Compare(a.Name, b.Name))
 		})
 		delegates = delegates[:min(len(delegates), (len(zoneWorkers)+maxWorkersPerDelegate-1)/maxWorkersPerDelegate)]
-		var racks []string
+		rackDelegates := assignRacks(zoneWorkers, delegates, current)
 		for _, w := range zoneWorkers {
-			racks = append(racks, w.Rack)
-		}
-		slices.Sort(racks)
-		racks = slices.Compact(racks)
-		for _, w := range zoneWorkers {
-			i, _ := slices.BinarySearch(racks, w.Rack)
-			delegateOf[w.ID] = delegates[i%len(delegates)].Name
+			delegateOf[w.ID] = rackDelegates[w.Rack]
 		}
 	}
 	return delegateOf
 }
+
+// assignRacks returns the name of the delegate of each rack of a zone.
+func assignRacks(workers []PolledWorker, delegates []VM, current map[string]string) map[string]string {
+	// racks holds, by delegate, the number of racks that are assigned to it.
+	racks := map[string]int{}
+	for _, d := range delegates {
+		racks[d.Name] = 0
+	}
+	// previous holds the delegate that each rack has now, or "".
+	previous := map[string]string{}
+	for _, w := range workers {
+		name := current[w.ID]
+		if _, ok := racks[name]; !ok {
+			name = ""
+		}
+		previous[w.Rack] = max(previous[w.Rack], name)
+	}
+	limit := (len(previous) + len(delegates) - 1) / len(delegates)
+	assigned := map[string]string{}
+	var others []string
+	for _, rack := range slices.Sorted(maps.Keys(previous)) {
+		name := previous[rack]
+		if name == "" || racks[name] >= limit {
+			others = append(others, rack)
+			continue
+		}
+		assigned[rack] = name
+		racks[name]++
+	}
+	for _, rack := range others {
+		least := slices.MinFunc(delegates, func(a, b VM) int { return cmp.Compare(racks[a.Name], racks[b.Name]) })
+		assigned[rack] = least.Name
+		racks[least.Name]++
+	}
+	return assigned
+}
--- a/ladderdelegate/assign_test.go
+++ b/ladderdelegate/assign_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -27,8 +28,8 @@
 		DelegationThreshold:     {0, DelegationThreshold},
 		DelegationThreshold / 2: {0, 0},
 	} {
-		require.Len(t, Assign(zoneWorkers("a", n), vms, false), want[0])
-		require.Len(t, Assign(zoneWorkers("a", n), vms, true), want[1])
+		require.Len(t, Assign(zoneWorkers("a", n), vms, nil), want[0])
+		require.Len(t, Assign(zoneWorkers("a", n), vms, map[string]string{"a-000": "a1"}), want[1])
 	}
 }
 
@@ -51,7 +52,7 @@
 		"no VM":             {zoneWorkers("a", 200), nil, map[string]int{"": 200}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			delegateOf := Assign(c.workers, c.vms, false)
+			delegateOf := Assign(c.workers, c.vms, nil)
 			got := map[string]int{}
 			rackDelegates := map[string]string{}
 			for _, w := range c.workers {
@@ -65,3 +66,59 @@
 		})
 	}
 }
+
+// TestLostDelegateMovesOnlyItsWorkers takes away one of three delegates of a zone and brings it back. The
+// workers of the others must stay where they are, as those of another zone.
+func TestLostDelegateMovesOnlyItsWorkers(t *testing.T) {
+	vms := []VM{{"a1", "a", 800}, {"a2", "a", 800}, {"a3", "a", 800}, {"a4", "a", 200}, {"b1", "b", 800}}
+	workers := append(zoneWorkers("a", 190), zoneWorkers("b", 60)...)
+	before := Assign(workers, vms, nil)
+	for _, lost := range []string{"a1", "a2", "a3"} {
+		t.Run(lost, func(t *testing.T) {
+			without := Assign(workers, slices.DeleteFunc(slices.Clone(vms), func(v VM) bool { return v.Name == lost }), before)
+			for id, delegate := range before {
+				if delegate == lost {
+					require.Equal(t, "a4", without[id])
+				} else {
+					require.Equal(t, delegate, without[id], id)
+				}
+			}
+			require.Equal(t, before, Assign(workers, vms, without), "the delegate is back")
+		})
+	}
+}
+
+// TestChangedRackMovesNoOther removes the last workers of a rack and brings them back.
+func TestChangedRackMovesNoOther(t *testing.T) {
+	vms := []VM{{"a1", "a", 800}, {"a2", "a", 800}, {"a3", "a", 800}}
+	workers := zoneWorkers("a", 190)
+	before := Assign(workers, vms, nil)
+	without := Assign(workers[8:], vms, before)
+	for id, delegate := range without {
+		require.Equal(t, before[id], delegate, id)
+	}
+	require.Equal(t, before, Assign(workers, vms, without), "the rack is back")
+}
+
+// TestAssignStaysBalanced lets racks come and go. No delegate may have more than its share of them.
+func TestAssignStaysBalanced(t *testing.T) {
+	vms := []VM{{"a1", "a", 800}, {"a2", "a", 800}, {"a3", "a", 800}}
+	all := zoneWorkers("a", 232)
+	var current map[string]string
+	for i, workers := range [][]PolledWorker{all[:184], all[16:200], all[:232], all[40:232], all[40:200], all} {
+		next := Assign(workers, vms, current)
+		racks := map[string]map[string]bool{}
+		for _, w := range workers {
+			if racks[next[w.ID]] == nil {
+				racks[next[w.ID]] = map[string]bool{}
+			}
+			racks[next[w.ID]][w.Rack] = true
+		}
+		n := (len(workers) + maxWorkersPerDelegate - 1) / maxWorkersPerDelegate
+		require.Len(t, racks, n, "step %d", i)
+		for _, r := range racks {
+			require.LessOrEqual(t, len(r), (len(workers)/8+n-1)/n, "step %d", i)
+		}
+		current = next
+	}
+}
--- a/ladderdelegate/doc.go
+++ b/ladderdelegate/doc.go
@@ -23,5 +23,5 @@
 //
 // and on the leader:
 //
-//	delegateOf := ladderdelegate.Assign(workers, vms, false)
+//	delegateOf := ladderdelegate.Assign(workers, vms, current)
 package ladderdelegate
--- a/laddervm/delegate_client.go
+++ b/laddervm/delegate_client.go
@@ -102,7 +102,11 @@
 // assignDelegates decides which VM polls each worker, and applies the changes.
 func (t *term) assignDelegates() {
 	var workers []ladderdelegate.PolledWorker
+	current := map[string]string{}
 	for id, p := range t.pollers {
+		if p.delegate != nil {
+			current[id] = p.delegate.peer.name
+		}
 		rack := ""
 		if n := len(p.worker.Labels); n > 0 {
 			rack = p.worker.Labels[n-1]
@@ -119,7 +123,7 @@
 		candidates[vm.name] = vm
 		vms = append(vms, ladderdelegate.VM{Name: vm.name, Zone: vm.zone, Processor: vm.processor})
 	}
-	delegateOf := ladderdelegate.Assign(workers, vms, len(t.delegates) > 0)
+	delegateOf := ladderdelegate.Assign(workers, vms, current)
 	used := map[string]bool{}
 	for id, p := range t.pollers {
 		var c *delegateClient
