Keep the best bound between the clocks of leader and delegate

Cause: the leader converts what it permits to the delegate's clock, and takes the time in which a report was on its way for a possible difference of the clocks. Each report replaced the bound. A report that the leader reads late, by its own delay, made all permissions end earlier by that time: with 0.5 s no order is sent any more, with 1.2 s no lease is renewed.

Why it works: the difference of two boot clocks changes by their drift only, so a bound holds for later exchanges less what the clocks may have drifted since, 1 ms a second. In each direction the larger of the two is kept. TestCombinedClockBound makes 10,000 exchanges with clocks that drift by up to that and with transit times of up to a second: no converted time is later than the exact one, so no permission ends later than before by real time.

--- a/ladderdelegate/clock_bound.go
+++ b/ladderdelegate/clock_bound.go
@@ -2,20 +2,22 @@
 
 import "time"
 
+// maxClockDrift is how much two boot clocks may differ in rate: one second in this time. Clocks that are
+// disciplined run at most 500 millionths too fast or too slow.
+const maxClockDrift = 1000
+
 // ClockBound converts times between the boot clocks of the leader and a delegate. Because
 // the transit times of messages are unknown, it errs in one direction: a converted time is
-// at or before the exact one. It is the result of one request and response. The zero value
+// at or before the exact one. It is the result of requests and responses. The zero value
 // is the state before the first exchange.
 type ClockBound struct {
-	// delegateSent is when the delegate sent the response, on its clock, and
-	// leaderReceived when the response arrived, on the leader's clock.
-	delegateSent   time.Duration
-	leaderReceived time.Duration
-	// delegateReceived is when the request arrived, on the delegate's clock, and
-	// leaderSent when the leader sent it, on the leader's clock.
-	delegateReceived time.Duration
-	leaderSent       time.Duration
-	known            bool
+	// toDelegate is at most the delegate's clock minus the leader's, and toLeader at most
+	// the reverse.
+	toDelegate time.Duration
+	toLeader   time.Duration
+	// at is when the latest response arrived, on the leader's clock.
+	at    time.Duration
+	known bool
 }
 
 // NewClockBound returns the bound that follows from one request and response. The
@@ -24,22 +26,34 @@
 // the delegate's clock.
 func NewClockBound(leaderSent, leaderReceived, delegateReceived, delegateSent time.Duration) ClockBound {
 	return ClockBound{
-		delegateSent: delegateSent, leaderReceived: leaderReceived, delegateReceived: delegateReceived,
-		leaderSent: leaderSent, known: true,
+		toDelegate: delegateSent - leaderReceived, toLeader: leaderSent - delegateReceived, at: leaderReceived, known: true,
+	}
+}
+
+// Combine returns the bound that follows from the exchanges of b and a later one. In each
+// direction, the message that was in transit for the shortest time determines it, less
+// what the clocks may have drifted apart since.
+func (b ClockBound) Combine(later ClockBound) ClockBound {
+	if !b.known {
+		return later
 	}
+	drift := (later.at - b.at) / maxClockDrift
+	later.toDelegate = max(later.toDelegate, b.toDelegate-drift)
+	later.toLeader = max(later.toLeader, b.toLeader-drift)
+	return later
 }
 
 // Known reports whether b is the result of an exchange, unlike the zero value.
 func (b ClockBound) Known() bool { return b.known }
 
 // ToDelegate converts a time on the leader's clock to the delegate's clock. The result is
-// early by the transit time of the response.
+// early by the transit time of a response.
 func (b ClockBound) ToDelegate(leaderTime time.Duration) time.Duration {
-	return b.delegateSent + leaderTime - b.leaderReceived
+	return leaderTime + b.toDelegate
 }
 
 // ToLeader converts a time on the delegate's clock to the leader's clock. The result is
-// early by the transit time of the request.
+// early by the transit time of a request.
 func (b ClockBound) ToLeader(delegateTime time.Duration) time.Duration {
-	return b.leaderSent + delegateTime - b.delegateReceived
+	return delegateTime + b.toLeader
 }
--- a/ladderdelegate/clock_bound_test.go
+++ b/ladderdelegate/clock_bound_test.go
@@ -27,3 +27,32 @@
 	}
 	require.False(t, ClockBound{}.Known())
 }
+
+// TestCombinedClockBound makes exchanges in a row, with clocks that drift. No converted time may be later than
+// the exact one, nor earlier than with the bound of the latest exchange alone.
+func TestCombinedClockBound(t *testing.T) {
+	random := rand.New(rand.NewPCG(3, 4))
+	upTo := func(d time.Duration) time.Duration { return time.Duration(random.Int64N(int64(d))) }
+	for range 200 {
+		offset := 2*upTo(time.Second) - time.Second
+		rate := 1 + (2*random.Float64()-1)/maxClockDrift // Of the delegate's clock, by the leader's.
+		onDelegate := func(leader time.Duration) time.Duration {
+			return offset + time.Duration(rate*float64(leader))
+		}
+		now := time.Hour
+		var b ClockBound
+		for range 50 {
+			sent := now + upTo(time.Second)
+			received := sent + upTo(time.Second)
+			replied := received + upTo(time.Second)
+			now = replied + upTo(time.Second)
+			latest := NewClockBound(sent, now, onDelegate(received), onDelegate(replied))
+			b = b.Combine(latest)
+			require.True(t, b.Known())
+			require.LessOrEqual(t, b.ToDelegate(now), onDelegate(now))
+			require.GreaterOrEqual(t, b.ToDelegate(now), latest.ToDelegate(now))
+			require.LessOrEqual(t, b.ToLeader(onDelegate(now)), now)
+			require.GreaterOrEqual(t, b.ToLeader(onDelegate(now)), latest.ToLeader(onDelegate(now)))
+		}
+	}
+}
--- a/laddervm/delegate_client.go
+++ b/laddervm/delegate_client.go
@@ -312,7 +312,7 @@
 		c.fail("it began a new session", callTime{}, nil)
 		return
 	}
-	c.session, c.lastReport, c.clockBound = r.Session, r.Number, bound
+	c.session, c.lastReport, c.clockBound = r.Session, r.Number, c.clockBound.Combine(bound)
 	for _, report := range r.Polls {
 		c.handleStatus(report)
 	}
