Judge overdue results by the delegate's clock

What callers saw: on a late leader starts that had been carried out counted as unanswered, which keeps their workers' room and shrinks the number of starts that may be in flight, so that fewer tasks start although room is free.

Cause: the result of an order had to arrive within 1.7 to 2.5 s of real time from the moment at which the order was made. That includes the leader's own delay several times over: the message waits behind another, and reports wait for the control goroutine.

Evidence: TestLateLeaderAwaitsResults, a report that the delegate sent 100 ms after it had accepted a start, and that the leader reads 5 s late. On the code before, the start completes with an unknown outcome; now it waits for its result. A result that is overdue by the delegate's clock completes as unknown before and after.

Why it works: a report contains the results of all orders that ended before the delegate sent it, and says when that was. A delegate calls no worker after the time that the message states. So an order is overdue if a report was sent later than that, the order's timeout and a slack, and does not contain the result. A delegate that sends no reports is given up as before, which completes its orders.

--- a/laddervm/delegate_client.go
+++ b/laddervm/delegate_client.go
@@ -67,9 +67,12 @@
 	pending map[delegatedOrder]pendingOrder
 }
 
-// pendingOrder holds when an order was handed to a delegate, and the time by which its result must
-// have arrived.
-type pendingOrder struct{ began, due time.Time }
+// pendingOrder holds when an order was made, and the time on the delegate's clock by which the delegate
+// must have reported its result. That time is zero until the delegate has accepted the order.
+type pendingOrder struct {
+	began time.Time
+	due   time.Duration
+}
 
 // newDelegateClient starts polling a delegate.
 func newDelegateClient(t *term, p peer) *delegateClient {
@@ -200,10 +203,19 @@
 	return c.term.orderLatency.timeout(minOrderTimeout, maxOrderTimeout)
 }
 
-// expectResult sets the time by which the result of an order must have arrived.
+// expectResult records that an order waits for its result.
 func (c *delegateClient) expectResult(o delegatedOrder) {
-	now := c.term.vm.clock.Now()
-	c.pending[o] = pendingOrder{began: now, due: now.Add(sendOrdersTimeout + orderValidity + c.orderTimeout() + delegatePollSlack)}
+	c.pending[o] = pendingOrder{began: c.term.vm.clock.Now()}
+}
+
+// setDue sets the time by which the delegate must report the result of an order that it has accepted. The
+// delegate begins no call to the worker after m.SendBefore.
+func (c *delegateClient) setDue(m laddermessage.Delegation, o delegatedOrder) {
+	if p, ok := c.pending[o]; ok {
+		accepted := c.clockBound.ToDelegate(c.term.vm.boot.SinceBoot())
+		p.due = max(m.SendBefore, accepted) + m.OrderTimeout + delegatePollSlack
+		c.pending[o] = p
+	}
 }
 
 // reportDelegation informs the planner for how long the delegate may renew a worker's lease.
@@ -264,6 +276,12 @@
 		c.fail("it did not accept orders", took, err)
 		return
 	}
+	for _, s := range m.Starts {
+		c.setDue(m, delegatedOrder{worker: s.Worker, run: s.Start.Run})
+	}
+	for _, s := range m.Stops {
+		c.setDue(m, delegatedOrder{worker: s.Worker, run: s.Run, stop: true})
+	}
 	c.flush()
 }
 
@@ -323,17 +341,16 @@
 		c.complete(delegatedOrder{worker: result.Worker, run: result.Run, stop: result.Stop},
 			ladderplan.Result{Refusal: result.Refusal, Unsent: result.Unsent, Unknown: result.Unknown})
 	}
-	c.expireOrders()
+	c.expireOrders(r.RepliedAt)
 	c.term.save()
 	c.flush()
 }
 
-// expireOrders completes the orders whose result has not arrived in time. Their outcome is
-// unknown.
-func (c *delegateClient) expireOrders() {
-	now := c.term.vm.clock.Now()
+// expireOrders completes the orders of which the delegate has not reported the result in time, as it has
+// sent its latest report at repliedAt on its clock. Their outcome is unknown.
+func (c *delegateClient) expireOrders(repliedAt time.Duration) {
 	for o, p := range c.pending {
-		if now.After(p.due) {
+		if p.due > 0 && repliedAt > p.due {
 			c.complete(o, ladderplan.Result{Unknown: true})
 		}
 	}
