Close abandoned connections with their client

A connection that was abandoned stayed open for up to 5 s after its client had been closed, with its socket and four goroutines: Close knew only those in use.

--- a/ladderpeer/client.go
+++ b/ladderpeer/client.go
@@ -282,7 +282,14 @@
 // is closed after abandonGrace, so that other exchanges on it can finish. The caller must hold mu.
 func (c *Client) abandon(peer netip.AddrPort, conn *connection) {
 	delete(c.conns, peer)
-	time.AfterFunc(abandonGrace, func() { _ = conn.CloseWithError(abandoned, "no answer") })
+	go func() {
+		select {
+		case <-time.After(abandonGrace):
+		case <-c.closed.Done():
+		case <-conn.Context().Done():
+		}
+		_ = conn.CloseWithError(abandoned, "no answer")
+	}()
 }
 
 // Close closes all connections.
--- a/ladderpeer/unused_test.go
+++ b/ladderpeer/unused_test.go
@@ -23,6 +23,8 @@
 	// silent holds the address of the client's connection that is cut off.
 	silent atomic.Pointer[netip.AddrPort]
 	client atomic.Pointer[netip.AddrPort]
+	front  *net.UDPConn
+	back   atomic.Pointer[net.UDPConn]
 }
 
 // silence drops all datagrams of the client's present connection from now on.
@@ -38,15 +40,11 @@
 	t.Helper()
 	front, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(loopback))
 	require.NoError(t, err)
-	back, err := net.DialUDP("udp", nil, net.UDPAddrFromAddrPort(server))
-	require.NoError(t, err)
-	t.Cleanup(func() {
-		_ = front.Close()
-		_ = back.Close()
-	})
+	t.Cleanup(func() { _ = front.Close() })
 	address, err := netip.ParseAddrPort(front.LocalAddr().String())
 	require.NoError(t, err)
-	r := &relay{address: address}
+	r := &relay{address: address, front: front}
+	r.connect(t, server)
 	go func() {
 		for buffer := make([]byte, 2048); ; r.passed.Add(1) {
 			n, from, err := front.ReadFromUDPAddrPort(buffer)
@@ -58,21 +56,31 @@
 			}
 			r.client.Store(&from)
 			r.handshake.Add(int64(buffer[0] >> 7))
-			_, _ = back.Write(buffer[:n])
+			_, _ = r.back.Load().Write(buffer[:n])
 		}
 	}()
+	return r
+}
+
+// connect makes the relay pass datagrams to a server in the place of the last one, as if it had restarted at
+// the same address.
+func (r *relay) connect(t *testing.T, server netip.AddrPort) {
+	t.Helper()
+	back, err := net.DialUDP("udp", nil, net.UDPAddrFromAddrPort(server))
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = back.Close() })
+	r.back.Store(back)
 	go func() {
 		for buffer := make([]byte, 2048); ; r.passed.Add(1) {
 			n, err := back.Read(buffer)
 			if err != nil {
 				return
 			}
-			if client := *r.client.Load(); !r.isSilent(client) {
-				_, _ = front.WriteToUDPAddrPort(buffer[:n], client)
+			if client := *r.client.Load(); r.back.Load() == back && !r.isSilent(client) {
+				_, _ = r.front.WriteToUDPAddrPort(buffer[:n], client)
 			}
 		}
 	}()
-	return r
 }
 
 // TestUnusedConnectionSendsNothing guards against connections that are kept alive for ever
