--- a/ladderpeer/peer_test.go
+++ b/ladderpeer/peer_test.go
@@ -20,7 +20,7 @@
 
 // newTLS creates a new certificate authority and returns the TLS configuration of one VM of
 // that authority.
-func newTLS(t *testing.T) *tls.Config {
+func newTLS(t testing.TB) *tls.Config {
 	t.Helper()
 	dir := t.TempDir() + "/keys"
 	require.NoError(t, laddercert.Generate(dir, []string{"e"}, []netip.Addr{loopback.Addr()}, time.Now()))
