--- a/ladderload/simulation.go
+++ b/ladderload/simulation.go
@@ -115,6 +115,12 @@
 // Simulate simulates a load under a seed and a rule for the order of steps. The same
 // arguments give the same result.
 func Simulate(l *Load, seed uint64, order ladderplan.Order) *Result {
+	sim := newSimulation(l, seed, order)
+	sim.run()
+	return sim.result
+}
+
+func newSimulation(l *Load, seed uint64, order ladderplan.Order) *simulation {
 	sim := &simulation{
 		load: l, jobRandom: map[string]*rand.Rand{}, seed: seed, start: time.UnixMilli(0), workers: map[string]*worker{},
 		jobs: map[string]*job{}, gangs: map[gangRun][]gangMember{}, adviceBusyUntil: map[string]time.Duration{}, result: newResult(l, seed, order),
@@ -131,14 +137,18 @@
 		sim.jobRandom[name] = rand.New(rand.NewPCG(seed, xxhash.Sum64String(name)))
 		sim.scheduleArrival(&l.Queues[i], 0)
 	}
-	end := l.ArrivalPeriod + l.ExtraTime
+	return sim
+}
+
+// run simulates the whole load and computes the result.
+func (sim *simulation) run() {
+	end := sim.load.ArrivalPeriod + sim.load.ExtraTime
 	for len(sim.events) > 0 && sim.events[0].at <= end {
 		e := heap.Pop(&sim.events).(event)
 		sim.now = e.at
 		e.action()
 	}
 	sim.computeResult()
-	return sim.result
 }
 
 // time returns the current virtual time, in the form that the planner expects.
