Ask for advice about other workers for each step

Cause: a step asked about the workers with room for the most of its tasks, and among equals about those with the lowest ids (unknownCandidates); a gang that waits for room asked about the first 100 by id (unknownWorkers). So all steps asked about, and held tickets for, the same workers. Gangs reserved these against each other, while no step was allowed on the others.

Now the workers are asked about in the order of their ids, beginning at a place that a hash of the step decides. Tickets spread over the fleet, and so do reservations. The order is deterministic, needs no sorting, and ends after as many workers as a query may name.

Evidence: TestStepsQueryDifferentWorkers failed before (8 of 64 workers were asked about).

--- a/ladderplan/advice.go
+++ b/ladderplan/advice.go
@@ -2,9 +2,13 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"lacewingladder/ladderflow"
 )
 
@@ -213,12 +217,15 @@
 	return names
 }
 
-// unknownCandidates returns the workers that the step has no answer about, those with capacity for
-// the most tasks first. A full worker is worth a query, unless the step never fits on it.
+// unknownCandidates returns workers that the step has no answer about, at most maxQueryWorkers with free
+// capacity and as many others. A full worker is worth a query, unless the step never fits on it.
 func (sp *stepPlacement) unknownCandidates() []gangCandidate {
 	var list, full []gangCandidate
 	t, need := &sp.step.tickets, sp.step.spec.Demand()
-	for _, w := range sp.pool() {
+	for w := range sp.poolInQueryOrder() {
+		if len(list) >= maxQueryWorkers {
+			break
+		}
 		if t.answer(w) != answerUnknown || !sp.usable(w) {
 			continue
 		}
@@ -234,10 +241,27 @@
 			full = append(full, gangCandidate{w, n})
 		}
 	}
-	sortBySlots(list)
 	return append(list, full...)
 }
 
+// poolInQueryOrder returns the workers of the pool in the order in which the step queries advice about
+// them. Each step begins at another worker: if all steps asked about the same workers first, they would
+// wait for these while others are idle.
+func (sp *stepPlacement) poolInQueryOrder() iter.Seq[*worker] {
+	pool := sp.pool()
+	return func(yield func(*worker) bool) {
+		if len(pool) == 0 {
+			return
+		}
+		first := int(xxhash.Sum64String(sp.step.round.job.spec.ID+strconv.Itoa(sp.step.index)) % uint64(len(pool)))
+		for i := range pool {
+			if !yield(pool[(first+i)%len(pool)]) {
+				return
+			}
+		}
+	}
+}
+
 // sortBySlots sorts candidates so that those with capacity for the most tasks come first.
 func sortBySlots(list []gangCandidate) {
 	slices.SortFunc(list, func(a, b gangCandidate) int {
--- a/ladderplan/advice_test.go
+++ b/ladderplan/advice_test.go
@@ -63,3 +63,28 @@
 		}
 	}
 }
+
+// TestStepsQueryDifferentWorkers checks that steps do not all ask about the same workers first.
+func TestStepsQueryDifferentWorkers(t *testing.T) {
+	const workers, jobs = 64, minReservingGangs
+	for name, s := range map[string]ladderflow.Step{"gangs": gangOf(4), "single tasks": stepOf(4)} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, workers)
+			h.planner.fleet.Queues[0].Advice = &ladderflow.AdviceConfig{BaseTime: 10 * time.Millisecond, TicketLifetime: 2 * time.Second}
+			h.planner.SetVMs([]string{"e1", "e2"})
+			queried := map[string]int{}
+			for i := range jobs {
+				h.submit(fmt.Sprintf("job%d", i), s)
+			}
+			for _, query := range h.plan().AdviceQueries {
+				for _, w := range query.Workers {
+					queried[w]++
+				}
+			}
+			require.Greater(t, len(queried), workers/2)
+			for w, n := range queried {
+				require.LessOrEqual(t, n, jobs/2, "worker %s", w)
+			}
+		})
+	}
+}
--- a/ladderplan/reserve.go
+++ b/ladderplan/reserve.go
@@ -251,7 +251,7 @@
 	t := &sp.step.tickets
 	var names []string
 	slots := 0
-	for _, w := range sp.pool() {
+	for w := range sp.poolInQueryOrder() {
 		if t.answer(w) != answerUnknown || w.isSlow() {
 			continue
 		}
