Keep delegates whose entries have expired

Cause: only VMs with an entry in the store could be delegates. In an outage of the store of more than 3 s all entries expire, although the VMs run on. When the store is back and the deletions arrive before the new entries, the leader closes its delegates and polls all workers itself, until the VMs have registered again: new connections and first polls, twice.

Evidence: TestExpiredEntryKeepsDelegate; on the code before, a delegate of 101 workers is dropped when its entry expires. Now it stays, and is replaced once another process of its VM has registered.

Why it works: a delegate that is gone does not answer, and is given up for that. A VM that leaves ends its session before its entry, which the leader learns at once by the poll that waits there (TestLeavingDelegateIsReplacedAtOnce, which passes before as well).

--- a/laddervm/delegate_client.go
+++ b/laddervm/delegate_client.go
@@ -119,7 +119,7 @@
 	now := t.vm.clock.Now()
 	candidates := map[string]peer{}
 	var vms []ladderdelegate.VM
-	for _, vm := range t.vm.registry.registered() {
+	for _, vm := range t.delegateCandidates() {
 		if now.Before(t.excludedUntil[vm.name]) {
 			continue
 		}
@@ -149,6 +149,19 @@
 	t.flush()
 }
 
+// delegateCandidates returns the registered VMs, and the delegates whose entries have expired. In an outage of
+// the store all entries do. A delegate that is gone does not answer.
+func (t *term) delegateCandidates() []peer {
+	candidates := t.vm.registry.registered()
+	for _, c := range t.delegates {
+		p, ok := t.vm.registry.find(c.peer.name)
+		if ok && p.incarnation == c.peer.incarnation && !p.removedAt.IsZero() {
+			candidates = append(candidates, p)
+		}
+	}
+	return candidates
+}
+
 func (c *delegateClient) assign(p *poller) {
 	a := laddermessage.Assignment{Worker: p.worker.ID, Address: p.worker.Address}
 	a.Incarnation, a.Acknowledged = c.term.planner.Acknowledged(a.Worker)
--- a/laddervm/delegate_client_test.go
+++ b/laddervm/delegate_client_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/base64"
+	"fmt"
 	"testing"
 	"time"
 
@@ -12,6 +14,7 @@
 	"lacewingladder/ladderflow"
 	"lacewingladder/laddermessage"
 	"lacewingladder/ladderplan"
+	"lacewingladder/platform"
 )
 
 // newTestDelegateClient returns the client of a delegate that the leader does not poll.
@@ -78,3 +81,61 @@
 		})
 	}
 }
+
+// TestExpiredEntryKeepsDelegate lets the entry of a delegate expire, as in an outage of the store. Its workers must
+// stay with it, and leave it when another process of the VM has registered.
+func TestExpiredEntryKeepsDelegate(t *testing.T) {
+	v, delegate, restarted := newTestVM(t, "e1"), newTestVM(t, "e2"), newTestVM(t, "e2")
+	term := newTerm(t.Context(), v, &lease{vm: v, until: v.boot.SinceBoot() + time.Hour}, 5, time.Now())
+	for i := range ladderdelegate.DelegationThreshold + 1 {
+		id := fmt.Sprintf("w%03d", i)
+		term.pollers[id] = &poller{worker: ladderflow.Worker{ID: id}, cancel: func() {}}
+	}
+	apply := func(item platform.Item) {
+		item.Key = entryPrefix + "e2"
+		v.registry.mu.Lock()
+		defer v.registry.mu.Unlock()
+		v.registry.apply(item, time.Now())
+	}
+	requireDelegate := func(d *VM) {
+		term.assignDelegates()
+		require.Len(t, term.delegates, 1)
+		for id, p := range term.pollers {
+			require.NotNil(t, p.delegate, id)
+			require.Equal(t, d.registry.incarnation, p.delegate.peer.incarnation, id)
+		}
+	}
+	apply(platform.Item{Value: delegate.registry.entry(), ModRevision: 1})
+	requireDelegate(delegate)
+	apply(platform.Item{Deleted: true, ModRevision: 2})
+	requireDelegate(delegate)
+	apply(platform.Item{Value: restarted.registry.entry(), ModRevision: 3})
+	requireDelegate(restarted)
+}
+
+// TestLeavingDelegateIsReplacedAtOnce ends the session of a delegate while a poll waits there, as a VM does that
+// leaves.
+func TestLeavingDelegateIsReplacedAtOnce(t *testing.T) {
+	leader, delegate := newTestVM(t, "e1"), newTestVM(t, "e2")
+	for v, peer := range map[*VM]*VM{leader: delegate, delegate: leader} {
+		require.NoError(t, addPeer(v, base64.StdEncoding.EncodeToString(peer.registry.entry())))
+	}
+	go func() { _ = delegate.server.Serve(t.Context()) }()
+	term := newTerm(t.Context(), leader, &lease{vm: leader, until: leader.boot.SinceBoot() + time.Hour}, 5, time.Now())
+	c := newDelegateClient(term, leader.registry.registered()[0])
+	for waiting := time.After(delegatePollWait / 4); waiting != nil; {
+		select {
+		case f := <-term.inbox:
+			f()
+		case <-waiting:
+			waiting = nil
+		}
+	}
+	require.True(t, c.clockBound.Known())
+	delegate.delegate.Close()
+	began := time.Now()
+	for c.ctx.Err() == nil {
+		(<-term.inbox)()
+	}
+	require.Less(t, time.Since(began), delegatePollWait/2)
+}
--- a/laddervm/vm.go
+++ b/laddervm/vm.go
@@ -182,6 +182,8 @@
 	finishing, cancel := context.WithTimeout(context.WithoutCancel(ctx), finish)
 	defer cancel()
 	err = errors.Join(callers.Shutdown(finishing), balancer.Shutdown(finishing), operators.Shutdown(finishing))
+	// The leader learns from the end of the session that it must assign the workers to others.
+	v.delegate.Close()
 	ending, done := context.WithTimeout(context.WithoutCancel(ctx), leaseEndTimeout)
 	defer done()
 	if err := v.registry.lease.end(ending); err != nil {
