--- a/ladderplan/waiting_test.go
+++ b/ladderplan/waiting_test.go
@@ -42,10 +42,14 @@
 			h.plan()
 			answer(h, "w1")
 		}, WaitingGang{Reason: "allowed on too few workers", Allowed: 1, Denied: 1, Slots: 8, AllowedSlots: 4, UnreservedSlots: 4, TicketSlots: 4}},
-		"too little room": {2, func(h *harness) { occupy(h, 1) },
-			WaitingGang{Reason: "its workers have too little room", Slots: 4, AllowedSlots: 4, UnreservedSlots: 4, TicketSlots: 4, Reserved: 2, StartsIn: time.Minute}},
-		"too large": {1, func(*harness) {},
-			WaitingGang{Reason: "too large for its workers", Slots: 4, AllowedSlots: 4, UnreservedSlots: 4, TicketSlots: 4}},
+		"too little room": {
+			2, func(h *harness) { occupy(h, 1) },
+			WaitingGang{Reason: "its workers have too little room", Slots: 4, AllowedSlots: 4, UnreservedSlots: 4, TicketSlots: 4, Reserved: 2, StartsIn: time.Minute},
+		},
+		"too large": {
+			1, func(*harness) {},
+			WaitingGang{Reason: "too large for its workers", Slots: 4, AllowedSlots: 4, UnreservedSlots: 4, TicketSlots: 4},
+		},
 		"too many starts": {2, func(h *harness) {
 			h.planner.window = newStartWindow(1)
 			h.submit("busy", stepOf(2))
