Wait once for the control goroutine between two polls of a delegate

Cause: between two polls a delegate's client waited there twice, once to hand over the report and once to prepare the next poll. While events wait for a second, a delegate so reports every two seconds, and its permission to renew leases, 1.2 s, runs out between.

Evidence: TestReportWaitsOnceForControlGoroutine counts eight events for four reports on the code before, and now five, one of them before the first poll.

Why it works: one event does both. What the next poll permits is computed where it was.

--- a/laddervm/delegate_client.go
+++ b/laddervm/delegate_client.go
@@ -314,23 +314,30 @@
 	c.term.startSettled(o.worker, o.run, r, c.term.vm.clock.Now().Sub(pending.began), c.peer.name)
 }
 
-// poll polls the delegate for reports, one poll after the other, until the client is closed.
+// poll polls the delegate for reports, one poll after the other, until the client is closed. The control
+// goroutine handles a report and prepares the next poll at once, since it may be late each time.
 func (c *delegateClient) poll() {
 	m := laddermessage.DelegatePoll{Fence: c.term.fence}
-	for c.ctx.Err() == nil {
-		if !c.term.call(c.ctx, func() { m.After, m.RenewUntil = c.lastReport, c.delegationEnd() }) {
-			return
+	prepare := func() {
+		if c.ctx.Err() == nil {
+			m.After, m.RenewUntil = c.lastReport, c.delegationEnd()
 		}
+	}
+	ok := c.term.call(c.ctx, prepare)
+	for ok && c.ctx.Err() == nil {
 		sent := c.term.vm.boot.SinceBoot()
 		reply, took, err := c.call(m, m.Wait+delegatePollSlack)
-		report, ok := reply.(laddermessage.DelegateReport)
-		if !ok {
+		report, answered := reply.(laddermessage.DelegateReport)
+		if !answered {
 			c.term.do(func() { c.fail("it did not answer a poll", took, err) })
 			return
 		}
 		bound := ladderdelegate.NewClockBound(sent, c.term.vm.boot.SinceBoot(), report.ReceivedAt, report.RepliedAt)
-		c.term.call(c.ctx, func() { c.handleReport(report, bound) })
 		m.Wait = delegatePollWait
+		ok = c.term.call(c.ctx, func() {
+			c.handleReport(report, bound)
+			prepare()
+		})
 	}
 }
 
--- a/laddervm/delegate_client_test.go
+++ b/laddervm/delegate_client_test.go
@@ -115,16 +115,35 @@
 	requireDelegate(restarted)
 }
 
-// TestLeavingDelegateIsReplacedAtOnce ends the session of a delegate while a poll waits there, as a VM does that
-// leaves.
-func TestLeavingDelegateIsReplacedAtOnce(t *testing.T) {
+// newServedDelegateClient returns the client of a delegate that answers, and that delegate. The caller runs the
+// leader's control goroutine.
+func newServedDelegateClient(t *testing.T) (*delegateClient, *VM) {
+	t.Helper()
 	leader, delegate := newTestVM(t, "e1"), newTestVM(t, "e2")
 	for v, peer := range map[*VM]*VM{leader: delegate, delegate: leader} {
 		require.NoError(t, addPeer(v, base64.StdEncoding.EncodeToString(peer.registry.entry())))
 	}
 	go func() { _ = delegate.server.Serve(t.Context()) }()
 	term := newTerm(t.Context(), leader, &lease{vm: leader, until: leader.boot.SinceBoot() + time.Hour}, 5, time.Now())
-	c := newDelegateClient(term, leader.registry.registered()[0])
+	return newDelegateClient(term, leader.registry.registered()[0]), delegate
+}
+
+// TestReportWaitsOnceForControlGoroutine counts how often the client of a delegate waits for the leader's control
+// goroutine, which may be late each time.
+func TestReportWaitsOnceForControlGoroutine(t *testing.T) {
+	c, _ := newServedDelegateClient(t)
+	events := 0
+	for ; c.lastReport < 4; events++ {
+		(<-c.term.inbox)()
+	}
+	require.EqualValues(t, c.lastReport+1, events, "one event for the first poll and one for each report")
+}
+
+// TestLeavingDelegateIsReplacedAtOnce ends the session of a delegate while a poll waits there, as a VM does that
+// leaves.
+func TestLeavingDelegateIsReplacedAtOnce(t *testing.T) {
+	c, delegate := newServedDelegateClient(t)
+	term := c.term
 	for waiting := time.After(delegatePollWait / 4); waiting != nil; {
 		select {
 		case f := <-term.inbox:
