Let a wide gang ask several VMs for advice at a time

Cause: a step had one advice query outstanding at most, and a query names at most 100 workers. A regrade of 70 members that fit twice on a worker, allowed on 30% of the workers, needs some 117 of them named; the widest need over 260. A query of 100 takes 1.2 s, tickets are valid for 2 s from the answer, and a gang needs all of them valid at once: with the third answer the tickets of the first have expired. So on a fleet that is idle otherwise such gangs waited 4.1 to 9.1 s.

Now a gang may name up to 300 workers at a time, divided evenly among queries of at most 100 that different VMs send, and asks again only when all are answered. Steps without gangs don't need all tickets at once and ask as before.

Evidence: TestWideGangQueriesSeveralVMs.

--- a/ladderplan/advice.go
+++ b/ladderplan/advice.go
@@ -30,6 +30,8 @@
 	// minQueryWorkers and maxQueryWorkers bound the number of workers in one query.
 	minQueryWorkers = 8
 	maxQueryWorkers = 100
+	// maxGangQueries bounds the number of queries that a gang sends at the same time.
+	maxGangQueries = 3
 	// initialAllowedShare is the share of workers that is assumed to be allowed before any answer
 	// about a queue is known.
 	initialAllowedShare = 0.4
@@ -149,27 +151,46 @@
 // mayQuery reports whether no query of the step is outstanding and the next one may be sent.
 func (sp *stepPlacement) mayQuery() bool {
 	t := &sp.step.tickets
-	return !t.querying && !sp.now.Before(t.nextQuery)
+	return t.outstanding == 0 && !sp.now.Before(t.nextQuery)
 }
 
-// sendQuery orders a query about workers. It does nothing if there are none, if the step may not
-// send a query yet, or if no VM can take the query.
+// sendQuery orders a query about workers, or several if they are too many for one. It does nothing if
+// there are none, if the step may not send a query yet, or if no VM can take the query.
 func (sp *stepPlacement) sendQuery(names []string) {
 	t := &sp.step.tickets
 	if len(names) == 0 || !sp.needsTickets() || !sp.mayQuery() {
 		return
 	}
-	cost := sp.queue.Advice.ResponseTime(len(names))
-	vm, ok := sp.planner.pickVM(sp.now, cost)
-	if !ok {
-		return
+	for part := range slices.Chunk(names, evenPart(len(names), maxQueryWorkers)) {
+		cost := sp.queue.Advice.ResponseTime(len(part))
+		vm, ok := sp.planner.pickVM(sp.now, cost)
+		if !ok {
+			return
+		}
+		t.outstanding++
+		if cost < longQueryCost {
+			sp.planner.shortQueries++
+		}
+		sp.planner.orders.AdviceQueries = append(sp.planner.orders.AdviceQueries,
+			AdviceQuery{VM: vm, Step: sp.step.ref(), Workers: part, ResponseTime: cost})
 	}
-	t.querying = true
-	if cost < longQueryCost {
-		sp.planner.shortQueries++
+}
+
+// evenPart returns the size of the parts if n is divided evenly into the fewest parts of at most the given
+// size.
+func evenPart(n, most int) int {
+	parts := (n + most - 1) / most
+	return (n + parts - 1) / parts
+}
+
+// queryLimit returns the number of workers that the step may query advice about at the same time. The
+// tickets for all members of a gang must be valid together, so queries one after the other would take too
+// long for a wide gang: the first tickets expire before the last answer.
+func (sp *stepPlacement) queryLimit() int {
+	if sp.step.spec.Gang {
+		return maxGangQueries * maxQueryWorkers
 	}
-	sp.planner.orders.AdviceQueries = append(sp.planner.orders.AdviceQueries,
-		AdviceQuery{VM: vm, Step: sp.step.ref(), Workers: names, ResponseTime: cost})
+	return maxQueryWorkers
 }
 
 // workersToQuery returns the workers to query advice about, the most suitable first.
@@ -196,8 +217,9 @@
 	}
 	sortBySlots(renewals)
 	var names []string
+	limit := sp.queryLimit()
 	for _, c := range renewals {
-		if len(names) >= maxQueryWorkers || need <= 0 && len(names) >= minQueryWorkers {
+		if len(names) >= limit || need <= 0 && len(names) >= minQueryWorkers {
 			return names
 		}
 		names = append(names, c.worker.spec.ID)
@@ -208,7 +230,7 @@
 	}
 	share := sp.planner.allowedShare(sp.queue.Name)
 	for _, c := range sp.unknownCandidates() {
-		if len(names) >= maxQueryWorkers || need <= 0 && len(names) >= minQueryWorkers {
+		if len(names) >= limit || need <= 0 && len(names) >= minQueryWorkers {
 			break
 		}
 		names = append(names, c.worker.spec.ID)
@@ -217,13 +239,13 @@
 	return names
 }
 
-// unknownCandidates returns workers that the step has no answer about, at most maxQueryWorkers with free
-// capacity and as many others. A full worker is worth a query, unless the step never fits on it.
+// unknownCandidates returns workers that the step has no answer about, at most queryLimit with free
+// capacity and maxQueryWorkers others. A full worker is worth a query, unless the step never fits on it.
 func (sp *stepPlacement) unknownCandidates() []gangCandidate {
 	var list, full []gangCandidate
-	t, need := &sp.step.tickets, sp.step.spec.Demand()
+	t, need, limit := &sp.step.tickets, sp.step.spec.Demand(), sp.queryLimit()
 	for w := range sp.poolInQueryOrder() {
-		if len(list) >= maxQueryWorkers {
+		if len(list) >= limit {
 			break
 		}
 		if t.answer(w) != answerUnknown || !sp.usable(w) {
@@ -296,7 +318,7 @@
 	}
 	s := j.rounds[query.Step.Round].steps[query.Step.Step]
 	t := &s.tickets
-	t.querying = false
+	t.outstanding = max(0, t.outstanding-1)
 	if lifetime == 0 || refused {
 		t.nextQuery = now.Add(queryRetryDelay)
 		return
--- a/ladderplan/advice_test.go
+++ b/ladderplan/advice_test.go
@@ -88,3 +88,51 @@
 		})
 	}
 }
+
+// TestWideGangQueriesSeveralVMs checks that a gang that needs more workers than one query may name asks
+// several VMs at the same time, and sends no other query before all have answered.
+func TestWideGangQueriesSeveralVMs(t *testing.T) {
+	const workers = maxGangQueries * maxQueryWorkers
+	h := newHarness(t, workers)
+	h.planner.fleet.Queues[0].Advice = &ladderflow.AdviceConfig{BaseTime: 500 * time.Millisecond, TicketLifetime: 2 * time.Second}
+	h.planner.SetVMs([]string{"e1", "e2", "e3", "e4", "e5", "e6"})
+	gang := gangOf(workers)
+	gang.Need.Processor = 8000
+	h.submit("a", gang)
+	queries := h.plan().AdviceQueries
+	require.Len(t, queries, maxGangQueries)
+	vms, queried := map[string]bool{}, map[string]bool{}
+	var tickets []ladderflow.Ticket
+	for _, query := range queries {
+		require.Len(t, query.Workers, maxQueryWorkers)
+		vms[query.VM] = true
+		for _, w := range query.Workers {
+			queried[w] = true
+			tickets = append(tickets, ladderflow.Ticket{Worker: w, Text: "x"})
+		}
+	}
+	require.Len(t, vms, len(queries))
+	require.Len(t, queried, workers)
+	h.advance(600 * time.Millisecond)
+	for i, query := range queries {
+		o := h.plan()
+		require.Empty(t, o.AdviceQueries, "%d answers", i)
+		require.Empty(t, o.Starts, "%d answers", i)
+		h.planner.AdviceAnswered(h.now, query, tickets[i*maxQueryWorkers:(i+1)*maxQueryWorkers], 2*time.Second, false)
+	}
+	require.Len(t, h.plan().Starts, workers)
+}
+
+func TestEvenPart(t *testing.T) {
+	for name, c := range map[string]struct{ n, most, want int }{
+		"one part":          {7, 100, 7},
+		"a full part":       {100, 100, 100},
+		"two even parts":    {102, 100, 51},
+		"parts that differ": {101, 100, 51},
+		"three parts":       {300, 100, 100},
+	} {
+		t.Run(name, func(t *testing.T) {
+			require.Equal(t, c.want, evenPart(c.n, c.most))
+		})
+	}
+}
--- a/ladderplan/backlog.go
+++ b/ladderplan/backlog.go
@@ -32,7 +32,7 @@
 		}
 		b.Steps++
 		b.Tasks += s.waiting
-		b.AwaitingAdvice += boolToInt(s.tickets.querying && len(s.tickets.rows) == 0)
+		b.AwaitingAdvice += boolToInt(s.tickets.outstanding > 0 && len(s.tickets.rows) == 0)
 	}
 	var list []Backlog
 	for _, b := range byQueue {
--- a/ladderplan/explain.go
+++ b/ladderplan/explain.go
@@ -116,7 +116,7 @@
 	switch {
 	case usable == 0:
 		return "no worker takes such tasks now"
-	case s.tickets.querying:
+	case s.tickets.outstanding > 0:
 		return fmt.Sprintf("asks for advice; %d of %d workers hold a ticket", withTickets, usable)
 	case withTickets == 0:
 		return fmt.Sprintf("none of %d workers holds a ticket", usable)
--- a/ladderplan/tickets.go
+++ b/ladderplan/tickets.go
@@ -23,9 +23,9 @@
 	// answers holds the answers by [worker.index]. Workers beyond its end are unknown.
 	answers []answer
 	denied  int
-	// querying is true while a query is outstanding. nextQuery is when the next one may be sent.
-	querying  bool
-	nextQuery time.Time
+	// outstanding is the number of queries without an answer. nextQuery is when the next one may be sent.
+	outstanding int
+	nextQuery   time.Time
 }
 
 // ticket allows a step to run on a worker until validUntil. A zero validUntil means that the worker
--- a/ladderplan/waiting.go
+++ b/ladderplan/waiting.go
@@ -143,7 +143,7 @@
 	s := sp.step
 	g := WaitingGang{
 		Step: s.ref(), Queue: sp.queue.Name, Reason: sp.waitReason().String(), Age: sp.now.Sub(s.round.job.spec.Accepted),
-		Members: len(s.tasks), Need: s.spec.Need, Allowed: len(s.tickets.rows), Denied: s.tickets.denied, Querying: s.tickets.querying,
+		Members: len(s.tasks), Need: s.spec.Need, Allowed: len(s.tickets.rows), Denied: s.tickets.denied, Querying: s.tickets.outstanding > 0,
 	}
 	own := map[*worker]bool{}
 	for _, o := range s.gang.reservation.slots {
