Keep the later of two doubts about a connection

What callers see: a call to a peer whose connection has gone silent fails, although an earlier call has already shown the silence; the next handshake begins one timeout later, or several with calls of different lengths (polls of delegates wait 0.9 s, messages to them 0.5 s).

Cause: each late call stores the number of packets that had arrived when it began. One that began before the silence and ends last overwrites the number of a call that began after it, so that the packets in between count as a sign of life.

Why it works: the larger number belongs to the exchange that began last, after which nothing has arrived.

--- a/ladderpeer/client.go
+++ b/ladderpeer/client.go
@@ -275,6 +275,9 @@
 func (c *Client) doubt(conn *connection, received uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if conn.doubted {
+		received = max(received, conn.received) // An older exchange may end later.
+	}
 	conn.doubted, conn.received = true, received
 }
 
--- a/ladderpeer/dial_test.go
+++ b/ladderpeer/dial_test.go
@@ -87,3 +87,32 @@
 	require.NoError(t, err)
 	require.EqualValues(t, 2, dials.Load())
 }
+
+// TestOlderCallDoesNotHideSilence ends two calls late on a connection that went silent between their beginnings,
+// the older one last. What arrived before the silence must not keep the connection.
+func TestOlderCallDoesNotHideSilence(t *testing.T) {
+	config := newTLS(t)
+	r := newRelay(t, serve(t, config))
+	client := ladderpeer.NewClient(config)
+	defer client.Close()
+	dials := client.CountDials()
+	older := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(t.Context(), 600*time.Millisecond)
+		defer cancel()
+		_, err := client.Call(ctx, r.address, laddermessage.JobStatusQuery{Job: "slow"})
+		older <- err
+	}()
+	time.Sleep(150 * time.Millisecond) // The peer has acknowledged the older call.
+	r.silence()
+	short, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	_, err := client.Call(short, r.address, laddermessage.JobStatusQuery{Job: "j"})
+	require.Error(t, err)
+	require.Error(t, <-older)
+	next, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	_, err = client.Call(next, r.address, laddermessage.JobStatusQuery{Job: "j"})
+	require.NoError(t, err)
+	require.EqualValues(t, 2, dials.Load())
+}
