Open no second connection to a peer beside the first

What callers see: a late VM makes two handshakes with a peer where one is enough, and keeps the first connection alive for the rest of its life, one packet a second in each direction.

Cause: a call looks for an open connection and then begins to open one, in two steps. If another call's handshake ends between them, it is made again. The second connection replaces the first in the client's map, so that neither the timer of unused connections nor Close finds the first. It takes a goroutine that waits for the lock while others hold it, so it is rare, and likelier the later the process is.

Evidence: TestOpenConnectionIsNotReplaced does the two steps in the order in which they go wrong: two connections on, one with the change.

Why it works: whether a connection is open is looked up again under the lock under which the dial begins.

--- a/ladderpeer/client.go
+++ b/ladderpeer/client.go
@@ -199,8 +199,8 @@
 	err  error
 }
 
-// startDial opens a connection to a peer, unless that is under way. It goes on if the call that waits
-// for it ends: a client that is slow would otherwise begin again for each call and never succeed.
+// startDial opens a connection to a peer, unless there is one or that is under way. It goes on if the call
+// that waits for it ends: a client that is slow would otherwise begin again for each call and never succeed.
 func (c *Client) startDial(peer netip.AddrPort) *dialing {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -208,6 +208,10 @@
 		return d
 	}
 	d := &dialing{done: make(chan struct{})}
+	if conn, ok := c.conns[peer]; ok && conn.Context().Err() == nil {
+		close(d.done) // A dial has ended since the call looked for a connection.
+		return d
+	}
 	c.dials[peer] = d
 	go func() {
 		defer close(d.done)
--- a/ladderpeer/dial_test.go
+++ b/ladderpeer/dial_test.go
@@ -116,3 +116,39 @@
 	require.NoError(t, err)
 	require.EqualValues(t, 2, dials.Load())
 }
+
+// TestCloseEndsAbandonedConnection guards against connections that outlive their client.
+func TestCloseEndsAbandonedConnection(t *testing.T) {
+	config := newTLS(t)
+	r := newRelay(t, serve(t, config))
+	client := ladderpeer.NewClient(config)
+	opened := client.Opened()
+	_, err := client.Call(t.Context(), r.address, laddermessage.JobStatusQuery{Job: "j"})
+	require.NoError(t, err)
+	r.silence()
+	short, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	_, err = client.Call(short, r.address, laddermessage.JobStatusQuery{Job: "j"})
+	require.Error(t, err)
+	_, err = client.Call(t.Context(), r.address, laddermessage.JobStatusQuery{Job: "j"})
+	require.NoError(t, err)
+	client.Close()
+	for range 2 {
+		ended := (<-opened).Context()
+		require.Eventually(t, func() bool { return ended.Err() != nil }, time.Second, 5*time.Millisecond)
+	}
+}
+
+// TestOpenConnectionIsNotReplaced guards against a second connection to a peer, which replaces the first one.
+// That is kept alive for good, as nothing closes it.
+func TestOpenConnectionIsNotReplaced(t *testing.T) {
+	config := newTLS(t)
+	client := ladderpeer.NewClient(config)
+	defer client.Close()
+	dials := client.CountDials()
+	address := serve(t, config)
+	client.DialAfterDial(address)
+	_, err := client.Call(t.Context(), address, laddermessage.JobStatusQuery{Job: "j"})
+	require.NoError(t, err)
+	require.EqualValues(t, 1, dials.Load())
+}
--- a/ladderpeer/export_test.go
+++ b/ladderpeer/export_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -23,3 +24,25 @@
 	}
 	return &count
 }
+
+// Opened returns a channel that receives the connections that the client opens from now on, up to ten.
+func (c *Client) Opened() <-chan *quic.Conn {
+	opened := make(chan *quic.Conn, 10)
+	dial := c.dial
+	c.dial = func(ctx context.Context, to net.Addr, t *tls.Config, config *quic.Config) (*quic.Conn, error) {
+		conn, err := dial(ctx, to, t, config)
+		if err == nil {
+			opened <- conn
+		}
+		return conn, err
+	}
+	return opened
+}
+
+// DialAfterDial opens a connection to a peer, and then does what a call does that saw no connection a moment
+// before it was open.
+func (c *Client) DialAfterDial(peer netip.AddrPort) {
+	for range 2 {
+		<-c.startDial(peer).done
+	}
+}
