Drop a bound between two clocks that a later exchange contradicts

What callers would see: after a VM whose boot clock stood still (a hypervisor that pauses it without counting the pause), the delegate may renew leases for as long too late as the pause lasted, until the drift that is taken off makes up for it: 200 s for a pause of 2 s.

Cause: the kept bound relies on the drift for the life of a delegate, where it relied on it for one exchange.

Evidence: TestCombinedClockBoundAfterPause fails on in both directions (a time that is converted 2 s too late), and passes with the change; TestCombinedClockBound passes before and after.

Why it works: the two directions bound one difference from below and above. With clocks that drift as stated they cannot cross, so that nothing changes then; if they do, only the later exchange is taken. A pause that is shorter than the transit of the next exchange is not noticed until a shorter one.

--- a/ladderdelegate/clock_bound.go
+++ b/ladderdelegate/clock_bound.go
@@ -35,15 +35,19 @@
 
 // Combine returns the bound that follows from the exchanges of b and a later one. In each
 // direction, the message that was in transit for the shortest time determines it, less
-// what the clocks may have drifted apart since.
+// what the clocks may have drifted apart since. If both cannot hold, a clock has stood still, and only the later
+// one counts.
 func (b ClockBound) Combine(later ClockBound) ClockBound {
 	if !b.known {
 		return later
 	}
-	drift := maxDrift(later.at - b.at)
-	later.toDelegate = max(later.toDelegate, b.toDelegate-drift)
-	later.toLeader = max(later.toLeader, b.toLeader-drift)
-	return later
+	combined, drift := later, maxDrift(later.at-b.at)
+	combined.toDelegate = max(later.toDelegate, b.toDelegate-drift)
+	combined.toLeader = max(later.toLeader, b.toLeader-drift)
+	if combined.toDelegate+combined.toLeader > 0 {
+		return later
+	}
+	return combined
 }
 
 // Known reports whether b is the result of an exchange, unlike the zero value.
--- a/ladderdelegate/clock_bound_test.go
+++ b/ladderdelegate/clock_bound_test.go
@@ -56,3 +56,24 @@
 		}
 	}
 }
+
+// TestCombinedClockBoundAfterPause lets the clock of the delegate or the leader stand still between exchanges, as a
+// hypervisor does that pauses a VM. No converted time may be later than the exact one after the next exchange.
+func TestCombinedClockBoundAfterPause(t *testing.T) {
+	const transit, pause = time.Millisecond, 2 * time.Second
+	for name, offset := range map[string]time.Duration{"delegate": -pause, "leader": pause} {
+		t.Run(name, func(t *testing.T) {
+			exchange := func(now, offset time.Duration) ClockBound {
+				return NewClockBound(now-2*transit, now, now-transit+offset, now-transit+offset)
+			}
+			now := time.Hour
+			b := exchange(now, 0)
+			for range 3 {
+				now += 500 * time.Millisecond
+				b = b.Combine(exchange(now, offset))
+				require.LessOrEqual(t, b.ToDelegate(now), now+offset)
+				require.LessOrEqual(t, b.ToLeader(now+offset), now)
+			}
+		})
+	}
+}
