Allow for the drift of clocks since the latest exchange

What callers would see: a delegate whose clock is slower than the leader's by the stated bound renews leases for up to 30 ms longer than the leader allows, for 3 s ahead, and 10 ms more for each second since the latest report was read, which on a late leader are seconds. The leader's margin of 100 ms hides the former.

Cause: the bound was shortened by the drift between exchanges and during them, but a time ahead of the latest exchange (the end of a permission) or before it (the sending of a poll) was converted as if the clocks ran at one rate from then on. The code before did so too; there the transit time was a reserve.

Why it works: the drift between the latest exchange and the converted time is taken off in each direction.

--- a/ladderdelegate/clock_bound.go
+++ b/ladderdelegate/clock_bound.go
@@ -54,13 +54,15 @@
 func (b ClockBound) Known() bool { return b.known }
 
 // ToDelegate converts a time on the leader's clock to the delegate's clock. The result is
-// early by the transit time of a response.
+// early by the transit time of a response, and by what the clocks may have drifted apart between the
+// latest exchange and that time.
 func (b ClockBound) ToDelegate(leaderTime time.Duration) time.Duration {
-	return leaderTime + b.toDelegate
+	return leaderTime + b.toDelegate - maxDrift((leaderTime - b.at).Abs())
 }
 
 // ToLeader converts a time on the delegate's clock to the leader's clock. The result is
-// early by the transit time of a request.
+// early by the transit time of a request, and by the drift as in [ClockBound.ToDelegate].
 func (b ClockBound) ToLeader(delegateTime time.Duration) time.Duration {
-	return delegateTime + b.toLeader
+	leaderTime := delegateTime + b.toLeader
+	return leaderTime - maxDrift((leaderTime - b.at).Abs())
 }
--- a/ladderdelegate/clock_bound_test.go
+++ b/ladderdelegate/clock_bound_test.go
@@ -77,3 +77,19 @@
 		})
 	}
 }
+
+// TestClockBoundAllowsForDriftSinceExchange converts times that lie some seconds after or before the latest
+// exchange, as the end of a permission and the sending of a poll do.
+func TestClockBoundAllowsForDriftSinceExchange(t *testing.T) {
+	const transit = time.Millisecond
+	random := rand.New(rand.NewPCG(5, 6))
+	for range 1000 {
+		rate := 1 + (2*random.Float64()-1)*maxDriftPerMille/1000 // Of the delegate's clock, by the leader's.
+		onDelegate := func(leader time.Duration) time.Duration { return time.Duration(rate * float64(leader)) }
+		now := time.Hour
+		b := NewClockBound(now-2*transit, now, onDelegate(now-transit), onDelegate(now-transit))
+		distance := time.Duration(random.Int64N(int64(5 * time.Second)))
+		require.LessOrEqual(t, b.ToDelegate(now+distance), onDelegate(now+distance))
+		require.LessOrEqual(t, b.ToLeader(onDelegate(now-distance)), now-distance)
+	}
+}
