Count the lifetime of tickets from the arrival of the answer

What callers see: a late leader sends starts with tickets that have expired. They are refused, count as prices and as late answers that shrink the number of starts in flight, and each costs another start and another query.

Cause: the planner adds the lifetime of the tickets to the time at which the control goroutine handles the answer, not to the time at which it arrived.

Why it works: the time for which the answer waited is taken off the lifetime. The pauses before other queries count from the handling as before.

--- a/laddervm/workers.go
+++ b/laddervm/workers.go
@@ -380,12 +380,18 @@
 		m, err = t.vm.registry.call(ctx, peer, query)
 	}
 	reply, _ := m.(laddermessage.AdviceReply)
+	received := t.vm.clock.Now()
 	t.vm.stats.adviceCalls.Inc()
 	t.vm.stats.adviceTime.UpdateDuration(began)
 	t.log.Info("advice query finished", "step", a.Step, "vm", a.VM, "workers", len(a.Workers), "allowed", len(reply.Tickets),
-		"refused", reply.Refused, "took", t.vm.clock.Now().Sub(began).Round(time.Millisecond), "err", err)
+		"refused", reply.Refused, "took", received.Sub(began).Round(time.Millisecond), "err", err)
 	t.do(func() {
-		t.planner.AdviceAnswered(t.vm.clock.Now(), a, reply.Tickets, reply.TicketLifetime, reply.Refused)
+		now, lifetime := t.vm.clock.Now(), reply.TicketLifetime
+		if lifetime > 0 {
+			// It remains above zero, which means that there was no answer.
+			lifetime = max(lifetime-now.Sub(received), time.Nanosecond)
+		}
+		t.planner.AdviceAnswered(now, a, reply.Tickets, lifetime, reply.Refused)
 	})
 }
 
