Count a delegate as answering only once it has answered

What callers would see: a late leader gives up a delegate that answers, because another has just been chosen. Each one that is given up is replaced by another, which then speaks against those that are left.

Cause: a delegate that is added counts as one that has answered a call begun at that moment. With calls to others that began over their timeout before, it makes "half of the other delegates have answered later calls" true although the leader has read nothing.

TestCallIsLateByTheLeadersOwnTime, TestSilentDelegateIsGivenUp and TestLateLeaderKeepsItsDelegates pass.

Why it works: a delegate has answered nothing before the first reply of which the leader knows.

--- a/laddervm/delegate_calls.go
+++ b/laddervm/delegate_calls.go
@@ -34,7 +34,8 @@
 
 	mu    sync.Mutex
 	calls map[*delegateCall]struct{}
-	// answered holds, by delegate, when the latest of its calls that were answered had begun.
+	// answered holds, by delegate, when the latest of its calls that were answered had begun. It is zero if
+	// there was none.
 	answered map[*delegateClient]time.Time
 }
 
@@ -63,7 +64,7 @@
 // add adds a delegate, and starts to watch the calls if it is the first one.
 func (d *delegateCalls) add(ctx context.Context, c *delegateClient) {
 	d.mu.Lock()
-	d.answered[c] = d.clock.Now()
+	d.answered[c] = time.Time{}
 	d.mu.Unlock()
 	d.watching.Do(func() {
 		go func() {
--- a/laddervm/delegate_calls_test.go
+++ b/laddervm/delegate_calls_test.go
@@ -79,3 +79,25 @@
 	require.Greater(t, d.maxSilence, delegatePollWait+delegatePollSlack)
 	require.Less(t, d.maxSilence, maxWorkerLease-2*time.Second)
 }
+
+// TestNewDelegateHasNotAnswered lets a late leader take on another delegate while one does not answer. That the
+// other has begun is no sign that the leader reads answers.
+func TestNewDelegateHasNotAnswered(t *testing.T) {
+	const timeout = 500 * time.Millisecond
+	clock := ladderclock.NewManual(time.Unix(1000, 0))
+	d := newDelegateCalls(clock, maxWorkerLease)
+	d.progress = &setProgress{}
+	silent, other := &delegateClient{ctx: t.Context()}, &delegateClient{ctx: t.Context()}
+	d.add(t.Context(), silent)
+	ctx, _ := d.begin(silent, timeout)
+	clock.Advance(timeout)
+	d.add(t.Context(), other)
+	clock.Advance(d.maxSilence)
+	d.cancelLate()
+	require.NoError(t, ctx.Err())
+
+	_, answered := d.begin(other, timeout)
+	d.end(answered, true)
+	d.cancelLate()
+	require.Error(t, ctx.Err())
+}
