Keep a delegate when one of the same size comes back

Cause: of VMs with equal processors the first ones by name are the delegates of a zone. The one that took the place of a lost one is dropped for it again when its exclusion ends, and all of its workers move, with no failure. TestLostDelegateMovesOnlyItsWorkers has a smaller VM in its place, where that is wanted.

Why it works: of VMs of the same size those that are delegates come first. Size still decides before that.

--- a/ladderdelegate/assign.go
+++ b/ladderdelegate/assign.go
@@ -37,10 +37,10 @@
 // Assign returns the name of the delegate of each worker, by worker id. The leader itself
 // polls the workers that have no delegate: all workers if there are few, and otherwise
 // those in zones without a VM. The workers of a zone are distributed by rack over the
-// VMs with the largest processors in the zone. Current holds the delegates that workers
-// have now. A rack changes its delegate only if that is no longer one of these VMs or has
-// more than its share of the racks: each change costs connections and a status poll of
-// each worker.
+// VMs with the largest processors in the zone, of equal ones those that are delegates
+// already. Current holds the delegates that workers have now. A rack changes its delegate
+// only if that is no longer one of these VMs or has more than its share of the racks: each
+// change costs connections and a status poll of each worker.
 func Assign(workers []PolledWorker, vms []VM, current map[string]string) map[string]string {
 	delegateOf := map[string]string{}
 	threshold := DelegationThreshold
@@ -50,6 +50,11 @@
 	if len(workers) <= threshold {
 		return delegateOf
 	}
+	// serving holds 1 for each VM that is a delegate now.
+	serving := map[string]int{}
+	for _, name := range current {
+		serving[name] = 1
+	}
 	byZone := map[string][]PolledWorker{}
 	for _, w := range workers {
 		byZone[w.Zone] = append(byZone[w.Zone], w)
@@ -60,7 +65,7 @@
 			continue
 		}
 		slices.SortFunc(delegates, func(a, b VM) int {
-			return cmp.Or(cmp.Compare(b.Processor, a.Processor), cmp.Compare(a.Name, b.Name))
+			return cmp.Or(cmp.Compare(b.Processor, a.Processor), cmp.Compare(serving[b.Name], serving[a.Name]), cmp.Compare(a.Name, b.Name))
 		})
 		delegates = delegates[:min(len(delegates), (len(zoneWorkers)+maxWorkersPerDelegate-1)/maxWorkersPerDelegate)]
 		rackDelegates := assignRacks(zoneWorkers, delegates, current)
--- a/ladderdelegate/assign_test.go
+++ b/ladderdelegate/assign_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 
@@ -122,3 +123,18 @@
 		current = next
 	}
 }
+
+// TestReturnedDelegateMovesNoWorkers takes away one of three delegates of a zone, where a fourth VM of the same size
+// takes its place, and brings it back. That must not move the workers a second time.
+func TestReturnedDelegateMovesNoWorkers(t *testing.T) {
+	vms := []VM{{"a1", "a", 800}, {"a2", "a", 800}, {"a3", "a", 800}, {"a4", "a", 800}}
+	workers := zoneWorkers("a", 190)
+	before := Assign(workers, vms, nil)
+	for _, lost := range []string{"a1", "a2", "a3"} {
+		t.Run(lost, func(t *testing.T) {
+			without := Assign(workers, slices.DeleteFunc(slices.Clone(vms), func(v VM) bool { return v.Name == lost }), before)
+			require.Contains(t, slices.Collect(maps.Values(without)), "a4")
+			require.Equal(t, without, Assign(workers, vms, without))
+		})
+	}
+}
