Start the other process of BenchmarkPeer without a test that is skipped

TestServePeer was a process's main function in the form of a test, and counted as skipped in each run. The test program now runs it by an environment variable, as the leader of the tests with a late leader. The package comment of ladderpeer says when a connection is abandoned since.

--- a/ladderpeer/doc.go
+++ b/ladderpeer/doc.go
@@ -3,9 +3,10 @@
 // Each exchange of a request and its reply uses one stream of a connection. Both
 // sides of a connection authenticate with certificates that the fleet's
 // certificate authority issued. A [Client] keeps one connection to each peer. If
-// an exchange gets no reply in time, the client abandons the connection, so that
-// the next exchange opens a new one: the connection may have failed although the
-// peer still works.
+// an exchange gets no reply in time, and nothing has arrived from the peer between
+// its beginning and the next exchange, the client abandons the connection and opens
+// a new one: the connection may have failed although the peer still works. If
+// something has arrived, the peer is only late.
 //
 // # Usage
 //
--- a/laddervm/handshake_bench_test.go
+++ b/laddervm/handshake_bench_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net/netip"
 	"os"
 	"os/exec"
@@ -19,8 +20,8 @@
 	"lacewingladder/ladderpeer"
 )
 
-// servePeerVariable makes TestServePeer serve another process's benchmark.
-const servePeerVariable = "LADDERVM_SERVE_PEER"
+// peerProcess is the environment variable that makes the test program the other process of the benchmarks.
+const peerProcess = "LADDER_TEST_PEER"
 
 // echo replies with the name of the job that is asked for, or with the process's processor time.
 type echo struct{}
@@ -46,38 +47,42 @@
 }
 
 // echoServer returns a server with new keys that trusts every peer, and those keys.
-func echoServer(t testing.TB) (*ladderpeer.Server, *keys) {
-	t.Helper()
+func echoServer() (*ladderpeer.Server, *keys, error) {
 	k, err := newKeys(func(string) bool { return true })
-	require.NoError(t, err)
+	if err != nil {
+		return nil, nil, err
+	}
 	s, err := ladderpeer.Listen(netip.MustParseAddrPort("127.0.0.1:0"), k.server, echo{})
-	require.NoError(t, err)
-	return s, k
+	return s, k, err
 }
 
-// TestServePeer is the other process of the benchmarks. It serves until its input ends.
-func TestServePeer(t *testing.T) {
-	if os.Getenv(servePeerVariable) == "" {
-		t.Skip("not started by a benchmark")
+// servePeer writes the address at which it serves peers, until the input ends.
+func servePeer(in io.Reader, out io.Writer) error {
+	s, _, err := echoServer()
+	if err != nil {
+		return err
 	}
-	s, _ := echoServer(t)
 	defer s.Close()
 	address, err := s.Address()
-	require.NoError(t, err)
-	fmt.Println(address)
-	ctx, cancel := context.WithCancel(t.Context())
+	if err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintln(out, address); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
 	go func() {
-		_, _ = os.Stdin.Read(make([]byte, 1))
+		_, _ = io.Copy(io.Discard, in)
 		cancel()
 	}()
-	require.NoError(t, s.Serve(ctx))
+	return s.Serve(ctx)
 }
 
 // startPeer starts a process that serves peers, and returns its address.
 func startPeer(b *testing.B) netip.AddrPort {
 	b.Helper()
-	cmd := exec.Command(os.Args[0], "-test.run=^TestServePeer$", "-test.cpu=1")
-	cmd.Env = append(os.Environ(), servePeerVariable+"=1")
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), peerProcess+"=1", "GOMAXPROCS=1")
 	stdin, err := cmd.StdinPipe()
 	require.NoError(b, err)
 	stdout, err := cmd.StdoutPipe()
@@ -98,7 +103,8 @@
 // an exchange on an open connection. The ends are processes of their own.
 func BenchmarkPeer(b *testing.B) {
 	address := startPeer(b)
-	s, k := echoServer(b)
+	s, k, err := echoServer()
+	require.NoError(b, err)
 	ctx, cancel := context.WithCancel(b.Context())
 	served := make(chan error, 1)
 	go func() { served <- s.Serve(ctx) }()
--- a/laddervm/late_leader_test.go
+++ b/laddervm/late_leader_test.go
@@ -30,8 +30,11 @@
 const busyTurn = 5 * time.Millisecond
 
 func TestMain(m *testing.M) {
-	if os.Getenv(leaderProcess) != "" {
-		if err := runLeader(os.Stdin, os.Stdout); err != nil {
+	for variable, run := range map[string]func(io.Reader, io.Writer) error{leaderProcess: runLeader, peerProcess: servePeer} {
+		if os.Getenv(variable) == "" {
+			continue
+		}
+		if err := run(os.Stdin, os.Stdout); err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			os.Exit(1)
 		}
