Let a gang ask about idle workers until it fits

Cause: a gang that waits for runs to end asked about idle workers only if the expected end was further away than an advice query takes, which for a wide gang is over a second. The ends are expected from estimates that may be wrong by a factor of two.

Now it asks about idle workers in the same query in which it renews its tickets, as long as a member does not fit now and the idle workers that are likely to be allowed have room for the missing members.

Evidence: TestGangQueriesUnknownWorkersUntilItFits failed before (no query).

--- a/ladderplan/gang_test.go
+++ b/ladderplan/gang_test.go
@@ -186,3 +186,23 @@
 	require.Len(t, queries, 1)
 	require.Subset(t, queries[0].Workers, idle[2:])
 }
+
+// TestGangQueriesUnknownWorkersUntilItFits checks that a gang that expects to fit on its workers soon queries
+// advice about idle workers as well.
+func TestGangQueriesUnknownWorkersUntilItFits(t *testing.T) {
+	h := newHarness(t, 6)
+	h.submit("short", ladderflow.Step{Tasks: 1, Need: ladderflow.Size{Processor: 8000}, Estimate: 200 * time.Millisecond})
+	busy := h.startAll()[0].Worker.ID
+	h.planner.fleet.Queues[0].Advice = &ladderflow.AdviceConfig{BaseTime: 500 * time.Millisecond, TicketLifetime: 2 * time.Second}
+	h.planner.SetVMs([]string{"e1"})
+	h.submit("a", gangOf(9))
+	idle := slices.DeleteFunc([]string{"w0", "w1", "w2", "w3", "w4", "w5"}, func(id string) bool { return id == busy })
+	var tickets []ladderflow.Ticket
+	for _, w := range []string{busy, idle[0], idle[1]} {
+		tickets = append(tickets, ladderflow.Ticket{Worker: w, Text: "x"})
+	}
+	h.planner.AdviceAnswered(h.now, AdviceQuery{VM: "e1", Step: ladderflow.StepRef{Job: "a"}}, tickets, 2*time.Second, false)
+	queries := h.plan().AdviceQueries
+	require.Len(t, queries, 1)
+	require.ElementsMatch(t, idle[2:], queries[0].Workers)
+}
--- a/ladderplan/reserve.go
+++ b/ladderplan/reserve.go
@@ -84,13 +84,15 @@
 		horizon = sp.queue.Advice.ResponseTime(need)
 	}
 	soon := !startAt.After(sp.now.Add(horizon))
-	if !soon && sp.mayQuery() && sp.planner.mayQuery(sp.now, horizon) {
+	var unknown []string
+	if startAt.After(sp.now) && sp.mayQuery() && sp.planner.mayQuery(sp.now, horizon) {
 		freeNow := 0
 		for _, o := range g.reservation.slots {
 			freeNow += boolToInt(!o.at.After(sp.now))
 		}
-		if names := sp.unknownWorkers(need - freeNow); len(names) > 0 {
-			sp.sendQuery(names)
+		unknown = sp.unknownWorkers(need - freeNow)
+		if !soon && len(unknown) > 0 {
+			sp.sendQuery(unknown)
 			return
 		}
 	}
@@ -108,7 +110,9 @@
 	case sp.step.spec.PreferSameRack:
 		sp.step.waitReason = waitRack
 	}
-	sp.sendQuery(names)
+	// The runs that occupy the slots may take longer than expected.
+	names = append(names, unknown...)
+	sp.sendQuery(names[:min(len(names), sp.queryLimit())])
 }
 
 // bestSlots returns the slots on which the gang is expected to end first, or fewer than need if it
