Test that gangs start after a takeover

The simulation keeps what the planner stores, so that a test can replace the leader. TestGangsStartAfterTakeover overloads the large fleet with twice the regrades for 10 s and then replaces the leader, while all runs continue or after all leases have expired.

Not simulated: the time that reading the jobs and polling the workers takes, workers that drain or restart, and a leader that is short of processor time.

--- a/ladderload/room_test.go
+++ b/ladderload/room_test.go
@@ -179,3 +179,60 @@
 		}
 	}
 }
+
+// takeOver replaces the leader by one that holds what is stored and has no advice yet. The roster holds all
+// workers.
+func (sim *simulation) takeOver() {
+	p := sim.newPlanner(2, ladderplan.ByObjective)
+	for _, id := range slices.Sorted(maps.Keys(sim.jobs)) {
+		p.AddJob(sim.time(), sim.jobs[id].spec, true)
+	}
+	for _, id := range slices.Sorted(maps.Keys(sim.records)) {
+		p.Restore(sim.time(), sim.records[id])
+	}
+	var list []ladderflow.Worker
+	var vms []string
+	roster := map[string]bool{}
+	for _, id := range slices.Sorted(maps.Keys(sim.workers)) {
+		list, roster[id] = append(list, sim.workers[id].spec), true
+		p.AddEarlierWorker(sim.workers[id].spec)
+	}
+	for i := range sim.load.EntryVMs {
+		vms = append(vms, fmt.Sprintf("e%d", i))
+	}
+	p.SetRoster(roster)
+	p.SetWorkers(sim.time(), list)
+	p.SetVMs(vms)
+	sim.planner = p
+}
+
+// TestGangsStartAfterTakeover checks that a new leader starts the gangs that an overloaded one has left while
+// there is room for them.
+func TestGangsStartAfterTakeover(t *testing.T) {
+	for name, lapse := range map[string]bool{"runs continue": false, "all leases have expired": true} {
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprintf("%s, seed %d", name, seed), func(t *testing.T) {
+				t.Parallel()
+				l := readExample(t, "jadewing", "large.yaml")
+				l.Queues[0].Rate *= 2
+				l.ArrivalPeriod, l.ExtraTime = 10*time.Second, 30*time.Second
+				l.Delegates, l.OrderRoundTrip, l.PlanPause = 18, 60*time.Millisecond, 50*time.Millisecond
+				sim := newSimulation(l, seed, ladderplan.ByObjective)
+				p := newRoomProbe(t, sim)
+				sim.schedule(l.ArrivalPeriod, func() {
+					for _, id := range slices.Sorted(maps.Keys(sim.workers)) {
+						w := sim.workers[id]
+						for _, r := range w.sortedRuns() {
+							if lapse {
+								sim.endRun(w, r, ladderflow.EndLeaseExpired)
+							}
+						}
+					}
+					sim.takeOver()
+				})
+				sim.run()
+				require.Less(t, p.longest, maxIdleRoom, "job %s", p.worst)
+			})
+		}
+	}
+}
--- a/ladderload/simulation.go
+++ b/ladderload/simulation.go
@@ -97,6 +97,8 @@
 	lastSeq int
 	workers map[string]*worker
 	jobs    map[string]*job
+	// records holds the stored progress of the jobs.
+	records map[string]ladderplan.Record
 	// gangs holds the runs of each gang that have started.
 	gangs map[gangRun][]gangMember
 	// adviceBusyUntil holds, for each entry VM, the time at which the advice service will
@@ -123,14 +125,9 @@
 func newSimulation(l *Load, seed uint64, order ladderplan.Order) *simulation {
 	sim := &simulation{
 		load: l, jobRandom: map[string]*rand.Rand{}, seed: seed, start: time.UnixMilli(0), workers: map[string]*worker{},
-		jobs: map[string]*job{}, gangs: map[gangRun][]gangMember{}, adviceBusyUntil: map[string]time.Duration{}, result: newResult(l, seed, order),
+		jobs: map[string]*job{}, records: map[string]ladderplan.Record{}, gangs: map[gangRun][]gangMember{}, adviceBusyUntil: map[string]time.Duration{}, result: newResult(l, seed, order),
 	}
-	sim.planner = ladderplan.New(ladderplan.Options{
-		Fence: 1, LeaseDuration: leaseDuration, MaxLeaseDuration: leaseDuration, ElectedAt: sim.start, StopTimeout: time.Second,
-		JobRetention: time.Hour, RemoteFactor: 2, Log: ladderlog.Discard().Component("plan"), Order: order, MaxUnansweredStarts: ladderplan.MaxOrders,
-	})
-	sim.planner.SetFleet(fleetConfig(l))
-	sim.planner.SetSenders(1 + l.Delegates)
+	sim.planner = sim.newPlanner(1, order)
 	sim.addWorkers()
 	for i := range l.Queues {
 		name := l.Queues[i].Name
@@ -140,6 +137,17 @@
 	return sim
 }
 
+// newPlanner returns the planner of a leader that is elected now.
+func (sim *simulation) newPlanner(fence int64, order ladderplan.Order) *ladderplan.Planner {
+	p := ladderplan.New(ladderplan.Options{
+		Fence: fence, LeaseDuration: leaseDuration, MaxLeaseDuration: leaseDuration, ElectedAt: sim.time(), StopTimeout: time.Second,
+		JobRetention: time.Hour, RemoteFactor: 2, Log: ladderlog.Discard().Component("plan"), Order: order, MaxUnansweredStarts: ladderplan.MaxOrders,
+	})
+	p.SetFleet(fleetConfig(sim.load))
+	p.SetSenders(1 + sim.load.Delegates)
+	return p
+}
+
 // run simulates the whole load and computes the result.
 func (sim *simulation) run() {
 	end := sim.load.ArrivalPeriod + sim.load.ExtraTime
@@ -260,6 +268,9 @@
 	batch := sim.planner.NextBatch()
 	sim.schedule(storeTime, func() {
 		sim.storing = false
+		for _, r := range batch.Records {
+			sim.records[r.Job] = r
+		}
 		sim.planner.BatchStored(batch)
 	})
 }
