--- a/laddervm/term.go
+++ b/laddervm/term.go
@@ -67,8 +67,9 @@
 	// whole term, even if the settings change.
 	workerLease time.Duration
 	// planPause is the pause before the next plan.
-	planPause   time.Duration
-	placement   placementLog
+	planPause time.Duration
+	placement placementLog
+	// control and runtimeLoad sum up, for the log, how late this leader itself is.
 	control     controlLoad
 	runtimeLoad *runtimeLoad
 	// dialed and accepted are the numbers of connections with peers at the last summary of the load.
