--- a/ladderdelegate/clock_bound.go
+++ b/ladderdelegate/clock_bound.go
@@ -35,8 +35,8 @@
 
 // Combine returns the bound that follows from the exchanges of b and a later one. In each
 // direction, the message that was in transit for the shortest time determines it, less
-// what the clocks may have drifted apart since. If both cannot hold, a clock has stood still, and only the later
-// one counts.
+// what the clocks may have drifted apart since. If the two exchanges contradict each other,
+// a clock has stood still in between, and only the later exchange counts.
 func (b ClockBound) Combine(later ClockBound) ClockBound {
 	if !b.known {
 		return later
