Read how long a worker lets a member of a gang wait for the others

The planner has no bound for a gang that does not become whole: the settings name it (gangTimeoutMs), and nothing read it. platform.Bounds and ladderplan.Options hold it; the planner's use of it follows. TestReadSettings fails without the field.

--- a/ladderplan/options.go
+++ b/ladderplan/options.go
@@ -30,6 +30,9 @@
 	EarlierLeaseEnd time.Time
 	// StopTimeout is how long a worker may take to stop a run.
 	StopTimeout time.Duration
+	// GangTimeout is how long a worker lets a member of a gang wait for the others before it ends the run.
+	// Zero means that there is no bound.
+	GangTimeout time.Duration
 	// JobRetention is how long callers can query a job after its end.
 	JobRetention time.Duration
 	// RemoteFactor is the factor by which work takes longer away from its data, or on several racks
--- a/laddervm/term.go
+++ b/laddervm/term.go
@@ -132,8 +132,8 @@
 	t.planner = ladderplan.New(ladderplan.Options{
 		Fence: fence, LeaseDuration: t.workerLease, MaxLeaseDuration: b.MaxWorkerLease,
 		ElectedAt: began, EarlierLeaderTimeout: leaderLease + outageGrace, EarlierLeaseEnd: t.earlierLeaseEnd,
-		MaxUnansweredStarts: ladderplan.MaxOrders, StopTimeout: b.StopTimeout, JobRetention: b.JobRetention, RemoteFactor: b.RemoteFactor,
-		Log: v.logs.RateLimited("plan", v.clock),
+		MaxUnansweredStarts: ladderplan.MaxOrders, StopTimeout: b.StopTimeout, GangTimeout: b.GangTimeout, JobRetention: b.JobRetention,
+		RemoteFactor: b.RemoteFactor, Log: v.logs.RateLimited("plan", v.clock),
 	})
 	t.planner.SetFleet(v.fleet.Load())
 	return t
