Stop a gang that cannot become whole, or does not in time

What callers saw: processes of a gang waited three seconds for members that never came, and ended (GANG).

Cause: nothing that places knew how long a worker lets a member wait. A new leader adopted each member that it found, though it knew all runs and the others were on no worker; the rule on stalled runs stopped them after 2.7 s or more. Without a takeover, a start without an answer stopped that member alone, and the others only once its worker no longer listed it.

The planner keeps the gangs that have runs and are not known to be whole. It stops one as a whole at once if a member has stopped or, once all runs of earlier leaders are known, is missing; and else when it is not whole GangTimeout - StopTimeout - 0.5 s after it was ordered or, if an earlier leader ordered it, after the election. A gang of an earlier leader that is at work is spared while workers have not answered yet. A member whose start has no answer stops all. A member of a later run is adopted beside one of an earlier run, which is stopped alone. StopIncompleteGangs does the same for a leader that resigns.

--- a/ladderplan/gang.go
+++ b/ladderplan/gang.go
@@ -77,7 +77,8 @@
 	for _, t := range s.tasks {
 		number = max(number, t.lastRun+1)
 	}
-	s.gang.lastRun = number
+	s.gang.lastRun, s.gang.orderedAt = number, sp.now
+	sp.planner.watchGang(s)
 	for i, w := range sp.assignGang(list) {
 		sp.start(s.tasks[i], w, number, s.gang.checkpoint)
 	}
--- /dev/null
+++ b/ladderplan/incomplete.go
@@ -0,0 +1,225 @@
+package ladderplan
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"lacewingladder/ladderflow"
+)
+
+// gangOrderMargin is how long an order may be under way, through a delegate at most.
+const gangOrderMargin = 500 * time.Millisecond
+
+// watchGang adds a gang that has runs to those that are not known to be whole.
+func (p *Planner) watchGang(s *step) {
+	if !s.gang.watched {
+		s.gang.watched = true
+		p.watchedGangs = append(p.watchedGangs, s)
+	}
+}
+
+// checkGangs stops the gangs that cannot become whole, or have not become so in time. A worker ends a member
+// that waits for the others for longer than [Options.GangTimeout], and the run then counts as a fault.
+func (p *Planner) checkGangs(now time.Time) {
+	p.watchedGangs = slices.DeleteFunc(p.watchedGangs, func(s *step) bool {
+		if !s.mayBeIncomplete() {
+			s.gang.watched = false
+			return true
+		}
+		m := s.countMembers()
+		if m.earlier {
+			p.stopGangRun(now, s, s.gang.lastRun-1)
+		}
+		if m.whole(s) {
+			s.gang.watched = false
+			return true
+		}
+		if why := p.whyIncomplete(now, s, m); why != "" {
+			p.stopIncomplete(now, s, m, why)
+		}
+		return false
+	})
+}
+
+// StopIncompleteGangs stops the gangs that are not known to be whole, except those that seem to be at work. It is for
+// a leader that resigns: the next one may learn of the members too late. The next plan returns the orders.
+func (p *Planner) StopIncompleteGangs(now time.Time) {
+	for _, s := range p.watchedGangs {
+		if !s.mayBeIncomplete() {
+			continue
+		}
+		if m := s.countMembers(); !m.whole(s) && !p.mayBeWhole(s, m) {
+			p.stopIncomplete(now, s, m, "the leader resigns")
+		}
+	}
+}
+
+// mayBeIncomplete reports whether the gang has runs, and its job still needs them.
+func (s *step) mayBeIncomplete() bool {
+	return s.round.job.active() && !s.finished() && slices.ContainsFunc(s.tasks, func(t *task) bool { return len(t.runs) > 0 })
+}
+
+// gangMembers describes the runs of a gang with the gang's last number.
+type gangMembers struct {
+	// present is the number of tasks with such a run, confirmed the number of those on which a worker has it, and
+	// stopping the number of those that are stopped.
+	present, confirmed, stopping int
+	// ended is true if such a run of some task has ended.
+	ended bool
+	// atWork is true if the progress of a member shows that all were present.
+	atWork bool
+	// unstopped is true if any run of the gang is not stopped, and earlier if any has an earlier number.
+	unstopped, earlier bool
+}
+
+func (s *step) countMembers() gangMembers {
+	m := gangMembers{}
+	for _, t := range s.tasks {
+		present, confirmed := false, false
+		for _, x := range t.runs {
+			m.unstopped = m.unstopped || x.phase != phaseStopping
+			if x.name.Number != s.gang.lastRun {
+				m.earlier = m.earlier || x.phase != phaseStopping
+				continue
+			}
+			present = true
+			confirmed = confirmed || x.confirmed
+			m.stopping += boolToInt(x.phase == phaseStopping)
+			m.atWork = m.atWork || x.atWork()
+		}
+		m.present += boolToInt(present)
+		m.confirmed += boolToInt(confirmed)
+		m.ended = m.ended || t.lastClosedRun >= s.gang.lastRun
+	}
+	return m
+}
+
+// whole reports whether all members are present, so that none waits for another.
+func (m gangMembers) whole(s *step) bool { return m.confirmed == len(s.tasks) && m.stopping == 0 }
+
+// atWork reports whether the progress of a gang's member shows that it does not wait for the others. One that
+// resumes from a checkpoint shows the progress of the checkpoint while it waits.
+func (x *run) atWork() bool {
+	fromStart := x.name.Number == 1 || !x.task.step.spec.Checkpointable
+	return x.percent > 0 && (fromStart || x.progressedAt.After(x.startedAt))
+}
+
+// whyIncomplete returns why a gang must stop that is not known to be whole, or "" if it may still become so.
+func (p *Planner) whyIncomplete(now time.Time, s *step, m gangMembers) string {
+	switch {
+	case m.stopping > 0 || m.ended:
+		return "a member has stopped"
+	case p.earlierRunsKnown && m.present < len(s.tasks):
+		return "a member is missing"
+	case p.options.GangTimeout == 0 || p.mayBeWhole(s, m):
+		return ""
+	case now.Sub(p.gangSince(s)) >= p.maxGangWait():
+		return "it is not whole in time"
+	}
+	return ""
+}
+
+// mayBeWhole reports whether a gang that an earlier leader has started seems to be at work. The members that are not
+// known may be on workers that have not answered yet.
+func (p *Planner) mayBeWhole(s *step, m gangMembers) bool {
+	return s.gang.orderedAt.IsZero() && !p.earlierRunsKnown && m.atWork && m.stopping == 0 && !m.ended
+}
+
+// gangSince returns the time from which the wait of a gang's members is counted.
+func (p *Planner) gangSince(s *step) time.Time {
+	if at := s.gang.orderedAt; !at.IsZero() {
+		return at
+	}
+	return p.options.ElectedAt
+}
+
+// maxGangWait returns after which time a gang that is not whole stops, so that its members have ended before
+// a worker gives up waiting.
+func (p *Planner) maxGangWait() time.Duration {
+	timeout := p.options.GangTimeout
+	return max(timeout-p.options.StopTimeout-gangOrderMargin, timeout/2)
+}
+
+// stopIncomplete stops the runs of a gang that are not stopped yet.
+func (p *Planner) stopIncomplete(now time.Time, s *step, m gangMembers, why string) {
+	if !m.unstopped {
+		return
+	}
+	p.log.Info("stopping incomplete gang", "step", s.ref(), "run", s.gang.lastRun, "members", len(s.tasks), "confirmed", m.confirmed,
+		"missing", len(s.tasks)-m.present, "adopted", s.gang.orderedAt.IsZero(), "age", now.Sub(p.gangSince(s)).Round(time.Millisecond), "why", why)
+	p.stopGangRun(now, s, math.MaxInt)
+}
+
+// stopRunOrGang orders a run to stop and, if it is a member of a gang, the other members as well, which cannot
+// continue without it.
+func (p *Planner) stopRunOrGang(now time.Time, x *run, why string) {
+	p.stopRun(now, x, why)
+	if t := x.task; t != nil && t.step.spec.Gang && t.step.round.job.active() {
+		p.stopGangRun(now, t.step, x.name.Number)
+	}
+}
+
+// adoptOrStop handles a run that this leader did not start. It adopts the run if its task needs one
+// and stops it otherwise.
+func (p *Planner) adoptOrStop(now time.Time, w *worker, r ladderflow.ActiveRun) {
+	x := &run{
+		name: r.Run, phase: phaseRunning, confirmed: true, startSettledAt: now, startedAt: now, progressedAt: now,
+		percent: -1, speedPercent: 100,
+	}
+	j := p.jobs[r.Run.Task.Job]
+	if j != nil {
+		x.task = j.find(r.Run.Task)
+	}
+	if w.justEnded[r.Run] {
+		return // The status report is from just before the run's end.
+	}
+	if p.unknown(r.Run.Task) {
+		x.sizeUnknown = true
+		w.addRun(x)
+		x.recordProgress(now, r)
+		p.log.Info("worker has a run of an unknown job", "task", r.Run.Task, "run", r.Run.Number, "worker", w.spec.ID)
+		return
+	}
+	if t := x.task; t != nil {
+		x.size = t.step.spec.Demand()
+		// A run with a closed number may be on this worker although it has ended on another one: a
+		// former leader has used the number as well. It occupies capacity until it has stopped.
+		wanted := t.needsAdoption(r.Run.Number) && j.active() && t.step.ready && r.Run.Number > t.lastClosedRun
+		w.addRun(x)
+		j.started, j.begun = true, true
+		x.recordProgress(now, r)
+		if r.Checkpoint != "" {
+			t.checkpoint, t.step.gang.checkpoint = r.Checkpoint, r.Checkpoint
+		}
+		if wanted {
+			t.step.gang.lastRun = max(t.step.gang.lastRun, r.Run.Number)
+			if t.step.spec.Gang {
+				p.watchGang(t.step)
+				p.log.Info("adopted a member of a gang", "task", r.Run.Task, "run", r.Run.Number, "worker", w.spec.ID, "percent", r.Percent,
+					"checkpoint", r.Checkpoint != "")
+			}
+			p.log.Debug("adopted a run that an earlier leader started", "task", r.Run.Task, "run", r.Run.Number, "worker", w.spec.ID)
+			return
+		}
+	} else {
+		if j != nil && r.Run.Task.Step < len(j.spec.Steps) {
+			// The job has ended, but its runs occupy capacity until they stop.
+			x.size = j.spec.Steps[r.Run.Task.Step].Demand()
+		}
+		w.addRun(x)
+	}
+	p.log.Info("stopping a run that an earlier leader started", "task", r.Run.Task, "run", r.Run.Number, "worker", w.spec.ID,
+		"percent", r.Percent, "checkpoint", r.Checkpoint != "", "jobEnded", j == nil || !j.active())
+	p.stopRun(now, x, "its task does not need it")
+}
+
+// needsAdoption reports whether a run that an earlier leader started may be the one that its task needs. A worker
+// may still have a member of an earlier run of a gang whose last run is whole.
+func (t *task) needsAdoption(number int) bool {
+	if t.needsRun() {
+		return true
+	}
+	return !t.done && t.step.spec.Gang && t.step.gang.orderedAt.IsZero() &&
+		!slices.ContainsFunc(t.runs, func(x *run) bool { return x.name.Number >= number })
+}
--- a/ladderplan/lost.go
+++ b/ladderplan/lost.go
@@ -31,7 +31,7 @@
 	}
 	for _, x := range runs {
 		if t := x.task; t != nil && t.step.spec.Gang && t.step.round.job.active() {
-			p.stopGang(now, t.step)
+			p.stopGangRun(now, t.step, x.name.Number)
 		}
 	}
 }
--- a/ladderplan/model.go
+++ b/ladderplan/model.go
@@ -97,6 +97,10 @@
 type gang struct {
 	// lastRun is the number of the gang's last run, which is the same for all members.
 	lastRun int
+	// orderedAt is when this leader ordered the gang's last run, or zero if it has ordered none.
+	orderedAt time.Time
+	// watched is true while the gang is in [Planner.watchedGangs].
+	watched bool
 	// failedRuns holds the numbers of the gang's runs that have failed.
 	failedRuns []int
 	// failedWorkers holds the workers on which a member failed.
--- a/ladderplan/place.go
+++ b/ladderplan/place.go
@@ -71,6 +71,7 @@
 		// Only a leader knows that no other VM has renewed a lease since.
 		p.expireLeases(now)
 	}
+	p.checkGangs(now)
 	if confidence != LeadershipNone {
 		if p.placementDue || now.Sub(p.placedAt) >= idlePassInterval {
 			p.placementDue, p.placedAt = false, now
--- a/ladderplan/planner.go
+++ b/ladderplan/planner.go
@@ -37,6 +37,8 @@
 	endedJobs []*job
 	// readySteps holds the ready steps that may have tasks to start.
 	readySteps []*step
+	// watchedGangs holds the gangs that have runs and are not known to be whole.
+	watchedGangs []*step
 	// scheduledJobs holds the jobs with a schedule whose rounds have not all started.
 	scheduledJobs []*job
 	// hasIrregular is true if there may be workers that are not regular.
--- a/ladderplan/planner_test.go
+++ b/ladderplan/planner_test.go
@@ -51,6 +51,7 @@
 	return New(Options{
 		Fence: fence, LeaseDuration: 6 * time.Second, MaxLeaseDuration: 10 * time.Second, ElectedAt: now,
 		EarlierLeaderTimeout: 2 * time.Second, EarlierLeaseEnd: now.Add(time.Second), StopTimeout: time.Second,
+		GangTimeout:  3 * time.Second,
 		JobRetention: time.Minute, RemoteFactor: 2, Log: ladderlog.Discard().Component("plan"),
 	})
 }
--- a/ladderplan/poll.go
+++ b/ladderplan/poll.go
@@ -294,53 +294,6 @@
 	}
 }
 
-// adoptOrStop handles a run that this leader did not start. It adopts the run if its task needs one
-// and stops it otherwise.
-func (p *Planner) adoptOrStop(now time.Time, w *worker, r ladderflow.ActiveRun) {
-	x := &run{
-		name: r.Run, phase: phaseRunning, confirmed: true, startSettledAt: now, startedAt: now, progressedAt: now,
-		percent: -1, speedPercent: 100,
-	}
-	j := p.jobs[r.Run.Task.Job]
-	if j != nil {
-		x.task = j.find(r.Run.Task)
-	}
-	if w.justEnded[r.Run] {
-		return // The status report is from just before the run's end.
-	}
-	if p.unknown(r.Run.Task) {
-		x.sizeUnknown = true
-		w.addRun(x)
-		x.recordProgress(now, r)
-		p.log.Info("worker has a run of an unknown job", "task", r.Run.Task, "run", r.Run.Number, "worker", w.spec.ID)
-		return
-	}
-	if t := x.task; t != nil {
-		x.size = t.step.spec.Demand()
-		// A run with a closed number may be on this worker although it has ended on another one: a
-		// former leader has used the number as well. It occupies capacity until it has stopped.
-		wanted := t.needsRun() && j.active() && t.step.ready && r.Run.Number > t.lastClosedRun
-		w.addRun(x)
-		j.started, j.begun = true, true
-		x.recordProgress(now, r)
-		if r.Checkpoint != "" {
-			t.checkpoint, t.step.gang.checkpoint = r.Checkpoint, r.Checkpoint
-		}
-		if wanted {
-			t.step.gang.lastRun = max(t.step.gang.lastRun, r.Run.Number)
-			p.log.Debug("adopted a run that an earlier leader started", "task", r.Run.Task, "run", r.Run.Number, "worker", w.spec.ID)
-			return
-		}
-	} else {
-		if j != nil && r.Run.Task.Step < len(j.spec.Steps) {
-			// The job has ended, but its runs occupy capacity until they stop.
-			x.size = j.spec.Steps[r.Run.Task.Step].Demand()
-		}
-		w.addRun(x)
-	}
-	p.stopRun(now, x, "its task does not need it")
-}
-
 // handleMissingRun handles a run that a status report does not list. The report was requested at
 // sentAt.
 func (p *Planner) handleMissingRun(now, sentAt time.Time, w *worker, x *run) {
@@ -351,7 +304,7 @@
 	case x.phase == phaseStopping && !x.stopAnsweredAt.IsZero() && x.stopAnsweredAt.Before(sentAt):
 		p.dropLostRuns(now, w, "it was stopped before it started", x)
 	case x.phase == phaseUnconfirmed && x.startSettledAt.Before(sentAt):
-		p.stopRun(now, x, "its start was not answered")
+		p.stopRunOrGang(now, x, "its start was not answered")
 	case x.phase == phaseStopping && !x.confirmed && x.stopAnsweredAt.IsZero():
 		p.stopRun(now, x, "its stop was not answered")
 	}
