Go on telling the leader of changes, and let none be lost while it reads the store

Cause: a VM gave up after four attempts to notify the leader, 0.6 s while nobody leads, and without a line if the leader hung. A leader that had not read the store yet answered NotLeader and dropped the cancellation. The next leader's reading of the store was the only way left.

One goroutine, off the caller's path. A leader passes a cancellation to the planner in any case, which holds it until the job is known; the reply is NotLeader until the store is read, as before. Notices may come twice: AddJob and Cancel have no effect the second time.

--- a/laddervm/submit.go
+++ b/laddervm/submit.go
@@ -17,7 +17,7 @@
 	// store is slow, one at a time would accept too few jobs.
 	maxTransactions = 4
 	// notifyTimeout bounds one attempt to notify the leader, and notifyAttempts the number of
-	// attempts. If all of them fail, the leader finds the change in the store.
+	// attempts. If all of them fail, the change is passed to [lateNotices].
 	notifyTimeout  = 500 * time.Millisecond
 	notifyAttempts = 4
 )
@@ -131,7 +131,8 @@
 	}
 }
 
-// notifyLeader sends a message to the leader, and repeats it if that fails.
+// notifyLeader sends a message to the leader, and repeats it if that fails. The leader may get a
+// message more than once.
 func (v *VM) notifyLeader(m laddermessage.Message) {
 	ctx, cancel := context.WithTimeout(context.Background(), notifyAttempts*notifyTimeout)
 	defer cancel()
@@ -141,11 +142,11 @@
 		}
 		select {
 		case <-ctx.Done():
-			return
 		case <-v.clock.After(retryInterval):
 		}
 	}
-	v.log.Info("leader was not notified; it will find the change in the store", "message", m)
+	v.log.Info("leader was not notified; it is told later, or finds the change in the store", "change", changeName(m))
+	v.late.add(m)
 }
 
 // callLeader sends a message to the leader and returns the reply. It returns false if there is
--- a/laddervm/term.go
+++ b/laddervm/term.go
@@ -396,10 +396,10 @@
 		t.do(func() { t.planner.AddJob(t.vm.clock.Now(), job, false) })
 		return laddermessage.Ack{}, nil
 	case laddermessage.JobCancelled:
-		return t.query(ctx, func() laddermessage.Message {
-			t.planner.Cancel(t.vm.clock.Now(), m.Job)
-			return t.jobState(m.Job)
-		}), nil
+		// The store holds the cancellation, so it takes effect even if nobody waits for the reply, or the
+		// store is not read yet.
+		t.do(func() { t.planner.Cancel(t.vm.clock.Now(), m.Job) })
+		return t.query(ctx, func() laddermessage.Message { return t.jobState(m.Job) }), nil
 	case laddermessage.JobStateQuery:
 		return t.query(ctx, func() laddermessage.Message { return t.jobState(m.Job) }), nil
 	case laddermessage.QueueLengthQuery:
--- a/laddervm/vm.go
+++ b/laddervm/vm.go
@@ -87,6 +87,7 @@
 	waves      map[int64]ladderflow.MaintenanceWave
 	fleetFeed  *fleetFeed
 	writer     *jobWriter
+	late       *lateNotices
 	leadership *leadership
 	// delegate polls workers and sends orders on behalf of a leader that is another VM.
 	delegate *ladderdelegate.Delegate
@@ -129,6 +130,7 @@
 	v.registry = newRegistry(v)
 	v.fleetFeed = newFleetFeed(v)
 	v.writer = newJobWriter(v)
+	v.late = newLateNotices(v)
 	v.leadership = newLeadership(v)
 	v.delegate = ladderdelegate.New(v.workers, v.clock, v.boot, v.logs.RateLimited("delegate", v.clock))
 	var err error
@@ -168,7 +170,7 @@
 		}
 	}()
 	for _, f := range []func(context.Context){
-		v.fleetFeed.run, v.registry.watch, v.registry.keepRegistered, v.leadership.run, v.writer.run,
+		v.fleetFeed.run, v.registry.watch, v.registry.keepRegistered, v.leadership.run, v.writer.run, v.late.run,
 	} {
 		v.wait.Go(func() { f(serving) })
 	}
