Follow the jobs from where a new leader has read them

A new leader read all jobs and cancellations twice: to take over, and again before it watched them.

The follower now watches from the revision of the first page of the first reading, so that it misses nothing that the pages or the later prefixes may lack, and its first call does not wait. If the store no longer has that history, it reads everything again, at once.

How much shorter a takeover becomes was not measured.

--- a/ladderjournal/journal.go
+++ b/ladderjournal/journal.go
@@ -320,6 +320,8 @@
 	Roster    []ladderflow.Worker
 	// Terms holds the terms that may not be over.
 	Terms []Term
+	// Revision is one up to which no change of a job or a cancellation is missing.
+	Revision int64
 	// DecodeErrors holds an error for each value that could not be decoded. Such values stay
 	// in the store as they are.
 	DecodeErrors []error
@@ -331,7 +333,7 @@
 
 // Load reads everything from the store. A job that is stored meanwhile may be missing, and a
 // record whose job is missing has no effect: the caller learns of later jobs from the leader's
-// messages or by a watch that begins with all items.
+// messages or by a watch of [WatchPrefix] from [Contents.Revision].
 func (j *Journal) Load(ctx context.Context) (*Contents, error) {
 	c := &Contents{}
 	for key, revision := range map[string]*int64{recordOrderKey: &c.recordOrder, rosterOrderKey: &c.rosterOrder} {
@@ -363,10 +365,14 @@
 			c.DecodeErrors = append(c.DecodeErrors, err)
 		}
 	}
-	for _, prefix := range []string{jobPrefix, cancelPrefix, recordPrefix} {
-		if _, err := platform.ReadAll(ctx, j.store, prefix, c.add); err != nil {
+	for i, prefix := range []string{jobPrefix, cancelPrefix, recordPrefix} {
+		revision, err := platform.ReadAll(ctx, j.store, prefix, c.add)
+		if err != nil {
 			return nil, err
 		}
+		if i == 0 {
+			c.Revision = revision
+		}
 	}
 	return c, nil
 }
--- a/laddervm/registry.go
+++ b/laddervm/registry.go
@@ -407,6 +407,9 @@
 
 // follower handles the items below a prefix of the store.
 type follower struct {
+	// from, if not zero, is a revision up to which all items are known. They are not read then, and the
+	// first watch call does not wait.
+	from int64
 	// reset is called with all items and the revision at which they were read, and change with
 	// items that have changed since.
 	reset  func(items []platform.Item, revision int64)
@@ -435,10 +438,10 @@
 	return f.wait(now)
 }
 
-// follow reads a prefix and then watches it until ctx ends. If the store no longer has the
-// history that the watch needs, all items are read again.
+// follow reads a prefix, unless it is known, and then watches it until ctx ends. If the store no longer has
+// the history that the watch needs, all items are read again.
 func follow(ctx context.Context, v *VM, prefix string, f follower) {
-	revision := int64(0)
+	revision, behind := f.from, f.from != 0
 	for ctx.Err() == nil {
 		var err error
 		began := v.clock.Now()
@@ -452,13 +455,18 @@
 		} else {
 			var items []platform.Item
 			var next int64
-			items, next, err = v.store.Watch(ctx, prefix, revision, f.watchWait(began))
+			wait := f.watchWait(began)
+			if behind {
+				wait = 0
+			}
+			items, next, err = v.store.Watch(ctx, prefix, revision, wait)
 			switch {
 			case errors.Is(err, platform.ErrCompacted):
 				v.log.Info("store no longer has the history; reading all items again", "prefix", prefix, "revision", revision)
-				revision, err = 0, nil
+				revision, behind = 0, false
+				continue
 			case err == nil:
-				revision = max(revision, next)
+				revision, behind = max(revision, next), false
 				if len(items) > 0 {
 					f.change(items)
 				}
--- a/laddervm/term.go
+++ b/laddervm/term.go
@@ -317,7 +317,9 @@
 	}
 	t.do(func() { t.applyContents(c, workers, rosterWriter) })
 	go follow(t.ctx, t.vm, platform.WorkerPrefix, t.workerFollower())
-	go follow(t.ctx, t.vm, ladderjournal.WatchPrefix, t.jobFollower())
+	jobs := t.jobFollower()
+	jobs.from = c.Revision
+	go follow(t.ctx, t.vm, ladderjournal.WatchPrefix, jobs)
 }
 
 // jobFollower returns a follower that adds the jobs and cancellations of which no message tells. It
