Let the checkpoint of an older run not replace that of a newer one

A task and a gang took their checkpoint from whichever report came last. When a run that was given up was heard of again, as running or by its late end, its checkpoint replaced that of the run after it, also at the next leader. The next start then carried the older value, so that work was done twice. The value was always one of the same task, or of a member of the same gang: runs are looked up by job, round, step and index, and the members of a gang take theirs in one pass.

The number of the run that reported a checkpoint is now kept with it. A run of a job that is not known yet keeps the checkpoint that it lists.

--- a/ladderplan/health.go
+++ b/ladderplan/health.go
@@ -33,7 +33,7 @@
 			x.worker.releasesStale = true
 		}
 	}
-	x.tailLatency = r.TailLatency
+	x.tailLatency, x.checkpoint = r.TailLatency, r.Checkpoint
 }
 
 // stopStalledRuns stops the runs of a worker that make no progress.
--- a/ladderplan/model.go
+++ b/ladderplan/model.go
@@ -102,7 +102,7 @@
 	// failedWorkers holds the workers on which a member failed.
 	failedWorkers map[string]bool
 	// checkpoint is the newest one that a worker reported for a member.
-	checkpoint string
+	checkpoint checkpoint
 	// fits is the result of the last check whether the gang fits on its workers when they are empty,
 	// and nextFitCheck is when to check it again.
 	fits         bool
@@ -134,7 +134,7 @@
 	// failedWorkers holds the workers on which the task failed. Other workers are preferred.
 	failedWorkers map[string]bool
 	// checkpoint is the newest one that a worker reported.
-	checkpoint string
+	checkpoint checkpoint
 	// preempted is true once a run of the task was stopped for a more urgent one.
 	preempted bool
 	// crashes is the number of workers that crashed while a run of the task was under way, the last time
@@ -196,6 +196,8 @@
 	// answered.
 	stopSentAt     time.Time
 	stopAnsweredAt time.Time
+	// checkpoint is the last one that was reported, or empty. It is kept for a run whose task is unknown.
+	checkpoint string
 	// percent is the last progress that was reported, and progressedAt is when it last changed.
 	percent      int
 	progressedAt time.Time
--- a/ladderplan/place.go
+++ b/ladderplan/place.go
@@ -375,7 +375,7 @@
 }
 
 // start orders the start of a task's run.
-func (sp *stepPlacement) start(t *task, w *worker, number int, checkpoint string) {
+func (sp *stepPlacement) start(t *task, w *worker, number int, from checkpoint) {
 	p := sp.planner
 	x := &run{
 		task: t, name: ladderflow.Run{Task: t.name(), Number: number}, phase: phaseSent, size: sp.step.spec.Demand(),
@@ -400,7 +400,7 @@
 		ticket = sp.step.tickets.text(w)
 	}
 	p.orders.Starts = append(p.orders.Starts, StartOrder{
-		Worker: w.spec, Run: x.name, Payload: sp.step.round.job.spec.Payload, Checkpoint: checkpoint,
+		Worker: w.spec, Run: x.name, Payload: sp.step.round.job.spec.Payload, Checkpoint: from.value,
 		Ticket: ticket, LeaseUntil: p.extendLease(sp.now, w), FirstOfJob: first, Waited: sp.now.Sub(sp.step.readySince),
 	})
 }
--- a/ladderplan/planner.go
+++ b/ladderplan/planner.go
@@ -257,8 +257,7 @@
 	j.begun = true
 	t.lastRun, t.lastClosedRun = max(t.lastRun, e.Run.Number), max(t.lastClosedRun, e.Run.Number)
 	if e.Checkpoint != "" {
-		t.checkpoint = e.Checkpoint
-		t.step.gang.checkpoint = e.Checkpoint
+		t.recordCheckpoint(e.Checkpoint, e.Run.Number)
 		p.unstoredJobs[j.spec.ID] = j
 	}
 	p.log.Debug("run ended", "task", t.name(), "run", e.Run.Number, "worker", w.spec.ID, "result", e.Reason)
--- a/ladderplan/poll.go
+++ b/ladderplan/poll.go
@@ -289,8 +289,8 @@
 	if x.phase == phaseRunning && x.sizeUnknown && p.staysUnknown(x.name.Task, x.startedAt) {
 		p.stopRun(now, x, "its job is unknown")
 	}
-	if t := x.task; t != nil && r.Checkpoint != "" {
-		t.checkpoint, t.step.gang.checkpoint = r.Checkpoint, r.Checkpoint
+	if t := x.task; t != nil {
+		t.recordCheckpoint(r.Checkpoint, r.Run.Number)
 	}
 }
 
@@ -323,9 +323,7 @@
 		w.addRun(x)
 		j.started, j.begun = true, true
 		x.recordProgress(now, r)
-		if r.Checkpoint != "" {
-			t.checkpoint, t.step.gang.checkpoint = r.Checkpoint, r.Checkpoint
-		}
+		t.recordCheckpoint(r.Checkpoint, r.Run.Number)
 		if wanted {
 			t.step.gang.lastRun = max(t.step.gang.lastRun, r.Run.Number)
 			p.log.Debug("adopted a run that an earlier leader started", "task", r.Run.Task, "run", r.Run.Number, "worker", w.spec.ID)
--- a/ladderplan/record.go
+++ b/ladderplan/record.go
@@ -159,7 +159,7 @@
 }
 
 func (s *step) record() StepRecord {
-	r := StepRecord{Done: s.finished(), Failed: slices.Clone(s.gang.failedRuns), Checkpoint: s.gang.checkpoint}
+	r := StepRecord{Done: s.finished(), Failed: slices.Clone(s.gang.failedRuns), Checkpoint: s.gang.checkpoint.value}
 	if r.Done {
 		return r
 	}
@@ -167,7 +167,7 @@
 		if t.done || t.lastRun > 0 {
 			r.Tasks = append(r.Tasks, TaskRecord{
 				Index: t.index, Done: t.done, LastRun: t.lastRun, LastClosedRun: t.lastClosedRun,
-				Failed: slices.Clone(t.failedRuns), Checkpoint: t.checkpoint, Crashes: t.crashes, Suspicions: t.suspicions,
+				Failed: slices.Clone(t.failedRuns), Checkpoint: t.checkpoint.value, Crashes: t.crashes, Suspicions: t.suspicions,
 			})
 		}
 	}
@@ -215,21 +215,25 @@
 			break
 		}
 		s := r.steps[i]
-		s.gang = gang{failedRuns: sr.Failed, checkpoint: sr.Checkpoint}
+		s.gang = gang{failedRuns: sr.Failed}
 		for _, t := range s.tasks {
 			if sr.Done {
 				t.done = true
 			}
 		}
+		lastClosedRun := 0
 		for _, tr := range sr.Tasks {
 			if tr.Index < 0 || tr.Index >= len(s.tasks) {
 				continue
 			}
 			started = true
 			t := s.tasks[tr.Index]
-			t.done, t.lastRun, t.lastClosedRun, t.failedRuns, t.checkpoint = tr.Done, tr.LastRun, tr.LastClosedRun, tr.Failed, tr.Checkpoint
+			t.done, t.lastRun, t.lastClosedRun, t.failedRuns = tr.Done, tr.LastRun, tr.LastClosedRun, tr.Failed
 			t.crashes, t.suspicions = tr.Crashes, tr.Suspicions
+			t.checkpoint = restoredCheckpoint(tr.Checkpoint, tr.LastClosedRun)
+			lastClosedRun = max(lastClosedRun, tr.LastClosedRun)
 		}
+		s.gang.checkpoint = restoredCheckpoint(sr.Checkpoint, lastClosedRun)
 		s.done, s.waiting = 0, 0
 		for _, t := range s.tasks {
 			if t.done {
--- a/ladderplan/unknown_end.go
+++ b/ladderplan/unknown_end.go
@@ -84,6 +84,6 @@
 			continue
 		}
 		w.removeRun(x)
-		p.adoptOrStop(now, w, ladderflow.ActiveRun{Run: x.name, Percent: x.percent, TailLatency: x.tailLatency})
+		p.adoptOrStop(now, w, ladderflow.ActiveRun{Run: x.name, Percent: x.percent, TailLatency: x.tailLatency, Checkpoint: x.checkpoint})
 	}
 }
