Log when a cancelled job's last run is gone, and from what a start resumes

Two things are added for the next one: a line for each cancelled job when the last of its runs that this leader knows is gone (how many there were, how it ended, the time since the cancellation was known), and on the line of a finished start the first 8 characters of the checkpoint that it carried and the run that it came from. That a stop was answered is on its line already, and that a notification succeeded late is logged by lateNotices.

At most one line for each cancelled job and takeover; the loggers bound the lines of one second as for all others.

--- a/ladderplan/checkpoint.go
+++ b/ladderplan/checkpoint.go
@@ -1,5 +1,11 @@
 package ladderplan
 
+import (
+	"fmt"
+
+	"lacewingladder/ladderflow"
+)
+
 // checkpoint is a checkpoint that a worker has reported, from which a later run can resume.
 type checkpoint struct {
 	value string
@@ -29,3 +35,24 @@
 	t.checkpoint.update(value, run)
 	t.step.gang.checkpoint.update(value, run)
 }
+
+// shownCheckpoint is how many characters of a checkpoint the log shows.
+const shownCheckpoint = 8
+
+// String returns the beginning of the checkpoint and the run that it came from, for the log.
+func (c checkpoint) String() string {
+	if c.value == "" {
+		return "nothing"
+	}
+	return fmt.Sprintf("%.*s of run %d", shownCheckpoint, c.value, c.run)
+}
+
+// ResumesFrom returns, for the log, the checkpoint that the start of a run on a worker carried.
+func (p *Planner) ResumesFrom(worker string, name ladderflow.Run) string {
+	if w, ok := p.workers[worker]; ok {
+		if x, ok := w.runs[name]; ok {
+			return x.resumesFrom.String()
+		}
+	}
+	return "unknown"
+}
--- a/ladderplan/lost.go
+++ b/ladderplan/lost.go
@@ -28,6 +28,7 @@
 			"leaseLeft", left.Round(time.Millisecond), "confirmed", x.confirmed)
 		w.lost[x.name] = lostRun{why: why, at: now, leaseLeft: left}
 		w.removeRun(x)
+		p.logCancelledRun(now, x, why)
 	}
 	for _, x := range runs {
 		if t := x.task; t != nil && t.step.spec.Gang && t.step.round.job.active() {
--- a/ladderplan/model.go
+++ b/ladderplan/model.go
@@ -31,6 +31,10 @@
 	completedRounds map[int]bool
 	nextRound       int
 	endedAt         time.Time
+	// cancelledRuns counts, once the job was canceled, its runs that were ordered to stop, and
+	// cancelledRunsLeft those of them that may still be under way.
+	cancelledRuns     int
+	cancelledRunsLeft int
 	// crashes counts the crashes of workers that were counted against the job's tasks, and storedCrashes
 	// those that the store holds.
 	crashes       int
@@ -196,8 +200,12 @@
 	// answered.
 	stopSentAt     time.Time
 	stopAnsweredAt time.Time
+	// resumesFrom is the checkpoint that the start carried.
+	resumesFrom checkpoint
 	// checkpoint is the last one that was reported, or empty. It is kept for a run whose task is unknown.
 	checkpoint string
+	// ofCancelledJob is true once the run was ordered to stop after its job was canceled.
+	ofCancelledJob bool
 	// percent is the last progress that was reported, and progressedAt is when it last changed.
 	percent      int
 	progressedAt time.Time
--- a/ladderplan/place.go
+++ b/ladderplan/place.go
@@ -379,7 +379,7 @@
 	p := sp.planner
 	x := &run{
 		task: t, name: ladderflow.Run{Task: t.name(), Number: number}, phase: phaseSent, size: sp.step.spec.Demand(),
-		startedAt: sp.now, progressedAt: sp.now, percent: -1, speedPercent: 100,
+		startedAt: sp.now, progressedAt: sp.now, percent: -1, speedPercent: 100, resumesFrom: from,
 	}
 	w.addRun(x)
 	if t.suspect() {
--- a/ladderplan/planner.go
+++ b/ladderplan/planner.go
@@ -245,6 +245,7 @@
 	}
 	if x != nil {
 		w.removeRun(x)
+		p.logCancelledRun(now, x, string(e.Reason))
 	}
 	if p.unknown(e.Run.Task) {
 		w.holdEnd(now, e)
@@ -370,6 +371,7 @@
 
 // stopRun orders a run to stop, unless an earlier stop may still be in progress.
 func (p *Planner) stopRun(now time.Time, x *run, why string) {
+	p.countCancelledRun(x)
 	if x.phase == phaseStopping && now.Sub(x.stopSentAt) < p.options.StopTimeout {
 		return
 	}
--- a/ladderplan/result.go
+++ b/ladderplan/result.go
@@ -77,6 +77,7 @@
 	p.log.Info("start was refused or not sent", "task", x.name.Task, "run", x.name.Number, "worker", w.spec.ID,
 		"reason", r.Refusal, "unsent", r.Unsent)
 	w.removeRun(x)
+	p.logCancelledRun(now, x, "its start had no effect")
 	t := x.task
 	switch {
 	case r.Unsent, r.Refusal == ladderflow.RefusedOther, r.Refusal == ladderflow.RefusedExpired:
--- a/laddervm/workers.go
+++ b/laddervm/workers.go
@@ -334,7 +334,7 @@
 	t.vm.stats.starts.Inc()
 	t.placement.answered(took)
 	t.log.Info("start order finished", "task", run.Task, "run", run.Number, "worker", worker, "by", by, "took", took.Round(time.Millisecond),
-		"refusal", r.Refusal, "unsent", r.Unsent, "unknown", r.Unknown)
+		"refusal", r.Refusal, "unsent", r.Unsent, "unknown", r.Unknown, "resumes", t.planner.ResumesFrom(worker, run))
 	t.planner.StartSettled(t.vm.clock.Now(), worker, run, r)
 	if p, ok := t.pollers[worker]; ok && p.delegate == nil && p.ctx != nil {
 		t.resumePoll(p.ctx, p)
