--- a/ladderplan/incomplete.go
+++ b/ladderplan/incomplete.go
@@ -189,9 +189,7 @@
 		w.addRun(x)
 		j.started, j.begun = true, true
 		x.recordProgress(now, r)
-		if r.Checkpoint != "" {
-			t.checkpoint, t.step.gang.checkpoint = r.Checkpoint, r.Checkpoint
-		}
+		t.recordCheckpoint(r.Checkpoint, r.Run.Number)
 		if wanted {
 			t.step.gang.lastRun = max(t.step.gang.lastRun, r.Run.Number)
 			if t.step.spec.Gang {
--- a/ladderplan/model.go
+++ b/ladderplan/model.go
@@ -31,6 +31,10 @@
 	completedRounds map[int]bool
 	nextRound       int
 	endedAt         time.Time
+	// cancelledRuns counts, once the job was canceled, its runs that were ordered to stop, and
+	// cancelledRunsLeft those of them that may still be under way.
+	cancelledRuns     int
+	cancelledRunsLeft int
 	// crashes counts the crashes of workers that were counted against the job's tasks, and storedCrashes
 	// those that the store holds.
 	crashes       int
@@ -106,7 +110,7 @@
 	// failedWorkers holds the workers on which a member failed.
 	failedWorkers map[string]bool
 	// checkpoint is the newest one that a worker reported for a member.
-	checkpoint string
+	checkpoint checkpoint
 	// fits is the result of the last check whether the gang fits on its workers when they are empty,
 	// and nextFitCheck is when to check it again.
 	fits         bool
@@ -138,7 +142,7 @@
 	// failedWorkers holds the workers on which the task failed. Other workers are preferred.
 	failedWorkers map[string]bool
 	// checkpoint is the newest one that a worker reported.
-	checkpoint string
+	checkpoint checkpoint
 	// preempted is true once a run of the task was stopped for a more urgent one.
 	preempted bool
 	// crashes is the number of workers that crashed while a run of the task was under way, the last time
@@ -200,6 +204,12 @@
 	// answered.
 	stopSentAt     time.Time
 	stopAnsweredAt time.Time
+	// resumesFrom is the checkpoint that the start carried.
+	resumesFrom checkpoint
+	// checkpoint is the last one that was reported, or empty. It is kept for a run whose task is unknown.
+	checkpoint string
+	// ofCancelledJob is true once the run was ordered to stop after its job was canceled.
+	ofCancelledJob bool
 	// percent is the last progress that was reported, and progressedAt is when it last changed.
 	percent      int
 	progressedAt time.Time
--- a/ladderplan/place.go
+++ b/ladderplan/place.go
@@ -376,11 +376,11 @@
 }
 
 // start orders the start of a task's run.
-func (sp *stepPlacement) start(t *task, w *worker, number int, checkpoint string) {
+func (sp *stepPlacement) start(t *task, w *worker, number int, from checkpoint) {
 	p := sp.planner
 	x := &run{
 		task: t, name: ladderflow.Run{Task: t.name(), Number: number}, phase: phaseSent, size: sp.step.spec.Demand(),
-		startedAt: sp.now, progressedAt: sp.now, percent: -1, speedPercent: 100,
+		startedAt: sp.now, progressedAt: sp.now, percent: -1, speedPercent: 100, resumesFrom: from,
 	}
 	w.addRun(x)
 	if t.suspect() {
@@ -401,7 +401,7 @@
 		ticket = sp.step.tickets.text(w)
 	}
 	p.orders.Starts = append(p.orders.Starts, StartOrder{
-		Worker: w.spec, Run: x.name, Payload: sp.step.round.job.spec.Payload, Checkpoint: checkpoint,
+		Worker: w.spec, Run: x.name, Payload: sp.step.round.job.spec.Payload, Checkpoint: from.value,
 		Ticket: ticket, LeaseUntil: p.extendLease(sp.now, w), FirstOfJob: first, Waited: sp.now.Sub(sp.step.readySince),
 	})
 }
--- a/ladderplan/planner.go
+++ b/ladderplan/planner.go
@@ -247,6 +247,7 @@
 	}
 	if x != nil {
 		w.removeRun(x)
+		p.logCancelledRun(now, x, string(e.Reason))
 	}
 	if p.unknown(e.Run.Task) {
 		w.holdEnd(now, e)
@@ -259,8 +260,7 @@
 	j.begun = true
 	t.lastRun, t.lastClosedRun = max(t.lastRun, e.Run.Number), max(t.lastClosedRun, e.Run.Number)
 	if e.Checkpoint != "" {
-		t.checkpoint = e.Checkpoint
-		t.step.gang.checkpoint = e.Checkpoint
+		t.recordCheckpoint(e.Checkpoint, e.Run.Number)
 		p.unstoredJobs[j.spec.ID] = j
 	}
 	p.log.Debug("run ended", "task", t.name(), "run", e.Run.Number, "worker", w.spec.ID, "result", e.Reason)
@@ -373,6 +373,7 @@
 
 // stopRun orders a run to stop, unless an earlier stop may still be in progress.
 func (p *Planner) stopRun(now time.Time, x *run, why string) {
+	p.countCancelledRun(x)
 	if x.phase == phaseStopping && now.Sub(x.stopSentAt) < p.options.StopTimeout {
 		return
 	}
--- a/ladderplan/poll.go
+++ b/ladderplan/poll.go
@@ -289,8 +289,8 @@
 	if x.phase == phaseRunning && x.sizeUnknown && p.staysUnknown(x.name.Task, x.startedAt) {
 		p.stopRun(now, x, "its job is unknown")
 	}
-	if t := x.task; t != nil && r.Checkpoint != "" {
-		t.checkpoint, t.step.gang.checkpoint = r.Checkpoint, r.Checkpoint
+	if t := x.task; t != nil {
+		t.recordCheckpoint(r.Checkpoint, r.Run.Number)
 	}
 }
 
