--- a/laddervm/late_notices.go
+++ b/laddervm/late_notices.go
@@ -13,7 +13,8 @@
 const (
 	// maxLateNotices bounds the notices that are held for a leader.
 	maxLateNotices = 512
-	// lateNoticePeriod is how long a notice is held. A leader has read the store long before.
+	// lateNoticePeriod is how long a notice is held, unless jobs are retained for less. A leader has
+	// read the store long before.
 	lateNoticePeriod = 30 * time.Second
 	// maxLateNoticePause bounds the time between two attempts to notify the same leader, which
 	// begins with retryInterval and doubles.
@@ -25,6 +26,9 @@
 type lateNotices struct {
 	clock ladderclock.Clock
 	log   *ladderlog.Logger
+	// retention returns for how long the store keeps a job that has ended. A leader that hears of the job
+	// later would take it for a new one.
+	retention func() time.Duration
 	// leader returns the revision of the leader's key, or zero while there is no leader.
 	leader func() int64
 	// send notifies the leader, and reports whether it has accepted the notice.
@@ -46,6 +50,7 @@
 func newLateNotices(v *VM) *lateNotices {
 	return &lateNotices{
 		clock: v.clock, log: v.log, added: make(chan struct{}, 1),
+		retention: func() time.Duration { return v.bounds.Load().JobRetention },
 		leader: func() int64 {
 			l, _ := v.registry.currentLeader()
 			return l.revision
@@ -116,9 +121,9 @@
 func (n *lateNotices) dropExpired() int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	now := n.clock.Now()
+	now, period := n.clock.Now(), min(lateNoticePeriod, n.retention())
 	for i := len(n.held) - 1; i >= 0; i-- {
-		if now.Sub(n.held[i].since) > lateNoticePeriod {
+		if now.Sub(n.held[i].since) > period {
 			n.drop(i, "no leader has accepted it")
 		}
 	}
--- a/laddervm/late_notices_test.go
+++ b/laddervm/late_notices_test.go
@@ -15,6 +15,7 @@
 	"lacewingladder/ladderjournal"
 	"lacewingladder/ladderlog"
 	"lacewingladder/laddermessage"
+	"lacewingladder/platform"
 )
 
 // testNotices returns notices for a leader, which is the one with the given revision. The leader accepts
@@ -23,7 +24,8 @@
 	clock := ladderclock.System{}
 	return &lateNotices{
 		clock: clock, log: ladderlog.Discard().RateLimited("vm", clock), added: make(chan struct{}, 1), leader: leader.Load,
-		send: func(_ context.Context, m laddermessage.Message) bool { return accept(m) },
+		retention: func() time.Duration { return time.Hour },
+		send:      func(_ context.Context, m laddermessage.Message) bool { return accept(m) },
 	}
 }
 
@@ -36,13 +38,16 @@
 		// told is when the leader must have accepted the notice, if it must, and attempts how often it may be asked.
 		told     time.Duration
 		attempts int64
+		// retention is how long jobs are retained, if not for long.
+		retention time.Duration
 	}{
-		"there is a leader":              {told: time.Millisecond, attempts: 1},
-		"it appears after a second":      {appears: time.Second, told: time.Second + retryInterval, attempts: 1},
-		"it reads the store for two":     {appears: time.Second, accepts: 3 * time.Second, told: 3*time.Second + maxLateNoticePause + retryInterval, attempts: 6},
-		"it appears after the period":    {appears: 2 * lateNoticePeriod},
-		"it accepts nothing":             {accepts: time.Hour, attempts: 20},
-		"it appears long after the call": {appears: lateNoticePeriod / 2, told: lateNoticePeriod/2 + retryInterval, attempts: 1},
+		"there is a leader":                      {told: time.Millisecond, attempts: 1},
+		"it appears after a second":              {appears: time.Second, told: time.Second + retryInterval, attempts: 1},
+		"it reads the store for two":             {appears: time.Second, accepts: 3 * time.Second, told: 3*time.Second + maxLateNoticePause + retryInterval, attempts: 6},
+		"it appears after the period":            {appears: 2 * lateNoticePeriod},
+		"it appears when the job may be deleted": {appears: 11 * time.Second, retention: 10 * time.Second},
+		"it accepts nothing":                     {accepts: time.Hour, attempts: 20},
+		"it appears long after the call":         {appears: lateNoticePeriod / 2, told: lateNoticePeriod/2 + retryInterval, attempts: 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -58,6 +63,9 @@
 					told.Store(&passed)
 					return true
 				})
+				if c.retention > 0 {
+					n.retention = func() time.Duration { return c.retention }
+				}
 				ctx, cancel := context.WithCancel(t.Context())
 				go n.run(ctx)
 				time.AfterFunc(c.appears, func() { leader.Store(5) })
@@ -114,6 +122,7 @@
 // leader that appears later, once.
 func TestCancellationWithoutLeaderIsToldToTheNext(t *testing.T) {
 	v := newTestVM(t, "e1")
+	v.bounds.Store(&platform.Bounds{MaxWorkerLease: 10 * time.Second, JobRetention: time.Minute})
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	go v.late.run(ctx)
