Tell cancellations before new jobs once a leader is known

Notices go out one after the other. While nobody leads many jobs may be accepted, and a leader that finds those late loses nothing by it, but a cancellation has a bound. TestLateCancellationsComeFirst.

--- a/laddervm/late_notices.go
+++ b/laddervm/late_notices.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -47,6 +48,11 @@
 	since   time.Time
 }
 
+func (h lateNotice) ofNewJob() bool {
+	_, ok := h.message.(laddermessage.JobAccepted)
+	return ok
+}
+
 func newLateNotices(v *VM) *lateNotices {
 	return &lateNotices{
 		clock: v.clock, log: v.log, added: make(chan struct{}, 1),
@@ -62,7 +68,8 @@
 	}
 }
 
-// add holds a notice. If there are too many, it drops the one that was held for longest.
+// add holds a notice. Cancellations come before new jobs, which are not urgent. If there are too many
+// notices, it drops the one that was held for longest.
 func (n *lateNotices) add(m laddermessage.Message) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -75,7 +82,13 @@
 		}
 		n.drop(oldest, "too many notices are held")
 	}
-	n.held = append(n.held, lateNotice{m, n.clock.Now()})
+	at := len(n.held)
+	if _, ok := m.(laddermessage.JobCancelled); ok {
+		if i := slices.IndexFunc(n.held, lateNotice.ofNewJob); i >= 0 {
+			at = i
+		}
+	}
+	n.held = slices.Insert(n.held, at, lateNotice{m, n.clock.Now()})
 	select {
 	case n.added <- struct{}{}:
 	default:
@@ -86,7 +99,7 @@
 func (n *lateNotices) drop(i int, why string) {
 	n.log.Info("leader is not notified any more; it finds the change in the store", "change", changeName(n.held[i].message),
 		"after", n.clock.Now().Sub(n.held[i].since).Round(time.Millisecond), "why", why)
-	n.held = append(n.held[:i:i], n.held[i+1:]...)
+	n.held = slices.Delete(n.held, i, i+1)
 }
 
 // run sends the notices until ctx ends.
--- a/laddervm/late_notices_test.go
+++ b/laddervm/late_notices_test.go
@@ -118,6 +118,29 @@
 	})
 }
 
+// TestLateCancellationsComeFirst checks that new jobs that nobody has heard of do not delay cancellations.
+func TestLateCancellationsComeFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var leader atomic.Int64
+		var told []string
+		n := testNotices(&leader, func(m laddermessage.Message) bool {
+			told = append(told, changeName(m))
+			return true
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		go n.run(ctx)
+		for _, id := range []string{"a", "b"} {
+			n.add(laddermessage.JobAccepted{Job: id})
+			n.add(laddermessage.JobCancelled{Job: id})
+		}
+		leader.Store(5)
+		time.Sleep(time.Second)
+		cancel()
+		synctest.Wait()
+		require.Equal(t, []string{"job a cancelled", "job b cancelled", "job a accepted", "job b accepted"}, told)
+	})
+}
+
 // TestCancellationWithoutLeaderIsToldToTheNext checks that a VM whose notification has failed notifies the
 // leader that appears later, once.
 func TestCancellationWithoutLeaderIsToldToTheNext(t *testing.T) {
