--- a/laddervm/late_notices.go
+++ b/laddervm/late_notices.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,7 +14,8 @@
 const (
 	// maxLateNotices bounds the notices that are held for a leader.
 	maxLateNotices = 512
-	// lateNoticePeriod is how long a notice is held. A leader has read the store long before.
+	// lateNoticePeriod is how long a notice is held, unless jobs are retained for less. A leader has
+	// read the store long before.
 	lateNoticePeriod = 30 * time.Second
 	// maxLateNoticePause bounds the time between two attempts to notify the same leader, which
 	// begins with retryInterval and doubles.
@@ -25,6 +27,9 @@
 type lateNotices struct {
 	clock ladderclock.Clock
 	log   *ladderlog.Logger
+	// retention returns for how long the store keeps a job that has ended. A leader that hears of the job
+	// later would take it for a new one.
+	retention func() time.Duration
 	// leader returns the revision of the leader's key, or zero while there is no leader.
 	leader func() int64
 	// send notifies the leader, and reports whether it has accepted the notice.
@@ -43,9 +48,15 @@
 	since   time.Time
 }
 
+func (h lateNotice) ofNewJob() bool {
+	_, ok := h.message.(laddermessage.JobAccepted)
+	return ok
+}
+
 func newLateNotices(v *VM) *lateNotices {
 	return &lateNotices{
 		clock: v.clock, log: v.log, added: make(chan struct{}, 1),
+		retention: func() time.Duration { return v.bounds.Load().JobRetention },
 		leader: func() int64 {
 			l, _ := v.registry.currentLeader()
 			return l.revision
@@ -57,7 +68,8 @@
 	}
 }
 
-// add holds a notice. If there are too many, it drops the one that was held for longest.
+// add holds a notice. Cancellations come before new jobs, which are not urgent. If there are too many
+// notices, it drops the one that was held for longest.
 func (n *lateNotices) add(m laddermessage.Message) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -70,7 +82,13 @@
 		}
 		n.drop(oldest, "too many notices are held")
 	}
-	n.held = append(n.held, lateNotice{m, n.clock.Now()})
+	at := len(n.held)
+	if _, ok := m.(laddermessage.JobCancelled); ok {
+		if i := slices.IndexFunc(n.held, lateNotice.ofNewJob); i >= 0 {
+			at = i
+		}
+	}
+	n.held = slices.Insert(n.held, at, lateNotice{m, n.clock.Now()})
 	select {
 	case n.added <- struct{}{}:
 	default:
@@ -81,7 +99,7 @@
 func (n *lateNotices) drop(i int, why string) {
 	n.log.Info("leader is not notified any more; it finds the change in the store", "change", changeName(n.held[i].message),
 		"after", n.clock.Now().Sub(n.held[i].since).Round(time.Millisecond), "why", why)
-	n.held = append(n.held[:i:i], n.held[i+1:]...)
+	n.held = slices.Delete(n.held, i, i+1)
 }
 
 // run sends the notices until ctx ends.
@@ -116,9 +134,9 @@
 func (n *lateNotices) dropExpired() int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	now := n.clock.Now()
+	now, period := n.clock.Now(), min(lateNoticePeriod, n.retention())
 	for i := len(n.held) - 1; i >= 0; i-- {
-		if now.Sub(n.held[i].since) > lateNoticePeriod {
+		if now.Sub(n.held[i].since) > period {
 			n.drop(i, "no leader has accepted it")
 		}
 	}
