Let a leader that resigns finish its orders, and place nothing more

Cause: a leader that resigned ended its polls and stored a last batch, but went on placing for up to a second. The end of its term then cancelled the orders under way and dropped those queued for delegates, half of a gang among them. Under load the last batch never had its turn, since each batch that was stored began the next: resigning took the whole second, without the batch.

From its beginning, the resignation lets the planner place nothing; the stops that events lead to still go out.

--- a/laddervm/leadership.go
+++ b/laddervm/leadership.go
@@ -27,8 +27,6 @@
 	// electionInterval is the time between two checks whether to contend, while the registry
 	// signals no change.
 	electionInterval = 500 * time.Millisecond
-	// resignTimeout bounds the handover of the leadership by a VM that leaves.
-	resignTimeout = time.Second
 )
 
 // leadership contends for the leadership while there is no leader, and holds the current term
@@ -244,17 +242,3 @@
 		l.vm.registry.signal()
 	}
 }
-
-// resign gives up the leadership, so that another VM can be elected at once.
-func (l *leadership) resign() {
-	t := l.current()
-	if t == nil {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), resignTimeout)
-	defer cancel()
-	t.endPolls(ctx)
-	t.saveFinal(ctx)
-	l.endTerm(t, "this VM resigned")
-	l.deleteKey(ctx, t.fence)
-}
--- a/laddervm/save.go
+++ b/laddervm/save.go
@@ -21,9 +21,11 @@
 
 // saver stores what the planner has changed, one batch at a time.
 type saver struct {
-	// busy is true while a batch is being stored or is scheduled, and lastStart is when the last
-	// one was begun.
+	// busy is true while a batch is being stored or is scheduled, scheduled while it is not begun yet, and
+	// lastStart is when the last one was begun. Once finalDue is true, no batch is begun except the final one.
 	busy      bool
+	scheduled bool
+	finalDue  bool
 	lastStart time.Time
 	// failingSince is when storing began to fail, or zero.
 	failingSince time.Time
@@ -46,12 +48,11 @@
 // save stores what has changed, unless a batch is already being stored or scheduled.
 func (t *term) save() {
 	now := t.vm.clock.Now()
-	if t.saver.busy || !t.loaded {
+	if t.saver.busy || t.saver.finalDue || !t.loaded {
 		return
 	}
 	if wait := t.saver.lastStart.Add(saveInterval).Sub(now); wait > 0 {
-		t.saver.busy = true
-		time.AfterFunc(wait, func() { t.do(func() { t.saver.busy = false; t.save() }) })
+		t.scheduleSave(wait)
 		return
 	}
 	b := t.planner.NextBatch()
@@ -65,23 +66,36 @@
 	}
 	t.saver.pendingSince = time.Time{}
 	go func() {
-		err := t.commit(b)
+		err := t.commit(t.ctx, b)
 		t.do(func() { t.batchSaved(b, err) })
 	}()
 }
 
+// scheduleSave stores what has changed after the given time.
+func (t *term) scheduleSave(wait time.Duration) {
+	t.saver.busy, t.saver.scheduled = true, true
+	time.AfterFunc(wait, func() {
+		t.do(func() {
+			if t.saver.scheduled {
+				t.saver.busy, t.saver.scheduled = false, false
+				t.save()
+			}
+		})
+	})
+}
+
 // commit stores a batch in as many transactions as it needs.
-func (t *term) commit(b *ladderplan.Batch) error {
+func (t *term) commit(ctx context.Context, b *ladderplan.Batch) error {
 	began := t.vm.clock.Now()
 	for rest := b.Records; len(rest) > 0; {
 		n := min(len(rest), ladderjournal.MaxRecords)
-		if err := t.recordWriter.Commit(t.ctx, rest[:n]); err != nil {
+		if err := t.recordWriter.Commit(ctx, rest[:n]); err != nil {
 			return err
 		}
 		rest = rest[n:]
 	}
 	if len(b.JobsToDelete) > 0 {
-		if err := t.recordWriter.DeleteJobs(t.ctx, b.JobsToDelete); err != nil {
+		if err := t.recordWriter.DeleteJobs(ctx, b.JobsToDelete); err != nil {
 			return err
 		}
 	}
@@ -102,8 +116,9 @@
 			t.log.Warn("storing progress failed; retrying", "records", len(b.Records), "err", err)
 		}
 		t.planner.BatchNotStored(b)
-		t.saver.busy = true
-		time.AfterFunc(saveRetryInterval, func() { t.do(func() { t.saver.busy = false; t.save() }) })
+		if !t.saver.finalDue {
+			t.scheduleSave(saveRetryInterval)
+		}
 		return
 	}
 	if !t.saver.failingSince.IsZero() {
@@ -129,35 +144,6 @@
 	t.save()
 }
 
-// saveFinal stores the remaining changes and waits for that, before the leadership is given
-// up.
-func (t *term) saveFinal(ctx context.Context) {
-	var b *ladderplan.Batch
-	for b == nil {
-		ok := t.call(ctx, func() {
-			if t.loaded && !t.saver.busy {
-				t.saver.busy = true
-				b = t.planner.NextBatch()
-			}
-		})
-		if !ok {
-			return
-		}
-		if b == nil {
-			<-t.vm.clock.After(saveFinalInterval)
-		}
-	}
-	if b.Empty() {
-		return
-	}
-	if err := t.commit(b); err != nil {
-		t.log.Warn("storing progress before the handover failed", "err", err)
-	}
-}
-
-// saveFinalInterval is the time between checks whether the previous batch is stored.
-const saveFinalInterval = 10 * time.Millisecond
-
 // saveRoster stores the roster, the set of workers on which a leader may start tasks. The
 // planner starts nothing on workers outside the stored roster. While a roster is being stored or
 // its outcome is unknown, that holds for each roster that the store may have.
--- a/laddervm/term.go
+++ b/laddervm/term.go
@@ -83,11 +83,17 @@
 	// outageSeenAt is when a round of queries began that showed that the store serves no VM, as a
 	// time since boot.
 	outageSeenAt atomic.Int64
-	// pollers holds the poller of each worker, by the worker's id. resigning is true once no more polls
+	// pollers holds the poller of each worker, by the worker's id. pollsEnded is true once no more polls
 	// are made, and polls counts those that are not answered yet.
-	pollers   map[string]*poller
-	resigning bool
-	polls     sync.WaitGroup
+	pollers    map[string]*poller
+	pollsEnded bool
+	polls      sync.WaitGroup
+	// resigning is true once the leader resigns: nothing more is placed. resignBegan is set by the first call
+	// that makes it resign.
+	resigning   bool
+	resignBegan atomic.Bool
+	// ownOrders counts the orders that the leader itself sends and that are not answered yet.
+	ownOrders orderCounts
 	// delegates holds the delegates by incarnation. excludedUntil holds, by name, the time
 	// until which a VM that failed as a delegate is not chosen again.
 	delegates     map[string]*delegateClient
@@ -247,10 +253,11 @@
 	}
 }
 
-// plan runs the planner and sends its orders.
-func (t *term) plan() {
+// plan runs the planner, sends its orders and returns them. A leader that resigns places nothing: the end of
+// its term would cut orders off.
+func (t *term) plan() ladderplan.Orders {
 	if !t.loaded {
-		return
+		return ladderplan.Orders{}
 	}
 	now := t.vm.clock.Now()
 	if v := t.vm.registry.version(); v != t.peersVersion {
@@ -266,6 +273,9 @@
 			"lease", t.lease.remaining().Round(time.Millisecond))
 		t.lastConfidence = confidence
 	}
+	if t.resigning {
+		confidence = ladderplan.LeadershipNone
+	}
 	o := t.planner.Plan(now, t.wallClock.now(now), confidence)
 	t.vm.stats.planTime.UpdateDuration(now)
 	took := t.vm.clock.Now().Sub(now)
@@ -277,6 +287,7 @@
 	t.sendOrders(o)
 	t.logPlacement(now)
 	t.save()
+	return o
 }
 
 // vmNames returns the names of all VMs that can request advice.
@@ -344,6 +355,9 @@
 
 // applyContents passes the contents of the store to the planner.
 func (t *term) applyContents(c *ladderjournal.Contents, workers []ladderflow.Worker, rosterWriter *ladderjournal.ProgressWriter) {
+	if t.resigning {
+		return
+	}
 	now := t.vm.clock.Now()
 	t.recordWriter, t.rosterWriter, t.earlier = t.vm.journal.ProgressWriter(t.fence, c), rosterWriter, c.Terms
 	for _, j := range c.Jobs {
--- a/laddervm/workers.go
+++ b/laddervm/workers.go
@@ -110,7 +110,7 @@
 // poll makes the next poll of a worker, or defers it. If the planner does not know the worker or
 // the polling has ended, it removes the poller.
 func (t *term) poll(ctx context.Context, p *poller) {
-	if t.resigning {
+	if t.pollsEnded {
 		return
 	}
 	now := t.vm.clock.Now()
@@ -142,27 +142,6 @@
 	})
 }
 
-// endPolls ends the polls that the leader makes itself, and waits for the reports that have arrived. An
-// end that is reported after the last batch would be lost if its worker left before the next
-// leader's first poll.
-func (t *term) endPolls(ctx context.Context) {
-	ok := t.call(ctx, func() {
-		t.resigning = true
-		for _, p := range t.pollers {
-			p.cancel()
-		}
-	})
-	if !ok {
-		return
-	}
-	ended := make(chan struct{})
-	go func() { t.polls.Wait(); close(ended) }()
-	select {
-	case <-ended:
-	case <-ctx.Done():
-	}
-}
-
 // resumePoll makes a deferred poll.
 func (t *term) resumePoll(ctx context.Context, p *poller) {
 	if p.deferred {
@@ -186,10 +165,10 @@
 
 // handleStatus handles the result of a poll and makes the next one.
 func (t *term) handleStatus(ctx context.Context, p *poller, sent time.Time, status ladderflow.StatusReport, err error) {
-	if t.resigning && err == nil {
+	if t.pollsEnded && err == nil {
 		t.applyStatus(p, t.vm.clock.Now(), sent, status)
 	}
-	if t.resigning || ctx.Err() != nil {
+	if t.pollsEnded || ctx.Err() != nil {
 		return
 	}
 	if err != nil {
@@ -231,6 +210,7 @@
 			c.start(s)
 			continue
 		}
+		t.ownOrders.starts++
 		go t.start(s)
 	}
 	for _, s := range o.Stops {
@@ -238,6 +218,7 @@
 			c.stop(s)
 			continue
 		}
+		t.ownOrders.stops++
 		go t.stop(s)
 	}
 	for _, s := range o.SpeedLimits {
@@ -252,7 +233,7 @@
 		go t.sendAdviceQuery(a)
 	}
 	for _, id := range o.Polls {
-		if p, ok := t.pollers[id]; ok && !p.extraPoll && !t.resigning {
+		if p, ok := t.pollers[id]; ok && !p.extraPoll && !t.pollsEnded {
 			p.extraPoll = true
 			go t.pollExtra(p)
 		}
@@ -308,7 +289,10 @@
 		}
 	}
 	t.vm.stats.startTime.UpdateDuration(began)
-	t.do(func() { t.startSettled(s.Worker.ID, s.Run, r, t.vm.clock.Now().Sub(began), "") })
+	t.do(func() {
+		t.ownOrders.starts--
+		t.startSettled(s.Worker.ID, s.Run, r, t.vm.clock.Now().Sub(began), "")
+	})
 }
 
 // sendStart sends a start order to a worker once.
@@ -353,7 +337,10 @@
 	r := t.sendOrder(func(ctx context.Context) (ladderflow.Refusal, error) {
 		return t.vm.workers.Stop(ctx, s.Worker.Address, s.Worker.ID, s.Run, t.fence)
 	})
-	t.do(func() { t.stopSettled(s.Worker.ID, s.Run, r, "") })
+	t.do(func() {
+		t.ownOrders.stops--
+		t.stopSettled(s.Worker.ID, s.Run, r, "")
+	})
 }
 
 // limitSpeed sends a speed limit for a run to a worker.
