Have a VM that leaves say so in its entry

Cause: a VM that leaves said so to the load balancer alone. Its entry stayed as it was until after its delegate session had ended, and a delegate whose entry was gone stayed a candidate. A leader that moved the workers of a delegate gave up its orders at once.

The VM now writes its entry again when it begins to leave: a zone that begins with "leaving:", and no processor. Entries are arrays of a fixed length, so that earlier builds would reject an additional element; they can read this, find no worker in the zone and hand over to no such VM. Leaders of this build make it no delegate, not even once its entry is gone, and query no advice through it. A delegate that has lost its workers is kept until the results of its orders are known.

--- a/laddervm/delegate_client.go
+++ b/laddervm/delegate_client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"lacewingladder/ladderdelegate"
@@ -142,7 +143,8 @@
 		}
 	}
 	for incarnation, c := range t.delegates {
-		if !used[incarnation] {
+		// A delegate that still carries out orders is kept until it has reported their results.
+		if !used[incarnation] && len(c.pending) == 0 {
 			c.close()
 		}
 	}
@@ -150,7 +152,7 @@
 }
 
 // delegateCandidates returns the registered VMs, and the delegates whose entries have expired. In an outage of
-// the store all entries do. A delegate that is gone does not answer.
+// the store all entries do. A delegate that is gone does not answer. VMs that are leaving are left out.
 func (t *term) delegateCandidates() []peer {
 	candidates := t.vm.registry.registered()
 	for _, c := range t.delegates {
@@ -159,7 +161,7 @@
 			candidates = append(candidates, p)
 		}
 	}
-	return candidates
+	return slices.DeleteFunc(candidates, func(p peer) bool { return p.leaving })
 }
 
 func (c *delegateClient) assign(p *poller) {
--- a/laddervm/registry.go
+++ b/laddervm/registry.go
@@ -11,7 +11,6 @@
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/oklog/ulid/v2"
 
 	"lacewingladder/ladderjournal"
@@ -46,22 +45,6 @@
 	trustAfterRemoval = 30 * time.Second
 )
 
-// peer is another entry VM, as it registered itself.
-type peer struct {
-	name        string
-	incarnation string
-	address     netip.AddrPort
-	// hash is the hash of the VM's public key.
-	hash string
-	// processor is the VM's processor capacity, in thousandths of a core.
-	processor int
-	zone      string
-	// revision is that of the VM's entry.
-	revision int64
-	// removedAt is when the VM's entry was removed from the store, or zero.
-	removedAt time.Time
-}
-
 // leader is the leader as last read from the store. Revision is that of the leader's key,
 // which is also the fencing token; it is zero if there is no leader. Lease is the lease to which
 // the key is bound.
@@ -119,41 +102,6 @@
 	}
 }
 
-// entryWire is the stored form of a VM's entry and of the leader's key.
-type entryWire struct {
-	_           struct{} `cbor:",toarray"`
-	Name        string
-	Incarnation string
-	Address     string
-	Hash        string
-	// Processor is the VM's processor capacity, in thousandths of a core.
-	Processor int
-	Zone      string
-}
-
-// entry returns the stored form of this VM's entry.
-func (r *registry) entry() []byte {
-	address := netip.AddrPortFrom(r.vm.settings.Address, r.vm.settings.FirstPort)
-	data, err := cbor.Marshal(entryWire{
-		Name: r.vm.settings.Name, Incarnation: r.incarnation, Address: address.String(), Hash: r.vm.keys.hash,
-		Processor: r.vm.settings.Processor, Zone: r.vm.settings.Zone,
-	})
-	if err != nil {
-		panic(err) // Strings can always be encoded.
-	}
-	return data
-}
-
-// parseEntry decodes the stored form of an entry.
-func parseEntry(data []byte) (peer, error) {
-	var w entryWire
-	if err := cbor.Unmarshal(data, &w); err != nil {
-		return peer{}, err
-	}
-	address, err := netip.ParseAddrPort(w.Address)
-	return peer{name: w.Name, incarnation: w.Incarnation, address: address, hash: w.Hash, processor: w.Processor, zone: w.Zone}, err
-}
-
 // trusted reports whether the hash of a key is registered, or was registered recently.
 func (r *registry) trusted(hash string) bool {
 	r.mu.Lock()
--- a/laddervm/term.go
+++ b/laddervm/term.go
@@ -290,11 +290,13 @@
 	return o
 }
 
-// vmNames returns the names of all VMs that can request advice.
+// vmNames returns the names of all VMs that can request advice and are not about to stop.
 func (t *term) vmNames() []string {
 	names := []string{t.vm.settings.Name}
 	for _, p := range t.vm.registry.others() {
-		names = append(names, p.name)
+		if !p.leaving {
+			names = append(names, p.name)
+		}
 	}
 	return names
 }
--- a/laddervm/vm.go
+++ b/laddervm/vm.go
@@ -175,6 +175,7 @@
 	<-ctx.Done()
 	v.leaving.Store(true)
 	v.log.Info("shutdown requested; the VM leaves")
+	v.wait.Go(func() { v.registry.announceLeaving(serving) })
 	v.wait.Go(v.leadership.resign)
 	callers.SetKeepAlivesEnabled(false)
 	drain, finish := shutdownTimes(v.bounds.Load().StopGrace)
