Let the soak see gangs that start in part and runs that outlive a cancellation

ladderstand.Gangs lets the members of a gang on several workers work only together, as the platform's page says: a member waits for the others and ends as alone, the others end as broken once one has ended, and all end done together. After its faults and their end, the soak shuts down leader after leader, at times with another VM, under gangs and jobs that are cancelled soon after they were handed in. It fails on a run that ends alone with no other fault near and no cancellation of its job, and on a run that is there 3.9 s after its job's cancellation was acknowledged (the bound of 3 s and the stop timeout).

--- a/ladderstand/doc.go
+++ b/ladderstand/doc.go
@@ -55,4 +55,5 @@
 //   - leaving: the worker refuses new tasks because it is about to leave.
 //
 // [PlatformWorker.SetUnresponsive] and [PlatformWorker.Crash] simulate faults of a [PlatformWorker].
+// [PlatformWorker.SetGangs] makes its runs wait for the other members of their gang; without it, they run on their own.
 package ladderstand
--- a/ladderstand/platformworker.go
+++ b/ladderstand/platformworker.go
@@ -45,6 +45,8 @@
 	// down is true from a crash to the start of the next incarnation.
 	down    bool
 	crashes CrashSpec
+	// gangs, if set, knows which tasks work only together.
+	gangs *Gangs
 }
 
 // CrashSpec says which runs crash their worker.
@@ -102,8 +104,11 @@
 
 // restart begins a new incarnation without runs. The caller must hold p.mu.
 func (p *PlatformWorker) restart() {
-	for _, active := range p.current.running {
+	for run, active := range p.current.running {
 		active.timer.Stop()
+		if p.gangs.has(run) {
+			p.gangs.end(run, ladderflow.EndFailed, active.startedAt)
+		}
 	}
 	p.startedAt = p.clock.Now()
 	p.current = incarnation{
@@ -223,6 +228,9 @@
 	}
 	active.timer.Stop()
 	delete(p.current.running, run)
+	if p.gangs.has(run) {
+		reason = p.gangs.end(run, reason, active.startedAt)
+	}
 	if reason == ladderflow.EndDone {
 		p.done[run.Task]++
 	}
@@ -351,9 +359,14 @@
 		reason = ladderflow.EndFailed
 	}
 	active := &activeRun{startedAt: p.clock.Now(), duration: duration}
-	active.timer = time.AfterFunc(duration, func() { p.finishRun(run, reason) })
 	p.current.running[run] = active
 	p.starts[task]++
+	if p.gangs.has(run) {
+		active.timer = time.AfterFunc(p.gangs.timeout, func() { p.giveUpGang(run, active) })
+		p.gangs.join(p, run, duration, fails)
+	} else {
+		active.timer = time.AfterFunc(duration, func() { p.finishRun(run, reason) })
+	}
 	p.scheduleCrash(run, active)
 	return http.StatusOK, ""
 }
--- a/laddertest/soak_test.go
+++ b/laddertest/soak_test.go
@@ -37,8 +37,10 @@
 	soakSettle = 25 * time.Second
 	// soakDrain is how long a VM may take to shut down.
 	soakDrain = 8 * time.Second
-	// soakVisible is how long after a cancellation a task may still start.
-	soakVisible = 3 * time.Second
+	// soakVisible is how long after a cancellation a task may still start, and soakStopTimeout how long after
+	// that it may still run.
+	soakVisible     = 3 * time.Second
+	soakStopTimeout = 900 * time.Millisecond
 	// soakCrasherPrefix begins the IDs of jobs whose tasks 0 crash their worker soakCrashAfter after
 	// their start.
 	soakCrasherPrefix = "c"
@@ -57,6 +59,8 @@
 	// cancelled and ended are when a caller knew that the job is cancelled or has ended.
 	cancelled time.Time
 	ended     time.Time
+	// cancelAsked is true once a caller has asked for the cancellation.
+	cancelAsked bool
 	// state is the final state that was seen.
 	state string
 }
@@ -72,6 +76,10 @@
 	jobs []*soakJob
 	// byID holds the accepted jobs.
 	byID map[string]*soakJob
+	// awaited is the number of jobs that awaitEnd has seen to end.
+	awaited int
+	// gangs holds the number of members of each gang.
+	gangs sync.Map
 	// crashStarts counts the starts of the tasks that crash their workers.
 	crashStarts map[ladderflow.Task]int
 	// down holds the VMs that are dead or stopped.
@@ -80,6 +88,13 @@
 	// that each VM is known to serve.
 	queues int
 	shown  map[*flowVM]int
+	// calmSince is when the last fault but shutdowns was over, or zero.
+	calmSince time.Time
+	// alone counts the runs that waited in vain for their gang, and aloneExcused those near a fault or a
+	// cancellation.
+	alone, aloneExcused int
+	// overdue holds the runs that were found to outlive the cancellation of their job.
+	overdue map[ladderflow.Run]bool
 	// broken holds the broken promises, and faults what was done to the cluster.
 	broken []string
 	faults []string
@@ -88,7 +103,7 @@
 // breakPromise records a broken promise. The mutex must be held.
 func (s *soak) breakPromise(id, format string, args ...any) {
 	text := time.Now().Format("15:04:05.000 ") + fmt.Sprintf(format, args...)
-	if id != "" {
+	if id != "" && len(s.broken) < soakPrinted {
 		text += "\n" + s.linesOf(id)
 	}
 	s.broken = append(s.broken, text)
@@ -142,26 +157,43 @@
 	case j == nil || kind < 4:
 		s.submitJob(r, "")
 	case kind == 4:
-		if status, _ := s.ask(s.any(r), http.MethodDelete, j.path, ""); status == http.StatusOK {
-			s.mu.Lock()
-			if j.ended.IsZero() && j.cancelled.IsZero() {
-				j.cancelled = time.Now()
-			}
-			s.mu.Unlock()
-		}
+		s.cancel(s.any(r), j)
 	default:
 		s.look(s.any(r), j)
 	}
 }
 
+// cancel asks a VM to cancel a job, and reports whether the VM has acknowledged it.
+func (s *soak) cancel(v *flowVM, j *soakJob) bool {
+	s.mu.Lock()
+	j.cancelAsked = true
+	s.mu.Unlock()
+	status, _ := s.ask(v, http.MethodDelete, j.path, "")
+	if status != http.StatusOK {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if j.ended.IsZero() && j.cancelled.IsZero() {
+		j.cancelled = time.Now()
+	}
+	return true
+}
+
 // submitJob submits a job under one ID, which begins with idPrefix, until a VM accepts it. It returns
 // nil if none does.
 func (s *soak) submitJob(r *rand.Rand, idPrefix string) *soakJob {
 	prefix := []string{"/fit/", "/regrade/"}[r.IntN(2)]
 	steps := []string{twoTasks, gangThenTasks, `[{"count":4,"cpu":1000,"memMb":100,"estimateMs":400}]`}[r.IntN(3)]
+	return s.submitSteps(r, prefix, idPrefix, "cut", steps)
+}
+
+// submitSteps is submitJob with the prefix of a queue, a payload and steps.
+func (s *soak) submitSteps(r *rand.Rand, prefix, idPrefix, payload, steps string) *soakJob {
 	id := idPrefix + fmt.Sprintf("%016x", s.flowCluster.jobs.Add(1))[len(idPrefix):]
+	s.recordGangs(id, steps)
 	for range 4 {
-		status, _ := s.ask(s.any(r), http.MethodPost, prefix+id, `{"spec":"cut","steps":`+steps+`}`)
+		status, _ := s.ask(s.any(r), http.MethodPost, prefix+id, `{"spec":"`+payload+`","steps":`+steps+`}`)
 		if status == http.StatusOK {
 			s.mu.Lock()
 			j := &soakJob{path: prefix + id, id: id}
@@ -217,7 +249,7 @@
 }
 
 // runStarts is called by the workers for each run that starts, and returns how long it takes.
-func (s *soak) runStarts(run ladderflow.Run, _ string) (time.Duration, bool) {
+func (s *soak) runStarts(run ladderflow.Run, payload string) (time.Duration, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
@@ -229,6 +261,9 @@
 			s.breakPromise(j.id, "run %v starts %v after %s was cancelled", run, now.Sub(j.cancelled), j.path)
 		}
 	}
+	if payload == soakLongPayload {
+		return soakLongRun, false
+	}
 	return time.Duration(50+(run.Task.Index*397+run.Number*131)%500) * time.Millisecond, false
 }
 
@@ -301,7 +336,8 @@
 
 // TestSoak guards the promises that docs/PROOFS.md lists against faults in series and overlapping:
 // VMs are killed, stopped and shut down, the store is away, slow, silent, loses answers or forgets
-// its history, workers leave calls without a response or crash, some tasks crash them, and the configuration changes. All
+// its history, workers leave calls without a response or crash, some tasks crash them, and the configuration changes. Then
+// leaders are shut down while gangs start and callers cancel jobs, without other faults. All
 // choices come from the seed, but not the moments at which processes act. By default it plays no
 // seed.
 func TestSoak(t *testing.T) {
@@ -310,11 +346,21 @@
 	}
 }
 
+// newSoak returns a soak without a cluster.
+func newSoak(seed uint64) *soak {
+	return &soak{
+		seed: seed, stop: make(chan struct{}), byID: map[string]*soakJob{}, down: map[*flowVM]bool{}, shown: map[*flowVM]int{},
+		crashStarts: map[ladderflow.Task]int{}, overdue: map[ladderflow.Run]bool{},
+	}
+}
+
 // runSoak plays one seed.
 func runSoak(t *testing.T, seed uint64) {
-	s := &soak{seed: seed, stop: make(chan struct{}), byID: map[string]*soakJob{}, down: map[*flowVM]bool{}, shown: map[*flowVM]int{}, crashStarts: map[ladderflow.Task]int{}}
+	s := newSoak(seed)
 	s.flowCluster = newFlow(t, soakWorkers, s.runStarts)
+	gangs := ladderstand.NewGangs(soakGangTimeout, s.gangMembers, s.endsAlone)
 	for _, w := range s.workers {
+		w.SetGangs(gangs)
 		w.SetCrashes(ladderstand.CrashSpec{Downtime: crashDowntime, Store: s.platform.Store(), After: s.crashes})
 	}
 	s.startVMs(soakVMs)
@@ -329,10 +375,13 @@
 	close(s.stop)
 	s.wait.Wait()
 	s.awaitEnd()
+	s.shutLeadersDown()
+	s.awaitEnd()
 	s.checkResources()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t.Logf("%d jobs accepted, %d queues, %d faults", len(s.jobs), s.queues, len(s.faults))
+	t.Logf("%d jobs accepted, %d queues, %d faults, %d runs alone, %d of them near a fault or a cancellation",
+		len(s.jobs), s.queues, len(s.faults), s.alone, s.aloneExcused)
 	if len(s.broken) > 0 {
 		t.Errorf("go test ./laddertest -run TestSoak -soak.seeds=1 -soak.seed=%d -soak.time=%v\n%d promises broken; the first ones:\n%s\nfaults:\n%s",
 			seed, *soakTime, len(s.broken), strings.Join(s.broken[:min(len(s.broken), soakPrinted)], "\n"), strings.Join(s.faults, "\n"))
@@ -342,7 +391,7 @@
 // awaitEnd waits until all accepted jobs have ended, and checks that they do in time.
 func (s *soak) awaitEnd() {
 	limit := time.Now().Add(soakSettle)
-	for i, j := range s.jobs {
+	for i, j := range s.jobs[s.awaited:] {
 		for {
 			v := s.vms[i%len(s.vms)]
 			s.look(v, j)
@@ -356,6 +405,7 @@
 			time.Sleep(20 * time.Millisecond)
 		}
 	}
+	s.awaited = len(s.jobs)
 }
 
 // checkResources checks that the VMs have not piled up descriptors or goroutines.
