--- a/ladderstand/gangs.go
+++ b/ladderstand/gangs.go
@@ -21,6 +21,8 @@
 
 	mu   sync.Mutex
 	runs map[gangRun]*gang
+	// longest is the longest time that a member has waited.
+	longest time.Duration
 }
 
 // gangRun is one run of a gang.
@@ -31,6 +33,8 @@
 
 // gang is what has become of one run of a gang.
 type gang struct {
+	// since is when the first member came.
+	since   time.Time
 	present map[ladderflow.Task]gangMember
 	// duration is the longest one of the members, and failing holds the members that fail.
 	duration time.Duration
@@ -81,6 +85,13 @@
 	}
 }
 
+// LongestWait returns the longest time that a member has waited for the others, successfully or not.
+func (g *Gangs) LongestWait() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.longest
+}
+
 // key returns the run of a gang to which a run belongs.
 func (*Gangs) key(run ladderflow.Run) gangRun {
 	t := run.Task
@@ -97,7 +108,7 @@
 	key := g.key(run)
 	a := g.runs[key]
 	if a == nil {
-		a = &gang{present: map[ladderflow.Task]gangMember{}}
+		a = &gang{since: p.clock.Now(), present: map[ladderflow.Task]gangMember{}}
 		g.runs[key] = a
 	}
 	a.present[run.Task] = gangMember{p, p.current.number}
@@ -107,6 +118,7 @@
 	}
 	if len(a.present) == g.members(run.Task) && !a.broken {
 		a.complete = true
+		g.longest = max(g.longest, p.clock.Now().Sub(a.since))
 		time.AfterFunc(a.duration, func() { g.finish(run, a) })
 	}
 }
@@ -139,10 +151,10 @@
 	finishMembers(members, run.Number, reason)
 }
 
-// end takes note of the end of a run, and returns why it ends: after the gang has succeeded, all members
+// end takes note of the end of a run that has begun at a time, and returns why it ends: after the gang has succeeded, all members
 // have. The other members end as well, unless this one has waited in vain. The mutex of the worker must be
 // held.
-func (g *Gangs) end(run ladderflow.Run, reason ladderflow.EndReason, since time.Time) ladderflow.EndReason {
+func (g *Gangs) end(run ladderflow.Run, reason ladderflow.EndReason, since, now time.Time) ladderflow.EndReason {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	a := g.runs[g.key(run)]
@@ -150,6 +162,9 @@
 		return reason
 	}
 	delete(a.present, run.Task)
+	if !a.complete {
+		g.longest = max(g.longest, now.Sub(since))
+	}
 	switch {
 	case a.done:
 		return ladderflow.EndDone
--- a/ladderstand/platformworker.go
+++ b/ladderstand/platformworker.go
@@ -47,6 +47,8 @@
 	crashes CrashSpec
 	// gangs, if set, knows which tasks work only together.
 	gangs *Gangs
+	// latency, if set, returns how long the worker takes to carry out a start.
+	latency func(task string) time.Duration
 }
 
 // CrashSpec says which runs crash their worker.
@@ -107,7 +109,7 @@
 	for run, active := range p.current.running {
 		active.timer.Stop()
 		if p.gangs.has(run) {
-			p.gangs.end(run, ladderflow.EndFailed, active.startedAt)
+			p.gangs.end(run, ladderflow.EndFailed, active.startedAt, p.clock.Now())
 		}
 	}
 	p.startedAt = p.clock.Now()
@@ -229,7 +231,7 @@
 	active.timer.Stop()
 	delete(p.current.running, run)
 	if p.gangs.has(run) {
-		reason = p.gangs.end(run, reason, active.startedAt)
+		reason = p.gangs.end(run, reason, active.startedAt, p.clock.Now())
 	}
 	if reason == ladderflow.EndDone {
 		p.done[run.Task]++
@@ -312,6 +314,7 @@
 		if !ok {
 			return
 		}
+		p.delayStart(request, o)
 		p.mu.Lock()
 		if p.down {
 			p.mu.Unlock()
--- a/ladderstand/platformworker_test.go
+++ b/ladderstand/platformworker_test.go
@@ -80,3 +80,37 @@
 	require.True(t, ok)
 	require.Contains(t, string(item.Value), `"cpu":3000`)
 }
+
+// TestPlatformWorkerStartLatency guards against a stand-in that carries out a start whose caller has gone.
+func TestPlatformWorkerStartLatency(t *testing.T) {
+	const patience = 10 * time.Second
+	task := ladderflow.Task{Job: "00000000000000aa"}
+	for name, c := range map[string]struct {
+		latency, timeout time.Duration
+		starts           int
+	}{
+		"the caller waits":    {20 * time.Millisecond, patience, 1},
+		"the caller has gone": {time.Hour, 20 * time.Millisecond, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := NewPlatformWorker(ladderclock.System{}, ladderflow.Worker{ID: "w0", Service: "s"}, func(ladderflow.Run, string) (time.Duration, bool) {
+				return time.Hour, false
+			})
+			w.SetStartLatency(func(string) time.Duration { return c.latency })
+			s := httptest.NewServer(w.Handler())
+			defer s.Close() // It waits for the handlers.
+			ctx, cancel := context.WithTimeout(context.Background(), c.timeout)
+			defer cancel()
+			r, err := http.NewRequestWithContext(ctx, http.MethodPost, s.URL+"/-/run-start", strings.NewReader(`{"task":"`+platform.FormatTask(task)+`","run":1,"untilMs":60000}`))
+			require.NoError(t, err)
+			response, err := http.DefaultClient.Do(r)
+			if c.starts == 0 {
+				require.Error(t, err)
+			} else {
+				require.NoError(t, err)
+				require.NoError(t, response.Body.Close())
+			}
+			require.Equal(t, c.starts, w.Starts(task))
+		})
+	}
+}
--- a/laddertest/flow_cluster_test.go
+++ b/laddertest/flow_cluster_test.go
@@ -89,10 +89,18 @@
 	f.platform = ladderstand.NewPlatform(ladderclock.System{})
 	f.address = f.serve(f.platform.Handler())
 	f.advice = f.serve((&ladderstand.Advice{ResponseTime: 2 * time.Millisecond, TicketTTL: 2 * time.Second}).Handler())
-	if runTime == nil {
-		runTime = func(ladderflow.Run, string) (time.Duration, bool) { return 20 * time.Millisecond, false }
+	if f.runTime == nil {
+		f.runTime = func(ladderflow.Run, string) (time.Duration, bool) { return 20 * time.Millisecond, false }
 	}
-	for i := range workers {
+	f.addWorkers(workers)
+	f.configure(1, "")
+	return f
+}
+
+// addWorkers starts workers and lists them in the store.
+func (f *flowCluster) addWorkers(n int) {
+	f.t.Helper()
+	for i := len(f.workers); n > 0; i, n = i+1, n-1 {
 		spec := ladderflow.Worker{
 			ID: fmt.Sprintf("w%d", i), Service: "fitting", Zone: zones[i%3].name, Labels: []string{"a", fmt.Sprintf("r%d", i/4)},
 			Capacity: ladderflow.Size{Processor: 8000, Memory: 16000},
@@ -100,13 +108,11 @@
 		// The worker's entry in the store contains its address, so its server starts first.
 		deferred := &deferredHandler{}
 		spec.Address = netip.MustParseAddrPort(f.serve(deferred))
-		worker := ladderstand.NewPlatformWorker(ladderclock.System{}, spec, runTime)
+		worker := ladderstand.NewPlatformWorker(ladderclock.System{}, spec, f.runTime)
 		deferred.handler.Store(ptr(worker.Handler()))
-		require.NoError(t, worker.Register(f.platform.Store()))
+		require.NoError(f.t, worker.Register(f.platform.Store()))
 		f.workers = append(f.workers, worker)
 	}
-	f.configure(1, "")
-	return f
 }
 
 // deferredHandler passes requests to a handler that is set after the server has started.
--- a/laddertest/soak_check_test.go
+++ b/laddertest/soak_check_test.go
@@ -37,8 +37,8 @@
 	require.Equal(t, http.StatusOK, response.StatusCode)
 }
 
-// TestSoakFindsLoneRuns guards against a soak that does not see a gang of which one member was started.
-func TestSoakFindsLoneRuns(t *testing.T) {
+// TestLoneRunIsFoundBySoak guards against a soak that does not see a gang of which one member was started.
+func TestLoneRunIsFoundBySoak(t *testing.T) {
 	job := "00000000000000aa"
 	for name, c := range map[string]struct {
 		prepare func(*soak)
@@ -64,8 +64,8 @@
 	}
 }
 
-// TestSoakFindsRunsOfCancelledJobs guards against a soak that does not see a run that outlives the cancellation of its job.
-func TestSoakFindsRunsOfCancelledJobs(t *testing.T) {
+// TestRunOfCancelledJobIsFoundBySoak guards against a soak that does not see a run that outlives the cancellation of its job.
+func TestRunOfCancelledJobIsFoundBySoak(t *testing.T) {
 	const late = soakVisible + soakStopTimeout + time.Second
 	for name, c := range map[string]struct {
 		calm, cancelled time.Duration
--- a/laddertest/soak_leaders_test.go
+++ b/laddertest/soak_leaders_test.go
@@ -3,12 +3,14 @@
 import (
 	"encoding/json"
 	"fmt"
+	"hash/fnv"
 	"math/rand/v2"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"lacewingladder/ladderflow"
+	"lacewingladder/ladderstand"
 )
 
 const (
@@ -20,6 +22,15 @@
 	// of four shutdowns come with that of another VM.
 	soakLeaders = 4
 	soakBesides = 2
+	// soakBurst is the number of callers meanwhile.
+	soakBurst = 16
+	// soakMoreWorkers is the number of workers that are added before. The leader alone can't poll so many, so it has
+	// delegates, which are shut down as well. A VM may have soakWorkerDescriptors and soakWorkerGoroutines more for each of them.
+	soakMoreWorkers       = 108
+	soakWorkerDescriptors = 3
+	soakWorkerGoroutines  = 6
+	// soakMaxLatency is the longest time that a worker takes to carry out a start.
+	soakMaxLatency = 100 * time.Millisecond
 	// soakLongPayload is the payload of tasks that take soakLongRun, which is longer than a cancelled job may run.
 	soakLongPayload = "long"
 	soakLongRun     = 12 * time.Second
@@ -94,13 +105,19 @@
 	s.calmSince = time.Now().Add(soakCalm)
 	s.mu.Unlock()
 	s.stop = make(chan struct{})
+	s.addWorkers(soakMoreWorkers)
+	s.stand = ladderstand.NewGangs(soakGangTimeout, s.gangMembers, s.endsAlone)
+	for _, w := range s.workers {
+		w.SetGangs(s.stand)
+		w.SetStartLatency(s.startLatency)
+	}
 	time.Sleep(soakCalm)
-	for i := range uint64(soakCallers) {
+	for i := range uint64(soakBurst) {
 		s.do(200+i, s.submitAndCancel)
 	}
-	s.do(301, s.watchRuns)
-	s.do(302, s.watchCancelled)
-	r := rand.New(rand.NewPCG(s.seed, 303))
+	s.do(300, s.watchRuns)
+	s.do(301, s.watchCancelled)
+	r := rand.New(rand.NewPCG(s.seed, 302))
 	for range soakLeaders {
 		s.pause(time.Duration(300+r.IntN(1200)) * time.Millisecond)
 		s.shutDown(s.flowCluster.leader())
@@ -113,6 +130,14 @@
 	s.pause(soakVisible + soakStopTimeout + time.Second)
 	close(s.stop)
 	s.wait.Wait()
+	s.t.Logf("%d jobs accepted while leaders were shut down; the longest wait for a gang was %v", len(s.jobs)-s.awaited, s.stand.LongestWait())
+}
+
+// startLatency returns how long a worker takes to carry out the start of a task.
+func (s *soak) startLatency(task string) time.Duration {
+	h := fnv.New64a()
+	_, _ = fmt.Fprint(h, s.seed, task)
+	return time.Duration(h.Sum64() % uint64(soakMaxLatency))
 }
 
 // shutDown shuts a VM down, unless it or too many others are down, and has it run again.
--- a/laddertest/soak_test.go
+++ b/laddertest/soak_test.go
@@ -47,7 +47,7 @@
 	soakCrashAfter    = 10 * time.Millisecond
 	// soakPrinted is the number of broken promises that a failure prints.
 	soakPrinted = 3
-	// soakDescriptors and soakGoroutines bound what a VM has open at the end.
+	// soakDescriptors and soakGoroutines bound what a VM has open at the end, with soakWorkers workers.
 	soakDescriptors = 300
 	soakGoroutines  = 600
 )
@@ -78,8 +78,9 @@
 	byID map[string]*soakJob
 	// awaited is the number of jobs that awaitEnd has seen to end.
 	awaited int
-	// gangs holds the number of members of each gang.
+	// gangs holds the number of members of each gang, which all workers play by stand.
 	gangs sync.Map
+	stand *ladderstand.Gangs
 	// crashStarts counts the starts of the tasks that crash their workers.
 	crashStarts map[ladderflow.Task]int
 	// down holds the VMs that are dead or stopped.
@@ -358,9 +359,9 @@
 func runSoak(t *testing.T, seed uint64) {
 	s := newSoak(seed)
 	s.flowCluster = newFlow(t, soakWorkers, s.runStarts)
-	gangs := ladderstand.NewGangs(soakGangTimeout, s.gangMembers, s.endsAlone)
+	s.stand = ladderstand.NewGangs(soakGangTimeout, s.gangMembers, s.endsAlone)
 	for _, w := range s.workers {
-		w.SetGangs(gangs)
+		w.SetGangs(s.stand)
 		w.SetCrashes(ladderstand.CrashSpec{Downtime: crashDowntime, Store: s.platform.Store(), After: s.crashes})
 	}
 	s.startVMs(soakVMs)
@@ -375,9 +376,10 @@
 	close(s.stop)
 	s.wait.Wait()
 	s.awaitEnd()
+	s.checkResources(soakDescriptors, soakGoroutines)
 	s.shutLeadersDown()
 	s.awaitEnd()
-	s.checkResources()
+	s.checkResources(soakDescriptors+soakMoreWorkers*soakWorkerDescriptors, soakGoroutines+soakMoreWorkers*soakWorkerGoroutines)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t.Logf("%d jobs accepted, %d queues, %d faults, %d runs alone, %d of them near a fault or a cancellation",
@@ -409,12 +411,12 @@
 }
 
 // checkResources checks that the VMs have not piled up descriptors or goroutines.
-func (s *soak) checkResources() {
+func (s *soak) checkResources(maxDescriptors, maxGoroutines int) {
 	for _, v := range s.vms {
 		open, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", v.command.Process.Pid))
 		require.NoError(s.t, err, v.name)
-		if len(open) > soakDescriptors {
-			s.fail("", "%s has %d open descriptors, more than %d", v.name, len(open), soakDescriptors)
+		if len(open) > maxDescriptors {
+			s.fail("", "%s has %d open descriptors, more than %d", v.name, len(open), maxDescriptors)
 		}
 		response, err := s.client.Get("http://" + v.metrics + "/metrics")
 		require.NoError(s.t, err, v.name)
@@ -426,8 +428,8 @@
 		var goroutines int
 		_, err = fmt.Sscan(after, &goroutines)
 		require.NoError(s.t, err)
-		if goroutines > soakGoroutines {
-			s.fail("", "%s has %d goroutines, more than %d", v.name, goroutines, soakGoroutines)
+		if goroutines > maxGoroutines {
+			s.fail("", "%s has %d goroutines, more than %d", v.name, goroutines, maxGoroutines)
 		}
 	}
 }
