Let the model see members of gangs that wait in vain, and leaders that resign half way

The model lets a gang end as incomplete whenever it is not whole, and checked nothing about it; its leaders never stopped between two orders of a gang. TestFlowGangsOfLeadersThatResign adds leaders that deliver a drawn number of their orders and resign, and checks that no member waits for longer than the gang timeout while the newest leader, confirmed, has polled all workers and planned for 1.5 s and has no answer to wait for. The wait is checked once ladderplan.Options has the field GangTimeout, which the model sets by name.

--- a/ladderproof/flow_check_test.go
+++ b/ladderproof/flow_check_test.go
@@ -49,6 +49,7 @@
 	}
 	sim.checkShown()
 	sim.checkFailed()
+	sim.checkGangs()
 }
 
 // unfinished returns the tasks of a job that have not succeeded on any worker.
--- a/ladderproof/flow_simulation_test.go
+++ b/ladderproof/flow_simulation_test.go
@@ -164,6 +164,8 @@
 	// jobs from it.
 	storeOutUntil  time.Time
 	readsLateUntil time.Time
+	// gangs, if set, checks how long members of gangs wait.
+	gangs *gangWatch
 	// steps and starts count the checked actions and the started runs of all simulations.
 	steps  *int
 	starts *int
@@ -246,11 +248,15 @@
 		seen: map[seenRun]bool{}, crashes: map[ladderflow.Task]*leaderCrashes{},
 	}
 	sim.restoreCrashes(l)
-	l.planner = ladderplan.New(ladderplan.Options{
+	options := ladderplan.Options{
 		Fence: l.fence, LeaseDuration: flowWorkerLease, MaxLeaseDuration: flowMaxWorkerLease, ElectedAt: sim.now, EarlierLeaderTimeout: flowFormerLeaderTime,
 		EarlierLeaseEnd: sim.now.Add(flowConfirmedTime), StopTimeout: time.Second,
 		JobRetention: time.Hour, RemoteFactor: 2, Log: ladderlog.Discard().Component("plan"),
-	})
+	}
+	if sim.gangs != nil {
+		setGangTimeout(&options)
+	}
+	l.planner = ladderplan.New(options)
 	l.planner.SetFleet(sim.fleet())
 	for _, j := range c.Jobs {
 		l.planner.AddJob(sim.now, j, true)
@@ -338,6 +344,7 @@
 func (sim *flowSimulation) plan(l *flowLeader) {
 	sim.noticeCrashes()
 	l.planner.SetStoreServing(sim.now, !sim.storeOut())
+	sim.gangs.planned(l, sim.now)
 	o := l.planner.Plan(sim.now, sim.now, l.confidence(sim.now))
 	for i := range o.Starts {
 		s := &o.Starts[i]
@@ -427,6 +434,7 @@
 		l.planner.PollFailed(w.id, true)
 		return
 	}
+	sim.gangs.polled(l, w, sim.now)
 	sim.tracef("poll of %s by leader %d: until %v, running %v, ended %v", w.id, l.fence, next.LeaseUntil, status.Running, status.Ended)
 	sim.receive(l, w, sim.now, status)
 }
