--- a/ladderstand/platformworker.go
+++ b/ladderstand/platformworker.go
@@ -45,6 +45,10 @@
 	// down is true from a crash to the start of the next incarnation.
 	down    bool
 	crashes CrashSpec
+	// gangs, if set, knows which tasks work only together.
+	gangs *Gangs
+	// latency, if set, returns how long the worker takes to carry out a start.
+	latency func(task string) time.Duration
 }
 
 // CrashSpec says which runs crash their worker.
@@ -102,8 +106,11 @@
 
 // restart begins a new incarnation without runs. The caller must hold p.mu.
 func (p *PlatformWorker) restart() {
-	for _, active := range p.current.running {
+	for run, active := range p.current.running {
 		active.timer.Stop()
+		if p.gangs.has(run) {
+			p.gangs.end(run, ladderflow.EndFailed, active.startedAt, p.clock.Now())
+		}
 	}
 	p.startedAt = p.clock.Now()
 	p.current = incarnation{
@@ -223,6 +230,9 @@
 	}
 	active.timer.Stop()
 	delete(p.current.running, run)
+	if p.gangs.has(run) {
+		reason = p.gangs.end(run, reason, active.startedAt, p.clock.Now())
+	}
 	if reason == ladderflow.EndDone {
 		p.done[run.Task]++
 	}
@@ -304,6 +314,7 @@
 		if !ok {
 			return
 		}
+		p.delayStart(request, o)
 		p.mu.Lock()
 		if p.down {
 			p.mu.Unlock()
@@ -351,9 +362,14 @@
 		reason = ladderflow.EndFailed
 	}
 	active := &activeRun{startedAt: p.clock.Now(), duration: duration}
-	active.timer = time.AfterFunc(duration, func() { p.finishRun(run, reason) })
 	p.current.running[run] = active
 	p.starts[task]++
+	if p.gangs.has(run) {
+		active.timer = time.AfterFunc(p.gangs.timeout, func() { p.giveUpGang(run, active) })
+		p.gangs.join(p, run, duration, fails)
+	} else {
+		active.timer = time.AfterFunc(duration, func() { p.finishRun(run, reason) })
+	}
 	p.scheduleCrash(run, active)
 	return http.StatusOK, ""
 }
