Resign at once if the VM began to leave during its election

A VM that gets SIGTERM between its last look whether it leaves and the store's answer to its election went on leading while it drained, and its key remained until its lease expired.

Cause: resign is called once, when there is no term yet, and nothing looked again when the term began. Now startTerm does. The term is stored before the look, and the VM is marked as leaving before resign looks for a term, so that one of the two resigns.

Evidence: TestVMThatLeavesDuringItsElectionLeadsNoLonger fails without the change (the term goes on) and passes with it.

--- a/laddervm/leadership.go
+++ b/laddervm/leadership.go
@@ -206,6 +206,9 @@
 	l.term.Store(t)
 	go t.run()
 	go l.renewLease(t)
+	if l.vm.leaving.Load() {
+		l.resign() // The VM began to leave during the election.
+	}
 }
 
 // renewLease renews the leader's lease until the term ends.
--- a/laddervm/leadership_test.go
+++ b/laddervm/leadership_test.go
@@ -55,3 +55,34 @@
 		})
 	}
 }
+
+// TestVMThatLeavesDuringItsElectionLeadsNoLonger lets a VM begin to leave while the store makes it the leader, after
+// it has looked whether there is a term to resign from.
+func TestVMThatLeavesDuringItsElectionLeadsNoLonger(t *testing.T) {
+	v := newTestVM(t, "e1")
+	deletes := make(chan string, 1)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		switch {
+		case r.URL.Path != "/-/kv-txn" && r.URL.Path != "/-/kv-lease":
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		case r.URL.Path == "/-/kv-txn" && strings.Contains(string(body), `"deletes":["`+ladderjournal.LeaderKey):
+			deletes <- string(body)
+		case r.URL.Path == "/-/kv-txn":
+			v.leaving.Store(true)
+			v.leadership.resign()
+		}
+		_, _ = w.Write([]byte(`{"rev":10,"lease":3,"ttlMs":1200}`))
+	}))
+	defer s.Close()
+	v.store = platform.NewStore(v.storeCarrier, netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://")))
+	v.leadership.contend(t.Context())
+	require.True(t, v.leaving.Load())
+	require.Nil(t, v.leadership.current())
+	select {
+	case <-deletes:
+	default:
+		require.Fail(t, "the leader's key was not deleted")
+	}
+}
