Count the wait for orders from the beginning of the resignation

The bound of 0.5 s counted from the control goroutine's first answer, so that a leader that is late itself spent more of resignTimeout on its orders than is stated. It now counts from the beginning, as the later bounds do. Found by reading; no test shows the difference.

--- a/laddervm/resign.go
+++ b/laddervm/resign.go
@@ -81,7 +81,7 @@
 	if loaded, ok := callFor(ctx, t, func() bool { return t.loaded }); !ok || !loaded {
 		return // Nothing has been ordered.
 	}
-	left := t.awaitOrders(ctx, underWay, resignOrderTime)
+	left := t.awaitOrders(ctx, underWay, resignOrderTime-t.vm.clock.Now().Sub(began))
 	gangs, _ := callFor(ctx, t, t.stopIncompleteGangs)
 	unstopped := t.awaitOrders(ctx, left, resignStopTime-t.vm.clock.Now().Sub(began))
 	t.endPolls(ctx)
