Spare gangs at work that a new leader has only seen once, and test the edges of incomplete gangs

A worker may delay its response to a regular poll for a second. A leader that has read the store late would have stopped a whole gang that resumed from a checkpoint, beside a worker that is silent, before a second report could show its progress. An adopted gang now has 0.4 s from when it was seen, and one of its members is polled 0.2 s before that ends. The two new cases of TestNewLeaderKeepsWholeGang fail without it (shown by taking out each half).

stopRunOrGang goes: the check in the same pass of the control loop stops the others. A lost member of an earlier run leaves a later run of its gang alone (TestLostMemberOfEarlierRunLeavesWholeGang, with stopGangRun in dropLostRuns).

Each rule of the check was taken out in turn (14 changes); each time a test of the planner failed, except for two lines that were then removed.

--- a/ladderplan/doc.go
+++ b/ladderplan/doc.go
@@ -21,6 +21,8 @@
 //     its lease must have expired.
 //   - The end of a run is acknowledged to its worker only after it was stored. A job
 //     is reported as done or failed only then.
+//   - A gang that does not become whole in time is stopped as a whole, so that its
+//     members end before their workers give up waiting for the others.
 //   - A task has at most three confirmed runs under which workers crash, and one more for each
 //     takeover just after such a crash. Its job then ends as failed. Long-running tasks that have
 //     run for a while count anew.
--- a/ladderplan/gang.go
+++ b/ladderplan/gang.go
@@ -78,7 +78,7 @@
 		number = max(number, t.lastRun+1)
 	}
 	s.gang.lastRun, s.gang.orderedAt = number, sp.now
-	sp.planner.watchGang(s)
+	sp.planner.watchGang(sp.now, s)
 	for i, w := range sp.assignGang(list) {
 		sp.start(s.tasks[i], w, number, s.gang.checkpoint)
 	}
--- a/ladderplan/gang_sim_test.go
+++ b/ladderplan/gang_sim_test.go
@@ -37,8 +37,10 @@
 	starts []StartOrder
 	alone  []string
 	began  time.Time
-	// ids holds the workers in the order in which they are polled.
-	ids []string
+	// ids holds the workers in the order in which they are polled, at first at firstPoll and then at each interval.
+	ids       []string
+	firstPoll time.Duration
+	interval  time.Duration
 }
 
 type simRun struct {
@@ -58,7 +60,7 @@
 
 func newGangSim(h *harness, workers, members int) *gangSim {
 	sim := &gangSim{harness: h, members: members, ends: map[string][]ladderflow.EndedRun{}, silent: map[string]bool{},
-		stops: map[ladderflow.Run]time.Time{}, began: h.now}
+		stops: map[ladderflow.Run]time.Time{}, began: h.now, interval: pollInterval}
 	sim.outcome = func(StartOrder) (time.Duration, time.Duration, Result) {
 		return 20 * time.Millisecond, 40 * time.Millisecond, Result{}
 	}
@@ -91,22 +93,29 @@
 // passed returns the time since the simulation began.
 func (sim *gangSim) passed() time.Duration { return sim.now.Sub(sim.began) }
 
-// runFor lets time pass. Each worker that is not silent is polled each 100 ms.
+// runFor lets time pass.
 func (sim *gangSim) runFor(d time.Duration) {
 	for end := sim.now.Add(d); sim.now.Before(end); sim.advance(simTick) {
 		sim.deliver()
 		sim.work()
-		if sim.passed()%pollInterval == 0 {
+		if d := sim.passed() - sim.firstPoll; d >= 0 && d%sim.interval == 0 {
 			for _, id := range sim.ids {
-				if !sim.silent[id] {
-					sim.poll(id, sim.report(id))
-				}
+				sim.pollOne(id)
 			}
 		}
 		sim.send(sim.plan())
 	}
 }
 
+// pollOne polls a worker, which answers unless it is silent.
+func (sim *gangSim) pollOne(id string) {
+	if sim.silent[id] {
+		sim.planner.PollFailed(id, false)
+		return
+	}
+	sim.poll(id, sim.report(id))
+}
+
 // deliver does what is due.
 func (sim *gangSim) deliver() {
 	for i := 0; i < len(sim.due); i++ {
@@ -132,6 +141,9 @@
 		}
 		sim.after(settles, func() { sim.planner.StartSettled(sim.now, s.Worker.ID, s.Run, r) })
 	}
+	for _, id := range o.Polls {
+		sim.after(simTick, func() { sim.pollOne(id) })
+	}
 	for _, s := range o.Stops {
 		if _, ok := sim.stops[s.Run]; !ok {
 			sim.stops[s.Run] = sim.now
@@ -220,6 +232,13 @@
 	return first
 }
 
+// requireOneStop checks that all runs that were stopped were so at once.
+func (sim *gangSim) requireOneStop(number int) {
+	for x, at := range sim.stops {
+		require.Equal(sim.t, sim.firstStop(number), at.Sub(sim.began), "%v", x)
+	}
+}
+
 // latestStop is the time after the start of a member by which a stop must be ordered to end it before a worker
 // gives up waiting.
 func (sim *gangSim) latestStop() time.Duration {
--- a/ladderplan/incomplete.go
+++ b/ladderplan/incomplete.go
@@ -8,13 +8,20 @@
 	"lacewingladder/ladderflow"
 )
 
-// gangOrderMargin is how long an order may be under way, through a delegate at most.
-const gangOrderMargin = 500 * time.Millisecond
+const (
+	// gangOrderMargin is how long an order may be under way, through a delegate at most.
+	gangOrderMargin = 500 * time.Millisecond
+	// progressTime is the least time for which a gang of an earlier leader is known before it may be stopped because
+	// it shows no progress. A member is polled progressPollTime before that: a worker may delay its response to a
+	// regular poll for longer.
+	progressTime     = 400 * time.Millisecond
+	progressPollTime = 200 * time.Millisecond
+)
 
 // watchGang adds a gang that has runs to those that are not known to be whole.
-func (p *Planner) watchGang(s *step) {
+func (p *Planner) watchGang(now time.Time, s *step) {
 	if !s.gang.watched {
-		s.gang.watched = true
+		s.gang.watched, s.gang.watchedAt = true, now
 		p.watchedGangs = append(p.watchedGangs, s)
 	}
 }
@@ -37,6 +44,8 @@
 		}
 		if why := p.whyIncomplete(now, s, m); why != "" {
 			p.stopIncomplete(now, s, m, why)
+		} else {
+			p.pollMember(now, s, m)
 		}
 		return false
 	})
@@ -114,7 +123,7 @@
 		return "a member is missing"
 	case p.options.GangTimeout == 0 || p.mayBeWhole(s, m):
 		return ""
-	case now.Sub(p.gangSince(s)) >= p.maxGangWait():
+	case !now.Before(p.gangDeadline(s)):
 		return "it is not whole in time"
 	}
 	return ""
@@ -123,7 +132,23 @@
 // mayBeWhole reports whether a gang that an earlier leader has started seems to be at work. The members that are not
 // known may be on workers that have not answered yet.
 func (p *Planner) mayBeWhole(s *step, m gangMembers) bool {
-	return s.gang.orderedAt.IsZero() && !p.earlierRunsKnown && m.atWork && m.stopping == 0 && !m.ended
+	return s.gang.orderedAt.IsZero() && !p.earlierRunsKnown && m.atWork
+}
+
+// pollMember polls a member of a gang that an earlier leader has started, to learn whether the gang is at work.
+func (p *Planner) pollMember(now time.Time, s *step, m gangMembers) {
+	if !s.gang.orderedAt.IsZero() || s.gang.polled || m.atWork || now.Before(p.gangDeadline(s).Add(-progressPollTime)) {
+		return
+	}
+	s.gang.polled = true
+	for _, t := range s.tasks {
+		for _, x := range t.runs {
+			if x.name.Number == s.gang.lastRun && !x.worker.unresponsive {
+				p.orders.Polls = append(p.orders.Polls, x.worker.spec.ID)
+				return
+			}
+		}
+	}
 }
 
 // gangSince returns the time from which the wait of a gang's members is counted.
@@ -134,11 +159,15 @@
 	return p.options.ElectedAt
 }
 
-// maxGangWait returns after which time a gang that is not whole stops, so that its members have ended before
-// a worker gives up waiting.
-func (p *Planner) maxGangWait() time.Duration {
+// gangDeadline returns when a gang that is not whole is stopped, so that its members have ended before a worker
+// gives up waiting.
+func (p *Planner) gangDeadline(s *step) time.Time {
 	timeout := p.options.GangTimeout
-	return max(timeout-p.options.StopTimeout-gangOrderMargin, timeout/2)
+	at := p.gangSince(s).Add(max(timeout-p.options.StopTimeout-gangOrderMargin, timeout/2))
+	if s.gang.orderedAt.IsZero() {
+		at = later(at, s.gang.watchedAt.Add(progressTime))
+	}
+	return at
 }
 
 // stopIncomplete stops the runs of a gang that are not stopped yet.
@@ -151,15 +180,6 @@
 	p.stopGangRun(now, s, math.MaxInt)
 }
 
-// stopRunOrGang orders a run to stop and, if it is a member of a gang, the other members as well, which cannot
-// continue without it.
-func (p *Planner) stopRunOrGang(now time.Time, x *run, why string) {
-	p.stopRun(now, x, why)
-	if t := x.task; t != nil && t.step.spec.Gang && t.step.round.job.active() {
-		p.stopGangRun(now, t.step, x.name.Number)
-	}
-}
-
 // adoptOrStop handles a run that this leader did not start. It adopts the run if its task needs one
 // and stops it otherwise.
 func (p *Planner) adoptOrStop(now time.Time, w *worker, r ladderflow.ActiveRun) {
@@ -195,7 +215,7 @@
 		if wanted {
 			t.step.gang.lastRun = max(t.step.gang.lastRun, r.Run.Number)
 			if t.step.spec.Gang {
-				p.watchGang(t.step)
+				p.watchGang(now, t.step)
 				p.log.Info("adopted a member of a gang", "task", r.Run.Task, "run", r.Run.Number, "worker", w.spec.ID, "percent", r.Percent,
 					"checkpoint", r.Checkpoint != "")
 			}
@@ -220,6 +240,5 @@
 	if t.needsRun() {
 		return true
 	}
-	return !t.done && t.step.spec.Gang && t.step.gang.orderedAt.IsZero() &&
-		!slices.ContainsFunc(t.runs, func(x *run) bool { return x.name.Number >= number })
+	return !t.done && t.step.spec.Gang && !slices.ContainsFunc(t.runs, func(x *run) bool { return x.name.Number >= number })
 }
--- a/ladderplan/incomplete_test.go
+++ b/ladderplan/incomplete_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"lacewingladder/ladderflow"
 )
 
 // TestNewLeaderStopsPartOfGang takes over from a leader that has started only some members of a gang.
@@ -13,18 +15,24 @@
 	for name, c := range map[string]struct {
 		members int
 		present []int
+		resume  int
 		silent  string
 		within  time.Duration
 	}{
-		"one of two":                       {2, []int{0}, "", 2 * pollInterval},
-		"one of six":                       {6, []int{2}, "", 2 * pollInterval},
-		"five of six":                      {6, []int{0, 1, 2, 3, 5}, "", 2 * pollInterval},
-		"one of two, a worker is silent":   {2, []int{0}, "w7", 1600 * time.Millisecond},
-		"three of six, a worker is silent": {6, []int{1, 2, 5}, "w7", 1600 * time.Millisecond},
-		"one of six, on a silent worker":   {6, []int{2}, "w2", time.Hour},
+		"one of two":                        {2, []int{0}, 0, "", 2 * pollInterval},
+		"one of six":                        {6, []int{2}, 0, "", 2 * pollInterval},
+		"five of six":                       {6, []int{0, 1, 2, 3, 5}, 0, "", 2 * pollInterval},
+		"one of two, a worker is silent":    {2, []int{0}, 0, "w7", 1600 * time.Millisecond},
+		"three of six, a worker is silent":  {6, []int{1, 2, 5}, 0, "w7", 1600 * time.Millisecond},
+		"from a checkpoint":                 {6, []int{1, 2}, 40, "", 2 * pollInterval},
+		"from a checkpoint, with a silence": {6, []int{1, 2}, 40, "w7", 1600 * time.Millisecond},
+		"one of six, on a silent worker":    {6, []int{2}, 0, "w2", time.Hour},
 	} {
 		t.Run(name, func(t *testing.T) {
 			sim := takeover(t, 8, c.members, 2, 300*time.Millisecond, c.present...)
+			for _, x := range sim.runs {
+				x.resume = c.resume
+			}
 			if c.silent != "" {
 				sim.silent[c.silent] = true
 			}
@@ -63,24 +71,26 @@
 	for name, c := range map[string]struct {
 		number, resume int
 		silent         string
+		firstPoll      time.Duration
+		interval       time.Duration
 	}{
-		"first run, all are polled":                  {1, 0, ""},
-		"first run, a member's worker is silent":     {1, 0, "w1"},
-		"first run, another worker is silent":        {1, 0, "w7"},
-		"resumed, a member's worker is silent":       {3, 40, "w1"},
-		"resumed with no checkpoint, worker silent":  {3, 0, "w1"},
-		"resumed, another worker is silent":          {3, 40, "w7"},
-		"resumed, all are polled":                    {3, 40, ""},
-		"resumed, two takeovers, a worker is silent": {5, 70, "w2"},
+		"first run, all are polled":              {1, 0, "", 0, pollInterval},
+		"first run, a member's worker is silent": {1, 0, "w1", 0, pollInterval},
+		"first run, another worker is silent":    {1, 0, "w7", 0, pollInterval},
+		"resumed, all are polled":                {3, 40, "", 0, pollInterval},
+		"resumed, a member's worker is silent":   {3, 40, "w1", 0, pollInterval},
+		"resumed, another worker is silent":      {3, 40, "w7", 0, pollInterval},
+		"resumed with no checkpoint":             {3, 0, "w1", 0, pollInterval},
+		"resumed, polls that wait":               {3, 40, "w2", 900 * time.Millisecond, time.Second},
+		"resumed, store was read late":           {3, 40, "w2", 1700 * time.Millisecond, time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
 			sim := takeover(t, 8, 3, c.number, 5*time.Second, 0, 1, 2)
 			for _, x := range sim.runs {
 				x.resume, x.worked = c.resume, time.Second
 			}
-			if c.silent != "" {
-				sim.silent[c.silent] = true
-			}
+			sim.silent[c.silent] = true
+			sim.firstPoll, sim.interval = c.firstPoll, c.interval
 			sim.runFor(4 * time.Second)
 			require.Empty(t, sim.stops)
 			clear(sim.silent)
@@ -118,9 +128,7 @@
 			require.LessOrEqual(t, sim.firstStop(1), c.within)
 			require.LessOrEqual(t, sim.firstStop(1), sim.latestStop())
 			require.Len(t, sim.stops, 5, "all members are stopped")
-			for _, at := range sim.stops {
-				require.Equal(t, sim.firstStop(1), at.Sub(sim.began), "all are stopped at once")
-			}
+			sim.requireOneStop(1)
 			require.Empty(t, sim.alone)
 		})
 	}
@@ -180,6 +188,85 @@
 	}
 }
 
+// TestGangOfJobThatIsReadLate takes over runs of a gang whose job the store shows to the new leader a second later.
+func TestGangOfJobThatIsReadLate(t *testing.T) {
+	for name, c := range map[string]struct {
+		present []int
+		worked  time.Duration
+		silent  string
+		stops   int
+	}{
+		"part":                           {[]int{0, 2}, 0, "", 2},
+		"part, a worker is silent":       {[]int{0, 2}, 0, "w7", 2},
+		"whole":                          {[]int{0, 1, 2}, time.Second, "", 0},
+		"whole, another is silent":       {[]int{0, 1, 2}, time.Second, "w7", 0},
+		"whole, member's worker, silent": {[]int{0, 1, 2}, time.Second, "w1", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sim := takeover(t, 8, 3, 2, 300*time.Millisecond, c.present...)
+			for _, x := range sim.runs {
+				x.worked = c.worked
+			}
+			spec := sim.planner.jobs["a"].spec
+			sim.harness = newHarness(t, 0).nextLeader(nil, nil, 8)
+			sim.silent[c.silent] = true
+			sim.after(1600*time.Millisecond, func() { sim.planner.AddJob(sim.now, spec, false) })
+			sim.runFor(4 * time.Second)
+			require.Len(t, sim.stops, c.stops)
+			require.Empty(t, sim.alone)
+		})
+	}
+}
+
+// TestMemberWithClosedNumberStopsGang takes over two members of a run of which the former leader knew that a member
+// had ended.
+func TestMemberWithClosedNumberStopsGang(t *testing.T) {
+	for name, present := range map[string][]int{"it is elsewhere": {1, 2}, "it is listed": {0, 1, 2}} {
+		t.Run(name, func(t *testing.T) {
+			sim := takeover(t, 8, 3, 2, 300*time.Millisecond, present...)
+			sim.silent["w7"] = true
+			sim.planner.Restore(sim.now, Record{Job: "a", State: ladderflow.Running, Rounds: []RoundRecord{{Steps: []StepRecord{{
+				Tasks: []TaskRecord{{Index: 0, LastRun: 2, LastClosedRun: 2}},
+			}}}}})
+			sim.runFor(2 * time.Second)
+			require.Len(t, sim.stops, len(present))
+			require.LessOrEqual(t, sim.firstStop(2), pollInterval)
+			sim.requireOneStop(2)
+			require.Empty(t, sim.alone)
+		})
+	}
+}
+
+// TestLostMemberOfEarlierRunLeavesWholeGang takes over a whole gang. The worker that has a member of an earlier run
+// falls silent before it can be told to stop it.
+func TestLostMemberOfEarlierRunLeavesWholeGang(t *testing.T) {
+	sim := takeover(t, 8, 3, 4, 5*time.Second, 0, 1, 2)
+	for _, x := range sim.runs {
+		x.worked = time.Second
+	}
+	sim.add("w7", 0, 3, 100*time.Millisecond)
+	sim.after(simTick, func() { sim.silent["w7"] = true })
+	sim.runFor(14 * time.Second)
+	require.Empty(t, sim.planner.workers["w7"].runs, "the worker's lease has expired")
+	require.Len(t, sim.stops, 1)
+	require.Len(t, sim.runs, 3)
+}
+
+// TestLeaderInDoubtStopsIncompleteGang has a leader wait for a start while its leadership is in doubt.
+func TestLeaderInDoubtStopsIncompleteGang(t *testing.T) {
+	sim := ordered(t, 5)
+	answered := sim.outcome
+	sim.outcome = func(s StartOrder) (time.Duration, time.Duration, Result) {
+		if s.Run.Task.Index == 2 {
+			return 0, time.Hour, Result{}
+		}
+		return answered(s)
+	}
+	sim.runFor(200 * time.Millisecond)
+	sim.advance(1500 * time.Millisecond)
+	require.Len(t, sim.planner.Plan(sim.now, sim.now, LeadershipNone).Stops, 5)
+}
+
 // TestResigningLeaderStopsIncompleteGangs has a leader resign while it does not know of all members of a gang.
 func TestResigningLeaderStopsIncompleteGangs(t *testing.T) {
 	unanswered := func(index int) func(t *testing.T) *gangSim {
@@ -245,9 +332,13 @@
 				}
 			}
 			sim = takeover(t, 8, members, 1+r.IntN(3), time.Duration(r.IntN(900))*time.Millisecond, present...)
-			if r.IntN(2) == 0 {
-				sim.silent["w7"] = true
-				sim.after(time.Duration(r.IntN(8000))*time.Millisecond, func() { clear(sim.silent) })
+			for i, id := range sim.ids {
+				silence := r.IntN(1000)
+				if i >= members {
+					silence = r.IntN(8000) // No member is on this worker.
+				}
+				sim.silent[id] = true
+				sim.after(time.Duration(silence)*time.Millisecond, func() { delete(sim.silent, id) })
 			}
 		}
 		sim.outcome = func(StartOrder) (time.Duration, time.Duration, Result) {
--- a/ladderplan/model.go
+++ b/ladderplan/model.go
@@ -99,8 +99,11 @@
 	lastRun int
 	// orderedAt is when this leader ordered the gang's last run, or zero if it has ordered none.
 	orderedAt time.Time
-	// watched is true while the gang is in [Planner.watchedGangs].
-	watched bool
+	// watched is true while the gang is in [Planner.watchedGangs], since watchedAt. polled is true once a member was
+	// polled to learn whether the gang is at work.
+	watched   bool
+	watchedAt time.Time
+	polled    bool
 	// failedRuns holds the numbers of the gang's runs that have failed.
 	failedRuns []int
 	// failedWorkers holds the workers on which a member failed.
--- a/ladderplan/poll.go
+++ b/ladderplan/poll.go
@@ -304,7 +304,7 @@
 	case x.phase == phaseStopping && !x.stopAnsweredAt.IsZero() && x.stopAnsweredAt.Before(sentAt):
 		p.dropLostRuns(now, w, "it was stopped before it started", x)
 	case x.phase == phaseUnconfirmed && x.startSettledAt.Before(sentAt):
-		p.stopRunOrGang(now, x, "its start was not answered")
+		p.stopRun(now, x, "its start was not answered")
 	case x.phase == phaseStopping && !x.confirmed && x.stopAnsweredAt.IsZero():
 		p.stopRun(now, x, "its stop was not answered")
 	}
