--- a/ladderproof/doc.go
+++ b/ladderproof/doc.go
@@ -13,7 +13,8 @@
 //     who should hold a rack, that is, have the claims on its workers.
 //   - TestFlowUnderInterleaving runs the production planner and journal of several leaders,
 //     some of which have lost an election without knowing it. Workers, the store's
-//     faults and delegates are simulated.
+//     faults and delegates are simulated. TestFlowGangsOfLeadersThatResign adds leaders that
+//     resign half way through their orders.
 //
 // The package contains only tests.
 //
