--- a/ladderplan/gang_sim_test.go
+++ b/ladderplan/gang_sim_test.go
@@ -29,6 +29,8 @@
 	ends    map[string][]ladderflow.EndedRun
 	// silent holds the workers that answer no poll and take no order.
 	silent map[string]bool
+	// late is how late the leader handles reports.
+	late time.Duration
 	// outcome returns when a start reaches its worker and when it is settled, and the result.
 	outcome func(StartOrder) (arrives, settles time.Duration, r Result)
 	due     []simEvent
@@ -109,11 +111,21 @@
 
 // pollOne polls a worker, which answers unless it is silent.
 func (sim *gangSim) pollOne(id string) {
-	if sim.silent[id] {
+	switch {
+	case sim.silent[id]:
 		sim.planner.PollFailed(id, false)
-		return
+	case sim.late > 0:
+		sim.pollLate(id)
+	default:
+		sim.poll(id, sim.report(id))
 	}
-	sim.poll(id, sim.report(id))
+}
+
+// pollLate polls a worker. The leader handles the report late.
+func (sim *gangSim) pollLate(id string) {
+	r, sent := sim.report(id), sim.now
+	r.Clock, r.Incarnation, r.Ended = sim.clock[id], 1, slices.Clone(r.Ended)
+	sim.after(sim.late, func() { sim.planner.RecordReport(sim.now, id, sent, r) })
 }
 
 // deliver does what is due.
