Allow a late leader more time for a gang that was whole when it was stopped

A leader that learns of its starts' answers and of reports more than 1.6 s late stopped each gang as not whole in time, though all members ran, and did so again with each run: the gang never worked. If all members of such a run turn out to have been on their workers, the next run is given more time; a start that was really lost ends that.

The first run of each gang of such a leader is still lost.

The margin's comment said that an order takes no longer than that; under load it may.

--- a/ladderplan/gang.go
+++ b/ladderplan/gang.go
@@ -77,6 +77,7 @@
 	for _, t := range s.tasks {
 		number = max(number, t.lastRun+1)
 	}
+	s.gang.recordLateRun(len(s.tasks))
 	s.gang.lastRun, s.gang.orderedAt = number, sp.now
 	sp.planner.watchGang(sp.now, s)
 	for i, w := range sp.assignGang(list) {
--- a/ladderplan/incomplete.go
+++ b/ladderplan/incomplete.go
@@ -4,12 +4,10 @@
 	"math"
 	"slices"
 	"time"
-
-	"lacewingladder/ladderflow"
 )
 
 const (
-	// gangOrderMargin is how long an order may be under way, through a delegate at most.
+	// gangOrderMargin is the time allowed for a stop on its way to the worker, through a delegate that is not late.
 	gangOrderMargin = 500 * time.Millisecond
 	// progressTime is the least time for which a gang of an earlier leader is known before it may be stopped because
 	// it shows no progress. A member is polled progressPollTime before that: a worker may delay its response to a
@@ -18,6 +16,9 @@
 	progressPollTime = 200 * time.Millisecond
 )
 
+// lateGang says why a gang is stopped that is not known to be whole by its deadline.
+const lateGang = "it is not whole in time"
+
 // watchGang adds a gang that has runs to those that are not known to be whole.
 func (p *Planner) watchGang(now time.Time, s *step) {
 	if !s.gang.watched {
@@ -43,6 +44,7 @@
 			return true
 		}
 		if why := p.whyIncomplete(now, s, m); why != "" {
+			s.gang.stoppedLate = s.gang.stoppedLate || why == lateGang
 			p.stopIncomplete(now, s, m, why)
 		} else {
 			p.pollMember(now, s, m)
@@ -124,7 +126,7 @@
 	case p.options.GangTimeout == 0 || p.mayBeWhole(s, m):
 		return ""
 	case !now.Before(p.gangDeadline(s)):
-		return "it is not whole in time"
+		return lateGang
 	}
 	return ""
 }
@@ -151,6 +153,17 @@
 	}
 }
 
+// recordLateRun records, before the next run, whether the last one was stopped only because its leader was late.
+func (g *gang) recordLateRun(members int) {
+	switch {
+	case g.stoppedLate && g.confirmed == members:
+		g.lateRuns++
+	case g.stoppedLate:
+		g.lateRuns = 0
+	}
+	g.stoppedLate, g.confirmed = false, 0
+}
+
 // gangSince returns the time from which the wait of a gang's members is counted.
 func (p *Planner) gangSince(s *step) time.Time {
 	if at := s.gang.orderedAt; !at.IsZero() {
@@ -159,15 +172,16 @@
 	return p.options.ElectedAt
 }
 
-// gangDeadline returns when a gang that is not whole is stopped, so that its members have ended before a worker
-// gives up waiting.
+// gangDeadline returns when a gang that is not known to be whole is stopped, so that its members have ended before a
+// worker gives up waiting. A leader that learns of its own starts too late, although all have arrived, allows more
+// time for the next run: the gang would otherwise be stopped each time.
 func (p *Planner) gangDeadline(s *step) time.Time {
 	timeout := p.options.GangTimeout
-	at := p.gangSince(s).Add(max(timeout-p.options.StopTimeout-gangOrderMargin, timeout/2))
+	wait := max(timeout-p.options.StopTimeout-gangOrderMargin, timeout/2)
 	if s.gang.orderedAt.IsZero() {
-		at = later(at, s.gang.watchedAt.Add(progressTime))
+		return later(p.options.ElectedAt.Add(wait), s.gang.watchedAt.Add(progressTime))
 	}
-	return at
+	return s.gang.orderedAt.Add(wait * time.Duration(1+s.gang.lateRuns))
 }
 
 // stopIncomplete stops the runs of a gang that are not stopped yet.
@@ -179,64 +193,3 @@
 		"missing", len(s.tasks)-m.present, "adopted", s.gang.orderedAt.IsZero(), "age", now.Sub(p.gangSince(s)).Round(time.Millisecond), "why", why)
 	p.stopGangRun(now, s, math.MaxInt)
 }
-
-// adoptOrStop handles a run that this leader did not start. It adopts the run if its task needs one
-// and stops it otherwise.
-func (p *Planner) adoptOrStop(now time.Time, w *worker, r ladderflow.ActiveRun) {
-	x := &run{
-		name: r.Run, phase: phaseRunning, confirmed: true, startSettledAt: now, startedAt: now, progressedAt: now,
-		percent: -1, speedPercent: 100,
-	}
-	j := p.jobs[r.Run.Task.Job]
-	if j != nil {
-		x.task = j.find(r.Run.Task)
-	}
-	if w.justEnded[r.Run] {
-		return // The status report is from just before the run's end.
-	}
-	if p.unknown(r.Run.Task) {
-		x.sizeUnknown = true
-		w.addRun(x)
-		x.recordProgress(now, r)
-		p.log.Info("worker has a run of an unknown job", "task", r.Run.Task, "run", r.Run.Number, "worker", w.spec.ID)
-		return
-	}
-	if t := x.task; t != nil {
-		x.size = t.step.spec.Demand()
-		// A run with a closed number may be on this worker although it has ended on another one: a
-		// former leader has used the number as well. It occupies capacity until it has stopped.
-		wanted := t.needsAdoption(r.Run.Number) && j.active() && t.step.ready && r.Run.Number > t.lastClosedRun
-		w.addRun(x)
-		j.started, j.begun = true, true
-		x.recordProgress(now, r)
-		t.recordCheckpoint(r.Checkpoint, r.Run.Number)
-		if wanted {
-			t.step.gang.lastRun = max(t.step.gang.lastRun, r.Run.Number)
-			if t.step.spec.Gang {
-				p.watchGang(now, t.step)
-				p.log.Info("adopted a member of a gang", "task", r.Run.Task, "run", r.Run.Number, "worker", w.spec.ID, "percent", r.Percent,
-					"checkpoint", r.Checkpoint != "")
-			}
-			p.log.Debug("adopted a run that an earlier leader started", "task", r.Run.Task, "run", r.Run.Number, "worker", w.spec.ID)
-			return
-		}
-	} else {
-		if j != nil && r.Run.Task.Step < len(j.spec.Steps) {
-			// The job has ended, but its runs occupy capacity until they stop.
-			x.size = j.spec.Steps[r.Run.Task.Step].Demand()
-		}
-		w.addRun(x)
-	}
-	p.log.Info("stopping a run that an earlier leader started", "task", r.Run.Task, "run", r.Run.Number, "worker", w.spec.ID,
-		"percent", r.Percent, "checkpoint", r.Checkpoint != "", "jobEnded", j == nil || !j.active())
-	p.stopRun(now, x, "its task does not need it")
-}
-
-// needsAdoption reports whether a run that an earlier leader started may be the one that its task needs. A worker
-// may still have a member of an earlier run of a gang whose last run is whole.
-func (t *task) needsAdoption(number int) bool {
-	if t.needsRun() {
-		return true
-	}
-	return !t.done && t.step.spec.Gang && !slices.ContainsFunc(t.runs, func(x *run) bool { return x.name.Number >= number })
-}
--- a/ladderplan/planner.go
+++ b/ladderplan/planner.go
@@ -246,6 +246,7 @@
 		t = j.find(e.Run.Task)
 	}
 	if x != nil {
+		x.confirm()
 		w.removeRun(x)
 		p.logCancelledRun(now, x, string(e.Reason))
 	}
