Pause before all jobs are read again, unless a leader has just taken over

A follower whose history the store no longer has read all items again at once. With a history that is shorter than the reading takes it would have read and watched without a pause. Only the first watch of a new leader goes without one now.

--- a/laddervm/registry.go
+++ b/laddervm/registry.go
@@ -411,8 +411,11 @@
 			switch {
 			case errors.Is(err, platform.ErrCompacted):
 				v.log.Info("store no longer has the history; reading all items again", "prefix", prefix, "revision", revision)
-				revision, behind = 0, false
-				continue
+				first := behind
+				revision, behind, err = 0, false, nil
+				if first {
+					continue
+				}
 			case err == nil:
 				revision, behind = max(revision, next), false
 				if len(items) > 0 {
