--- a/ladderstand/gangs_test.go
+++ b/ladderstand/gangs_test.go
@@ -93,17 +93,26 @@
 		want              ends
 		alone             int
 	}{
-		"all come": {long, short, false, func(s *gangStand) { s.start(0); s.start(1) },
-			ends{{ladderflow.EndDone}, {ladderflow.EndDone}}, 0},
-		"one does not come": {short, long, false, func(s *gangStand) { s.start(0) },
-			ends{{ladderflow.EndGangIncomplete}, nil}, 1},
+		"all come": {
+			long, short, false, func(s *gangStand) { s.start(0); s.start(1) },
+			ends{{ladderflow.EndDone}, {ladderflow.EndDone}},
+			0,
+		},
+		"one does not come": {
+			short, long, false, func(s *gangStand) { s.start(0) },
+			ends{{ladderflow.EndGangIncomplete}, nil},
+			1,
+		},
 		"one comes too late": {short, long, false, func(s *gangStand) {
 			s.start(0)
 			require.Eventually(s.t, func() bool { return len(s.ends(0)) == 1 }, patience, time.Millisecond)
 			s.start(1)
 		}, ends{{ladderflow.EndGangIncomplete}, {ladderflow.EndGangIncomplete}}, 2},
-		"one fails": {long, short, true, func(s *gangStand) { s.start(0); s.start(1) },
-			ends{{ladderflow.EndFailed}, {ladderflow.EndGangBroken}}, 0},
+		"one fails": {
+			long, short, true, func(s *gangStand) { s.start(0); s.start(1) },
+			ends{{ladderflow.EndFailed}, {ladderflow.EndGangBroken}},
+			0,
+		},
 		"one is stopped": {long, long, false, func(s *gangStand) {
 			s.start(0)
 			s.start(1)
@@ -114,8 +123,11 @@
 			s.start(1)
 			s.workers[1].Crash(NewStore(ladderclock.System{}), long)
 		}, ends{{ladderflow.EndGangBroken}, nil}, 0},
-		"no gang": {short, short, false, func(s *gangStand) { s.post(0, "/-/run-start", gangMemberRun(1, 0)) },
-			ends{{ladderflow.EndDone}, nil}, 0},
+		"no gang": {
+			short, short, false, func(s *gangStand) { s.post(0, "/-/run-start", gangMemberRun(1, 0)) },
+			ends{{ladderflow.EndDone}, nil},
+			0,
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newGangStand(t, c.timeout, c.duration, c.fails)
--- a/laddertest/soak_leaders_test.go
+++ b/laddertest/soak_leaders_test.go
@@ -120,7 +120,7 @@
 	r := rand.New(rand.NewPCG(s.seed, 302))
 	for range soakLeaders {
 		s.pause(time.Duration(300+r.IntN(1200)) * time.Millisecond)
-		s.shutDown(s.flowCluster.leader())
+		s.shutDown(s.leader())
 		if r.IntN(4) < soakBesides {
 			s.pause(time.Duration(r.IntN(300)) * time.Millisecond)
 			s.shutDown(s.any(r))
