--- a/ladderplan/gang_leaders_test.go
+++ b/ladderplan/gang_leaders_test.go
@@ -250,9 +250,11 @@
 	members := 2 + r.IntN(5)
 	g := gangOf(members)
 	g.MaxPerWorker, g.Checkpointable, g.Estimate = 1, true, 10*time.Second
-	s := &leadersSim{harness: h, t: t, r: r, job: testJob(h.now, "a", g), members: members, need: time.Duration(1+r.IntN(6)) * time.Second,
+	s := &leadersSim{
+		harness: h, t: t, r: r, job: testJob(h.now, "a", g), members: members, need: time.Duration(1+r.IntN(6)) * time.Second,
 		fences: map[string]int{}, records: map[string]Record{}, highest: map[string]int{}, ends: map[string][]ladderflow.EndedRun{},
-		seq: map[string]int64{}, silent: map[string]bool{}, began: h.now, sound: sound}
+		seq: map[string]int64{}, silent: map[string]bool{}, began: h.now, sound: sound,
+	}
 	if r.IntN(3) == 0 {
 		s.late = time.Duration(20+r.IntN(400)) * time.Millisecond
 	}
