--- a/ladderproof/flow_simulation_test.go
+++ b/ladderproof/flow_simulation_test.go
@@ -325,21 +325,6 @@
 	w.restart(sim.now)
 }
 
-// worker draws a worker.
-func (sim *flowSimulation) worker(t *rapid.T) *flowWorker {
-	return rapid.SampledFrom(sim.workers).Draw(t, "worker")
-}
-
-// workerByID returns the worker with the given ID, or nil.
-func (sim *flowSimulation) workerByID(id string) *flowWorker {
-	for _, w := range sim.workers {
-		if w.id == id {
-			return w
-		}
-	}
-	return nil
-}
-
 // plan lets a leader plan and puts its orders in transit.
 func (sim *flowSimulation) plan(l *flowLeader) {
 	sim.noticeCrashes()
--- a/ladderproof/flow_worker_test.go
+++ b/ladderproof/flow_worker_test.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"lacewingladder/ladderflow"
 )
 
@@ -197,3 +199,18 @@
 	}
 	return fmt.Errorf("worker %s has capacity %v and runs use %v", w.id, w.capacity(), used)
 }
+
+// worker draws a worker.
+func (sim *flowSimulation) worker(t *rapid.T) *flowWorker {
+	return rapid.SampledFrom(sim.workers).Draw(t, "worker")
+}
+
+// workerByID returns the worker with the given ID, or nil.
+func (sim *flowSimulation) workerByID(id string) *flowWorker {
+	for _, w := range sim.workers {
+		if w.id == id {
+			return w
+		}
+	}
+	return nil
+}
--- a/ladderstand/platformworker_test.go
+++ b/ladderstand/platformworker_test.go
@@ -93,15 +93,15 @@
 		"the caller has gone": {time.Hour, 20 * time.Millisecond, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
-			w := NewPlatformWorker(ladderclock.System{}, ladderflow.Worker{ID: "w0", Service: "s"}, func(ladderflow.Run, string) (time.Duration, bool) {
-				return time.Hour, false
-			})
+			w := NewPlatformWorker(ladderclock.System{}, ladderflow.Worker{ID: "w0", Service: "s"},
+				func(ladderflow.Run, string) (time.Duration, bool) { return time.Hour, false })
 			w.SetStartLatency(func(string) time.Duration { return c.latency })
 			s := httptest.NewServer(w.Handler())
 			defer s.Close() // It waits for the handlers.
 			ctx, cancel := context.WithTimeout(context.Background(), c.timeout)
 			defer cancel()
-			r, err := http.NewRequestWithContext(ctx, http.MethodPost, s.URL+"/-/run-start", strings.NewReader(`{"task":"`+platform.FormatTask(task)+`","run":1,"untilMs":60000}`))
+			body := strings.NewReader(`{"task":"` + platform.FormatTask(task) + `","run":1,"untilMs":60000}`)
+			r, err := http.NewRequestWithContext(ctx, http.MethodPost, s.URL+"/-/run-start", body)
 			require.NoError(t, err)
 			response, err := http.DefaultClient.Do(r)
 			if c.starts == 0 {
--- a/laddertest/soak_leaders_test.go
+++ b/laddertest/soak_leaders_test.go
@@ -156,7 +156,8 @@
 // submitAndCancel submits a gang, or a job that runs for long. It cancels the long one soon, and some gangs.
 func (s *soak) submitAndCancel(r *rand.Rand) {
 	time.Sleep(time.Duration(5+r.IntN(40)) * time.Millisecond)
-	payload, steps, cancel := "cut", fmt.Sprintf(`[{"count":%d,"cpu":%d,"memMb":100,"estimateMs":200,"gang":true}]`, 2+r.IntN(5), 500+r.IntN(1500)), r.IntN(6) == 0
+	steps := fmt.Sprintf(`[{"count":%d,"cpu":%d,"memMb":100,"estimateMs":200,"gang":true}]`, 2+r.IntN(5), 500+r.IntN(1500))
+	payload, cancel := "cut", r.IntN(6) == 0
 	if r.IntN(5) == 0 {
 		payload, steps, cancel = soakLongPayload, `[{"count":2,"cpu":200,"memMb":10,"estimateMs":12000}]`, true
 	}
