--- a/laddervm/registry.go
+++ b/laddervm/registry.go
@@ -411,9 +411,9 @@
 			switch {
 			case errors.Is(err, platform.ErrCompacted):
 				v.log.Info("store no longer has the history; reading all items again", "prefix", prefix, "revision", revision)
-				first := behind
+				atOnce := behind // Nothing that has changed since f.from is known yet.
 				revision, behind, err = 0, false, nil
-				if first {
+				if atOnce {
 					continue
 				}
 			case err == nil:
--- a/laddervm/resign.go
+++ b/laddervm/resign.go
@@ -10,12 +10,10 @@
 )
 
 const (
-	// resignTimeout bounds the handover of the leadership by a VM that leaves. The times below count from
-	// its beginning as well.
-	resignTimeout = time.Second
-	// resignOrderTime is until when orders are awaited that were handed out before, and resignStopTime until
-	// when the stops of gangs are that are incomplete then. resignSaveTime is until when the final batch may
-	// be stored. The rest is left for the deletion of the leader's key.
+	// resignTimeout bounds a resignation. It has three phases, whose ends are counted from its beginning: orders under
+	// way are answered until resignOrderTime, the stops of incomplete gangs until resignStopTime, and the final
+	// batch is stored until resignSaveTime. The rest is for the deletion of the leader's key.
+	resignTimeout   = time.Second
 	resignOrderTime = resignTimeout / 2
 	resignStopTime  = resignTimeout * 13 / 20
 	resignSaveTime  = resignTimeout * 9 / 10
