--- a/review/stand-2/cluster.go
+++ b/review/stand-2/cluster.go
@@ -85,8 +85,6 @@
 
 	mu     sync.Mutex
 	record io.Writer
-	// events holds what the workers have printed.
-	events []string
 }
 
 // note writes a line to the record.
@@ -100,17 +98,9 @@
 func (c *cluster) workerLine(line string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.events = append(c.events, line)
 	_, _ = fmt.Fprintln(c.record, line)
 }
 
-// lines returns what the workers have printed.
-func (c *cluster) lines() []string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return append([]string(nil), c.events...)
-}
-
 // launch starts a process.
 func (c *cluster) launch(p *process) error {
 	p.cmd = exec.Command(p.args[0], p.args[1:]...)
@@ -147,13 +137,6 @@
 	return nil
 }
 
-// kill ends a process with SIGKILL and waits for its end.
-func (c *cluster) kill(p *process) {
-	c.note("SIGKILL to %s", p.name)
-	_ = p.cmd.Process.Kill()
-	<-p.exited
-}
-
 // startCluster starts the store, workers and entry VMs, and waits until they are ready.
 func startCluster(record io.Writer, vms, workers int) (*cluster, error) {
 	dir, err := os.MkdirTemp("", "review")
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -23,7 +23,6 @@
 
 // cases holds the cases by name. Each gets the cluster's record and whether the disruption comes.
 var cases = map[string]func(record *os.File, trouble bool) error{
-	"crashes":   crashes,
 	"cancelled": cancelled,
 }
 
