--- a/ladderjournal/journal.go
+++ b/ladderjournal/journal.go
@@ -6,6 +6,7 @@
 	"crypto/rand"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 
 	"lacewingladder/ladderflow"
@@ -52,8 +53,8 @@
 	Stored Outcome = iota
 	// AlreadyStored means that the store held the submission or cancellation before.
 	AlreadyStored
-	// CancelledFirst means that the job was canceled before it was submitted, and was
-	// not stored.
+	// CancelledFirst means that the store holds the submission, and that the job was canceled
+	// before it was submitted.
 	CancelledFirst
 	// Rejected means that the store does not hold the submission or cancellation and will
 	// not, unless it is tried again.
@@ -75,6 +76,8 @@
 	Job     *ladderflow.Job
 	Outcome Outcome
 	Err     error
+	// cancelRevision is the revision of the job's cancellation, or zero if none is known.
+	cancelRevision int64
 }
 
 // MaxSubmissions is the maximum number of jobs in one call of [Journal.Accept]. Each
@@ -82,7 +85,8 @@
 const MaxSubmissions = platform.MaxTxn / 3
 
 // Accept stores jobs in one transaction and fills in the outcome of each. If some of
-// them were stored or canceled before, it tries again with the others.
+// them were stored or canceled before, it tries again with what it has learned. A job that
+// was canceled first is stored as well: its cancellation alone does not make it known.
 func (j *Journal) Accept(ctx context.Context, submissions []*Submission) {
 	pending := make([]*Submission, 0, len(submissions))
 	txn := platform.Txn{}
@@ -93,7 +97,8 @@
 			continue
 		}
 		pending = append(pending, s)
-		txn.Conditions = append(txn.Conditions, platform.Condition{Key: jobPrefix + s.Job.ID}, platform.Condition{Key: cancelPrefix + s.Job.ID})
+		txn.Conditions = append(txn.Conditions, platform.Condition{Key: jobPrefix + s.Job.ID},
+			platform.Condition{Key: cancelPrefix + s.Job.ID, ModRevision: s.cancelRevision})
 		txn.Writes = append(txn.Writes, platform.Write{Key: jobPrefix + s.Job.ID, Value: value})
 	}
 	if len(pending) == 0 {
@@ -106,31 +111,37 @@
 	}
 	for _, s := range pending {
 		s.Outcome, s.Err = outcomeOf(err), err
+		if err == nil && s.cancelRevision != 0 {
+			s.Outcome = CancelledFirst
+		}
 	}
 }
 
-// acceptRest handles a transaction that failed because keys exist. It fills in the
-// outcome of the submissions that were stored or canceled before, as shown by the
-// found items, and stores the others.
+// acceptRest handles a transaction whose conditions failed, as the found items show. It fills
+// in the outcome of the submissions that were stored before, and stores the others.
 func (j *Journal) acceptRest(ctx context.Context, pending []*Submission, found []platform.Item) {
-	exists := map[string]bool{}
+	revisions := map[string]int64{}
 	for _, item := range found {
-		exists[item.Key] = item.ModRevision != 0 && !item.Deleted
+		if !item.Deleted {
+			revisions[item.Key] = item.ModRevision
+		}
 	}
 	var rest []*Submission
+	changed := false
 	for _, s := range pending {
-		switch {
-		case exists[jobPrefix+s.Job.ID]:
+		if revisions[jobPrefix+s.Job.ID] != 0 {
 			s.Outcome, s.Err = AlreadyStored, nil
-		case exists[cancelPrefix+s.Job.ID]:
-			s.Outcome, s.Err = CancelledFirst, nil
-		default:
-			rest = append(rest, s)
+			changed = true
+			continue
 		}
+		cancelRevision := revisions[cancelPrefix+s.Job.ID]
+		changed = changed || cancelRevision != s.cancelRevision
+		s.cancelRevision = cancelRevision
+		rest = append(rest, s)
 	}
-	if len(rest) == len(pending) {
+	if !changed {
 		for _, s := range rest {
-			s.Outcome, s.Err = Rejected, fmt.Errorf("the transaction failed although none of its keys exists: %w", platform.ErrConditionFailed)
+			s.Outcome, s.Err = Rejected, fmt.Errorf("the transaction failed although its conditions hold: %w", platform.ErrConditionFailed)
 		}
 		return
 	}
@@ -179,10 +190,15 @@
 		}
 		state = ladderflow.Running
 	}
-	if _, ok, err := j.store.Get(ctx, cancelPrefix+id); ok || err != nil {
-		return ladderflow.Cancelled, ok, err
+	_, cancelled, err := j.store.Get(ctx, cancelPrefix+id)
+	if err != nil {
+		return "", false, err
+	}
+	if cancelled {
+		state = ladderflow.Cancelled
 	}
-	_, ok, err = j.store.Get(ctx, jobPrefix+id)
+	// A cancellation may be stored of a job that was never submitted.
+	ok, err = j.Exists(ctx, id)
 	return state, ok, err
 }
 
@@ -298,6 +314,46 @@
 	return err
 }
 
+// MaxDeletedCancellations is the maximum number of cancellations in one call of
+// [ProgressWriter.DeleteCancellations]. The transaction holds a condition and a deletion for
+// each, and one more condition.
+const MaxDeletedCancellations = (platform.MaxTxn - 1) / 2
+
+// DeleteCancellations deletes up to [MaxDeletedCancellations] cancellations of jobs that the
+// store does not hold. It returns the ids of those that it deleted: it keeps the cancellation
+// of a job that has been stored. It returns [ErrSuperseded] if the leader's term is over.
+func (p *ProgressWriter) DeleteCancellations(ctx context.Context, ids []string) ([]string, error) {
+	for len(ids) > 0 {
+		txn := platform.Txn{Conditions: []platform.Condition{{Key: LeaderKey, ModRevision: p.leaderRevision}}}
+		for _, id := range ids {
+			txn.Conditions = append(txn.Conditions, platform.Condition{Key: jobPrefix + id})
+			txn.Deletes = append(txn.Deletes, cancelPrefix+id)
+		}
+		_, found, err := p.journal.store.Commit(ctx, txn)
+		if !errors.Is(err, platform.ErrConditionFailed) {
+			if err != nil {
+				return nil, err
+			}
+			return ids, nil
+		}
+		current := map[string]int64{}
+		for _, item := range found {
+			if !item.Deleted {
+				current[item.Key] = item.ModRevision
+			}
+		}
+		if current[LeaderKey] != p.leaderRevision {
+			return nil, ErrSuperseded
+		}
+		rest := slices.DeleteFunc(slices.Clone(ids), func(id string) bool { return current[jobPrefix+id] != 0 })
+		if len(rest) == len(ids) {
+			return nil, err
+		}
+		ids = rest
+	}
+	return nil, nil
+}
+
 // SaveStatus writes a status value that operators read, unless the key holds that value
 // already. LeaderRevision is the revision of [LeaderKey] in the current term.
 func (j *Journal) SaveStatus(ctx context.Context, leaderRevision int64, key string, value []byte) error {
--- a/ladderplan/expired_jobs_test.go
+++ b/ladderplan/expired_jobs_test.go
@@ -61,3 +61,33 @@
 		p.ExpiredJobs(now, 30)
 	}
 }
+
+// TestCancellationIsKeptUntilTheStoreHasDeletedIt guards against a job that starts because its cancellation, which
+// the store still holds, was forgotten before the job arrived.
+func TestCancellationIsKeptUntilTheStoreHasDeletedIt(t *testing.T) {
+	const retention = time.Minute
+	now := time.UnixMilli(1_000_000)
+	p := New(Options{Log: ladderlog.Discard().Component("plan"), JobRetention: retention})
+	for _, id := range []string{"a", "b", "c"} {
+		p.Cancel(now, id)
+	}
+	require.Empty(t, p.ExpiredCancellations(now.Add(retention), 9))
+	now = now.Add(2 * retention)
+	p.Cancel(now, "d")
+	p.prune(now)
+	require.ElementsMatch(t, []string{"a", "b", "c"}, p.ExpiredCancellations(now, 9))
+	require.Len(t, p.ExpiredCancellations(now, 2), 2)
+
+	b := p.NextBatch()
+	require.True(t, b.Empty())
+	b.CancellationsToDelete = []string{"a", "b"}
+	require.False(t, b.Empty())
+	p.BatchNotStored(b)
+	require.Len(t, p.ExpiredCancellations(now, 9), 3)
+	p.BatchStored(b)
+	require.Equal(t, []string{"c"}, p.ExpiredCancellations(now, 9))
+	for id, want := range map[string]ladderflow.State{"a": ladderflow.Queued, "c": ladderflow.Cancelled, "d": ladderflow.Cancelled} {
+		p.AddJob(now, &ladderflow.Job{ID: id, Queue: "q", Steps: []ladderflow.Step{{Tasks: 1}}}, false)
+		require.Equal(t, View{Known: true, State: want}, p.View(now, id))
+	}
+}
--- a/ladderplan/planner.go
+++ b/ladderplan/planner.go
@@ -84,8 +84,10 @@
 	confirmedAt time.Time
 	// jobsReadAt is the latest time for which all jobs that the store held then are known.
 	jobsReadAt time.Time
-	// nextPrune is when old cancellations and entries of deleted jobs are next discarded.
-	nextPrune time.Time
+	// nextPrune is when old entries of deleted jobs are next discarded, and nextCancellationExpiry
+	// when expired cancellations are next searched for.
+	nextPrune              time.Time
+	nextCancellationExpiry time.Time
 }
 
 // New returns a planner without jobs and workers for a newly elected leader.
--- a/ladderplan/record.go
+++ b/ladderplan/record.go
@@ -7,7 +7,7 @@
 	"lacewingladder/ladderflow"
 )
 
-// pruneInterval is the time between two searches for old cancellations and deleted jobs.
+// pruneInterval is the time between two searches for entries of deleted jobs and departed workers.
 const pruneInterval = 5 * time.Second
 
 // Record is the stored progress of a job.
@@ -59,6 +59,9 @@
 	Records []Record
 	// JobsToDelete names jobs whose keys can all be deleted. The caller sets it.
 	JobsToDelete []string
+	// CancellationsToDelete names jobs that were never submitted and whose cancellations can be
+	// deleted. The caller sets it, and reduces it to those that it has deleted.
+	CancellationsToDelete []string
 	// ends holds, by worker, the last end that the batch covers, states the states of the jobs, and
 	// crashes the numbers of crashes that were counted against them.
 	ends    map[string]endMark
@@ -74,7 +77,7 @@
 
 // Empty reports whether there is nothing to store and nothing to acknowledge.
 func (b *Batch) Empty() bool {
-	return len(b.Records) == 0 && len(b.JobsToDelete) == 0 && len(b.ends) == 0
+	return len(b.Records) == 0 && len(b.JobsToDelete) == 0 && len(b.CancellationsToDelete) == 0 && len(b.ends) == 0
 }
 
 // NextBatch returns the records of the jobs that have changed since the last call, and the ends of
@@ -124,6 +127,9 @@
 		}
 		delete(p.jobs, id)
 	}
+	for _, id := range b.CancellationsToDelete {
+		delete(p.cancellations, id)
+	}
 	for len(p.endedJobs) > 0 && p.jobs[p.endedJobs[0].spec.ID] != p.endedJobs[0] {
 		p.endedJobs = p.endedJobs[1:]
 	}
@@ -260,18 +266,12 @@
 // [Options.JobRetention]. A read of all items that began before the deletion must end before that.
 const deletedJobRetention = 2
 
-// prune discards the cancellations of jobs that have not become known within [Options.JobRetention],
-// and old entries of deleted jobs and departed workers.
+// prune discards old entries of deleted jobs and departed workers.
 func (p *Planner) prune(now time.Time) {
 	if now.Before(p.nextPrune) {
 		return
 	}
 	p.nextPrune = now.Add(pruneInterval)
-	for id, at := range p.cancellations {
-		if now.Sub(at) > p.options.JobRetention {
-			delete(p.cancellations, id)
-		}
-	}
 	for id, d := range p.deletedJobs {
 		if now.Sub(d.endedAt) > deletedJobRetention*p.options.JobRetention {
 			delete(p.deletedJobs, id)
@@ -293,7 +293,7 @@
 func (p *Planner) ExpiredJobs(now time.Time, limit int) []string {
 	var ids []string
 	for _, j := range p.endedJobs {
-		if len(ids) == limit || now.Sub(j.endedAt) <= p.options.JobRetention*5/4 {
+		if len(ids) == limit || !p.expired(now, j.endedAt) {
 			break
 		}
 		if p.jobs[j.spec.ID] == j {
@@ -303,6 +303,32 @@
 	return ids
 }
 
+// expired reports whether callers can no longer query a job that ended at the given time.
+func (p *Planner) expired(now, endedAt time.Time) bool {
+	return now.Sub(endedAt) > p.options.JobRetention*5/4
+}
+
+// ExpiredCancellations returns the ids of at most limit canceled jobs that are still unknown. A
+// cancellation is kept until the store has deleted it: its job may be submitted up to then.
+func (p *Planner) ExpiredCancellations(now time.Time, limit int) []string {
+	if now.Before(p.nextCancellationExpiry) {
+		return nil
+	}
+	var ids []string
+	for id, at := range p.cancellations {
+		if len(ids) == limit {
+			return ids
+		}
+		if p.expired(now, at) {
+			ids = append(ids, id)
+		}
+	}
+	if len(ids) == 0 {
+		p.nextCancellationExpiry = now.Add(pruneInterval)
+	}
+	return ids
+}
+
 // endStored records that the store holds the end of a job.
 func (p *Planner) endStored(j *job, state ladderflow.State) {
 	if state.Final() && !j.storedState.Final() {
--- a/laddertest/flow_test.go
+++ b/laddertest/flow_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -87,6 +88,36 @@
 	require.Contains(t, body, "cancelled")
 	time.Sleep(300 * time.Millisecond)
 	require.Zero(t, f.starts(cancelledFirst, 0, 0))
+	f.await(cancelledFirst, "cancelled", 3*time.Second)
+}
+
+// TestFlowCancelledIDIsShownOnceSubmitted guards against a job that nobody submitted and that is shown because
+// somebody has canceled its ID: by a leader that knows the cancellation, by one that has read it from the store,
+// and while no VM leads. Once its job is submitted, it is shown as canceled and does not start.
+func TestFlowCancelledIDIsShownOnceSubmitted(t *testing.T) {
+	f := startFlow(t, 1, nil)
+	path := "/fit/00000000000000fe"
+	for range 2 {
+		status, _, _ := f.call(f.vms[0], http.MethodDelete, path, "")
+		require.Equal(t, http.StatusGone, status)
+		f.await(path, "gone", 3*time.Second)
+	}
+	for _, v := range f.vms {
+		v.signal(t, syscall.SIGKILL)
+		<-v.exited
+	}
+	for _, v := range f.vms {
+		f.launch(v, v.name)
+	}
+	f.awaitReady()
+	f.await(path, "gone", 3*time.Second)
+	status, body, _ := f.call(f.vms[1], http.MethodPost, path, `{"spec":"cut","steps":`+twoTasks+`}`)
+	require.Equal(t, http.StatusOK, status)
+	require.Contains(t, body, "cancelled")
+	f.await(path, "cancelled", 3*time.Second)
+	f.leader().signal(t, syscall.SIGKILL)
+	f.await(path, "cancelled", 5*time.Second)
+	require.Zero(t, f.starts(path, 0, 0))
 }
 
 // TestFlowStoreOut guards against an outage of the store that blocks callers or stops running
--- a/laddervm/save.go
+++ b/laddervm/save.go
@@ -57,6 +57,7 @@
 	}
 	b := t.planner.NextBatch()
 	b.JobsToDelete = t.planner.ExpiredJobs(now, ladderjournal.MaxDeletedJobs)
+	b.CancellationsToDelete = t.planner.ExpiredCancellations(now, ladderjournal.MaxDeletedCancellations)
 	if b.Empty() {
 		return
 	}
@@ -99,6 +100,14 @@
 			return err
 		}
 	}
+	if len(b.CancellationsToDelete) > 0 {
+		deleted, err := t.recordWriter.DeleteCancellations(ctx, b.CancellationsToDelete)
+		if err != nil {
+			return err
+		}
+		t.log.Info("expired cancellations of unknown jobs deleted", "expired", len(b.CancellationsToDelete), "deleted", len(deleted))
+		b.CancellationsToDelete = deleted
+	}
 	t.vm.stats.commitTime.UpdateDuration(began)
 	return nil
 }
