--- a/laddercodec/codec_test.go
+++ b/laddercodec/codec_test.go
@@ -72,7 +72,7 @@
 	"advice query":       laddermessage.AdviceQuery{Step: ladderflow.StepRef{Job: "j", Round: 1, Step: 2}, Workers: []string{"w"}},
 	"advice reply":       laddermessage.AdviceReply{Tickets: []ladderflow.Ticket{{Worker: "w", Text: "t"}}, TicketLifetime: time.Second, Refused: true},
 	"relay call": laddermessage.RelayCall{To: address, Timeout: time.Second, Call: platform.Call{
-		Method: "POST", Path: "/p", Instance: "i", Holder: "h", Fence: 4, Body: []byte("b"),
+		Method: "POST", Path: "/p", Instance: "i", Incarnation: 9, Holder: "h", Fence: 4, Body: []byte("b"),
 	}},
 	"relay reply":    laddermessage.RelayReply{Reply: platform.Reply{Status: 200, Body: []byte("b")}, Unsent: true, Failed: true},
 	"operator query": laddermessage.OperatorQuery{Job: "j", JSON: true},
@@ -89,7 +89,7 @@
 		Assigned:   []laddermessage.Assignment{{Worker: "w", Address: address, Acknowledged: 6, Incarnation: 7}},
 		Unassigned: []string{"v"},
 		Starts: []laddermessage.DelegatedStart{{Worker: "w", Address: address, Start: ladderflow.Start{
-			Run: run, Payload: "p", Checkpoint: "s", Ticket: "t", LeaseUntil: time.Second, Fence: 1,
+			Run: run, Payload: "p", Checkpoint: "s", Ticket: "t", Incarnation: 8, LeaseUntil: time.Second, Fence: 1,
 		}}},
 		Stops:       []laddermessage.DelegatedStop{{Worker: "w", Address: address, Run: run}},
 		SpeedLimits: []laddermessage.DelegatedSpeedLimit{{Worker: "w", Address: address, Run: run, Percent: 40}},
--- a/laddercodec/delegate.go
+++ b/laddercodec/delegate.go
@@ -61,6 +61,8 @@
 	Checkpoint string
 	Ticket     string
 	LeaseUntil int64
+	// Incarnation is as in [ladderflow.Start]. Builds without it reject the message.
+	Incarnation int64
 }
 
 // delegatedOrderWire encodes a [laddermessage.DelegatedStop] or
@@ -200,6 +202,7 @@
 		w.Starts = append(w.Starts, delegatedStartWire{
 			Worker: s.Worker, Address: s.Address, Run: fromRun(s.Start.Run), Payload: s.Start.Payload,
 			Checkpoint: s.Start.Checkpoint, Ticket: s.Start.Ticket, LeaseUntil: int64(s.Start.LeaseUntil),
+			Incarnation: s.Start.Incarnation,
 		})
 	}
 	for _, s := range m.Stops {
@@ -228,7 +231,7 @@
 		m.Starts = append(m.Starts, laddermessage.DelegatedStart{
 			Worker: s.Worker, Address: s.Address, Start: ladderflow.Start{
 				Run: s.Run.run(), Payload: s.Payload, Checkpoint: s.Checkpoint, Ticket: s.Ticket,
-				LeaseUntil: time.Duration(s.LeaseUntil), Fence: w.Fence,
+				Incarnation: s.Incarnation, LeaseUntil: time.Duration(s.LeaseUntil), Fence: w.Fence,
 			},
 		})
 	}
--- a/laddercodec/flow.go
+++ b/laddercodec/flow.go
@@ -85,6 +85,9 @@
 	Fence    int64
 	Body     []byte
 	Timeout  int64
+	// Incarnation is as in [platform.Call]. Builds without it reject the message: they would carry the
+	// call to any incarnation.
+	Incarnation int64
 }
 
 // relayReplyWire encodes a [laddermessage.RelayReply].
@@ -138,7 +141,7 @@
 	case laddermessage.RelayCall:
 		return kindRelayCall, relayCallWire{
 			To: m.To.String(), Method: m.Call.Method, Path: m.Call.Path, Instance: m.Call.Instance,
-			Holder: m.Call.Holder, Fence: m.Call.Fence, Body: m.Call.Body, Timeout: int64(m.Timeout),
+			Holder: m.Call.Holder, Fence: m.Call.Fence, Body: m.Call.Body, Timeout: int64(m.Timeout), Incarnation: m.Call.Incarnation,
 		}, true
 	case laddermessage.RelayReply:
 		return kindRelayReply, relayReplyWire{
@@ -240,7 +243,7 @@
 	return laddermessage.RelayCall{
 		To: to, Timeout: time.Duration(w.Timeout),
 		Call: platform.Call{
-			Method: w.Method, Path: w.Path, Instance: w.Instance, Holder: w.Holder, Fence: w.Fence, Body: w.Body,
+			Method: w.Method, Path: w.Path, Instance: w.Instance, Incarnation: w.Incarnation, Holder: w.Holder, Fence: w.Fence, Body: w.Body,
 		},
 	}, err
 }
--- a/ladderdelegate/poller.go
+++ b/ladderdelegate/poller.go
@@ -133,6 +133,7 @@
 	if p.mayAcknowledge(current) {
 		request.Acknowledged = p.acknowledged
 	}
+	request.Incarnation = current.incarnation
 	request.LeaseUntil = current.workerClock + now.Sub(current.receivedAt) + s.workerLease
 	if request.Acknowledged >= current.lastEnd {
 		request.Wait = PollWait
--- a/ladderflow/worker.go
+++ b/ladderflow/worker.go
@@ -89,6 +89,9 @@
 type Start struct {
 	Run     Run
 	Payload string
+	// Incarnation, if set, is the only incarnation of the worker that may carry out the order:
+	// LeaseUntil is a time on its clock.
+	Incarnation int64
 	// Checkpoint is the checkpoint from which the run resumes, or empty.
 	Checkpoint string
 	// Ticket is the text of the ticket that allows the task on the worker, or empty.
--- a/ladderplan/options.go
+++ b/ladderplan/options.go
@@ -93,8 +93,10 @@
 	Checkpoint string
 	// Ticket is the ticket of the advice service, if the queue needs advice.
 	Ticket string
-	// LeaseUntil is the new end of the worker's lease, on the worker's clock.
-	LeaseUntil time.Duration
+	// Incarnation is the only incarnation of the worker that may carry out the order, and LeaseUntil
+	// the new end of the worker's lease, on that incarnation's clock.
+	Incarnation int64
+	LeaseUntil  time.Duration
 	// FirstOfJob is true for the first start of a job.
 	FirstOfJob bool
 	// Waited is the time from when the step became ready to the start.
--- a/ladderplan/place.go
+++ b/ladderplan/place.go
@@ -402,6 +402,6 @@
 	}
 	p.orders.Starts = append(p.orders.Starts, StartOrder{
 		Worker: w.spec, Run: x.name, Payload: sp.step.round.job.spec.Payload, Checkpoint: from.value,
-		Ticket: ticket, LeaseUntil: p.extendLease(sp.now, w), FirstOfJob: first, Waited: sp.now.Sub(sp.step.readySince),
+		Ticket: ticket, Incarnation: w.incarnation, LeaseUntil: p.extendLease(sp.now, w), FirstOfJob: first, Waited: sp.now.Sub(sp.step.readySince),
 	})
 }
--- a/ladderplan/poll.go
+++ b/ladderplan/poll.go
@@ -124,6 +124,9 @@
 	// Acknowledged is the number up to which the store holds the worker's ends. The poll
 	// acknowledges them.
 	Acknowledged int64
+	// Incarnation, unless it is zero, is the only incarnation of the worker that the poll may reach:
+	// both fields above and below refer to it.
+	Incarnation int64
 	// LeaseUntil is the new end of the worker's lease. Zero leaves the lease unchanged.
 	LeaseUntil time.Duration
 	// HasUnstoredEnds is true while the worker lists ends that the store does not hold yet.
@@ -142,7 +145,7 @@
 	}
 	n := PollParams{HasUnstoredEnds: w.lastSeenEnd > w.lastStoredEnd}
 	if w.seenByLeader && !w.unresponsive {
-		n.LeaseUntil = p.extendLease(now, w)
+		n.Incarnation, n.LeaseUntil = w.incarnation, p.extendLease(now, w)
 		// A worker that did not answer may have restarted. The number would then acknowledge ends
 		// of the new incarnation, which counts from one again.
 		if w.acknowledgeGuard.MayAcknowledge() {
--- a/ladderproof/flow_delegate_test.go
+++ b/ladderproof/flow_delegate_test.go
@@ -95,6 +95,11 @@
 	if sim.now.Sub(a.polledAt) > flowDelegatePause {
 		a.polledIncarnation = 0
 	}
+	if !a.worker.reaches(a.polledIncarnation) {
+		a.polledIncarnation = 0
+		a.leader.planner.PollFailed(a.worker.id, false)
+		return
+	}
 	acknowledged, until := int64(0), time.Duration(0)
 	if a.polledIncarnation != 0 {
 		until = a.polledClock + sim.now.Sub(a.polledAt) + flowWorkerLease
--- a/ladderproof/flow_history_test.go
+++ b/ladderproof/flow_history_test.go
@@ -145,3 +145,74 @@
 		h.start(h.former)
 	}
 }
+
+// startAfterCrash lets the former leader see that a worker has restarted, store the crash under the task, and start the
+// task on the new incarnation.
+func (h *history) startAfterCrash(w *flowWorker) {
+	for range 10 {
+		h.advance(100 * time.Millisecond)
+		h.former.planner.SetWorkers(h.now, h.listedWorkers())
+		h.poll(h.former, w)
+		h.commit(h.former, 0)
+		if h.start(h.former); len(w.running) > 0 {
+			return
+		}
+	}
+	h.t.Fatalf("the task does not start on the new incarnation")
+}
+
+// TestOrderForEarlierIncarnationGivesNoLongLease restarts a worker while a start is on its way to it, whose lease was
+// computed from the clock of the incarnation before. The worker is then cut off, and the next leader, which has not
+// polled it, waits for a lease of the usual length before it starts the task elsewhere. A lease of the greatest length
+// that a worker grants would outlast that wait, and the task would run twice.
+func TestOrderForEarlierIncarnationGivesNoLongLease(t *testing.T) {
+	for name, play := range map[string]func(h *history, restarted *flowWorker){
+		"its start arrives": func(h *history, restarted *flowWorker) {
+			h.plan(h.former)
+			h.crash(restarted)
+			h.deliver(h.orders[len(h.orders)-1], false)
+			// The leader sees the restart and starts the task on the new incarnation, if it does not run there.
+			h.settle(h.orders[len(h.orders)-1], ladderplan.Result{Unknown: true})
+			h.startAfterCrash(restarted)
+		},
+		"its poll arrives": func(h *history, restarted *flowWorker) {
+			h.start(h.former)
+			h.crash(restarted)
+			h.poll(h.former, restarted)
+			h.startAfterCrash(restarted)
+		},
+		"the poll of a delegate arrives": func(h *history, restarted *flowWorker) {
+			h.delegateRenewal(h.former, restarted, time.Second)
+			h.delegatePoll(h.assignment(h.former, restarted), 0)
+			h.start(h.former)
+			h.crash(restarted)
+			h.delegatePoll(h.assignment(h.former, restarted), 0)
+			h.startAfterCrash(restarted)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			steps, starts := 0, 0
+			h := &history{flowSimulation: newFlowSimulation(t, 0, &steps, &starts)}
+			h.job = &ladderflow.Job{
+				ID: fmt.Sprintf("%016x", 0), Queue: flowQueue, Service: "s", Accepted: h.now,
+				Steps: []ladderflow.Step{{Tasks: 1, Need: ladderflow.Size{Processor: 1000, Memory: 100}, Estimate: time.Second}},
+			}
+			h.former = h.newest()
+			restarted := h.workers[0]
+			for range 20 {
+				h.advance(time.Second)
+				h.poll(h.former, restarted)
+			}
+			h.accept(h.job)
+			h.former.planner.AddJob(h.now, h.job, false)
+			play(h, restarted)
+			h.elect()
+			for range 120 {
+				h.advance(100 * time.Millisecond)
+				h.pollOthers(h.newest(), restarted)
+				h.check()
+			}
+			require.Positive(t, len(h.workers[1].running)+len(h.workers[2].running), "the next leader has not started the task")
+		})
+	}
+}
--- a/ladderproof/flow_simulation_test.go
+++ b/ladderproof/flow_simulation_test.go
@@ -95,8 +95,10 @@
 	from  *flowLeader
 	start *ladderplan.StartOrder
 	stop  *ladderplan.StopOrder
-	// settled is true once the sender has received a reply or has given up.
-	settled bool
+	// settled is true once the sender has received a reply or has given up, and delivered once the order
+	// has arrived.
+	settled   bool
+	delivered bool
 	// sent is when the leader ordered it.
 	sent time.Time
 }
@@ -301,30 +303,20 @@
 	return ladderplan.LeadershipProbable
 }
 
-// crash restarts a worker under the same ID. Orders in transit to the old incarnation are
-// lost, and their outcome stays unknown to the sender. It does nothing while a former
-// leader's confidence is confirmed: the new incarnation knows no fencing token, so it would
-// accept orders from that leader.
+// crash restarts a worker under the same ID, at any time. Orders in transit stay so, and may arrive at
+// the new incarnation, which knows no fencing token.
 func (sim *flowSimulation) crash(w *flowWorker) {
-	for _, l := range sim.leaders {
-		if !l.actsUntil.IsZero() && sim.now.Before(l.confirmedUntil) {
-			return
-		}
-	}
-	for i := 0; i < len(sim.orders); {
-		o := sim.orders[i]
-		if o.start != nil && o.start.Worker.ID == w.id || o.stop != nil && o.stop.Worker.ID == w.id {
-			sim.settle(o, ladderplan.Result{Unknown: true})
-			sim.orders = append(sim.orders[:i], sim.orders[i+1:]...)
-			continue
-		}
-		i++
-	}
 	sim.tracef("worker %s restarted, running %v", w.id, w.running)
 	sim.recordCrash(w)
 	w.restart(sim.now)
 }
 
+// reaches reports whether a call that is meant for an incarnation of a worker reaches it. Connections
+// are bound to an incarnation, and zero stands for any.
+func (w *flowWorker) reaches(incarnation int64) bool {
+	return incarnation == 0 || incarnation == w.incarnation
+}
+
 // plan lets a leader plan and puts its orders in transit.
 func (sim *flowSimulation) plan(l *flowLeader) {
 	sim.noticeCrashes()
@@ -348,9 +340,15 @@
 // deliver applies an order at the worker, and returns the reply to the sender if answered.
 func (sim *flowSimulation) deliver(o *order, answered bool) {
 	var r ladderplan.Result
+	defer func() { o.delivered = true }()
 	switch {
 	case o.start != nil:
 		w := sim.workerByID(o.start.Worker.ID)
+		if !w.reaches(o.start.Incarnation) {
+			sim.tracef("start %v by leader %d on %s: the worker has restarted", o.start.Run, o.from.fence, w.id)
+			sim.settle(o, ladderplan.Result{Unsent: !o.delivered, Unknown: o.delivered})
+			return
+		}
 		began, refusal := w.start(sim.now, o.from.fence, o.start.Run, sim.size(o.start.Run.Task), o.start.LeaseUntil)
 		if began {
 			*sim.starts++
@@ -413,6 +411,11 @@
 	if !ok {
 		return
 	}
+	if !w.reaches(next.Incarnation) {
+		sim.tracef("poll of %s by leader %d: the worker has restarted", w.id, l.fence)
+		l.planner.PollFailed(w.id, false)
+		return
+	}
 	sim.acknowledgeUpTo(w, l.fence, next.Acknowledged)
 	status, ok := w.status(sim.now, l.fence, next.Acknowledged, next.LeaseUntil)
 	if !ok {
--- a/ladderstand/platformworker.go
+++ b/ladderstand/platformworker.go
@@ -14,8 +14,12 @@
 	"lacewingladder/platform"
 )
 
-// stopDuration is the time that a stopped run takes to end.
-const stopDuration = 5 * time.Millisecond
+const (
+	// stopDuration is the time that a stopped run takes to end.
+	stopDuration = 5 * time.Millisecond
+	// maxLease is the longest lease that the worker grants. A longer one is shortened.
+	maxLease = 10 * time.Second
+)
 
 // PlatformWorker is a worker that the client in package platform calls. It simulates runs
 // of tasks. It refuses orders under a lower fencing token than the highest that it has
@@ -42,9 +46,15 @@
 	runEnded chan struct{}
 	// unresponsive makes the worker leave calls without a response.
 	unresponsive bool
-	// down is true from a crash to the start of the next incarnation.
-	down    bool
-	crashes CrashSpec
+	// down is true from a crash to the start of the next incarnation. If silent is true, calls wait
+	// meanwhile, and restarted is closed when they may go on.
+	down      bool
+	silent    bool
+	restarted chan struct{}
+	// connections holds, by the caller's address, the incarnation that has carried out a call on a
+	// connection. A connection does not outlive the incarnation.
+	connections map[string]int64
+	crashes     CrashSpec
 	// gangs, if set, knows which tasks work only together.
 	gangs *Gangs
 	// latency, if set, returns how long the worker takes to carry out a start.
@@ -96,7 +106,7 @@
 ) *PlatformWorker {
 	p := &PlatformWorker{
 		clock: clock, spec: spec, workload: workload, starts: map[ladderflow.Task]int{},
-		done: map[ladderflow.Task]int{}, runEnded: make(chan struct{}),
+		done: map[ladderflow.Task]int{}, runEnded: make(chan struct{}), connections: map[string]int64{},
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -135,6 +145,24 @@
 	p.crashes = c
 }
 
+// SetUptime sets how long ago the present incarnation started, and so the worker's own clock.
+func (p *PlatformWorker) SetUptime(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.startedAt = p.clock.Now().Add(-d)
+}
+
+// CrashSilently is like Crash, but the worker answers nothing until the next incarnation starts, which
+// carries out the calls that have arrived on new connections meanwhile, whether or not their callers still wait.
+func (p *PlatformWorker) CrashSilently(s *Store, downtime time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.down {
+		p.silent, p.restarted = true, make(chan struct{})
+		p.crash(s, downtime)
+	}
+}
+
 // Crash ends the worker with all its runs and the ends that it lists. Connections are closed without
 // a response until the next incarnation starts after downtime, which renews the entry in the store.
 func (p *PlatformWorker) Crash(s *Store, downtime time.Duration) {
@@ -162,6 +190,10 @@
 		defer p.mu.Unlock()
 		p.restart()
 		p.down = false
+		if p.silent {
+			p.silent = false
+			close(p.restarted)
+		}
 		// The entry could be formatted before, so it can be now.
 		_ = p.register(s)
 	})
@@ -253,6 +285,11 @@
 	}
 }
 
+// extendLease extends the lease, but not beyond maxLease from now. The caller must hold p.mu.
+func (p *PlatformWorker) extendLease(until time.Duration) {
+	p.current.until = max(p.current.until, min(until, p.now()+maxLease))
+}
+
 // Handler returns the HTTP interface of the worker. POST /-/pace, which limits the speed
 // of a run, has no effect.
 func (p *PlatformWorker) Handler() http.Handler {
@@ -280,18 +317,20 @@
 
 // readOrder decodes the body of a call. If the call does not reach the worker that the
 // caller expects, or cannot be decoded, readOrder responds and returns false. An
-// unresponsive worker waits until the caller closes the connection, and one that is down closes it.
+// unresponsive worker waits until the caller closes the connection, and one that is down closes it, at
+// once or, if it is silent, once the next incarnation has started.
 func (p *PlatformWorker) readOrder(w http.ResponseWriter, request *http.Request) (order, bool) {
+	var o order
+	body, err := io.ReadAll(io.LimitReader(request.Body, maxBody))
+	if err != nil {
+		return o, false
+	}
+	p.awaitRestart()
+	p.checkConnection(request)
 	p.mu.Lock()
-	unresponsive, id, down := p.unresponsive, p.spec.ID, p.down
+	unresponsive, id := p.unresponsive, p.spec.ID
 	p.mu.Unlock()
-	if down {
-		panic(http.ErrAbortHandler)
-	}
-	var o order
 	if unresponsive {
-		// The server notices a closed connection only once the body has been read.
-		_, _ = io.Copy(io.Discard, request.Body)
 		<-request.Context().Done()
 		return o, false
 	}
@@ -299,13 +338,36 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return o, false
 	}
-	if err := json.NewDecoder(io.LimitReader(request.Body, maxBody)).Decode(&o); err != nil {
+	if err := json.Unmarshal(body, &o); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return o, false
 	}
 	return o, true
 }
 
+// awaitRestart waits until a silent worker has restarted.
+func (p *PlatformWorker) awaitRestart() {
+	p.mu.Lock()
+	silent, restarted := p.silent, p.restarted
+	p.mu.Unlock()
+	if silent {
+		<-restarted
+	}
+}
+
+// checkConnection closes the connection of a request if the worker is down, or if an earlier incarnation has
+// carried out calls on it.
+func (p *PlatformWorker) checkConnection(request *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	incarnation, used := p.connections[request.RemoteAddr]
+	if p.down || used && incarnation != p.current.number {
+		delete(p.connections, request.RemoteAddr)
+		panic(http.ErrAbortHandler)
+	}
+	p.connections[request.RemoteAddr] = p.current.number
+}
+
 // orderHandler returns a handler of orders about one run. It refuses orders under an
 // outdated fencing token.
 func (p *PlatformWorker) orderHandler(handle func(order) (int, string)) http.HandlerFunc {
@@ -346,7 +408,7 @@
 	}
 	run := ladderflow.Run{Task: task, Number: o.Run}
 	until := time.Duration(o.Until) * time.Millisecond
-	p.current.until = max(p.current.until, until)
+	p.extendLease(until)
 	if _, ok := p.current.running[run]; ok {
 		return http.StatusOK, ""
 	}
@@ -430,6 +492,7 @@
 		p.mu.Lock()
 		if p.down || polled != 0 && polled != p.current.number {
 			p.mu.Unlock()
+			p.awaitRestart()
 			panic(http.ErrAbortHandler)
 		}
 		polled = p.current.number
@@ -441,7 +504,7 @@
 			return
 		}
 		p.current.fence = o.Fence
-		p.current.until = max(p.current.until, time.Duration(o.Until)*time.Millisecond)
+		p.extendLease(time.Duration(o.Until) * time.Millisecond)
 		firstKept := sort.Search(len(p.current.ended), func(i int) bool { return p.current.ended[i].Sequence > o.Acknowledged })
 		p.current.ended = p.current.ended[firstKept:]
 		reply, runEnded := p.status(), p.runEnded
--- a/laddervm/delegate_client.go
+++ b/laddervm/delegate_client.go
@@ -197,7 +197,8 @@
 	c.expectResult(delegatedOrder{worker: s.Worker.ID, run: s.Run})
 	c.outbox.Starts = append(c.outbox.Starts, laddermessage.DelegatedStart{
 		Worker: s.Worker.ID, Address: s.Worker.Address, Start: ladderflow.Start{
-			Run: s.Run, Payload: s.Payload, Checkpoint: s.Checkpoint, Ticket: s.Ticket, LeaseUntil: s.LeaseUntil, Fence: c.term.fence,
+			Run: s.Run, Payload: s.Payload, Checkpoint: s.Checkpoint, Ticket: s.Ticket,
+			Incarnation: s.Incarnation, LeaseUntil: s.LeaseUntil, Fence: c.term.fence,
 		},
 	})
 }
--- a/laddervm/renewal_test.go
+++ b/laddervm/renewal_test.go
@@ -47,7 +47,7 @@
 		"it has expired for longer, but nobody is served": {remaining: -time.Minute, outage: true, renewed: true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			polls := make(chan int64, 1)
+			polls := make(chan int64, 2)
 			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				var poll struct{ UntilMs int64 }
 				_ = json.NewDecoder(r.Body).Decode(&poll)
@@ -64,6 +64,7 @@
 			term.planner.SetWorkers(time.Now(), []ladderflow.Worker{w})
 			term.planner.RecordReport(time.Now(), "w", time.Now(), ladderflow.StatusReport{Incarnation: 7, Clock: time.Second})
 			term.poll(term.ctx, &poller{worker: w, cancel: func() {}})
+			require.Zero(t, <-polls, "the greeting on the new connection")
 			require.Equal(t, c.renewed, <-polls > 0)
 		})
 	}
--- a/laddervm/store_carrier.go
+++ b/laddervm/store_carrier.go
@@ -345,7 +345,12 @@
 	ctx, cancel := context.WithTimeout(ctx, min(m.Timeout, maxRelayedCall))
 	defer cancel()
 	reply, err := v.direct.Carry(ctx, m.To, m.Call)
-	return laddermessage.RelayReply{Reply: reply, Unsent: errors.Is(err, platform.ErrUnsent), Failed: err != nil}
+	if platform.Restarted(err) {
+		v.log.Info("call of a peer to a worker was not sent; the worker has restarted", "worker", m.Call.Instance, "path", m.Call.Path, "err", err)
+	}
+	// A worker that has accepted a connection and did not answer the greeting on it was reached.
+	unsent := errors.Is(err, platform.ErrUnsent) && !errors.Is(err, platform.ErrUnanswered)
+	return laddermessage.RelayReply{Reply: reply, Unsent: unsent, Failed: err != nil}
 }
 
 // maxRelayedCall bounds a call that is made on behalf of a peer. It is longer than every timeout
--- a/laddervm/worker_carrier.go
+++ b/laddervm/worker_carrier.go
@@ -83,6 +83,10 @@
 	if err == nil || errors.Is(ctx.Err(), context.Canceled) {
 		return reply, err
 	}
+	if platform.Restarted(err) {
+		c.vm.log.Info("call to a worker was not sent; the worker has restarted", "worker", call.Instance, "path", call.Path, "err", err)
+		return reply, err
+	}
 	var names []string
 	for _, p := range c.vm.registry.others() {
 		names = append(names, p.name)
--- a/laddervm/workers.go
+++ b/laddervm/workers.go
@@ -127,7 +127,9 @@
 		time.AfterFunc(p.deferredUntil.Sub(now), func() { t.do(func() { t.resumePoll(ctx, p) }) })
 		return
 	}
-	request := platform.PollRequest{Fence: t.fence, Acknowledged: next.Acknowledged, LeaseUntil: next.LeaseUntil}
+	request := platform.PollRequest{
+		Fence: t.fence, Incarnation: next.Incarnation, Acknowledged: next.Acknowledged, LeaseUntil: next.LeaseUntil,
+	}
 	if next.LeaseUntil > 0 && !next.HasUnstoredEnds && !next.AwaitsStarts {
 		request.Wait = ladderdelegate.PollWait
 	}
@@ -177,8 +179,13 @@
 		}
 		t.planner.PollFailed(p.worker.ID, errors.Is(err, platform.ErrFenced))
 		t.log.Debug("worker did not answer a status poll; retrying", "worker", p.worker.ID, "reached", platform.Reached(err), "err", err)
-		t.vm.workerDirect.DropConnections(p.worker.Address)
-		time.AfterFunc(ladderdelegate.PollRetryDelay, func() { t.do(func() { t.poll(ctx, p) }) })
+		delay := ladderdelegate.PollRetryDelay
+		if platform.Restarted(err) {
+			delay = 0 // The next poll reaches any incarnation.
+		} else {
+			t.vm.workerDirect.DropConnections(p.worker.Address)
+		}
+		time.AfterFunc(delay, func() { t.do(func() { t.poll(ctx, p) }) })
 		return
 	}
 	now := t.vm.clock.Now()
@@ -303,7 +310,8 @@
 			return ladderflow.NotRefused, platform.ErrUnsent
 		}
 		reply, err := t.vm.workers.Start(ctx, s.Worker.Address, s.Worker.ID, ladderflow.Start{
-			Run: s.Run, Payload: s.Payload, Checkpoint: s.Checkpoint, Ticket: s.Ticket, LeaseUntil: s.LeaseUntil, Fence: t.fence,
+			Run: s.Run, Payload: s.Payload, Checkpoint: s.Checkpoint, Ticket: s.Ticket,
+			Incarnation: s.Incarnation, LeaseUntil: s.LeaseUntil, Fence: t.fence,
 		})
 		clock = reply.Clock
 		return reply.Refusal, err
