--- a/laddertest/soak_faults_test.go
+++ b/laddertest/soak_faults_test.go
@@ -55,8 +55,13 @@
 	case 8:
 		for range 1 + r.IntN(4) {
 			n := r.IntN(len(s.workers))
-			s.note("worker %d crashes, and starts after %v", n, length/4)
-			s.workers[n].Crash(s.platform.Store(), length/4)
+			silently := n%2 == 1
+			s.note("worker %d crashes, silently: %v, and starts after %v", n, silently, length/4)
+			if silently {
+				s.workers[n].CrashSilently(s.platform.Store(), length/4)
+			} else {
+				s.workers[n].Crash(s.platform.Store(), length/4)
+			}
 		}
 	case 9:
 		if j := s.submitJob(r, soakCrasherPrefix); j != nil {
