--- a/ladderjournal/journal.go
+++ b/ladderjournal/journal.go
@@ -197,7 +197,7 @@
 	if cancelled {
 		state = ladderflow.Cancelled
 	}
-	// A cancellation may be stored of a job that was never submitted.
+	// The store may hold the cancellation of a job that was never submitted.
 	ok, err = j.Exists(ctx, id)
 	return state, ok, err
 }
--- a/ladderplan/poll.go
+++ b/ladderplan/poll.go
@@ -124,8 +124,8 @@
 	// Acknowledged is the number up to which the store holds the worker's ends. The poll
 	// acknowledges them.
 	Acknowledged int64
-	// Incarnation, unless it is zero, is the only incarnation of the worker that the poll may reach:
-	// both fields above and below refer to it.
+	// Incarnation, unless it is zero, is the only incarnation of the worker that the poll may reach.
+	// Acknowledged and LeaseUntil refer to it.
 	Incarnation int64
 	// LeaseUntil is the new end of the worker's lease. Zero leaves the lease unchanged.
 	LeaseUntil time.Duration
--- a/ladderplan/record.go
+++ b/ladderplan/record.go
@@ -60,7 +60,7 @@
 	// JobsToDelete names jobs whose keys can all be deleted. The caller sets it.
 	JobsToDelete []string
 	// CancellationsToDelete names jobs that were never submitted and whose cancellations can be
-	// deleted. The caller sets it, and reduces it to those that it has deleted.
+	// deleted. The caller sets it, and before [Planner.BatchStored] limits it to those that were deleted.
 	CancellationsToDelete []string
 	// ends holds, by worker, the last end that the batch covers, states the states of the jobs, and
 	// crashes the numbers of crashes that were counted against them.
