--- a/ladderjournal/journal.go
+++ b/ladderjournal/journal.go
@@ -85,8 +85,8 @@
 const MaxSubmissions = platform.MaxTxn / 3
 
 // Accept stores jobs in one transaction and fills in the outcome of each. If some of
-// them were stored or canceled before, it tries again with what it has learned. A job that
-// was canceled first is stored as well: its cancellation alone does not make it known.
+// them were stored or canceled before, it tries again without those that were stored. A job
+// that was canceled first is stored as well, because [Journal.Lookup] shows only stored jobs.
 func (j *Journal) Accept(ctx context.Context, submissions []*Submission) {
 	pending := make([]*Submission, 0, len(submissions))
 	txn := platform.Txn{}
@@ -120,12 +120,7 @@
 // acceptRest handles a transaction whose conditions failed, as the found items show. It fills
 // in the outcome of the submissions that were stored before, and stores the others.
 func (j *Journal) acceptRest(ctx context.Context, pending []*Submission, found []platform.Item) {
-	revisions := map[string]int64{}
-	for _, item := range found {
-		if !item.Deleted {
-			revisions[item.Key] = item.ModRevision
-		}
-	}
+	revisions := revisionsOf(found)
 	var rest []*Submission
 	changed := false
 	for _, s := range pending {
@@ -330,30 +325,36 @@
 			txn.Deletes = append(txn.Deletes, cancelPrefix+id)
 		}
 		_, found, err := p.journal.store.Commit(ctx, txn)
-		if !errors.Is(err, platform.ErrConditionFailed) {
-			if err != nil {
-				return nil, err
-			}
+		if err == nil {
 			return ids, nil
 		}
-		current := map[string]int64{}
-		for _, item := range found {
-			if !item.Deleted {
-				current[item.Key] = item.ModRevision
-			}
+		if !errors.Is(err, platform.ErrConditionFailed) {
+			return nil, err
 		}
-		if current[LeaderKey] != p.leaderRevision {
+		revisions := revisionsOf(found)
+		if revisions[LeaderKey] != p.leaderRevision {
 			return nil, ErrSuperseded
 		}
-		rest := slices.DeleteFunc(slices.Clone(ids), func(id string) bool { return current[jobPrefix+id] != 0 })
-		if len(rest) == len(ids) {
-			return nil, err
+		withoutJob := slices.DeleteFunc(slices.Clone(ids), func(id string) bool { return revisions[jobPrefix+id] != 0 })
+		if len(withoutJob) == len(ids) {
+			return nil, err // None of the jobs exists any more; the caller tries again.
 		}
-		ids = rest
+		ids = withoutJob
 	}
 	return nil, nil
 }
 
+// revisionsOf returns the revisions of the items that exist, by key.
+func revisionsOf(items []platform.Item) map[string]int64 {
+	revisions := map[string]int64{}
+	for _, item := range items {
+		if !item.Deleted {
+			revisions[item.Key] = item.ModRevision
+		}
+	}
+	return revisions
+}
+
 // SaveStatus writes a status value that operators read, unless the key holds that value
 // already. LeaderRevision is the revision of [LeaderKey] in the current term.
 func (j *Journal) SaveStatus(ctx context.Context, leaderRevision int64, key string, value []byte) error {
--- a/ladderplan/record.go
+++ b/ladderplan/record.go
@@ -293,7 +293,7 @@
 func (p *Planner) ExpiredJobs(now time.Time, limit int) []string {
 	var ids []string
 	for _, j := range p.endedJobs {
-		if len(ids) == limit || !p.expired(now, j.endedAt) {
+		if len(ids) == limit || !p.retentionOver(now, j.endedAt) {
 			break
 		}
 		if p.jobs[j.spec.ID] == j {
@@ -303,8 +303,8 @@
 	return ids
 }
 
-// expired reports whether callers can no longer query a job that ended at the given time.
-func (p *Planner) expired(now, endedAt time.Time) bool {
+// retentionOver reports whether callers can no longer query a job that ended at the given time.
+func (p *Planner) retentionOver(now, endedAt time.Time) bool {
 	return now.Sub(endedAt) > p.options.JobRetention*5/4
 }
 
@@ -319,7 +319,7 @@
 		if len(ids) == limit {
 			return ids
 		}
-		if p.expired(now, at) {
+		if p.retentionOver(now, at) {
 			ids = append(ids, id)
 		}
 	}
