Parse teams, their keys, weights and quotas; store a job's team; count what teams run

Cause: the platform's path knew no teams. Change: a configuration has teams (KeysRequired, Team, KeyHash; keys are kept as hashes only), a queue may be public, a job has the team of its caller, which is stored with it in a form that earlier builds' jobs decode to an empty team. A malformed team costs no other one. ladderteam.Ledger sums the sizes of runs by team where runs are added to and removed from workers. Nothing decides on any of it yet.

--- a/laddercodec/codec_test.go
+++ b/laddercodec/codec_test.go
@@ -158,10 +158,15 @@
 				ObjectiveFactor: 1.5, BaseObjective: time.Minute,
 				Advice: &ladderflow.AdviceConfig{BaseTime: 1, TimePerWorker: 2, TicketLifetime: 3},
 			},
-			{Name: "without advice"},
+			{Name: "without advice", Public: true},
 		},
-		Services: map[string]ladderflow.Service{"s": {Name: "s", EnforcesCapacity: true, PoweredOff: true}},
-		Limits:   ladderflow.Limits{MaxHeaderBytes: 1, MaxBodyBytes: 2, HeaderTimeout: 3, IdleTimeout: 4},
+		Services:     map[string]ladderflow.Service{"s": {Name: "s", EnforcesCapacity: true, PoweredOff: true}},
+		Limits:       ladderflow.Limits{MaxHeaderBytes: 1, MaxBodyBytes: 2, HeaderTimeout: 3, IdleTimeout: 4},
+		KeysRequired: true,
+		Teams: []ladderflow.Team{{
+			Name: "a", Keys: []ladderflow.KeyHash{ladderflow.HashKey("key")}, Weight: 2.5,
+			Quota: ladderflow.Size{Processor: 1, Memory: 2, Accelerators: 3},
+		}},
 	}
 	data, err := laddercodec.EncodeDelta(want)
 	require.NoError(t, err)
--- a/laddercodec/fleet.go
+++ b/laddercodec/fleet.go
@@ -49,6 +49,25 @@
 	Changed  []queueWire
 	Services []serviceWire
 	Limits   [4]int64 // Bytes of headers and bodies, nanoseconds of headers and idle connections.
+	Teams    teamsWire
+}
+
+// teamsWire encodes the teams of a [ladderflow.FleetDelta].
+type teamsWire struct {
+	_            struct{} `cbor:",toarray"`
+	KeysRequired bool
+	KeepsTeams   bool
+	Teams        []teamWire
+}
+
+// teamWire encodes a [ladderflow.Team]. Quota holds the amounts of processor, memory and accelerators, in the
+// units of [ladderflow.Size].
+type teamWire struct {
+	_      struct{} `cbor:",toarray"`
+	Name   string
+	Keys   [][]byte
+	Weight float64
+	Quota  [3]int
 }
 
 // queueWire encodes a [ladderflow.Queue]. Durations are in nanoseconds.
@@ -64,6 +83,7 @@
 	ObjectiveFactor float64
 	BaseObjective   int64
 	Advice          []int64 // Base time, time per worker and ticket lifetime, or empty.
+	Public          bool
 }
 
 // serviceWire encodes a [ladderflow.Service].
@@ -81,6 +101,7 @@
 		Limits: [4]int64{
 			int64(d.Limits.MaxHeaderBytes), int64(d.Limits.MaxBodyBytes), int64(d.Limits.HeaderTimeout), int64(d.Limits.IdleTimeout),
 		},
+		Teams: teamsWire{KeysRequired: d.KeysRequired, KeepsTeams: d.KeepsTeams, Teams: mapAll(d.Teams, fromTeam)},
 	}
 	for i := range d.Changed {
 		w.Changed = append(w.Changed, fromQueue(&d.Changed[i]))
@@ -119,6 +140,7 @@
 			MaxHeaderBytes: int(w.Limits[0]), MaxBodyBytes: int(w.Limits[1]),
 			HeaderTimeout: time.Duration(w.Limits[2]), IdleTimeout: time.Duration(w.Limits[3]),
 		},
+		KeysRequired: w.Teams.KeysRequired, KeepsTeams: w.Teams.KeepsTeams, Teams: mapAll(w.Teams.Teams, toTeam),
 	}
 	for _, s := range w.Services {
 		d.Services[s.Name] = ladderflow.Service{Name: s.Name, EnforcesCapacity: s.EnforcesCapacity, PoweredOff: s.PoweredOff}
@@ -130,6 +152,7 @@
 	w := queueWire{
 		Name: q.Name, Host: q.Host, Prefix: q.Prefix, Service: q.Service, RequestTimeout: int64(q.RequestTimeout),
 		Priority: q.Priority, MaxFailures: q.MaxFailures, ObjectiveFactor: q.ObjectiveFactor, BaseObjective: int64(q.BaseObjective),
+		Public: q.Public,
 	}
 	if a := q.Advice; a != nil {
 		w.Advice = []int64{int64(a.BaseTime), int64(a.TimePerWorker), int64(a.TicketLifetime)}
@@ -141,6 +164,7 @@
 	q := ladderflow.Queue{
 		Name: w.Name, Host: w.Host, Prefix: w.Prefix, Service: w.Service, RequestTimeout: time.Duration(w.RequestTimeout),
 		Priority: w.Priority, MaxFailures: w.MaxFailures, ObjectiveFactor: w.ObjectiveFactor, BaseObjective: time.Duration(w.BaseObjective),
+		Public: w.Public,
 	}
 	if len(w.Advice) == 3 {
 		q.Advice = &ladderflow.AdviceConfig{
@@ -150,6 +174,27 @@
 	return q
 }
 
+func fromTeam(t ladderflow.Team) teamWire {
+	return teamWire{
+		Name: t.Name, Weight: t.Weight, Quota: [3]int{t.Quota.Processor, t.Quota.Memory, t.Quota.Accelerators},
+		Keys: mapAll(t.Keys, func(h ladderflow.KeyHash) []byte { return h[:] }),
+	}
+}
+
+// toTeam converts a team's wire type. A key of another length than a hash matches no caller's key.
+func toTeam(w teamWire) ladderflow.Team {
+	t := ladderflow.Team{
+		Name: w.Name, Weight: w.Weight,
+		Quota: ladderflow.Size{Processor: w.Quota[0], Memory: w.Quota[1], Accelerators: w.Quota[2]},
+	}
+	for _, k := range w.Keys {
+		if len(k) == len(ladderflow.KeyHash{}) {
+			t.Keys = append(t.Keys, ladderflow.KeyHash(k))
+		}
+	}
+	return t
+}
+
 // toFleetWire converts a message about the operators' keys to its wire type. It returns false
 // for other messages.
 func toFleetWire(m laddermessage.Message) (kind, any, bool) {
--- a/ladderdemo/jobs.go
+++ b/ladderdemo/jobs.go
@@ -154,7 +154,7 @@
 			return err
 		}
 	}
-	d.fleet.Platform.Store().Txn(platform.Txn{Writes: []platform.Write{{Key: platform.FleetKey, Value: platform.FormatFleet(jobsConfig)}}})
+	d.fleet.Platform.Store().Txn(platform.Txn{Writes: []platform.Write{{Key: platform.FleetKey, Value: platform.FormatFleet(jobsConfig, nil)}}})
 	for i := range jobVMs {
 		if err := d.startVM(ctx, fmt.Sprintf("e%d", i), store, advice, logs); err != nil {
 			return err
--- a/ladderflow/fleet.go
+++ b/ladderflow/fleet.go
@@ -8,12 +8,16 @@
 )
 
 // FleetConfig is one version of the operators' configuration. It must not be changed once
-// Route or Queue has been called, nor copied.
+// Route, Queue, Team or TeamOfKey has been called, nor copied.
 type FleetConfig struct {
 	Version  int64
 	Queues   []Queue
 	Services map[string]Service
 	Limits   Limits
+	// KeysRequired is true if callers need the key of a team on each queue that is not public. Teams
+	// holds the teams.
+	KeysRequired bool
+	Teams        []Team
 
 	indexOnce sync.Once
 	// byName holds the index in Queues of each queue.
@@ -22,6 +26,9 @@
 	byPath map[hostPath]int
 	// prefixLengths holds the lengths of all prefixes, the longest first.
 	prefixLengths []int
+	// teamByName and teamByKey hold the index in Teams of each team.
+	teamByName map[string]int
+	teamByKey  map[KeyHash]int
 }
 
 // hostPath is a lower-case host and a prefix of paths.
@@ -51,6 +58,8 @@
 	// Advice is set if a worker needs a ticket from the advice service to run the
 	// tasks; otherwise it is nil.
 	Advice *AdviceConfig
+	// Public is true if callers need no key.
+	Public bool
 }
 
 // AdviceConfig holds the response time of the advice service and the lifetime of its tickets.
@@ -124,9 +133,10 @@
 	return &f.Queues[i], true
 }
 
-// buildIndex fills the maps that Route and Queue read. Of queues with the same name, or the
+// buildIndex fills the maps that Route, Queue, Team and TeamOfKey read. Of queues with the same name, or the
 // same host and prefix, the first counts.
 func (f *FleetConfig) buildIndex() {
+	f.indexTeams()
 	f.byName, f.byPath = make(map[string]int, len(f.Queues)), make(map[hostPath]int, len(f.Queues))
 	lengths := map[int]bool{}
 	for i := range f.Queues {
--- a/ladderflow/fleet_delta.go
+++ b/ladderflow/fleet_delta.go
@@ -1,5 +1,7 @@
 package ladderflow
 
+import "slices"
+
 // FleetDelta is the difference between two versions of the configuration. Applied to an empty
 // configuration, it is a whole version.
 type FleetDelta struct {
@@ -12,6 +14,11 @@
 	// Services and Limits are those of the new version.
 	Services map[string]Service
 	Limits   Limits
+	// KeysRequired is that of the new version. Teams holds its teams, unless KeepsTeams is true: then
+	// the teams did not change.
+	KeysRequired bool
+	KeepsTeams   bool
+	Teams        []Team
 }
 
 // Diff returns the difference from version old to version f. It returns false if the versions
@@ -19,10 +26,14 @@
 func (f *FleetConfig) Diff(old *FleetConfig) (FleetDelta, bool) {
 	f.indexOnce.Do(f.buildIndex)
 	old.indexOnce.Do(old.buildIndex)
-	d := FleetDelta{Version: f.Version, Services: f.Services, Limits: f.Limits}
+	d := FleetDelta{Version: f.Version, Services: f.Services, Limits: f.Limits, KeysRequired: f.KeysRequired}
 	if len(f.byName) != len(f.Queues) || len(old.byName) != len(old.Queues) {
 		return FleetDelta{}, false
 	}
+	sameTeam := func(a, b Team) bool { return a.equal(&b) }
+	if d.KeepsTeams = slices.EqualFunc(f.Teams, old.Teams, sameTeam); !d.KeepsTeams {
+		d.Teams = f.Teams
+	}
 	for i := range f.Queues {
 		q := &f.Queues[i]
 		if j, ok := old.byName[q.Name]; !ok || !q.equal(&old.Queues[j]) {
@@ -39,13 +50,18 @@
 
 // Whole returns the difference from an empty configuration to f.
 func (f *FleetConfig) Whole() FleetDelta {
-	return FleetDelta{Version: f.Version, Changed: f.Queues, Services: f.Services, Limits: f.Limits}
+	return FleetDelta{
+		Version: f.Version, Changed: f.Queues, Services: f.Services, Limits: f.Limits, KeysRequired: f.KeysRequired, Teams: f.Teams,
+	}
 }
 
 // Apply returns the version that results when d is applied to version old, or to an empty
 // configuration if old is nil. Queues that did not change keep their order, and new ones follow.
 func (d FleetDelta) Apply(old *FleetConfig) *FleetConfig {
-	f := &FleetConfig{Version: d.Version, Services: d.Services, Limits: d.Limits}
+	f := &FleetConfig{Version: d.Version, Services: d.Services, Limits: d.Limits, KeysRequired: d.KeysRequired, Teams: d.Teams}
+	if d.KeepsTeams && old != nil {
+		f.Teams = old.Teams
+	}
 	if old == nil {
 		f.Queues = d.Changed
 		return f
--- a/ladderflow/fleet_delta_test.go
+++ b/ladderflow/fleet_delta_test.go
@@ -20,6 +20,8 @@
 			require.Equal(t, want.Version, got.Version, name)
 			require.Equal(t, want.Services, got.Services, name)
 			require.Equal(t, want.Limits, got.Limits, name)
+			require.Equal(t, want.KeysRequired, got.KeysRequired, name)
+			require.Equal(t, want.Teams, got.Teams, name)
 			require.ElementsMatch(t, want.Queues, got.Queues, name)
 		}
 		for _, q := range d.Changed {
--- a/ladderflow/fleet_test.go
+++ b/ladderflow/fleet_test.go
@@ -17,6 +17,13 @@
 		Services: map[string]Service{"s": {Name: "s", PoweredOff: rapid.Bool().Draw(t, label+" off")}},
 		Limits:   Limits{MaxBodyBytes: rapid.IntRange(0, 9).Draw(t, label+" limit")},
 	}
+	f.KeysRequired = rapid.Bool().Draw(t, label+" keys")
+	for i := range rapid.IntRange(0, 2).Draw(t, label+" teams") {
+		f.Teams = append(f.Teams, Team{
+			Name: fmt.Sprint(i), Weight: float64(rapid.IntRange(1, 2).Draw(t, label+" weight")),
+			Keys: []KeyHash{HashKey(rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, label+" key"))},
+		})
+	}
 	for i := range rapid.IntRange(0, 6).Draw(t, label+" queues") {
 		q := Queue{
 			Name:     fmt.Sprintf("q%d", rapid.IntRange(0, 3).Draw(t, label+" name")*10+i),
--- a/ladderflow/job.go
+++ b/ladderflow/job.go
@@ -31,6 +31,9 @@
 	// workers that the queue used at that time.
 	Queue   string
 	Service string
+	// Team is the team whose key the caller had, or empty if the job was submitted without a key or is of
+	// an earlier build. It lasts as long as the job.
+	Team string
 	// Rules is the queue as it was configured when the job was accepted. They hold for the job while the
 	// configuration does not have the queue. Rules is nil for a job that an earlier build has stored. Only
 	// the service, the priority, the number of failures, the objective and the advice are stored.
--- a/ladderjournal/codec.go
+++ b/ladderjournal/codec.go
@@ -36,6 +36,22 @@
 	Interval int64
 	Accepted int64
 	Rules    *rulesWire
+	Team     string
+}
+
+// jobWireWithoutTeam is the stored form of a job without a team. It was the form of all jobs before teams were
+// stored.
+type jobWireWithoutTeam struct {
+	_        struct{} `cbor:",toarray"`
+	Queue    string
+	Service  string
+	Payload  string
+	Steps    []stepWire
+	Rounds   int
+	FirstDue int64
+	Interval int64
+	Accepted int64
+	Rules    *rulesWire
 }
 
 // jobWireWithoutRules is the stored form of a job from before its rules were stored.
@@ -51,10 +67,14 @@
 	Accepted int64
 }
 
-// cborArrayOfEight is the first byte of a stored jobWireWithoutRules.
-const cborArrayOfEight = 0x88
+// cborArrayOfEight is the first byte of a stored jobWireWithoutRules, and cborArrayOfNine that of a stored
+// jobWireWithoutTeam.
+const (
+	cborArrayOfEight = 0x88
+	cborArrayOfNine  = 0x89
+)
 
-// UnmarshalCBOR decodes both stored forms of a job.
+// UnmarshalCBOR decodes all stored forms of a job.
 func (w *jobWire) UnmarshalCBOR(data []byte) error {
 	if len(data) > 0 && data[0] == cborArrayOfEight {
 		var o jobWireWithoutRules
@@ -67,6 +87,17 @@
 		}
 		return nil
 	}
+	if len(data) > 0 && data[0] == cborArrayOfNine {
+		var o jobWireWithoutTeam
+		if err := decoder.Unmarshal(data, &o); err != nil {
+			return err
+		}
+		*w = jobWire{
+			Queue: o.Queue, Service: o.Service, Payload: o.Payload, Steps: o.Steps, Rounds: o.Rounds,
+			FirstDue: o.FirstDue, Interval: o.Interval, Accepted: o.Accepted, Rules: o.Rules,
+		}
+		return nil
+	}
 	type plain jobWire // It has no methods, so that its decoding does not come back here.
 	return decoder.Unmarshal(data, (*plain)(w))
 }
@@ -160,7 +191,7 @@
 func EncodeJob(j *ladderflow.Job) ([]byte, error) {
 	w := jobWire{
 		Queue: j.Queue, Service: j.Service, Payload: j.Payload, Rounds: j.Rounds, FirstDue: j.FirstDue.UnixMilli(),
-		Interval: j.Interval.Milliseconds(), Accepted: j.Accepted.UnixMilli(), Rules: encodeRules(j.Rules),
+		Interval: j.Interval.Milliseconds(), Accepted: j.Accepted.UnixMilli(), Rules: encodeRules(j.Rules), Team: j.Team,
 	}
 	for i := range j.Steps {
 		s := &j.Steps[i]
@@ -176,6 +207,13 @@
 		}
 		w.Steps = append(w.Steps, x)
 	}
+	if w.Team == "" {
+		// Builds from before teams were stored read this form only.
+		return cbor.Marshal(jobWireWithoutTeam{
+			Queue: w.Queue, Service: w.Service, Payload: w.Payload, Steps: w.Steps, Rounds: w.Rounds,
+			FirstDue: w.FirstDue, Interval: w.Interval, Accepted: w.Accepted, Rules: w.Rules,
+		})
+	}
 	return cbor.Marshal(w)
 }
 
@@ -188,7 +226,7 @@
 	j := &ladderflow.Job{
 		ID: id, Queue: w.Queue, Service: w.Service, Payload: w.Payload, Rounds: w.Rounds,
 		FirstDue: time.UnixMilli(w.FirstDue), Interval: millis(w.Interval), Accepted: time.UnixMilli(w.Accepted),
-		Rules: w.Rules.decode(w.Queue, w.Service),
+		Rules: w.Rules.decode(w.Queue, w.Service), Team: w.Team,
 	}
 	for _, x := range w.Steps {
 		s := ladderflow.Step{
--- a/ladderjournal/journal_test.go
+++ b/ladderjournal/journal_test.go
@@ -309,6 +309,21 @@
 	require.Equal(t, want, j)
 }
 
+// TestStoredJobKeepsTeam checks that a job's team is stored with it, and that the stored form of a job without a
+// team is the one that earlier builds read.
+func TestStoredJobKeepsTeam(t *testing.T) {
+	for name, first := range map[string]byte{"tailors": 0x8a, "": cborArrayOfNine} {
+		j := fullJob("j")
+		j.Team = name
+		data, err := EncodeJob(j)
+		require.NoError(t, err)
+		require.Equal(t, first, data[0], "an array of as many elements as the form has fields")
+		got, err := DecodeJob("j", data)
+		require.NoError(t, err)
+		require.Equal(t, j, got)
+	}
+}
+
 // TestTermsOfEarlierBuildsAreUnknown reads a store in which no leader has stored its term, and one with an
 // undecodable value. The leaders before are then not known.
 func TestTermsOfEarlierBuildsAreUnknown(t *testing.T) {
--- a/ladderplan/adopt.go
+++ b/ladderplan/adopt.go
@@ -16,7 +16,7 @@
 	}
 	j := p.jobs[r.Run.Task.Job]
 	if j != nil {
-		x.task = j.find(r.Run.Task)
+		x.task, x.team = j.find(r.Run.Task), j.spec.Team
 	}
 	if w.justEnded[r.Run] {
 		return // The status report is from just before the run's end.
--- a/ladderplan/model.go
+++ b/ladderplan/model.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lacewingladder/ladderflow"
+	"lacewingladder/ladderteam"
 )
 
 // job is a job with the state of its rounds.
@@ -199,6 +200,8 @@
 	size   ladderflow.Size
 	// sizeUnknown is true if the leader does not know the run's job yet. The size is then zero.
 	sizeUnknown bool
+	// team is the team of the run's job, or empty if the job has none or is not known.
+	team string
 	// startSettledAt is when the start was answered, or when it became clear that it will not be.
 	// confirmed is true once the worker has accepted the start or listed the run.
 	startSettledAt time.Time
@@ -296,6 +299,8 @@
 	// cease to accept tasks.
 	freed *freedLog
 	pools *workerPools
+	// ledger counts what each team has running on all workers.
+	ledger *ladderteam.Ledger
 	// lastPass is the number of [workerPools.pass] when the worker last accepted new tasks.
 	lastPass int64
 	// reservedPass is the last placement pass in which the worker was reserved for a gang, which was
@@ -321,9 +326,9 @@
 	maintenanceUntil time.Time
 }
 
-func newWorker(spec ladderflow.Worker, index int, freed *freedLog, pools *workerPools) *worker {
+func newWorker(spec ladderflow.Worker, index int, freed *freedLog, pools *workerPools, ledger *ladderteam.Ledger) *worker {
 	return &worker{
-		spec: spec, index: index, freed: freed, pools: pools, free: spec.Capacity, leastCapacity: spec.Capacity, runs: map[ladderflow.Run]*run{}, justEnded: map[ladderflow.Run]bool{},
+		spec: spec, ledger: ledger, index: index, freed: freed, pools: pools, free: spec.Capacity, leastCapacity: spec.Capacity, runs: map[ladderflow.Run]*run{}, justEnded: map[ladderflow.Run]bool{},
 		failedJobs: map[string]bool{},
 	}
 }
@@ -347,6 +352,7 @@
 	w.runOrder = append(w.runOrder, r)
 	w.releasesStale = true
 	w.free = w.free.Minus(r.size)
+	w.ledger.Add(r.team, r.size)
 	if r.sizeUnknown {
 		w.unknownRuns++
 		w.pools.stale = true
@@ -370,6 +376,7 @@
 	w.runOrder = slices.DeleteFunc(w.runOrder, func(o *run) bool { return o == r })
 	w.releasesStale = true
 	w.free = w.free.Plus(r.size)
+	w.ledger.Remove(r.team, r.size)
 	if r.sizeUnknown {
 		w.unknownRuns--
 		w.pools.stale = true
--- a/ladderplan/place.go
+++ b/ladderplan/place.go
@@ -379,7 +379,7 @@
 func (sp *stepPlacement) start(t *task, w *worker, number int, from checkpoint) {
 	p := sp.planner
 	x := &run{
-		task: t, name: ladderflow.Run{Task: t.name(), Number: number}, phase: phaseSent, size: sp.step.spec.Demand(),
+		task: t, name: ladderflow.Run{Task: t.name(), Number: number}, phase: phaseSent, size: sp.step.spec.Demand(), team: sp.step.round.job.spec.Team,
 		startedAt: sp.now, progressedAt: sp.now, percent: -1, speedPercent: 100, resumesFrom: from,
 	}
 	w.addRun(x)
--- a/ladderplan/planner.go
+++ b/ladderplan/planner.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"lacewingladder/ladderflow"
+	"lacewingladder/ladderteam"
 )
 
 // Planner decides which task starts on which worker. Create one with [New].
@@ -29,6 +30,8 @@
 	// Decisions must not depend on the iteration order of a map.
 	sortedWorkers []*worker
 	pools         workerPools
+	// ledger counts what each team has running. Quotas and shares are decided on it.
+	ledger *ladderteam.Ledger
 	// queuedJobs holds, by queue, the jobs that may have neither begun nor ended. Jobs with a schedule are
 	// left out.
 	queuedJobs map[string][]*job
@@ -96,7 +99,7 @@
 		options: o, log: o.Log, jobs: map[string]*job{}, cancellations: map[string]time.Time{}, deletedJobs: map[string]deletedJob{},
 		workers: map[string]*worker{}, departed: map[string]*worker{}, pools: workerPools{byService: map[string][]*worker{}, stale: true}, unseenWorkers: map[string]bool{},
 		unstoredJobs: map[string]*job{}, estimators: durationEstimators{}, spreads: spreads{}, advisers: newAdvisers(),
-		window: newStartWindow(o.MaxUnansweredStarts), queuedJobs: map[string][]*job{},
+		ledger: ladderteam.NewLedger(), window: newStartWindow(o.MaxUnansweredStarts), queuedJobs: map[string][]*job{},
 	}
 }
 
--- a/ladderplan/workers.go
+++ b/ladderplan/workers.go
@@ -9,7 +9,7 @@
 )
 
 func (p *Planner) addWorker(spec ladderflow.Worker) *worker {
-	w := newWorker(spec, p.workersAdded, &p.freed, &p.pools)
+	w := newWorker(spec, p.workersAdded, &p.freed, &p.pools, p.ledger)
 	p.workersAdded++
 	w.inRoster = p.roster[spec.ID]
 	p.workers[spec.ID] = w
--- a/laddertest/flow_cluster_test.go
+++ b/laddertest/flow_cluster_test.go
@@ -135,7 +135,7 @@
 // JSON of further queues.
 func (f *flowCluster) configure(version int, more string) {
 	value := []byte(fmt.Sprintf(flowConfig, version, more))
-	_, err := platform.ParseFleet(value)
+	_, _, err := platform.ParseFleet(value)
 	require.NoError(f.t, err)
 	f.platform.Store().Txn(platform.Txn{Writes: []platform.Write{{Key: platform.FleetKey, Value: value}}})
 }
--- a/laddervm/fleet_feed.go
+++ b/laddervm/fleet_feed.go
@@ -225,7 +225,10 @@
 		case item.Key == platform.FleetKey:
 			changed = true
 			began := f.vm.clock.Now()
-			fleet, err := platform.ParseFleet(item.Value)
+			fleet, findings, err := platform.ParseFleet(item.Value)
+			for _, x := range findings.Findings() {
+				f.vm.log.Error("entry of the configuration can't be used; the others hold", "revision", item.ModRevision, "entry", x.String())
+			}
 			if err != nil {
 				f.vm.log.Error("configuration cannot be decoded; the current one remains", "revision", item.ModRevision, "err", err)
 				continue
