--- a/laddercodec/codec_test.go
+++ b/laddercodec/codec_test.go
@@ -62,7 +62,7 @@
 	"ack":                 laddermessage.Ack{},
 	"error reply":         laddermessage.ErrorReply{Reason: "why"},
 
-	"job accepted":       laddermessage.JobAccepted{Job: "j", Body: []byte("b")},
+	"job accepted":       laddermessage.JobAccepted{Job: "j", Body: []byte("b"), Revision: 7},
 	"job cancelled":      laddermessage.JobCancelled{Job: "j"},
 	"job state query":    laddermessage.JobStateQuery{Job: "j"},
 	"job state":          laddermessage.JobState{Found: true, State: "done"},
--- a/laddercodec/flow.go
+++ b/laddercodec/flow.go
@@ -36,11 +36,36 @@
 
 // jobAcceptedWire encodes a [laddermessage.JobAccepted].
 type jobAcceptedWire struct {
+	_        struct{} `cbor:",toarray"`
+	Job      string
+	Body     []byte
+	Revision int64
+}
+
+// jobAcceptedWireWithoutRevision is the encoding from before revisions were sent.
+type jobAcceptedWireWithoutRevision struct {
 	_    struct{} `cbor:",toarray"`
 	Job  string
 	Body []byte
 }
 
+// cborArrayOfTwo is the first byte of an encoded jobAcceptedWireWithoutRevision.
+const cborArrayOfTwo = 0x82
+
+// UnmarshalCBOR decodes both encodings.
+func (w *jobAcceptedWire) UnmarshalCBOR(data []byte) error {
+	if len(data) > 0 && data[0] == cborArrayOfTwo {
+		var o jobAcceptedWireWithoutRevision
+		if err := decoder.Unmarshal(data, &o); err != nil {
+			return err
+		}
+		*w = jobAcceptedWire{Job: o.Job, Body: o.Body}
+		return nil
+	}
+	type plain jobAcceptedWire // It has no methods, so that its decoding does not come back here.
+	return decoder.Unmarshal(data, (*plain)(w))
+}
+
 // jobStateWire encodes a [laddermessage.JobState], or a [laddermessage.OperatorReply] with
 // its text as State.
 type jobStateWire struct {
@@ -111,7 +136,7 @@
 func toFlowWire(m laddermessage.Message) (kind, any, bool) {
 	switch m := m.(type) {
 	case laddermessage.JobAccepted:
-		return kindJobAccepted, jobAcceptedWire{Job: m.Job, Body: m.Body}, true
+		return kindJobAccepted, jobAcceptedWire{Job: m.Job, Body: m.Body, Revision: m.Revision}, true
 	case laddermessage.JobCancelled:
 		return kindJobCancelled, m.Job, true
 	case laddermessage.JobStateQuery:
@@ -161,7 +186,7 @@
 	switch k {
 	case kindJobAccepted:
 		return decode(body, func(w jobAcceptedWire) (laddermessage.JobAccepted, error) {
-			return laddermessage.JobAccepted{Job: w.Job, Body: w.Body}, nil
+			return laddermessage.JobAccepted{Job: w.Job, Body: w.Body, Revision: w.Revision}, nil
 		})
 	case kindJobCancelled:
 		return decode(body, func(w string) (laddermessage.JobCancelled, error) {
--- a/ladderflow/job.go
+++ b/ladderflow/job.go
@@ -51,6 +51,9 @@
 	// Accepted is the time at which the job was accepted, by the clock of the entry
 	// VM that accepted it.
 	Accepted time.Time
+	// Revision is the store's revision in which the job was stored, or zero if it is not known. It is not part of
+	// the stored form.
+	Revision int64
 }
 
 // HasSchedule reports whether the job's rounds follow a schedule.
--- a/ladderjournal/journal.go
+++ b/ladderjournal/journal.go
@@ -104,13 +104,16 @@
 	if len(pending) == 0 {
 		return
 	}
-	_, found, err := j.store.Commit(ctx, txn)
+	revision, found, err := j.store.Commit(ctx, txn)
 	if errors.Is(err, platform.ErrConditionFailed) {
 		j.acceptRest(ctx, pending, found)
 		return
 	}
 	for _, s := range pending {
 		s.Outcome, s.Err = outcomeOf(err), err
+		if err == nil {
+			s.Job.Revision = revision
+		}
 		if err == nil && s.cancelRevision != 0 {
 			s.Outcome = CancelledFirst
 		}
@@ -213,10 +216,11 @@
 	journal *Journal
 	// leaderRevision is the revision of LeaderKey in this term.
 	leaderRevision int64
-	// recordOrder and rosterOrder are the last known revisions of recordOrderKey and
-	// rosterOrderKey.
+	// recordOrder, rosterOrder and cordonOrder are the last known revisions of recordOrderKey,
+	// rosterOrderKey and cordonOrderKey.
 	recordOrder int64
 	rosterOrder int64
+	cordonOrder int64
 	// token is unique to this writer, and count is the number of its writes. Together
 	// they identify each write.
 	token string
@@ -227,7 +231,7 @@
 // [LeaderKey] that the leader wrote, and c is what it then loaded from the store.
 func (j *Journal) ProgressWriter(leaderRevision int64, c *Contents) *ProgressWriter {
 	return &ProgressWriter{
-		journal: j, leaderRevision: leaderRevision, recordOrder: c.recordOrder, rosterOrder: c.rosterOrder, token: rand.Text(),
+		journal: j, leaderRevision: leaderRevision, recordOrder: c.recordOrder, rosterOrder: c.rosterOrder, cordonOrder: c.cordonOrder, token: rand.Text(),
 	}
 }
 
@@ -377,15 +381,18 @@
 	Roster    []ladderflow.Worker
 	// Terms holds the terms that may not be over.
 	Terms []Term
+	// Cordons holds the cordons of workers, each with its revision.
+	Cordons []ladderplan.Cordon
 	// Revision is one up to which no change of a job or a cancellation is missing.
 	Revision int64
 	// DecodeErrors holds an error for each value that could not be decoded. Such values stay
 	// in the store as they are.
 	DecodeErrors []error
-	// recordOrder and rosterOrder are the revisions of recordOrderKey and
-	// rosterOrderKey.
+	// recordOrder, rosterOrder and cordonOrder are the revisions of recordOrderKey, rosterOrderKey and
+	// cordonOrderKey.
 	recordOrder int64
 	rosterOrder int64
+	cordonOrder int64
 }
 
 // Load reads everything from the store. A job that is stored meanwhile may be missing, and a
@@ -393,7 +400,9 @@
 // messages or by a watch of [WatchPrefix] from [Contents.Revision].
 func (j *Journal) Load(ctx context.Context) (*Contents, error) {
 	c := &Contents{}
-	for key, revision := range map[string]*int64{recordOrderKey: &c.recordOrder, rosterOrderKey: &c.rosterOrder} {
+	for key, revision := range map[string]*int64{
+		recordOrderKey: &c.recordOrder, rosterOrderKey: &c.rosterOrder, cordonOrderKey: &c.cordonOrder,
+	} {
 		item, _, err := j.store.Get(ctx, key)
 		if err != nil {
 			return nil, err
@@ -422,6 +431,9 @@
 			c.DecodeErrors = append(c.DecodeErrors, err)
 		}
 	}
+	if err := j.loadCordons(ctx, c); err != nil {
+		return nil, err
+	}
 	for i, prefix := range []string{jobPrefix, cancelPrefix, recordPrefix} {
 		revision, err := platform.ReadAll(ctx, j.store, prefix, c.add)
 		if err != nil {
@@ -459,6 +471,7 @@
 			c.DecodeErrors = append(c.DecodeErrors, err)
 			return
 		}
+		job.Revision = item.ModRevision
 		c.Jobs = append(c.Jobs, job)
 	case strings.HasPrefix(item.Key, cancelPrefix):
 		c.Cancelled = append(c.Cancelled, item.Key[len(cancelPrefix):])
--- a/ladderjournal/journal_test.go
+++ b/ladderjournal/journal_test.go
@@ -205,7 +205,8 @@
 	for i := range 7 {
 		ids = append(ids, fmt.Sprintf("%016x", i))
 	}
-	j.Accept(ctx, submissions(ids...))
+	accepted := submissions(ids...)
+	j.Accept(ctx, accepted)
 	_, err := j.Cancel(ctx, ids[2])
 	require.NoError(t, err)
 	p := j.ProgressWriter(s.electLeader(), &Contents{})
@@ -227,7 +228,11 @@
 	c, err := j.Load(ctx)
 	require.NoError(t, err)
 	require.Len(t, c.Jobs, 7)
-	require.Equal(t, fullJob(ids[0]), c.Jobs[0])
+	want := fullJob(ids[0])
+	stored, _, _ := s.store.Get(jobPrefix + ids[0])
+	want.Revision = stored.ModRevision
+	require.Equal(t, want, c.Jobs[0])
+	require.Equal(t, want.Revision, accepted[0].Job.Revision)
 	require.Equal(t, []string{ids[2]}, c.Cancelled)
 	require.Equal(t, []ladderplan.Record{r}, c.Records)
 	require.Equal(t, "w", c.Roster[0].ID)
--- a/laddermessage/message.go
+++ b/laddermessage/message.go
@@ -156,6 +156,8 @@
 	Job string
 	// Body is the job as encoded in the store.
 	Body []byte
+	// Revision is the store's revision in which the job was stored, or zero if it is not known.
+	Revision int64
 }
 
 // JobCancelled informs the leader of a cancellation that was written to the store. The reply
--- a/ladderplan/explain.go
+++ b/ladderplan/explain.go
@@ -96,7 +96,7 @@
 	if !s.ready {
 		return fmt.Sprintf("waits for the end of steps %v", s.spec.DependsOn)
 	}
-	if !p.earlierRunsKnown && s.round.job.knownToEarlierLeader {
+	if p.mayRunUnseen(s.round.job) {
 		return fmt.Sprintf("an earlier leader may have started it on %d workers that were not seen yet", len(p.unseenWorkers))
 	}
 	sp := p.stepPlacement(now, s)
--- a/ladderplan/place.go
+++ b/ladderplan/place.go
@@ -87,6 +87,7 @@
 // place starts the tasks for which there is capacity, in the order of their steps' ranks.
 func (p *Planner) place(now time.Time) {
 	p.refreshPools(now)
+	p.refreshUnseenRevision()
 	p.reservationPass++
 	gangs, maxGangs := 0, max(minReservingGangs, len(p.workers)/workersPerReservingGang)
 	for _, k := range p.rankedSteps(now) {
@@ -94,7 +95,7 @@
 		if p.fleet == nil {
 			continue
 		}
-		if !p.earlierRunsKnown && s.round.job.knownToEarlierLeader {
+		if p.mayRunUnseen(s.round.job) {
 			s.waitReason = waitEarlierRuns
 			continue
 		}
--- a/ladderplan/planner.go
+++ b/ladderplan/planner.go
@@ -49,6 +49,10 @@
 	// unseenWorkers holds the workers on which an earlier leader may have started tasks and that
 	// have not answered this leader yet.
 	unseenWorkers map[string]bool
+	// unseenRevision is the store's revision after which no job was stored that may have tasks on unseenWorkers,
+	// or above all revisions if there is none.
+	unseenRevision int64
+	cordons        cordons
 	// earlierRunsKnown is true once all runs that earlier leaders started are known, or must have
 	// ended with the lease of their worker.
 	earlierRunsKnown bool
@@ -99,7 +103,7 @@
 		options: o, log: o.Log, jobs: map[string]*job{}, cancellations: map[string]time.Time{}, deletedJobs: map[string]deletedJob{},
 		workers: map[string]*worker{}, departed: map[string]*worker{}, pools: workerPools{byService: map[string][]*worker{}, stale: true}, unseenWorkers: map[string]bool{},
 		unstoredJobs: map[string]*job{}, estimators: durationEstimators{}, spreads: spreads{}, advisers: newAdvisers(),
-		ledger: ladderteam.NewLedger(), window: newStartWindow(o.MaxUnansweredStarts), queuedJobs: map[string][]*job{},
+		ledger: ladderteam.NewLedger(), cordons: newCordons(), window: newStartWindow(o.MaxUnansweredStarts), queuedJobs: map[string][]*job{},
 	}
 }
 
@@ -121,7 +125,10 @@
 // [Options.EarlierLeaseEnd] are known counts as such in any case.
 func (p *Planner) AddJob(now time.Time, spec *ladderflow.Job, knownToEarlierLeader bool) {
 	p.placementDue = true
-	if _, ok := p.jobs[spec.ID]; ok {
+	if j, ok := p.jobs[spec.ID]; ok {
+		if j.spec.Revision == 0 {
+			j.spec.Revision = spec.Revision
+		}
 		return
 	}
 	if d, ok := p.deletedJobs[spec.ID]; ok && !spec.Accepted.After(d.accepted) {
--- a/ladderplan/pools.go
+++ b/ladderplan/pools.go
@@ -68,7 +68,7 @@
 // except that time passes, marks the pools as stale.
 func (p *Planner) acceptsTasks(now time.Time, w *worker) bool {
 	switch {
-	case !w.listed, !w.seenByLeader, w.unresponsive, !w.leavesAt.IsZero(), now.Sub(w.polledAt) >= unresponsiveAfter:
+	case p.cordons.has(w.spec.ID), !w.listed, !w.seenByLeader, w.unresponsive, !w.leavesAt.IsZero(), now.Sub(w.polledAt) >= unresponsiveAfter:
 		return false
 	case !w.inRoster, now.Before(w.excludedUntil), now.Before(w.maintenanceUntil), p.nearMaintenance[w.spec.ID]:
 		return false
--- a/ladderproof/flow_simulation_test.go
+++ b/ladderproof/flow_simulation_test.go
@@ -168,6 +168,8 @@
 	readsLateUntil time.Time
 	// gangs, if set, checks how long members of gangs wait.
 	gangs *gangWatch
+	// cordons is set if leaders store cordons and their terms.
+	cordons *cordonWatch
 	// steps and starts count the checked actions and the started runs of all simulations.
 	steps  *int
 	starts *int
@@ -275,6 +277,7 @@
 		l.planner.AddEarlierWorker(w)
 		roster[w.ID] = true
 	}
+	sim.restoreCordons(l, c)
 	l.planner.SetRoster(roster)
 	l.planner.SetWorkers(sim.now, sim.listedWorkers())
 	sim.leaders = append(sim.leaders, l)
--- a/laddervm/frontend.go
+++ b/laddervm/frontend.go
@@ -220,7 +220,7 @@
 		v.log.Error("job cannot be encoded; the leader will find it in the store", "job", job.ID, "err", err)
 		return
 	}
-	v.wait.Go(func() { v.notifyLeader(laddermessage.JobAccepted{Job: job.ID, Body: body}) })
+	v.wait.Go(func() { v.notifyLeader(laddermessage.JobAccepted{Job: job.ID, Body: body, Revision: job.Revision}) })
 }
 
 // serveState responds with a job's state: the one that the leader reports, or else the one in
--- a/laddervm/term.go
+++ b/laddervm/term.go
@@ -104,10 +104,13 @@
 	// orderSlots bounds the orders in flight, and orderLatency is their typical latency.
 	orderSlots   chan struct{}
 	orderLatency typicalLatency
-	// recordWriter writes the progress of jobs, and rosterWriter the roster, the set of workers
-	// on which a leader may start tasks. Each is used by one goroutine at a time.
+	// recordWriter writes the progress of jobs, rosterWriter the roster, the set of workers on which a
+	// leader may start tasks, and cordonWriter the cordons. Each is used by one goroutine at a time.
 	recordWriter *ladderjournal.ProgressWriter
 	rosterWriter *ladderjournal.ProgressWriter
+	cordonWriter *ladderjournal.ProgressWriter
+	// cordonsSavedAt is when cordons were last begun to be stored.
+	cordonsSavedAt time.Time
 	// wallClock is the filtered time of day. roster holds the workers that are in the stored roster
 	// and in each one that may have been stored since.
 	wallClock filteredClock
@@ -287,6 +290,7 @@
 	t.sendOrders(o)
 	t.logPlacement(now)
 	t.save()
+	t.saveCordons(now)
 	return o
 }
 
@@ -377,6 +381,10 @@
 		t.planner.AddEarlierWorker(w)
 		t.roster[w.ID] = true
 	}
+	for _, x := range c.Cordons {
+		t.planner.AddCordon(x)
+	}
+	t.cordonWriter = t.vm.journal.ProgressWriter(t.fence, c)
 	t.planner.SetRoster(t.roster)
 	t.loaded = true
 	t.setWorkers(workers)
@@ -411,6 +419,7 @@
 		if err != nil {
 			return nil, err
 		}
+		job.Revision = m.Revision
 		t.do(func() { t.planner.AddJob(t.vm.clock.Now(), job, false) })
 		return laddermessage.Ack{}, nil
 	case laddermessage.JobCancelled:
