Sum up the work of teams; add messages about the jobs that VMs take in

The new messages are separate ones, so that JobAccepted and Ack stay as they are for peers of the earlier build.

--- a/laddercodec/codec.go
+++ b/laddercodec/codec.go
@@ -112,6 +112,9 @@
 	if k, wire, ok := toFlowWire(m); ok {
 		return k, wire, nil
 	}
+	if k, wire, ok := toIntakeWire(m); ok {
+		return k, wire, nil
+	}
 	if k, wire, ok := toDelegateWire(m); ok {
 		return k, wire, nil
 	}
--- a/laddercodec/codec_test.go
+++ b/laddercodec/codec_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"compress/flate"
+	"math"
 	"net/netip"
 	"testing"
 	"time"
@@ -14,6 +15,7 @@
 	"lacewingladder/ladderconfig"
 	"lacewingladder/ladderflow"
 	"lacewingladder/ladderholder"
+	"lacewingladder/ladderintake"
 	"lacewingladder/ladderkey"
 	"lacewingladder/laddermessage"
 	"lacewingladder/laddermodel"
@@ -84,6 +86,14 @@
 		Revision: 7, FleetRevision: 6, Base: 5, Delta: []byte("d"), Items: []platform.Item{{Key: "k", Value: []byte("v"), ModRevision: 4}},
 	},
 	"operator reply": laddermessage.OperatorReply{Found: true, Text: "t"},
+	"intake report":  laddermessage.IntakeReport{VM: "e", Counts: []ladderintake.Count{{Key: intakeKey, Admitted: 1, Refused: 2}}},
+	"intake limits": laddermessage.IntakeLimits{Limits: []ladderintake.Limit{
+		{Key: intakeKey, Rate: 1.25, Backlogs: [ladderintake.Classes]time.Duration{2: time.Second, 5: time.Minute}},
+	}},
+	"intake query": laddermessage.IntakeQuery{Offer: ladderintake.Offer{
+		Key: intakeKey, Job: "j", Weight: 2.5, Objective: 4, Allowance: 3, Slack: 2, Due: 3 * time.Second, Class: ladderintake.ClassOf(3 * time.Second),
+	}},
+	"intake turn": laddermessage.IntakeTurn{Found: true, Promised: true, Ready: true, Wait: time.Second},
 	"delegation": laddermessage.Delegation{
 		Fence: 1, RenewUntil: 2, SendBefore: 3, LeaseDuration: 4, OrderTimeout: 5,
 		Assigned:   []laddermessage.Assignment{{Worker: "w", Address: address, Acknowledged: 6, Incarnation: 7}},
@@ -107,6 +117,9 @@
 	},
 }
 
+// intakeKey names a team's jobs in messages about them.
+var intakeKey = ladderintake.Key{Service: "s", Team: "t"}
+
 // run is the run in messages about runs.
 var run = ladderflow.Run{Task: ladderflow.Task{Job: "j", Round: 1, Step: 2, Index: 3}, Number: 4}
 
@@ -184,3 +197,24 @@
 	_, err = laddercodec.DecodeDelta(bomb.Bytes())
 	require.ErrorContains(t, err, "more than")
 }
+
+// TestMalformedIntake checks that messages of a peer with figures that make no sense are rejected or corrected.
+func TestMalformedIntake(t *testing.T) {
+	for name, o := range map[string]ladderintake.Offer{
+		"weight negative": {Weight: -1},
+		"no weight":       {Weight: math.NaN()},
+		"infinite weight": {Weight: math.Inf(1)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			data, err := laddercodec.Encode(laddermessage.IntakeQuery{Offer: o})
+			require.NoError(t, err)
+			_, err = laddercodec.Decode(data)
+			require.Error(t, err)
+		})
+	}
+	data, err := laddercodec.Encode(laddermessage.IntakeReport{Counts: []ladderintake.Count{{Admitted: -5, Refused: 3}}})
+	require.NoError(t, err)
+	m, err := laddercodec.Decode(data)
+	require.NoError(t, err)
+	require.Equal(t, []ladderintake.Count{{Refused: 3}}, m.(laddermessage.IntakeReport).Counts)
+}
--- a/laddercodec/delegate.go
+++ b/laddercodec/delegate.go
@@ -1,7 +1,6 @@
 package laddercodec
 
 import (
-	"fmt"
 	"net/netip"
 	"time"
 
@@ -183,7 +182,7 @@
 	case kindDelegateReport:
 		return decode(body, delegateReportWire.message)
 	default:
-		return nil, fmt.Errorf("a message of kind %d is unknown", k)
+		return decodeIntake(k, body)
 	}
 }
 
--- /dev/null
+++ b/laddermessage/intake.go
@@ -0,0 +1,37 @@
+package laddermessage
+
+import (
+	"time"
+
+	"lacewingladder/ladderintake"
+)
+
+// IntakeReport informs the leader of the jobs of teams that the sender was offered since its last report.
+// The reply is [IntakeLimits], or [NotLeader] if the receiver is not the leader or does not know yet what
+// runs.
+type IntakeReport struct {
+	// VM is the name of the sender.
+	VM     string
+	Counts []ladderintake.Count
+}
+
+// IntakeLimits states which teams are limited. All others are not.
+type IntakeLimits struct {
+	Limits []ladderintake.Limit
+}
+
+// IntakeQuery asks the leader about a job that the sender would refuse. The reply is [IntakeTurn] or
+// [NotLeader].
+type IntakeQuery struct {
+	Offer ladderintake.Offer
+}
+
+// IntakeTurn tells when the caller of a refused job should come back.
+type IntakeTurn struct {
+	// Found is true if the leader knows the job, so that it must not be refused.
+	Found bool
+	// Promised is true if the caller will be admitted after Wait, and Ready if it has come back in a turn
+	// that it was promised.
+	Promised, Ready bool
+	Wait            time.Duration
+}
--- a/ladderplan/place.go
+++ b/ladderplan/place.go
@@ -13,6 +13,7 @@
 	// worthlessFactor is the multiple of a job's objective after which its result is no longer of
 	// use.
 	worthlessFactor = 3
+	worthlessClass  = 3
 	// idlePassInterval is the time between two placement passes if nothing has happened in between
 	// that lets a task start, except that time has passed.
 	idlePassInterval = 20 * time.Millisecond
@@ -36,7 +37,7 @@
 	//   0: urgent or long-running
 	//   1: can meet its objective, even if it takes longer than expected
 	//   2: is likely to miss its objective
-	//   3: its result is no longer of use
+	//   3: its result is no longer of use (worthlessClass)
 	class       int
 	latestStart time.Time
 }
@@ -188,7 +189,7 @@
 		// Its tasks are of use for as long as the job lasts, whenever that was accepted.
 		k.class, k.latestStart = 0, later(k.latestStart, now)
 	case now.Add(remaining).After(s.round.due.Add(worthlessFactor * objective)):
-		k.class = 3
+		k.class = worthlessClass
 	case urgent:
 		k.class = 0
 	case now.Add(errorAllowance(remaining)).After(k.latestStart):
