Refuse jobs of teams that can't be served in time, with a turn to come back

Each VM asks the leader and reads the store before a refusal, since a 429 says that the job was never accepted. With teams, Retry-After of 503 is spread over the time for which callers wait, so that they do not come back in one wave. Deployments without teams behave as before.

--- a/laddervm/frontend.go
+++ b/laddervm/frontend.go
@@ -97,9 +97,9 @@
 }
 
 // failRetryable rejects a request that has had no effect and states in Retry-After how
-// many seconds to wait before a retry.
+// many seconds to wait before a retry, as far as retrySeconds does not spread them.
 func (x *exchange) failRetryable(status int, seconds int, text string) {
-	x.writer.Header().Set("Retry-After", strconv.Itoa(seconds))
+	x.retryAfter(x.retrySeconds(seconds))
 	x.fail(status, text)
 }
 
@@ -192,7 +192,11 @@
 		x.fail(http.StatusBadRequest, err.Error())
 		return
 	}
+	if !v.intake.admit(x, &job) {
+		return
+	}
 	outcome, err := v.writer.submit(x.ctx, &job)
+	v.intake.settle(&job, outcome)
 	v.stats.acceptTime.UpdateDuration(began)
 	v.log.Info("job submission processed", "job", job.ID, "queue", job.Queue, "outcome", outcome, "err", err,
 		"took", v.clock.Now().Sub(began).Round(time.Millisecond))
--- a/laddervm/term.go
+++ b/laddervm/term.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"lacewingladder/ladderflow"
+	"lacewingladder/ladderintake"
 	"lacewingladder/ladderjournal"
 	"lacewingladder/ladderlog"
 	"lacewingladder/laddermessage"
@@ -63,6 +64,8 @@
 	// inbox holds the functions that wait for the control goroutine.
 	inbox   chan func()
 	planner *ladderplan.Planner
+	// intake decides which teams are limited.
+	intake *ladderintake.Limiter
 	// workerLease is how long a worker's lease lasts after each poll. It is fixed for the
 	// whole term, even if the settings change.
 	workerLease time.Duration
@@ -125,7 +128,7 @@
 		vm: v, log: v.logs.RateLimited("term", v.clock), lease: lease, fence: fence, began: began,
 		inbox: make(chan func(), inboxSize), orderSlots: make(chan struct{}, ladderplan.MaxOrders),
 		pollers: map[string]*poller{}, delegates: map[string]*delegateClient{}, excludedUntil: map[string]time.Time{},
-		roster: map[string]bool{}, waves: map[int64]bool{}, runtimeLoad: newRuntimeLoad(),
+		roster: map[string]bool{}, waves: map[int64]bool{}, runtimeLoad: newRuntimeLoad(), intake: ladderintake.NewLimiter(),
 	}
 	t.ctx, t.cancel = context.WithCancel(ctx)
 	t.outageSeenAt.Store(math.MinInt64 / 2)
@@ -424,6 +427,10 @@
 		return t.query(ctx, func() laddermessage.Message {
 			return laddermessage.QueueLength{Pending: t.planner.QueuedJobs(m.Queue)}
 		}), nil
+	case laddermessage.IntakeReport:
+		return t.query(ctx, func() laddermessage.Message { return t.intakeLimits(m) }), nil
+	case laddermessage.IntakeQuery:
+		return t.query(ctx, func() laddermessage.Message { return t.intakeTurn(m) }), nil
 	case laddermessage.OperatorQuery:
 		return t.query(ctx, func() laddermessage.Message { return t.answerOperator(m) }), nil
 	}
--- a/laddervm/vm.go
+++ b/laddervm/vm.go
@@ -87,6 +87,7 @@
 	waves      map[int64]ladderflow.MaintenanceWave
 	fleetFeed  *fleetFeed
 	writer     *jobWriter
+	intake     *intake
 	late       *lateNotices
 	leadership *leadership
 	// delegate polls workers and sends orders on behalf of a leader that is another VM.
@@ -130,6 +131,7 @@
 	v.registry = newRegistry(v)
 	v.fleetFeed = newFleetFeed(v)
 	v.writer = newJobWriter(v)
+	v.intake = newIntake(v)
 	v.late = newLateNotices(v)
 	v.leadership = newLeadership(v)
 	v.delegate = ladderdelegate.New(v.workers, v.clock, v.boot, v.logs.RateLimited("delegate", v.clock))
