Count the turns that a team's quota imposes in a job's time; answer 504 if a caller goes during a check

A step that is wider than the team's quota runs in turns, so that its objective is later. A caller that goes while its refusal is checked had its job submitted.

--- a/ladderintake/class.go
+++ b/ladderintake/class.go
@@ -64,9 +64,10 @@
 	Class     Class
 }
 
-// NewOffer returns the offer of a job under the rules of its queue. Like the planner, it allows for a job
-// that takes half as long again as its caller's estimates say.
-func NewOffer(job *ladderflow.Job, q *ladderflow.Queue, weight float64) Offer {
+// NewOffer returns the offer of a team's job under the rules of its queue. Like the planner, it allows for a
+// job that takes half as long again as its caller's estimates say. A step whose tasks do not fit into the team's
+// quota together takes as many times as long as it needs turns.
+func NewOffer(job *ladderflow.Job, q *ladderflow.Queue, team *ladderflow.Team) Offer {
 	path, first := time.Duration(0), time.Duration(0)
 	paths := make([]time.Duration, len(job.Steps))
 	for i := range job.Steps {
@@ -77,14 +78,14 @@
 				before = max(before, paths[d])
 			}
 		}
-		paths[i] = before + s.Estimate + q.AdviceTime()
+		paths[i] = before + s.Estimate*turnsOf(s, team.Quota) + q.AdviceTime()
 		path = max(path, paths[i])
 		if before == 0 {
 			first = max(first, paths[i])
 		}
 	}
 	o := Offer{
-		Key: Key{Service: job.Service, Team: job.Team}, Job: job.ID, Weight: weight,
+		Key: Key{Service: job.Service, Team: job.Team}, Job: job.ID, Weight: team.Weight,
 		Objective: time.Duration(q.ObjectiveFactor*float64(path)) + q.BaseObjective,
 	}
 	o.Allowance = path / 2
@@ -93,3 +94,15 @@
 	o.Class = ClassOf(o.Due)
 	return o
 }
+
+// turnsOf returns how many times the tasks of a step must run one after the other under a quota. A task that
+// does not fit alone counts as if it did.
+func turnsOf(s *ladderflow.Step, quota ladderflow.Size) time.Duration {
+	for _, r := range []*int{&quota.Processor, &quota.Memory, &quota.Accelerators} {
+		if *r == 0 {
+			*r = math.MaxInt // An amount of zero means that there is no limit.
+		}
+	}
+	fit := max(1, s.Demand().FitCount(quota, s.Tasks))
+	return time.Duration(max(1, (s.Tasks+fit-1)/fit))
+}
--- a/ladderintake/intake_test.go
+++ b/ladderintake/intake_test.go
@@ -30,6 +30,7 @@
 	q := &ladderflow.Queue{ObjectiveFactor: 4, BaseObjective: 3 * time.Second}
 	for name, c := range map[string]struct {
 		steps            []ladderflow.Step
+		quota            ladderflow.Size
 		objective, slack time.Duration
 		due              time.Duration
 	}{
@@ -42,10 +43,18 @@
 			objective: 15 * time.Second, slack: 10500 * time.Millisecond, due: 12500 * time.Millisecond,
 		},
 		"no estimate": {steps: []ladderflow.Step{{}}, objective: 3 * time.Second, slack: 3 * time.Second, due: 3 * time.Second},
-		"no step":     {objective: 3 * time.Second, slack: 3 * time.Second, due: 3 * time.Second},
+		"more tasks than fit into the quota": {
+			steps: []ladderflow.Step{{Tasks: 5, Need: ladderflow.Size{Processor: 3}, Estimate: time.Second}}, quota: ladderflow.Size{Processor: 7, Memory: 1},
+			objective: 15 * time.Second, slack: 10500 * time.Millisecond, due: 13500 * time.Millisecond,
+		},
+		"tasks that fit into no quota": {
+			steps: []ladderflow.Step{{Tasks: 2, Need: ladderflow.Size{Processor: 9}, Estimate: time.Second}}, quota: ladderflow.Size{Processor: 7},
+			objective: 11 * time.Second, slack: 8 * time.Second, due: 10 * time.Second,
+		},
+		"no step": {objective: 3 * time.Second, slack: 3 * time.Second, due: 3 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
-			o := ladderintake.NewOffer(&ladderflow.Job{ID: "j", Service: "fit", Team: "hot", Steps: c.steps}, q, 5)
+			o := ladderintake.NewOffer(&ladderflow.Job{ID: "j", Service: "fit", Team: "hot", Steps: c.steps}, q, &ladderflow.Team{Name: "hot", Weight: 5, Quota: c.quota})
 			require.Equal(t, key, o.Key)
 			require.Equal(t, c.objective, o.Objective)
 			require.Equal(t, c.slack, o.Slack)
--- a/ladderintake/load_test.go
+++ b/ladderintake/load_test.go
@@ -81,7 +81,7 @@
 func (s *simulation) newJob(t *simTeam) *simJob {
 	id := fmt.Sprintf("%016x", s.random.Uint64())
 	job := &ladderflow.Job{ID: id, Service: "fit", Team: t.name, Steps: []ladderflow.Step{{Tasks: 1, Estimate: t.length}}}
-	return &simJob{team: t, offer: ladderintake.NewOffer(job, simQueue, t.weight), first: s.now, at: s.now}
+	return &simJob{team: t, offer: ladderintake.NewOffer(job, simQueue, &ladderflow.Team{Weight: t.weight}), first: s.now, at: s.now}
 }
 
 // hopeless reports whether a job can no longer meet its objective with the usual allowance.
--- a/laddervm/intake.go
+++ b/laddervm/intake.go
@@ -70,13 +70,18 @@
 		return true
 	}
 	defer i.report()
-	o := ladderintake.NewOffer(job, x.queue, team.Weight)
+	o := ladderintake.NewOffer(job, x.queue, team)
 	d := i.decide(o)
 	if !d.Refused {
 		return true
 	}
 	turn, refused := i.check(x.ctx, o, d)
-	if !refused {
+	switch {
+	case !refused && x.ctx.Err() != nil:
+		// The caller's time is up, or it has gone: it must not take up room that it does not wait for.
+		x.fail(http.StatusGatewayTimeout, "the store has not answered")
+		return false
+	case !refused:
 		return true
 	}
 	i.vm.stats.set.GetOrCreateCounter(fmt.Sprintf(`ladder_jobs_refused_total{cause=%q,team=%q}`, string(d.Cause), o.Team)).Inc()
--- a/laddervm/intake_test.go
+++ b/laddervm/intake_test.go
@@ -142,6 +142,23 @@
 	}
 }
 
+// TestCallerGoesDuringCheck lets a caller go while its refusal is being checked. Its job must not be submitted, and
+// the answer, if it still arrives, must not say that the job was never accepted.
+func TestCallerGoesDuringCheck(t *testing.T) {
+	f := &intakeFakes{}
+	v, fleet := newIntakeVM(t, f)
+	ctx, cancel := context.WithCancel(t.Context())
+	v.intake.exists = func(ctx context.Context, _ string) (bool, error) {
+		cancel()
+		return false, ctx.Err()
+	}
+	w := httptest.NewRecorder()
+	x := &exchange{writer: w, request: httptest.NewRequest(http.MethodPost, "/a", http.NoBody), ctx: ctx, queue: &fleet.Queues[0], fleet: fleet, jobID: "a"}
+	job := &ladderflow.Job{ID: "a", Queue: "queue", Service: "service", Team: "hot", Steps: []ladderflow.Step{{Tasks: 1, Estimate: time.Second}}}
+	require.False(t, v.intake.admit(x, job))
+	require.Equal(t, http.StatusGatewayTimeout, w.Code)
+}
+
 // TestUnknownOutcomeIsNotRefused submits a job with an unknown outcome while there is room. When it comes
 // again, there is none: the store may still take the first submission.
 func TestUnknownOutcomeIsNotRefused(t *testing.T) {
