--- a/ladderflow/team.go
+++ b/ladderflow/team.go
@@ -3,6 +3,8 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"fmt"
+	"io"
 	"slices"
 )
 
@@ -29,6 +31,14 @@
 // String returns the first four bytes of the hash in hexadecimal, which identify the key in logs.
 func (h KeyHash) String() string { return hex.EncodeToString(h[:4]) }
 
+// Format writes the same with any verb, so that nothing prints the whole hash.
+func (h KeyHash) Format(s fmt.State, _ rune) { _, _ = io.WriteString(s, h.String()) }
+
+// Format writes a summary with any verb. The default form contains the whole hashes of all keys.
+func (f *FleetConfig) Format(s fmt.State, _ rune) {
+	_, _ = fmt.Fprintf(s, "configuration %d (%d queues, %d teams)", f.Version, len(f.Queues), len(f.Teams))
+}
+
 // equal reports whether two teams have the same fields.
 func (t *Team) equal(o *Team) bool {
 	return t.Name == o.Name && t.Weight == o.Weight && t.Quota == o.Quota && slices.Equal(t.Keys, o.Keys)
