Refuse calls without a key of the job's team

Cause: callers of the platform's path were served whatever key they sent, on jobs of any team. Change: between routing and reading the body, a call on a queue that is not public is refused with 401 unless a team has its key. Calls on a job of another team get 403: the leader's reply and the store tell the job's team. A cancellation is stored under the condition that the job is not known to be another's, and one that comes first names its team, so that it has no effect on another's job at this or a later leader. Without teams, no call more is made and all stored and sent forms are the earlier ones.

--- a/laddercodec/codec_test.go
+++ b/laddercodec/codec_test.go
@@ -66,6 +66,7 @@
 	"job cancelled":      laddermessage.JobCancelled{Job: "j"},
 	"job state query":    laddermessage.JobStateQuery{Job: "j"},
 	"job state":          laddermessage.JobState{Found: true, State: "done"},
+	"state of a team":    laddermessage.JobState{Found: true, State: "done", Team: "a", Queue: "q"},
 	"queue length query": laddermessage.QueueLengthQuery{Queue: "q"},
 	"queue length":       laddermessage.QueueLength{Pending: 3},
 	"not leader":         laddermessage.NotLeader{},
@@ -123,6 +124,21 @@
 	}
 }
 
+// TestJobStateOfEarlierBuild checks that the state of a job without a team has the form that builds from before
+// teams encode and decode.
+func TestJobStateOfEarlierBuild(t *testing.T) {
+	earlier := append([]byte{67, 0x82, 0xf5, 0x64}, "done"...)
+	data, err := laddercodec.Encode(laddermessage.JobState{Found: true, State: "done"})
+	require.NoError(t, err)
+	require.Equal(t, earlier, data)
+	m, err := laddercodec.Decode(earlier)
+	require.NoError(t, err)
+	require.Equal(t, laddermessage.JobState{Found: true, State: "done"}, m)
+	data, err = laddercodec.Encode(laddermessage.JobState{Found: true, State: "done", Team: "a", Queue: "q"})
+	require.NoError(t, err)
+	require.Equal(t, byte(0x84), data[1], "builds from before teams decode an array of two only")
+}
+
 // FuzzDecode checks that Decode never panics, and that each message that it returns can be
 // encoded again.
 func FuzzDecode(f *testing.F) {
--- a/laddercodec/flow.go
+++ b/laddercodec/flow.go
@@ -49,6 +49,30 @@
 	State string
 }
 
+// teamJobStateWire encodes a [laddermessage.JobState] of a job that has a team.
+type teamJobStateWire struct {
+	_     struct{} `cbor:",toarray"`
+	Found bool
+	State string
+	Team  string
+	Queue string
+}
+
+// cborArrayOfTwo is the first byte of an encoded jobStateWire.
+const cborArrayOfTwo = 0x82
+
+// toJobState decodes both forms of a job's state.
+func toJobState(body []byte) (laddermessage.Message, error) {
+	if len(body) > 0 && body[0] == cborArrayOfTwo {
+		return decode(body, func(w jobStateWire) (laddermessage.JobState, error) {
+			return laddermessage.JobState{Found: w.Found, State: w.State}, nil
+		})
+	}
+	return decode(body, func(w teamJobStateWire) (laddermessage.JobState, error) {
+		return laddermessage.JobState{Found: w.Found, State: w.State, Team: w.Team, Queue: w.Queue}, nil
+	})
+}
+
 // operatorQueryWire encodes a [laddermessage.OperatorQuery].
 type operatorQueryWire struct {
 	_    struct{} `cbor:",toarray"`
@@ -117,6 +141,9 @@
 	case laddermessage.JobStateQuery:
 		return kindJobStateQuery, m.Job, true
 	case laddermessage.JobState:
+		if m.Team != "" {
+			return kindJobState, teamJobStateWire{Found: m.Found, State: m.State, Team: m.Team, Queue: m.Queue}, true
+		}
 		return kindJobState, jobStateWire{Found: m.Found, State: m.State}, true
 	case laddermessage.QueueLengthQuery:
 		return kindQueueLengthQuery, m.Queue, true
@@ -172,9 +199,7 @@
 			return laddermessage.JobStateQuery{Job: w}, nil
 		})
 	case kindJobState:
-		return decode(body, func(w jobStateWire) (laddermessage.JobState, error) {
-			return laddermessage.JobState{Found: w.Found, State: w.State}, nil
-		})
+		return toJobState(body)
 	case kindQueueLengthQuery:
 		return decode(body, func(w string) (laddermessage.QueueLengthQuery, error) {
 			return laddermessage.QueueLengthQuery{Queue: w}, nil
--- a/ladderjournal/journal.go
+++ b/ladderjournal/journal.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 
+	"lacewingladder/ladderaccess"
 	"lacewingladder/ladderflow"
 	"lacewingladder/ladderplan"
 	"lacewingladder/platform"
@@ -62,22 +63,30 @@
 	// OutcomeUnknown means that the outcome is unknown: the write may have taken effect,
 	// or may do so later.
 	OutcomeUnknown
+	// OtherTeam means that the store holds a job with this ID that the caller may not use. Nothing was
+	// stored.
+	OtherTeam
 )
 
 // String returns the name of the outcome.
 func (o Outcome) String() string {
 	return [...]string{
 		Stored: "stored", AlreadyStored: "known", CancelledFirst: "overtaken", Rejected: "rejected", OutcomeUnknown: "unsettled",
+		OtherTeam: "foreign",
 	}[o]
 }
 
 // Submission is a job to be stored, with the outcome that [Journal.Accept] fills in.
 type Submission struct {
-	Job     *ladderflow.Job
+	Job *ladderflow.Job
+	// Caller is who submits the job.
+	Caller  ladderaccess.Caller
 	Outcome Outcome
 	Err     error
-	// cancelRevision is the revision of the job's cancellation, or zero if none is known.
+	// cancelRevision is the revision of the job's cancellation, or zero if none is known, and cancelled
+	// whether it cancels the job.
 	cancelRevision int64
+	cancelled      bool
 }
 
 // MaxSubmissions is the maximum number of jobs in one call of [Journal.Accept]. Each
@@ -111,7 +120,7 @@
 	}
 	for _, s := range pending {
 		s.Outcome, s.Err = outcomeOf(err), err
-		if err == nil && s.cancelRevision != 0 {
+		if err == nil && s.cancelled {
 			s.Outcome = CancelledFirst
 		}
 	}
@@ -120,18 +129,21 @@
 // acceptRest handles a transaction whose conditions failed, as the found items show. It fills
 // in the outcome of the submissions that were stored before, and stores the others.
 func (j *Journal) acceptRest(ctx context.Context, pending []*Submission, found []platform.Item) {
-	revisions := revisionsOf(found)
+	items := itemsOf(found)
 	var rest []*Submission
 	changed := false
 	for _, s := range pending {
-		if revisions[jobPrefix+s.Job.ID] != 0 {
+		if item, ok := items[jobPrefix+s.Job.ID]; ok {
 			s.Outcome, s.Err = AlreadyStored, nil
+			if s.Caller.KeysRequired {
+				s.Outcome, s.Err = storedOutcome(s.Caller, s.Job.ID, item)
+			}
 			changed = true
 			continue
 		}
-		cancelRevision := revisions[cancelPrefix+s.Job.ID]
-		changed = changed || cancelRevision != s.cancelRevision
-		s.cancelRevision = cancelRevision
+		item := items[cancelPrefix+s.Job.ID]
+		changed = changed || item.ModRevision != s.cancelRevision
+		s.cancelRevision, s.cancelled = item.ModRevision, cancels(item, s.Job)
 		rest = append(rest, s)
 	}
 	if !changed {
@@ -147,14 +159,19 @@
 
 // Cancel stores the cancellation of a job. The job itself need not be stored yet.
 func (j *Journal) Cancel(ctx context.Context, id string) (Outcome, error) {
-	_, _, err := j.store.Commit(ctx, platform.Txn{
+	_, found, err := j.store.Commit(ctx, platform.Txn{
 		Conditions: []platform.Condition{{Key: cancelPrefix + id}},
-		Writes:     []platform.Write{{Key: cancelPrefix + id, Value: []byte{1}}},
+		Writes:     []platform.Write{{Key: cancelPrefix + id, Value: []byte{anyTeam}}},
 	})
-	if errors.Is(err, platform.ErrConditionFailed) {
-		return AlreadyStored, nil
+	if !errors.Is(err, platform.ErrConditionFailed) {
+		return outcomeOf(err), err
+	}
+	if item, ok := itemsOf(found)[cancelPrefix+id]; ok && !bytes.Equal(item.Value, []byte{anyTeam}) {
+		// It was stored while there were teams, and may have no effect on the job.
+		outcome, _, err := j.CancelFor(ctx, id, ladderaccess.Caller{})
+		return outcome, err
 	}
-	return outcomeOf(err), err
+	return AlreadyStored, nil
 }
 
 // outcomeOf returns the outcome of a transaction that returned err.
@@ -185,15 +202,15 @@
 		}
 		state = ladderflow.Running
 	}
-	_, cancelled, err := j.store.Get(ctx, cancelPrefix+id)
+	cancellation, cancelled, err := j.store.Get(ctx, cancelPrefix+id)
 	if err != nil {
 		return "", false, err
 	}
-	if cancelled {
+	// The store may hold the cancellation of a job that was never submitted, or that is another team's.
+	job, ok, err := j.store.Get(ctx, jobPrefix+id)
+	if cancelled && ok && cancelsStored(id, cancellation, job) {
 		state = ladderflow.Cancelled
 	}
-	// The store may hold the cancellation of a job that was never submitted.
-	ok, err = j.Exists(ctx, id)
 	return state, ok, err
 }
 
@@ -347,12 +364,21 @@
 // revisionsOf returns the revisions of the items that exist, by key.
 func revisionsOf(items []platform.Item) map[string]int64 {
 	revisions := map[string]int64{}
+	for key, item := range itemsOf(items) {
+		revisions[key] = item.ModRevision
+	}
+	return revisions
+}
+
+// itemsOf returns the items that exist, by key.
+func itemsOf(items []platform.Item) map[string]platform.Item {
+	byKey := make(map[string]platform.Item, len(items))
 	for _, item := range items {
-		if !item.Deleted {
-			revisions[item.Key] = item.ModRevision
+		if !item.Deleted && item.ModRevision != 0 {
+			byKey[item.Key] = item
 		}
 	}
-	return revisions
+	return byKey
 }
 
 // SaveStatus writes a status value that operators read, unless the key holds that value
@@ -371,10 +397,13 @@
 
 // Contents holds jobs, cancellations, progress and the roster, as read from the store.
 type Contents struct {
-	Jobs      []*ladderflow.Job
-	Cancelled []string
-	Records   []ladderplan.Record
-	Roster    []ladderflow.Worker
+	Jobs []*ladderflow.Job
+	// Cancelled holds the ids of jobs that are cancelled whatever their teams are, and TeamCancellations the
+	// cancellations that depend on the job's team.
+	Cancelled         []string
+	TeamCancellations []ladderflow.Cancellation
+	Records           []ladderplan.Record
+	Roster            []ladderflow.Worker
 	// Terms holds the terms that may not be over.
 	Terms []Term
 	// Revision is one up to which no change of a job or a cancellation is missing.
@@ -461,7 +490,15 @@
 		}
 		c.Jobs = append(c.Jobs, job)
 	case strings.HasPrefix(item.Key, cancelPrefix):
-		c.Cancelled = append(c.Cancelled, item.Key[len(cancelPrefix):])
+		cancellation, err := decodeCancellation(item.Key[len(cancelPrefix):], item.Value)
+		switch {
+		case err != nil:
+			c.DecodeErrors = append(c.DecodeErrors, err)
+		case len(cancellation.Teams) == 0:
+			c.Cancelled = append(c.Cancelled, cancellation.Job)
+		default:
+			c.TeamCancellations = append(c.TeamCancellations, cancellation)
+		}
 	case strings.HasPrefix(item.Key, recordPrefix):
 		r, err := DecodeRecord(item.Key[len(recordPrefix):], item.Value)
 		if err != nil {
--- a/laddermessage/message.go
+++ b/laddermessage/message.go
@@ -174,6 +174,10 @@
 	// Found is false if the leader does not know the job.
 	Found bool
 	State string
+	// Team and Queue are those of the job. Both are empty if the job has no team. Builds from before teams do
+	// not decode a state with a team, and read the store.
+	Team  string
+	Queue string
 }
 
 // QueueLengthQuery asks the leader for the length of a queue. The reply is [QueueLength] or
--- a/ladderplan/planner.go
+++ b/ladderplan/planner.go
@@ -19,6 +19,8 @@
 	// cancellations maps the ids of jobs that are not known yet to the time at which they were
 	// canceled.
 	cancellations map[string]time.Time
+	// cancellationTeams holds those of them that may not cancel jobs of all teams. It is nil while there are none.
+	cancellationTeams map[string]ladderflow.Cancellation
 	// deletedJobs holds the jobs that were deleted from the store lately.
 	deletedJobs map[string]deletedJob
 	workers     map[string]*worker
@@ -131,8 +133,7 @@
 	j.estimateDurations(p.estimators, p.adviceTime(j))
 	j.addedAt, j.knownToEarlierLeader = now, knownToEarlierLeader || !p.jobsReadAt.After(p.options.EarlierLeaseEnd)
 	p.jobs[spec.ID] = j
-	if _, ok := p.cancellations[spec.ID]; ok {
-		delete(p.cancellations, spec.ID)
+	if p.takeCancellation(now, spec) {
 		p.finish(now, j, ladderflow.Cancelled)
 		return
 	}
@@ -151,6 +152,7 @@
 	switch {
 	case !ok:
 		p.cancellations[id] = now
+		delete(p.cancellationTeams, id)
 	case j.active():
 		p.finish(now, j, ladderflow.Cancelled)
 	}
--- a/ladderplan/record.go
+++ b/ladderplan/record.go
@@ -128,7 +128,7 @@
 		delete(p.jobs, id)
 	}
 	for _, id := range b.CancellationsToDelete {
-		delete(p.cancellations, id)
+		p.dropCancellation(id)
 	}
 	for len(p.endedJobs) > 0 && p.jobs[p.endedJobs[0].spec.ID] != p.endedJobs[0] {
 		p.endedJobs = p.endedJobs[1:]
--- a/laddervm/frontend.go
+++ b/laddervm/frontend.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"lacewingladder/ladderaccess"
 	"lacewingladder/ladderflow"
 	"lacewingladder/ladderjournal"
 	"lacewingladder/laddermessage"
@@ -43,6 +44,8 @@
 	ctx     context.Context
 	queue   *ladderflow.Queue
 	fleet   *ladderflow.FleetConfig
+	// caller is who makes the request.
+	caller ladderaccess.Caller
 	// jobID is the path after the queue's prefix, which should be a job's id or empty.
 	jobID string
 	body  []byte
@@ -56,7 +59,7 @@
 
 // callerHandler returns the handler of callers' requests.
 func (v *VM) callerHandler() http.Handler {
-	filters := []filter{v.requireConfiguration, routeRequest, v.readBody, v.requireStore, v.serve}
+	filters := []filter{v.requireConfiguration, routeRequest, v.authorize, v.readBody, v.requireStore, v.serve}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		ctx, cancel := context.WithTimeout(r.Context(), processingTime(r))
 		defer cancel()
@@ -188,11 +191,12 @@
 		return
 	}
 	job.ID, job.Queue, job.Service, job.Rules, job.Accepted = x.jobID, x.queue.Name, x.queue.Service, x.queue, began
+	job.Team = x.caller.JobTeam()
 	if err := job.Check("body").Err(); err != nil {
 		x.fail(http.StatusBadRequest, err.Error())
 		return
 	}
-	outcome, err := v.writer.submit(x.ctx, &job)
+	outcome, err := v.writer.submit(x.ctx, &job, x.caller)
 	v.stats.acceptTime.UpdateDuration(began)
 	v.log.Info("job submission processed", "job", job.ID, "queue", job.Queue, "outcome", outcome, "err", err,
 		"took", v.clock.Now().Sub(began).Round(time.Millisecond))
@@ -205,6 +209,8 @@
 		x.respond(http.StatusOK, platform.FormatState(ladderflow.Queued))
 	case ladderjournal.CancelledFirst:
 		x.respond(http.StatusOK, platform.FormatState(ladderflow.Cancelled))
+	case ladderjournal.OtherTeam:
+		v.refuseForeign(x)
 	case ladderjournal.Rejected:
 		x.failRetryable(http.StatusServiceUnavailable, retryAfterSeconds, "the store takes no jobs now")
 	default:
@@ -226,14 +232,19 @@
 // serveState responds with a job's state: the one that the leader reports, or else the one in
 // the store.
 func (v *VM) serveState(x *exchange) {
-	if state, ok := v.leaderState(x.ctx, laddermessage.JobStateQuery{Job: x.jobID}); ok {
-		x.respond(http.StatusOK, platform.FormatState(state))
+	if s, ok := v.leaderState(x.ctx, laddermessage.JobStateQuery{Job: x.jobID}); ok {
+		if v.mayUse(x, s.Team, s.Queue) {
+			x.respond(http.StatusOK, platform.FormatState(ladderflow.State(s.State)))
+		}
 		return
 	}
 	if v.storeCarrier.unresponsive() {
 		x.failRetryable(http.StatusServiceUnavailable, retryAfterSeconds, "the job's state is not known now")
 		return
 	}
+	if !v.mayUseStored(x) {
+		return
+	}
 	state, ok, err := v.journal.Lookup(x.ctx, x.jobID)
 	switch {
 	case err != nil:
@@ -247,21 +258,19 @@
 
 // leaderState sends a message to the leader and returns the job's state from the reply. It
 // returns false if there is no leader that knows the job.
-func (v *VM) leaderState(ctx context.Context, m laddermessage.Message) (ladderflow.State, bool) {
+func (v *VM) leaderState(ctx context.Context, m laddermessage.Message) (laddermessage.JobState, bool) {
 	reply, ok := v.callLeader(ctx, m, leaderQueryTimeout)
-	if s, valid := reply.(laddermessage.JobState); ok && valid && s.Found {
-		return ladderflow.State(s.State), true
-	}
-	return "", false
+	s, valid := reply.(laddermessage.JobState)
+	return s, ok && valid && s.Found
 }
 
 // serveCancel stores the cancellation of a job, even if the job has not arrived yet.
 func (v *VM) serveCancel(x *exchange) {
 	began := v.clock.Now()
 	defer func() { v.stats.cancelTime.UpdateDuration(began) }()
-	outcome, err := ladderjournal.OutcomeUnknown, error(nil)
+	outcome, known, err := ladderjournal.OutcomeUnknown, false, error(nil)
 	for x.ctx.Err() == nil {
-		if outcome, err = v.journal.Cancel(x.ctx, x.jobID); outcome != ladderjournal.OutcomeUnknown {
+		if outcome, known, err = v.cancel(x); outcome != ladderjournal.OutcomeUnknown {
 			break
 		}
 		select {
@@ -272,6 +281,9 @@
 	v.log.Info("job cancellation processed", "job", x.jobID, "outcome", outcome, "err", err)
 	switch outcome {
 	case ladderjournal.Stored, ladderjournal.AlreadyStored:
+	case ladderjournal.OtherTeam:
+		v.refuseForeign(x)
+		return
 	case ladderjournal.Rejected:
 		x.failRetryable(http.StatusServiceUnavailable, retryAfterSeconds, "the store takes no cancellations now")
 		return
@@ -279,16 +291,23 @@
 		x.fail(http.StatusGatewayTimeout, "the store has not answered")
 		return
 	}
-	if state, ok := v.leaderState(x.ctx, laddermessage.JobCancelled{Job: x.jobID}); ok {
-		x.respond(http.StatusOK, platform.FormatState(state))
+	if x.caller.KeysRequired && !known {
+		// Whose the job will be is not known, so the leader is not told: it reads the cancellation with its team.
+		x.fail(http.StatusGone, "no such job")
 		return
 	}
-	v.wait.Go(func() { v.notifyLeader(laddermessage.JobCancelled{Job: x.jobID}) })
-	exists, err := v.journal.Exists(x.ctx, x.jobID)
-	if err == nil && !exists {
-		x.fail(http.StatusGone, "no such job")
+	if s, ok := v.leaderState(x.ctx, laddermessage.JobCancelled{Job: x.jobID}); ok {
+		x.respond(http.StatusOK, platform.FormatState(ladderflow.State(s.State)))
 		return
 	}
+	v.wait.Go(func() { v.notifyLeader(laddermessage.JobCancelled{Job: x.jobID}) })
+	if !known {
+		exists, err := v.journal.Exists(x.ctx, x.jobID)
+		if err == nil && !exists {
+			x.fail(http.StatusGone, "no such job")
+			return
+		}
+	}
 	x.respond(http.StatusOK, platform.FormatState(ladderflow.Cancelled))
 }
 
--- a/laddervm/submit.go
+++ b/laddervm/submit.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"lacewingladder/ladderaccess"
 	"lacewingladder/ladderflow"
 	"lacewingladder/ladderjournal"
 	"lacewingladder/laddermessage"
@@ -100,10 +101,10 @@
 // submit stores a job and returns the outcome. A submission whose outcome is unknown is
 // repeated until ctx ends. The repetition either stores the job or finds it stored, because a
 // job is written only if its key does not exist.
-func (w *jobWriter) submit(ctx context.Context, job *ladderflow.Job) (ladderjournal.Outcome, error) {
+func (w *jobWriter) submit(ctx context.Context, job *ladderflow.Job, caller ladderaccess.Caller) (ladderjournal.Outcome, error) {
 	unconfirmed := false
 	for {
-		p := &pendingSubmission{Submission: ladderjournal.Submission{Job: job}, done: make(chan struct{})}
+		p := &pendingSubmission{Submission: ladderjournal.Submission{Job: job, Caller: caller}, done: make(chan struct{})}
 		select {
 		case w.queue <- p:
 		default:
--- a/laddervm/term.go
+++ b/laddervm/term.go
@@ -373,6 +373,9 @@
 	for _, id := range c.Cancelled {
 		t.planner.Cancel(now, id)
 	}
+	for _, x := range c.TeamCancellations {
+		t.planner.CancelFor(now, x)
+	}
 	for _, w := range c.Roster {
 		t.planner.AddEarlierWorker(w)
 		t.roster[w.ID] = true
@@ -400,6 +403,9 @@
 		for _, id := range c.Cancelled {
 			t.planner.Cancel(now, id)
 		}
+		for _, x := range c.TeamCancellations {
+			t.planner.CancelFor(now, x)
+		}
 	})
 }
 
@@ -445,5 +451,9 @@
 // jobState returns the reply to a query for a job's state.
 func (t *term) jobState(id string) laddermessage.Message {
 	v := t.planner.View(t.vm.clock.Now(), id)
-	return laddermessage.JobState{Found: v.Known, State: string(v.State)}
+	m := laddermessage.JobState{Found: v.Known, State: string(v.State)}
+	if team, queue := t.planner.Owner(id); team != "" {
+		m.Team, m.Queue = team, queue
+	}
+	return m
 }
