Let a VM that the store does not answer ask peers for the configuration

Cause: a VM whose store calls fail on all paths polled the store only and depended on offers, each sent twice; a reader that hangs noticed it after 2.8 s. A VM that starts took the state of the first of two peers, also if that was the older one, and with it the revision from which to continue. A peer with an earlier version was believed to be complete. Change: where callers need keys, such a VM asks two peers at once, and then each 0.6 to 1.2 s others, until the store answers; a reader polls meanwhile. A VM that starts asks both peers before it takes a configuration. A newer version counts although its sender knows less of the rest; a state with an earlier version does not move the revision. What can be decoded of a state counts if its configuration can't be. Existing test files: the simulated fleet in ladderfanout/faults_test.go can ask and can lose offers; its tests are as before.

--- a/ladderfanout/doc.go
+++ b/ladderfanout/doc.go
@@ -11,6 +11,9 @@
 // The other VMs do not rely on the readers. They poll the store from their last revision: if the
 // offer came, the poll returns nothing. Whichever polls first after a change offers it to all.
 //
+// A VM that the store does not answer still gets offers. Since those may be lost, it can also ask two of its
+// peers for changes, others each time, until the store answers.
+//
 // The package opens no connection and reads no clock.
 //
 // # Usage
--- a/ladderfanout/faults_test.go
+++ b/ladderfanout/faults_test.go
@@ -38,12 +38,15 @@
 	kept int64
 	// diedAt is when a VM that is dead has died.
 	diedAt map[string]time.Time
+	// asks makes VMs that cannot reach the store ask peers, in turns, and deaf loses all offers to them.
+	asks, deaf bool
+	turns      map[string]int
 }
 
 func newFaultyFleet(seed uint64, regions ...int) *faultyFleet {
 	return &faultyFleet{
 		simulation: *newSimulation(regions...), random: rand.New(rand.NewPCG(seed, 0)), cut: map[string]bool{},
-		diedAt: map[string]time.Time{},
+		diedAt: map[string]time.Time{}, turns: map[string]int{},
 	}
 }
 
@@ -93,6 +96,13 @@
 		case Wait:
 		case Fetch:
 			f.fetchFromSources(v, fleet.Sources())
+		case Ask:
+			turn, ok := f.turns[v.member.Name]
+			if !ok {
+				turn = f.random.IntN(len(f.vms) * len(f.vms))
+			}
+			f.turns[v.member.Name] = turn + 1
+			f.fetchFromSources(v, fleet.Asked(turn))
 		case Read, Watch, Poll:
 			f.callStore(v, action)
 		}
@@ -137,7 +147,12 @@
 	from := v.feed.Revision()
 	switch {
 	case f.cut[v.member.Name]:
-		f.after(v, callTimeout, func() {})
+		f.after(v, callTimeout, func() {
+			v.feed.Unanswered()
+			if f.asks {
+				v.feed.AskPeers(f.now)
+			}
+		})
 	case action != Read && from < f.kept:
 		f.after(v, step, func() { v.feed.Lost(f.now) })
 	case action == Poll && from == f.revision:
@@ -158,7 +173,7 @@
 func (f *faultyFleet) offer(v *simulatedVM, source string) {
 	for _, name := range f.seen(v).Targets(source) {
 		o := f.find(name)
-		if o.dead || f.lost() || o.feed.Revision() >= v.feed.Revision() {
+		if o.dead || f.lost() || f.deaf && f.cut[name] || o.feed.Revision() >= v.feed.Revision() {
 			continue
 		}
 		if !f.seen(o).Accepts(v.member.Name) {
--- a/ladderfanout/feed.go
+++ b/ladderfanout/feed.go
@@ -15,6 +15,10 @@
 	// announcedDelay is how long a VM that knows of a change waits at least for the offer before it
 	// polls the store.
 	announcedDelay = 500 * time.Millisecond
+	// maxAskInterval bounds the time between two times at which a VM that the store does not answer asks peers. A
+	// VM that the store answers polls at most as often, and several of them fit into the time that a
+	// configuration may take until it is in force.
+	maxAskInterval = minPollInterval
 	// fetchInterval is the time between two attempts to get the whole state from a peer.
 	fetchInterval = 150 * time.Millisecond
 	// minPatience is how long a VM without state waits for its peers before it reads the store,
@@ -38,10 +42,14 @@
 	Poll
 	// Fetch means to ask a peer for its state.
 	Fetch
+	// Ask means to ask peers for changes, since the store does not answer.
+	Ask
 )
 
 // String returns the action's name, for logs.
-func (a Action) String() string { return [...]string{"wait", "read", "watch", "poll", "fetch"}[a] }
+func (a Action) String() string {
+	return [...]string{"wait", "read", "watch", "poll", "fetch", "ask"}[a]
+}
 
 // Feed follows the operators' keys. It is not safe for concurrent use.
 type Feed struct {
@@ -57,6 +65,10 @@
 	pollAt  time.Time
 	// failed is true from a fetch that has failed until the next call to the store has ended.
 	failed bool
+	// asks is true while the store does not answer and peers are asked for changes, and askAt is when that is
+	// next due.
+	asks  bool
+	askAt time.Time
 	// jitter returns a random number from 0 up to 1.
 	jitter func() float64
 }
@@ -71,10 +83,24 @@
 
 // Next returns what to do now. For [Wait], it also returns until when.
 func (f *Feed) Next(now time.Time, p Placement) (Action, time.Time) {
-	if f.lost {
-		return f.nextWhileLost(now, p)
+	if f.asks && !now.Before(f.askAt) {
+		f.askAt = now.Add(f.spread(maxAskInterval))
+		return Ask, time.Time{}
 	}
+	action, until := f.nextOfStore(now, p)
+	if action == Wait && f.asks && f.askAt.Before(until) {
+		until = f.askAt
+	}
+	return action, until
+}
+
+// nextOfStore returns what to do but for asking peers for changes.
+func (f *Feed) nextOfStore(now time.Time, p Placement) (Action, time.Time) {
 	switch {
+	case f.lost:
+		return f.nextWhileLost(now, p)
+	case p.reads() && f.asks:
+		return Poll, time.Time{} // It shows sooner than a watch whether the store answers.
 	case p.reads():
 		return Watch, time.Time{}
 	case now.Before(f.pollAt):
@@ -100,6 +126,12 @@
 
 // Synced records that the store has shown all changes up to a revision.
 func (f *Feed) Synced(now time.Time, revision int64, p Placement) {
+	f.asks = false
+	f.advance(now, revision, p)
+}
+
+// advance records that all changes up to a revision are known.
+func (f *Feed) advance(now time.Time, revision int64, p Placement) {
 	f.revision, f.lost, f.failed = max(f.revision, revision), false, false
 	f.schedulePoll(now, p)
 }
@@ -110,14 +142,14 @@
 	if revision <= f.revision {
 		return false
 	}
-	f.Synced(now, revision, p)
+	f.advance(now, revision, p)
 	return true
 }
 
 // Polled records that a poll returned no change. The revision stays: a store that is about to
 // lose its history may return nothing although there was a change.
 func (f *Feed) Polled(now time.Time, p Placement) {
-	f.failed = false
+	f.failed, f.asks = false, false
 	f.schedulePoll(now, p)
 }
 
@@ -133,6 +165,13 @@
 // Unanswered records that the store did not answer. The VM may depend on its peers now.
 func (f *Feed) Unanswered() { f.failed = false }
 
+// AskPeers makes the VM ask peers for changes, at once and then from time to time, until the store answers.
+func (f *Feed) AskPeers(now time.Time) {
+	if !f.asks {
+		f.asks, f.askAt = true, now
+	}
+}
+
 // Fetches reports whether to fetch what a peer offers. If not, the VM polls the store first.
 func (f *Feed) Fetches() bool { return f.lost || !f.failed }
 
@@ -155,6 +194,10 @@
 // moment must not come at the same moment, so it lies between half of the interval and the
 // whole.
 func (f *Feed) schedulePoll(now time.Time, p Placement) {
-	interval := p.pollInterval()
-	f.pollAt = now.Add(interval/2 + time.Duration(f.jitter()*float64(interval/2)))
+	f.pollAt = now.Add(f.spread(p.pollInterval()))
+}
+
+// spread returns a random time between half of an interval and the whole.
+func (f *Feed) spread(interval time.Duration) time.Duration {
+	return interval/2 + time.Duration(f.jitter()*float64(interval/2))
 }
--- a/ladderfanout/place.go
+++ b/ladderfanout/place.go
@@ -60,6 +60,22 @@
 	return names(near[:min(readers, len(near))])
 }
 
+// Asked returns the names of the VMs to ask for changes while the store does not answer: one of the own region and
+// one of the others, each in turn. Some of them may not know more than this VM, so the argument turn should be a
+// different one each time.
+func (f Fleet) Asked(turn int) []string {
+	near := f.inRegion(f.Own.Region)
+	far := slices.DeleteFunc(slices.Clone(f.Others), func(m Member) bool { return m.Region == f.Own.Region })
+	slices.SortFunc(far, compare)
+	var all []string
+	for _, members := range [][]Member{near, far} {
+		if len(members) > 0 {
+			all = append(all, members[turn%len(members)].Name)
+		}
+	}
+	return all
+}
+
 // Targets returns the names of the VMs to which to offer a change, those first that pass it on.
 // The argument source names the VM from which the change came; it is empty for the store.
 func (f Fleet) Targets(source string) []string {
--- a/laddervm/fleet_feed.go
+++ b/laddervm/fleet_feed.go
@@ -5,10 +5,12 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"lacewingladder/laddercodec"
 	"lacewingladder/ladderfanout"
+	"lacewingladder/ladderflow"
 	"lacewingladder/laddermessage"
 	"lacewingladder/platform"
 )
@@ -41,15 +43,21 @@
 	feed   *ladderfanout.Feed
 	state  fleetState
 	offers chan laddermessage.FleetOffer
+	// turn counts the times at which peers were asked for changes. It begins with a random number, so that VMs
+	// that are cut off together ask different peers.
+	turn int
 }
 
 func newFleetFeed(v *VM) *fleetFeed {
 	return &fleetFeed{
 		vm: v, feed: ladderfanout.NewFeed(v.clock.Now(), rand.Float64),
-		offers: make(chan laddermessage.FleetOffer, offerQueueSize),
+		offers: make(chan laddermessage.FleetOffer, offerQueueSize), turn: rand.IntN(maxFirstTurn),
 	}
 }
 
+// maxFirstTurn is larger than the number of VMs of a deployment.
+const maxFirstTurn = 1 << 16
+
 // storeResult is the result of a store call for the operators' keys.
 type storeResult struct {
 	items    []platform.Item
@@ -69,11 +77,9 @@
 		case action == ladderfanout.Fetch && !f.vm.registry.announced(now):
 			f.awaitOffer(ctx, now.Add(registryCheckInterval))
 		case action == ladderfanout.Fetch:
-			for _, name := range fleet.Sources() {
-				if f.fetch(ctx, name, sourceTimeout) {
-					break
-				}
-			}
+			f.fetchNewest(ctx, fleet.Sources())
+		case action == ladderfanout.Ask:
+			f.askPeers(ctx, fleet)
 		default:
 			f.useStore(ctx, action)
 		}
@@ -131,7 +137,7 @@
 // accept fetches what a peer offers, unless another peer will offer it.
 func (f *fleetFeed) accept(ctx context.Context, o laddermessage.FleetOffer) {
 	if f.wants(o) {
-		f.fetch(ctx, o.From, fetchTimeout)
+		f.take(ctx, f.request(ctx, o.From, f.state.fleetRevision(), fetchTimeout))
 	}
 }
 
@@ -156,6 +162,7 @@
 	results := make(chan storeResult, 1)
 	after := f.feed.Revision()
 	go func() { results <- f.callStore(calling, action, after) }()
+	have := f.state.fleetRevision()
 	offers, fetched := f.offers, make(chan fetchResult, 1)
 	for {
 		select {
@@ -165,7 +172,7 @@
 		case o := <-offers:
 			if f.wants(o) {
 				offers = nil
-				go func() { fetched <- f.request(calling, o.From, fetchTimeout) }()
+				go func() { fetched <- f.request(calling, o.From, have, fetchTimeout) }()
 			}
 		case r := <-fetched:
 			offers = f.offers
@@ -200,6 +207,9 @@
 		f.feed.Lost(now)
 	case r.err != nil:
 		f.feed.Unanswered()
+		if fleet := f.vm.fleet.Load(); fleet != nil && fleet.KeysRequired {
+			f.feed.AskPeers(now) // A withdrawn key must stop working here too.
+		}
 		if ctx.Err() == nil {
 			f.vm.log.Warn("operators' keys could not be read; retrying", "action", action.String(), "revision", f.feed.Revision(),
 				"after", now.Sub(began).Round(time.Millisecond), "err", r.err)
@@ -294,30 +304,87 @@
 	}
 }
 
-// fetch gets the state of the operators' keys from a peer. It returns true if that was new.
-func (f *fleetFeed) fetch(ctx context.Context, name string, timeout time.Duration) bool {
-	return f.take(ctx, f.request(ctx, name, timeout))
+// fetchNewest gets the state of the operators' keys from the VMs of the given names. If callers need keys, it asks
+// all of them before it takes a configuration, since one of them may have an earlier version, with keys that were
+// withdrawn. Otherwise it asks until one has something new.
+func (f *fleetFeed) fetchNewest(ctx context.Context, names []string) {
+	have := f.state.fleetRevision()
+	var answers []fetchResult
+	for _, name := range names {
+		r := f.request(ctx, name, have, sourceTimeout)
+		if r.err != nil || !f.requiresKeys(r) {
+			if f.take(ctx, r) {
+				return
+			}
+			continue
+		}
+		have = max(have, r.state.FleetRevision)
+		answers = append(answers, r)
+	}
+	// Each answer with a difference has a later version than those before it. The last one that needs none of
+	// them comes first.
+	first := 0
+	for i, r := range answers {
+		if r.delta != nil && (r.state.Base == 0 || r.state.Base == f.state.fleetRevision()) {
+			first = i
+		}
+	}
+	for _, r := range slices.Concat(answers[first:], answers[:first]) {
+		f.take(ctx, r)
+	}
+}
+
+// requiresKeys reports whether callers need keys in the configuration that a peer has sent.
+func (f *fleetFeed) requiresKeys(r fetchResult) bool {
+	if r.delta != nil {
+		return r.delta.KeysRequired
+	}
+	fleet := f.vm.fleet.Load()
+	return fleet != nil && fleet.KeysRequired
+}
+
+// askPeers asks peers for changes of the operators' keys, at the same time, while the store does not answer.
+func (f *fleetFeed) askPeers(ctx context.Context, fleet ladderfanout.Fleet) {
+	names, have := fleet.Asked(f.turn), f.state.fleetRevision()
+	f.turn++
+	answers := make(chan fetchResult, len(names))
+	for _, name := range names {
+		go func() { answers <- f.request(ctx, name, have, sourceTimeout) }()
+	}
+	for range names {
+		r := <-answers
+		before := f.state.fleetRevision()
+		if r.err != nil {
+			f.vm.log.Debug("peer was asked for changes of the operators' keys and did not answer", "peer", r.from, "err", r.err)
+		} else if f.take(ctx, r) {
+			f.vm.log.Info("changes of the operators' keys heard from a peer, since the store does not answer", "peer", r.from,
+				"revision", f.feed.Revision(), "from", before, "to", f.state.fleetRevision())
+		}
+	}
 }
 
 // fetchResult is the state that a peer has sent.
 type fetchResult struct {
 	from  string
 	state laddermessage.FleetState
-	err   error
+	// delta is the decoded difference, or nil if the state has none, and decoded is how long that took.
+	delta   *ladderflow.FleetDelta
+	decoded time.Duration
+	err     error
 }
 
 // errNotRegistered is the error of a fetch from a VM that is no longer registered.
 var errNotRegistered = errors.New("the VM is not registered")
 
-// request asks a peer for its state. It changes nothing.
-func (f *fleetFeed) request(ctx context.Context, name string, timeout time.Duration) fetchResult {
+// request asks a peer for its state, with a difference from the configuration of revision have. It changes nothing.
+func (f *fleetFeed) request(ctx context.Context, name string, have int64, timeout time.Duration) fetchResult {
 	p, ok := f.vm.registry.find(name)
 	if !ok {
 		return fetchResult{from: name, err: errNotRegistered}
 	}
 	calling, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	reply, err := f.vm.registry.call(calling, p, laddermessage.FleetFetch{Have: f.state.fleetRevision()})
+	reply, err := f.vm.registry.call(calling, p, laddermessage.FleetFetch{Have: have})
 	if err != nil {
 		return fetchResult{from: name, err: err}
 	}
@@ -325,51 +392,65 @@
 	if !ok {
 		return fetchResult{from: name, err: fmt.Errorf("unexpected reply %T", reply)}
 	}
-	return fetchResult{from: name, state: s}
+	r := fetchResult{from: name, state: s}
+	if s.FleetRevision > have {
+		began := f.vm.clock.Now()
+		delta, err := laddercodec.DecodeDelta(s.Delta)
+		r.delta, r.decoded, r.err = &delta, f.vm.clock.Now().Sub(began), err
+	}
+	return r
 }
 
 // take applies the state that a peer has sent. It returns true if it was new.
 func (f *fleetFeed) take(ctx context.Context, r fetchResult) bool {
 	if r.err == nil {
-		if r.state.Revision <= f.feed.Revision() {
+		if r.state.Revision <= f.feed.Revision() && r.state.FleetRevision <= f.state.fleetRevision() {
 			return false
 		}
-		if r.err = f.adopt(ctx, r.from, r.state); r.err == nil {
-			return true
+		var changed bool
+		if changed, r.err = f.adopt(ctx, r); r.err == nil {
+			return changed
 		}
 	}
+	f.apply(r.from, r.state.Items) // They do not depend on the configuration.
 	f.feed.Failed(f.vm.clock.Now(), f.place())
 	f.vm.log.Warn("operators' keys could not be fetched from a peer", "peer", r.from, "err", r.err)
 	return false
 }
 
-// adopt applies the state that a peer has sent, and offers changes to those that rely on this VM.
-func (f *fleetFeed) adopt(ctx context.Context, from string, s laddermessage.FleetState) error {
-	have, changed := f.state.fleetRevision(), false
-	if s.FleetRevision != have {
-		if s.Base != 0 && s.Base != have {
-			return fmt.Errorf("the difference is from revision %d, not %d", s.Base, have)
+// adopt applies the state that a peer has sent, and offers changes to those that rely on this VM. It returns false
+// if the peer's configuration is an earlier one than this VM's: then it is not complete up to any revision that
+// matters here.
+func (f *fleetFeed) adopt(ctx context.Context, r fetchResult) (bool, error) {
+	s, have, changed := r.state, f.state.fleetRevision(), false
+	if s.FleetRevision > have {
+		if r.delta == nil {
+			return false, fmt.Errorf("the state of revision %d has no configuration", s.FleetRevision)
 		}
-		began := f.vm.clock.Now()
-		delta, err := laddercodec.DecodeDelta(s.Delta)
-		if err != nil {
-			return err
+		if s.Base != 0 && s.Base != have {
+			return false, fmt.Errorf("the difference is from revision %d, not %d", s.Base, have)
 		}
 		old := f.vm.fleet.Load()
 		if s.Base == 0 {
 			old = nil
 		}
-		fleet := delta.Apply(old)
-		if f.vm.applyFleet(fleet, s.FleetRevision, from, len(s.Delta), f.vm.clock.Now().Sub(began)) {
+		began := f.vm.clock.Now()
+		fleet := r.delta.Apply(old)
+		if f.vm.applyFleet(fleet, s.FleetRevision, r.from, len(s.Delta), r.decoded+f.vm.clock.Now().Sub(began)) {
 			f.state.setFleet(fleet, s.FleetRevision)
 			changed = true
 		}
 	}
-	changed = f.apply(from, s.Items) || changed
+	changed = f.apply(r.from, s.Items) || changed
+	if s.FleetRevision < have {
+		f.vm.log.Info("peer has an earlier configuration; the current one remains", "peer", r.from, "revision", s.FleetRevision,
+			"current", have, "complete", s.Revision)
+		return changed, nil
+	}
 	f.feed.Vouched(f.vm.clock.Now(), s.Revision, f.place())
 	f.state.publish(f.feed.Revision())
 	if changed {
-		f.offer(ctx, from)
+		f.offer(ctx, r.from)
 	}
-	return nil
+	return true, nil
 }
--- a/laddervm/operator_config.go
+++ b/laddervm/operator_config.go
@@ -4,6 +4,7 @@
 	"strings"
 	"time"
 
+	"lacewingladder/ladderaccess"
 	"lacewingladder/ladderflow"
 	"lacewingladder/platform"
 )
@@ -11,7 +12,8 @@
 // applyFleet applies a configuration that came from the given source, as that many bytes. It
 // returns false if the version is not newer than the current one, which then remains.
 func (v *VM) applyFleet(f *ladderflow.FleetConfig, revision int64, source string, size int, decoded time.Duration) bool {
-	if old := v.fleet.Load(); old != nil && old.Version >= f.Version {
+	old := v.fleet.Load()
+	if old != nil && old.Version >= f.Version {
 		v.log.Warn("configuration is not newer than the current one; ignored",
 			"version", f.Version, "revision", revision, "source", source, "current", old.Version)
 		return false
@@ -21,6 +23,12 @@
 	v.stats.countConfiguration(source, size)
 	v.log.Info("configuration applied", "version", f.Version, "revision", revision, "queues", len(f.Queues),
 		"source", source, "bytes", size, "decoded", decoded.Round(time.Millisecond))
+	if old != nil && old.KeysRequired {
+		if teams, keys := ladderaccess.Withdrawn(old, f); keys > 0 {
+			v.log.Info("keys withdrawn; calls with them are refused from now on", "version", f.Version, "keys", keys,
+				"teams", len(teams), "first", teams[0], "source", source)
+		}
+	}
 	v.leadership.setFleet(f)
 	v.registry.signal()
 	return true
