Take the newest of two configurations before any is in force at the start

Cause: the older of two configurations was in force for the moment in which the newer, a difference from it, was decoded. Change: the difference is applied to the older one aside. A VM that has a configuration takes the first new answer as before: a later version only replaces it.

--- a/laddervm/fleet_feed.go
+++ b/laddervm/fleet_feed.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"lacewingladder/laddercodec"
@@ -304,43 +303,42 @@
 	}
 }
 
-// fetchNewest gets the state of the operators' keys from the VMs of the given names. If callers need keys, it asks
-// all of them before it takes a configuration, since one of them may have an earlier version, with keys that were
-// withdrawn. Otherwise it asks until one has something new.
+// fetchNewest gets the state of the operators' keys from the VMs of the given names, until one has something new. A
+// VM without a configuration asks all of them before it takes one in which callers need keys: one of them may have an
+// earlier version, with keys that were withdrawn.
 func (f *fleetFeed) fetchNewest(ctx context.Context, names []string) {
 	have := f.state.fleetRevision()
-	var answers []fetchResult
+	var newest *fetchResult
 	for _, name := range names {
 		r := f.request(ctx, name, have, sourceTimeout)
-		if r.err != nil || !f.requiresKeys(r) {
-			if f.take(ctx, r) {
-				return
+		switch {
+		case r.err == nil && newest != nil:
+			if r.delta != nil && r.follow(newest) {
+				newest, have = &r, r.state.FleetRevision
 			}
-			continue
-		}
-		have = max(have, r.state.FleetRevision)
-		answers = append(answers, r)
-	}
-	// Each answer with a difference has a later version than those before it. The last one that needs none of
-	// them comes first.
-	first := 0
-	for i, r := range answers {
-		if r.delta != nil && (r.state.Base == 0 || r.state.Base == f.state.fleetRevision()) {
-			first = i
+		case r.err == nil && f.state.fleetRevision() == 0 && r.delta != nil && r.delta.KeysRequired:
+			newest, have = &r, r.state.FleetRevision
+		case f.take(ctx, r):
+			return
 		}
 	}
-	for _, r := range slices.Concat(answers[first:], answers[:first]) {
-		f.take(ctx, r)
+	if newest != nil {
+		f.take(ctx, *newest)
 	}
 }
 
-// requiresKeys reports whether callers need keys in the configuration that a peer has sent.
-func (f *fleetFeed) requiresKeys(r fetchResult) bool {
-	if r.delta != nil {
-		return r.delta.KeysRequired
+// follow makes the difference in r, which may be from the version in earlier, a whole configuration. The earlier
+// version need not be applied then. It returns false if the difference is from another version.
+func (r *fetchResult) follow(earlier *fetchResult) bool {
+	switch r.state.Base {
+	case 0:
+		return true
+	case earlier.state.FleetRevision:
+		whole := r.delta.Apply(earlier.delta.Apply(nil)).Whole()
+		r.delta, r.state.Base = &whole, 0
+		return true
 	}
-	fleet := f.vm.fleet.Load()
-	return fleet != nil && fleet.KeysRequired
+	return false
 }
 
 // askPeers asks peers for changes of the operators' keys, at the same time, while the store does not answer.
--- a/laddervm/withdrawal_test.go
+++ b/laddervm/withdrawal_test.go
@@ -111,6 +111,7 @@
 			newer.know(second, 20, 21)
 			restarted.fleetFeed.fetchNewest(t.Context(), c.order)
 			require.Equal(t, c.want, restarted.fleet.Load().Version)
+			require.Empty(t, restarted.fleetFeed.state.bases, "no other version may have been in force")
 			if c.keys != nil {
 				require.False(t, restarted.accepts("key-a"))
 				require.True(t, restarted.accepts("key-a2"))
