Let a reader without the store watch now and then; check a job's ownership against a model

Cause: a reader that only polls hears nothing of a store that takes longer than 0.8 s to answer. Change: each third store call of a reader that the store does not answer is a watch. A property test plays submissions and cancellations of several teams, some without an answer, against a plain model.

--- a/ladderfanout/feed.go
+++ b/ladderfanout/feed.go
@@ -19,6 +19,8 @@
 	// VM that the store answers polls at most as often, and several of them fit into the time that a
 	// configuration may take until it is in force.
 	maxAskInterval = minPollInterval
+	// watchEvery is the number of store calls of a reader that the store does not answer of which one is a watch.
+	watchEvery = 3
 	// fetchInterval is the time between two attempts to get the whole state from a peer.
 	fetchInterval = 150 * time.Millisecond
 	// minPatience is how long a VM without state waits for its peers before it reads the store,
@@ -69,6 +71,8 @@
 	// next due.
 	asks  bool
 	askAt time.Time
+	// storeCalls counts the calls of a reader to the store while asks is true.
+	storeCalls int
 	// jitter returns a random number from 0 up to 1.
 	jitter func() float64
 }
@@ -99,16 +103,26 @@
 	switch {
 	case f.lost:
 		return f.nextWhileLost(now, p)
-	case p.reads() && f.asks:
-		return Poll, time.Time{} // It shows sooner than a watch whether the store answers.
 	case p.reads():
-		return Watch, time.Time{}
+		return f.nextOfReader(), time.Time{}
 	case now.Before(f.pollAt):
 		return Wait, f.pollAt
 	}
 	return Poll, time.Time{}
 }
 
+// nextOfReader returns the next store call of a reader. While the store does not answer, a poll shows sooner than a watch
+// whether it answers again, and peers can be asked meanwhile. A watch is still tried, since it waits longer for a store
+// that answers slowly.
+func (f *Feed) nextOfReader() Action {
+	if f.asks {
+		if f.storeCalls++; f.storeCalls%watchEvery != 0 {
+			return Poll
+		}
+	}
+	return Watch
+}
+
 // nextWhileLost returns what a VM does that cannot continue from its revision.
 func (f *Feed) nextWhileLost(now time.Time, p Placement) (Action, time.Time) {
 	readAt := f.lostAt.Add(minPatience + time.Duration(p.Rank)*patiencePerRank)
@@ -168,7 +182,7 @@
 // AskPeers makes the VM ask peers for changes, at once and then from time to time, until the store answers.
 func (f *Feed) AskPeers(now time.Time) {
 	if !f.asks {
-		f.asks, f.askAt = true, now
+		f.asks, f.askAt, f.storeCalls = true, now, 0
 	}
 }
 
--- a/ladderjournal/access_test.go
+++ b/ladderjournal/access_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"lacewingladder/ladderaccess"
 	"lacewingladder/ladderflow"
@@ -157,3 +158,54 @@
 		})
 	}
 }
+
+// TestAgainstModel submits and cancels a job for several teams in drawn orders, some calls without an answer, and
+// compares what holds with a plain model of it.
+func TestAgainstModel(t *testing.T) {
+	ctx := context.Background()
+	rapid.Check(t, func(t *rapid.T) {
+		s := newFakeStore()
+		j := New(s)
+		stored, owner, cancelled, early := false, "", false, map[string]bool{}
+		for range rapid.IntRange(1, 12).Draw(t, "calls") {
+			team := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "team")
+			caller := callerOf(team)
+			if rapid.IntRange(0, 4).Draw(t, "lost") == 0 {
+				s.unanswered, s.applyUnanswered = 1, true
+			}
+			foreign := stored && owner != team
+			var outcome Outcome
+			if rapid.Bool().Draw(t, "submit") {
+				submitted := &Submission{Job: fullJob("j"), Caller: caller}
+				submitted.Job.Team = team
+				j.Accept(ctx, []*Submission{submitted})
+				if outcome = submitted.Outcome; outcome == OutcomeUnknown {
+					again := &Submission{Job: submitted.Job, Caller: caller}
+					j.Accept(ctx, []*Submission{again})
+					outcome = again.Outcome
+				}
+				if !stored {
+					stored, owner, cancelled = true, team, early[team]
+				}
+			} else {
+				if outcome, _, _ = j.CancelFor(ctx, "j", caller); outcome == OutcomeUnknown {
+					outcome, _, _ = j.CancelFor(ctx, "j", caller)
+				}
+				cancelled = cancelled || stored && !foreign
+				early[team] = early[team] || !stored
+			}
+			s.unanswered = 0
+			require.Equal(t, foreign, outcome == OtherTeam)
+			state, ok, err := j.Lookup(ctx, "j")
+			require.NoError(t, err)
+			require.Equal(t, stored, ok)
+			if ok {
+				require.Equal(t, cancelled, state == ladderflow.Cancelled)
+			}
+			team, _, ok, err = j.Owner(ctx, "j")
+			require.NoError(t, err)
+			require.Equal(t, stored, ok)
+			require.Equal(t, owner, team)
+		}
+	})
+}
