Keep what a team has running within its quota

Change: each start asks the quota of its job's team (heldByQuota): single tasks, suspects, gangs as a whole, preemption. What is ordered and not known to be over counts. After a takeover, what unseen workers may run counts, bounded by their capacity and by the team's tasks that earlier leaders may have started; runs of unknown jobs count with the capacity of their worker. A gang gets its turn on the quota, bounded in time. Waiting steps say so in explain; the log says when a quota begins and ceases to hold work back. A job that can never fit is answered 422.

--- a/ladderplan/adopt.go
+++ b/ladderplan/adopt.go
@@ -29,7 +29,7 @@
 		return
 	}
 	if t := x.task; t != nil {
-		x.size = t.step.spec.Demand()
+		x.setSize(t.step.spec)
 		// A run with a closed number may be on this worker although it has ended on another one: a
 		// former leader has used the number as well. It occupies capacity until it has stopped.
 		wanted := t.needsAdoption(r.Run.Number) && j.active() && t.step.ready && r.Run.Number > t.lastClosedRun
@@ -50,7 +50,7 @@
 	} else {
 		if j != nil && r.Run.Task.Step < len(j.spec.Steps) {
 			// The job has ended, but its runs occupy capacity until they stop.
-			x.size = j.spec.Steps[r.Run.Task.Step].Demand()
+			x.setSize(&j.spec.Steps[r.Run.Task.Step])
 		}
 		w.addRun(x)
 	}
--- a/ladderplan/advice.go
+++ b/ladderplan/advice.go
@@ -196,7 +196,7 @@
 // workersToQuery returns the workers to query advice about, the most suitable first.
 func (sp *stepPlacement) workersToQuery() []string {
 	t := &sp.step.tickets
-	need := float64(sp.step.waiting)
+	need := float64(sp.quotaRuns(sp.step.waiting))
 	soon := sp.now.Add(sp.queue.Advice.ResponseTime(minQueryWorkers))
 	var renewals []gangCandidate
 	for i := range t.rows {
--- a/ladderplan/capacity.go
+++ b/ladderplan/capacity.go
@@ -21,6 +21,7 @@
 		w.leastCapacity = leastSize(w.leastCapacity, spec.Capacity)
 		w.freed.add(w)
 	}
+	w.mostCapacity = largestSize(w.mostCapacity, spec.Capacity)
 	w.spec = spec
 }
 
@@ -44,6 +45,13 @@
 	return free
 }
 
+// largestSize returns the larger amount of each resource.
+func largestSize(a, b ladderflow.Size) ladderflow.Size {
+	return ladderflow.Size{
+		Processor: max(a.Processor, b.Processor), Memory: max(a.Memory, b.Memory), Accelerators: max(a.Accelerators, b.Accelerators),
+	}
+}
+
 // leastSize returns the lesser amount of each resource.
 func leastSize(a, b ladderflow.Size) ladderflow.Size {
 	return ladderflow.Size{
--- a/ladderplan/doc.go
+++ b/ladderplan/doc.go
@@ -19,6 +19,8 @@
 //   - After a takeover, a task that an earlier leader may have started waits until
 //     each worker of that leader has answered a poll under the new fencing token, or
 //     its lease must have expired.
+//   - A start does not bring what a team has running above its quota. That counts runs as above, and after a
+//     takeover an upper bound of the runs that are not known yet.
 //   - The end of a run is acknowledged to its worker only after it was stored. A job
 //     is reported as done or failed only then.
 //   - A gang that does not become whole in time is stopped as a whole, so that its
--- a/ladderplan/explain.go
+++ b/ladderplan/explain.go
@@ -99,6 +99,9 @@
 	if !p.earlierRunsKnown && s.round.job.knownToEarlierLeader {
 		return fmt.Sprintf("an earlier leader may have started it on %d workers that were not seen yet", len(p.unseenWorkers))
 	}
+	if text := p.quotaWhy(s); text != "" {
+		return text
+	}
 	sp := p.stepPlacement(now, s)
 	usable, withTickets, slots := 0, 0, 0
 	p.refreshPools(now)
--- a/ladderplan/freed.go
+++ b/ladderplan/freed.go
@@ -70,7 +70,7 @@
 // recordTry records that the step's waiting tasks could not be started, if there are any left.
 func (sp *stepPlacement) recordTry() {
 	sp.step.lastTry = lastTry{}
-	if sp.step.waiting > 0 && !sp.planner.startLimitReached() {
+	if sp.step.waiting > 0 && !sp.planner.startLimitReached() && !sp.step.waitReason.ofQuota() {
 		sp.step.lastTry = lastTry{at: sp.now, freed: sp.planner.freed.end()}
 	}
 }
--- a/ladderplan/model.go
+++ b/ladderplan/model.go
@@ -49,6 +49,8 @@
 	// queue holds the rules of the job under the configuration queueFleet; see [Planner.queue].
 	queue      *ladderflow.Queue
 	queueFleet *ladderflow.FleetConfig
+	// quota is the quota of the job's team, or nil if it has no team.
+	quota *teamQuota
 }
 
 // waited returns the time from the job's acceptance to its first start, as text for logs.
@@ -94,6 +96,7 @@
 	readySince  time.Time
 	lastTry     lastTry
 	waitReason  waitReason
+	quotaWait   quotaWait
 	// durations holds the durations of the runs that were not interrupted, until the step is finished.
 	durations []taskDuration
 }
@@ -161,7 +164,10 @@
 	crashedAt    time.Time
 	suspicions   int
 	suspectSince time.Time
-	runs         []*run
+	// assumed is true while the task counts against its team's quota because an earlier leader may have started
+	// it; see [Planner.assumeRuns].
+	assumed bool
+	runs    []*run
 }
 
 func (t *task) name() ladderflow.Task {
@@ -198,6 +204,8 @@
 	worker *worker
 	phase  phase
 	size   ladderflow.Size
+	// bestEffort is the processor amount that a best-effort run asks for, which is no part of its size.
+	bestEffort int
 	// sizeUnknown is true if the leader does not know the run's job yet. The size is then zero.
 	sizeUnknown bool
 	// team is the team of the run's job, or empty if the job has none or is not known.
@@ -230,6 +238,12 @@
 	speedChangedAt time.Time
 }
 
+// setSize sets the size of a run of a step's task.
+func (x *run) setSize(s *ladderflow.Step) {
+	x.size = s.Demand()
+	x.bestEffort = s.Need.Processor - x.size.Processor
+}
+
 // confirm records that the worker has the run.
 func (x *run) confirm() {
 	if x.task != nil {
@@ -284,7 +298,9 @@
 	free             ladderflow.Size
 	// leastCapacity is the least amount of each resource that the worker's incarnation has had.
 	leastCapacity ladderflow.Size
-	runs          map[ladderflow.Run]*run
+	// mostCapacity is the largest amount of each resource that the worker was ever listed with.
+	mostCapacity ladderflow.Size
+	runs         map[ladderflow.Run]*run
 	// runOrder holds the runs in the order in which they were added. releases is the result of
 	// expectedReleases, which is computed again if releasesStale is true.
 	runOrder      []*run
@@ -328,7 +344,7 @@
 
 func newWorker(spec ladderflow.Worker, index int, freed *freedLog, pools *workerPools, ledger *ladderteam.Ledger) *worker {
 	return &worker{
-		spec: spec, ledger: ledger, index: index, freed: freed, pools: pools, free: spec.Capacity, leastCapacity: spec.Capacity, runs: map[ladderflow.Run]*run{}, justEnded: map[ladderflow.Run]bool{},
+		spec: spec, ledger: ledger, index: index, freed: freed, pools: pools, free: spec.Capacity, leastCapacity: spec.Capacity, mostCapacity: spec.Capacity, runs: map[ladderflow.Run]*run{}, justEnded: map[ladderflow.Run]bool{},
 		failedJobs: map[string]bool{},
 	}
 }
@@ -353,8 +369,10 @@
 	w.releasesStale = true
 	w.free = w.free.Minus(r.size)
 	w.ledger.Add(r.team, r.size)
+	w.ledger.AddBestEffort(r.team, r.bestEffort)
 	if r.sizeUnknown {
 		w.unknownRuns++
+		w.pools.unknownRuns++
 		w.pools.stale = true
 	}
 	if t := r.task; t != nil {
@@ -364,6 +382,7 @@
 		t.runs = append(t.runs, r)
 		t.step.runsOn[w]++
 		t.lastRun = max(t.lastRun, r.name.Number)
+		t.step.round.job.quota.known(t)
 	}
 }
 
@@ -376,9 +395,11 @@
 	w.runOrder = slices.DeleteFunc(w.runOrder, func(o *run) bool { return o == r })
 	w.releasesStale = true
 	w.free = w.free.Plus(r.size)
+	w.ledger.RemoveBestEffort(r.team, r.bestEffort)
 	w.ledger.Remove(r.team, r.size)
 	if r.sizeUnknown {
 		w.unknownRuns--
+		w.pools.unknownRuns--
 		w.pools.stale = true
 	}
 	w.freed.add(w)
--- a/ladderplan/place.go
+++ b/ladderplan/place.go
@@ -88,6 +88,8 @@
 func (p *Planner) place(now time.Time) {
 	p.refreshPools(now)
 	p.reservationPass++
+	p.sizeQuotas()
+	defer p.logReleased(now)
 	gangs, maxGangs := 0, max(minReservingGangs, len(p.workers)/workersPerReservingGang)
 	for _, k := range p.rankedSteps(now) {
 		s := k.step
@@ -109,6 +111,9 @@
 		}
 		sp := p.stepPlacement(now, s)
 		sp.heedsReservations = k.class > 0
+		if sp.heldByQuota() {
+			continue
+		}
 		hopeless := sp.hopeless()
 		switch {
 		case s.spec.Gang && !hopeless && sp.placeGang():
@@ -305,6 +310,9 @@
 			sp.planner.orders.AtStartLimit = true
 			return
 		}
+		if sp.heldByQuota() {
+			return
+		}
 		if t.suspect() {
 			sp.startSuspect(t, candidates)
 			continue
@@ -379,9 +387,10 @@
 func (sp *stepPlacement) start(t *task, w *worker, number int, from checkpoint) {
 	p := sp.planner
 	x := &run{
-		task: t, name: ladderflow.Run{Task: t.name(), Number: number}, phase: phaseSent, size: sp.step.spec.Demand(), team: sp.step.round.job.spec.Team,
+		task: t, name: ladderflow.Run{Task: t.name(), Number: number}, phase: phaseSent, team: sp.step.round.job.spec.Team,
 		startedAt: sp.now, progressedAt: sp.now, percent: -1, speedPercent: 100, resumesFrom: from,
 	}
+	x.setSize(sp.step.spec)
 	w.addRun(x)
 	if t.suspect() {
 		w.suspectUntil = sp.now.Add(suspectTime)
--- a/ladderplan/planner.go
+++ b/ladderplan/planner.go
@@ -32,6 +32,7 @@
 	pools         workerPools
 	// ledger counts what each team has running. Quotas and shares are decided on it.
 	ledger *ladderteam.Ledger
+	quotas quotas
 	// queuedJobs holds, by queue, the jobs that may have neither begun nor ended. Jobs with a schedule are
 	// left out.
 	queuedJobs map[string][]*job
@@ -100,6 +101,7 @@
 		workers: map[string]*worker{}, departed: map[string]*worker{}, pools: workerPools{byService: map[string][]*worker{}, stale: true}, unseenWorkers: map[string]bool{},
 		unstoredJobs: map[string]*job{}, estimators: durationEstimators{}, spreads: spreads{}, advisers: newAdvisers(),
 		ledger: ladderteam.NewLedger(), window: newStartWindow(o.MaxUnansweredStarts), queuedJobs: map[string][]*job{},
+		quotas: quotas{teams: map[string]*teamQuota{}},
 	}
 }
 
@@ -107,7 +109,10 @@
 func (p *Planner) Superseded() bool { return p.superseded }
 
 // SetFleet sets the configuration.
-func (p *Planner) SetFleet(f *ladderflow.FleetConfig) { p.fleet, p.placementDue = f, true }
+func (p *Planner) SetFleet(f *ladderflow.FleetConfig) {
+	p.fleet, p.placementDue = f, true
+	p.refreshQuotas()
+}
 
 // SetSenders sets the number of VMs that send starts: the leader and its delegates.
 func (p *Planner) SetSenders(n int) { p.window.setSenders(n) }
@@ -130,6 +135,7 @@
 	j := newJob(spec)
 	j.estimateDurations(p.estimators, p.adviceTime(j))
 	j.addedAt, j.knownToEarlierLeader = now, knownToEarlierLeader || !p.jobsReadAt.After(p.options.EarlierLeaseEnd)
+	j.quota = p.quotas.team(spec.Team)
 	p.jobs[spec.ID] = j
 	if _, ok := p.cancellations[spec.ID]; ok {
 		delete(p.cancellations, spec.ID)
@@ -162,6 +168,7 @@
 	r := j.addRound(index, due)
 	j.nextRound = max(j.nextRound, index+1)
 	p.markReadySteps(now, r)
+	p.assumeRuns(r)
 	p.recordHeld(now, r)
 }
 
@@ -305,6 +312,7 @@
 			s.waiting--
 		}
 		m.done = true
+		j.quota.known(m)
 		s.done++
 		for _, x := range m.runs {
 			if !s.spec.Gang {
--- a/ladderplan/poll.go
+++ b/ladderplan/poll.go
@@ -82,9 +82,11 @@
 
 // AddEarlierWorker adds a worker on which an earlier leader may have started tasks.
 func (p *Planner) AddEarlierWorker(spec ladderflow.Worker) {
-	if _, ok := p.workers[spec.ID]; !ok {
-		p.addWorker(spec)
+	w, ok := p.workers[spec.ID]
+	if !ok {
+		w = p.addWorker(spec)
 	}
+	w.mostCapacity = largestSize(w.mostCapacity, spec.Capacity)
 	p.unseenWorkers[spec.ID] = true
 }
 
--- a/ladderplan/pools.go
+++ b/ladderplan/pools.go
@@ -13,6 +13,8 @@
 	// pass is the number of times that they were determined. Workers that accept new tasks have the
 	// number in lastPass.
 	pass int64
+	// unknownRuns is the number of runs on all workers whose size is unknown.
+	unknownRuns int
 }
 
 // changeAt records that a worker begins or ceases to accept tasks at a given time.
--- a/ladderplan/preempt.go
+++ b/ladderplan/preempt.go
@@ -23,7 +23,7 @@
 func (sp *stepPlacement) preempt() {
 	s := sp.step
 	if s.waiting == 0 || s.onlySuspectsWait() || sp.queue.Priority > 0 || s.spec.Gang ||
-		sp.now.Sub(s.readySince) < preemptDelay || sp.now.Sub(s.preemptedAt) < preemptInterval {
+		sp.now.Sub(s.readySince) < preemptDelay || sp.now.Sub(s.preemptedAt) < preemptInterval || sp.heldByQuota() {
 		return
 	}
 	var victims []*run
--- /dev/null
+++ b/ladderplan/quota.go
@@ -0,0 +1,402 @@
+package ladderplan
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"lacewingladder/ladderflow"
+	"lacewingladder/ladderteam"
+)
+
+const (
+	// quotaLogPause is how long a quota must hold nothing back before that is logged.
+	quotaLogPause = time.Second
+	// maxKeptWait is how long a step waits for room that is kept for other work of its team while the team
+	// uses less than half of its quota. A job must not wait for 3 s then with nothing running.
+	maxKeptWait = 1500 * time.Millisecond
+)
+
+// quotas holds the quotas of the teams that are configured or have jobs.
+type quotas struct {
+	teams map[string]*teamQuota
+	// holding lists the teams whose quota is logged to hold work back.
+	holding []*teamQuota
+	// unseen is the capacity of the unseen workers in the present placement pass, and unknown the most that
+	// runs of unknown jobs may occupy.
+	unseen, unknown ladderflow.Size
+}
+
+// teamQuota is the quota of one team.
+type teamQuota struct {
+	name  string
+	quota ladderflow.Size
+	// configured is true if the present configuration has the team. A team that is removed keeps the last
+	// quota that was known.
+	configured bool
+	// tasks is the size of the tasks that earlier leaders may have started and that are not known to run or to
+	// be done. bestEffort is the part of its processor amount that is due to best-effort tasks.
+	tasks      ladderflow.Size
+	bestEffort int
+	turn       quotaTurn
+	// lateTurnAfter is the time before which no gang that can't meet its objective gets a turn.
+	lateTurnAfter time.Time
+	// blocked is what a step of single tasks keeps free for one of them in the placement pass blockedPass.
+	blocked     ladderflow.Size
+	blockedPass int64
+	// heldAt is when the quota last held work back, and heldSince since when that is logged, or zero.
+	heldAt, heldSince time.Time
+}
+
+// quotaTurn is the turn of a gang: room of the quota is kept free for it.
+type quotaTurn struct {
+	step         *step
+	since, until time.Time
+	// late is true if the gang could not meet its objective any more when its turn began.
+	late bool
+}
+
+// quotaWait is what a step remembers while its team's quota holds it back.
+type quotaWait struct {
+	// since is when the quota began to hold the step back, or zero if it does not.
+	since time.Time
+	// restUntil is the time before which a gang gets no further turn.
+	restUntil time.Time
+	// exceeded is the last quota that was logged to be less than the step needs at once.
+	exceeded ladderflow.Size
+}
+
+// limited reports whether there is a quota.
+func (q *teamQuota) limited() bool { return q != nil && q.quota != ladderflow.Size{} }
+
+// team returns the quota of a team, or nil for jobs without a team.
+func (z *quotas) team(name string) *teamQuota {
+	if name == "" {
+		return nil
+	}
+	q := z.teams[name]
+	if q == nil {
+		q = &teamQuota{name: name}
+		z.teams[name] = q
+	}
+	return q
+}
+
+// refreshQuotas takes the quotas from the configuration.
+func (p *Planner) refreshQuotas() {
+	if p.fleet == nil {
+		return
+	}
+	for _, name := range slices.Sorted(maps.Keys(p.quotas.teams)) {
+		q := p.quotas.teams[name]
+		if _, ok := p.fleet.Team(name); !ok && q.configured {
+			q.configured = false
+			p.log.Info("team is no longer configured; its last quota holds for its jobs", "team", name, "quota", q.quota)
+		}
+	}
+	for i := range p.fleet.Teams {
+		t, _ := p.fleet.Team(p.fleet.Teams[i].Name) // Of several with the name, the first counts.
+		q := p.quotas.team(t.Name)
+		if q == nil {
+			continue
+		}
+		if q.quota != t.Quota && q.configured {
+			p.log.Info("quota of a team changed", "team", q.name, "from", q.quota, "to", t.Quota, "used", p.ledger.Needed(q.name))
+		}
+		q.quota, q.configured = t.Quota, true
+	}
+}
+
+// sizeQuotas computes, at the start of a placement pass, what may run without the leader's knowledge.
+func (p *Planner) sizeQuotas() {
+	z := &p.quotas
+	z.unseen, z.unknown = ladderflow.Size{}, ladderflow.Size{}
+	if len(z.teams) == 0 {
+		return
+	}
+	if !p.earlierRunsKnown {
+		for id := range p.unseenWorkers {
+			if w, ok := p.workers[id]; ok {
+				z.unseen = z.unseen.Plus(w.mostUnheard())
+			}
+		}
+	}
+	if p.pools.unknownRuns == 0 {
+		return
+	}
+	for _, w := range p.allWorkers() {
+		if w.unknownRuns > 0 {
+			z.unknown = z.unknown.Plus(w.mostUnheard())
+		}
+	}
+}
+
+// mostUnheard returns the most that may run on a worker besides its known runs.
+func (w *worker) mostUnheard() ladderflow.Size {
+	known := w.spec.Capacity.Minus(w.free)
+	rest := w.mostCapacity.Minus(known)
+	return ladderflow.Size{Processor: max(0, rest.Processor), Memory: max(0, rest.Memory), Accelerators: max(0, rest.Accelerators)}
+}
+
+// standing returns what counts against a team's quota.
+func (p *Planner) standing(q *teamQuota) ladderteam.Standing {
+	st := ladderteam.Standing{Quota: q.quota, Used: p.ledger.Needed(q.name)}
+	if p.earlierRunsKnown && p.pools.unknownRuns == 0 {
+		return st
+	}
+	u := ladderteam.Unheard{Unknown: p.quotas.unknown}
+	if !p.earlierRunsKnown {
+		u.Capacity, u.Tasks, u.BestEffort = p.quotas.unseen, q.tasks, q.bestEffort
+		u.TasksIncomplete = !p.earlierJobsKnown()
+	}
+	st.Assumed = u.Most()
+	return st
+}
+
+// earlierJobsKnown reports whether all jobs are known of which an earlier leader may have started tasks.
+func (p *Planner) earlierJobsKnown() bool {
+	return p.jobsReadAt.After(p.options.EarlierLeaseEnd) || !p.earlierLeadersEnded.IsZero() && p.jobsReadAt.After(p.earlierLeadersEnded)
+}
+
+// assumeRuns counts the tasks of a round that an earlier leader may have started, until they are known to run
+// or to be done.
+func (p *Planner) assumeRuns(r *round) {
+	q := r.job.quota
+	if q == nil || p.earlierRunsKnown || !r.job.knownToEarlierLeader {
+		return
+	}
+	for _, s := range r.steps {
+		for _, t := range s.tasks {
+			switch mayRun := !t.done && len(t.runs) == 0; {
+			case !mayRun:
+				q.known(t)
+			case !t.assumed:
+				t.assumed = true
+				q.tasks = q.tasks.Plus(s.spec.Need)
+				q.bestEffort += s.spec.Need.Processor - s.spec.Demand().Processor
+			}
+		}
+	}
+}
+
+// known records that a task is known to run on a worker that has reported, or to be done, so that it does not
+// run elsewhere.
+func (q *teamQuota) known(t *task) {
+	if !t.assumed {
+		return
+	}
+	t.assumed = false
+	s := t.step.spec
+	q.tasks = q.tasks.Minus(s.Need)
+	q.bestEffort -= s.Need.Processor - s.Demand().Processor
+}
+
+// roundDone records that the tasks of a round are done.
+func (q *teamQuota) roundDone(r *round) {
+	if q == nil || r == nil {
+		return
+	}
+	for _, s := range r.steps {
+		for _, t := range s.tasks {
+			q.known(t)
+		}
+	}
+}
+
+// quotaVerdict is what a quota decides about the next start of a step.
+type quotaVerdict uint8
+
+const (
+	quotaAllows quotaVerdict = iota
+	// quotaInUse means that the team has too much running, quotaKept that what is left is kept for other work
+	// of the team, and quotaTooSmall that the step needs more at once than the whole quota.
+	quotaInUse
+	quotaKept
+	quotaTooSmall
+)
+
+// quotaVerdict decides whether one more task of the step, or the whole gang, may start by its team's quota.
+func (sp *stepPlacement) quotaVerdict(q *teamQuota) (quotaVerdict, ladderteam.Standing) {
+	p, s := sp.planner, sp.step
+	st, unit := p.standing(q), ladderteam.Unit(s.spec)
+	switch {
+	case ladderteam.Exceeds(q.quota, unit):
+		return quotaTooSmall, st
+	case st.MoreRuns(unit, 1) == 0:
+		return quotaInUse, st
+	case q.turn.step == s:
+		return quotaAllows, st
+	}
+	st.Kept = sp.quotaKept(q)
+	waitedLong := st.UnderHalf() && sp.now.Sub(s.readySince) >= maxKeptWait
+	if waitedLong || st.MoreRuns(unit, 1) > 0 {
+		return quotaAllows, st
+	}
+	return quotaKept, st
+}
+
+// quotaKept returns what is kept free for other work of the step's team.
+func (sp *stepPlacement) quotaKept(q *teamQuota) ladderflow.Size {
+	var kept ladderflow.Size
+	if sp.turnHolds(q) {
+		kept = ladderteam.Unit(q.turn.step.spec)
+	}
+	if q.blockedPass == sp.planner.reservationPass {
+		kept = kept.Plus(q.blocked)
+	}
+	return kept
+}
+
+// heldByQuota reports whether the quota of the step's team holds its next start back.
+func (sp *stepPlacement) heldByQuota() bool {
+	s := sp.step
+	q := s.round.job.quota
+	if !q.limited() || s.spec.Gang && s.waiting < len(s.tasks) {
+		return false // A gang starts nothing while runs of an earlier attempt remain.
+	}
+	verdict, st := sp.quotaVerdict(q)
+	switch verdict {
+	case quotaAllows:
+		s.quotaWait.since = time.Time{}
+		if s.waitReason.ofQuota() {
+			s.waitReason = waitUntried
+		}
+		return false
+	case quotaTooSmall:
+		s.waitReason = waitQuotaTooSmall
+		sp.logTooSmall(q)
+		return true
+	case quotaKept:
+		s.waitReason = waitQuotaKept
+	case quotaInUse:
+		s.waitReason = waitQuota
+		if s.quotaWait.since.IsZero() {
+			s.quotaWait.since = sp.now
+		}
+		sp.keepQuota(q)
+	}
+	sp.planner.logHeld(sp.now, q, s, st)
+	return true
+}
+
+// quotaRuns returns how many of n tasks of the step its team's quota allows.
+func (sp *stepPlacement) quotaRuns(n int) int {
+	q := sp.step.round.job.quota
+	if !q.limited() || sp.step.spec.Gang {
+		return n
+	}
+	st := sp.planner.standing(q)
+	st.Kept = sp.quotaKept(q)
+	return st.MoreRuns(sp.step.spec.Need, n)
+}
+
+// keepQuota keeps room of the quota free for a step that the quota holds back, so that smaller work of the
+// team does not use up whatever becomes free. For a step of single tasks, that is the room for one task, in
+// the present pass, for as long as its job's objective. A gang has to wait for its turn.
+func (sp *stepPlacement) keepQuota(q *teamQuota) {
+	p, s := sp.planner, sp.step
+	objective := p.objective(s.round.job)
+	if !s.spec.Gang {
+		if q.blockedPass != p.reservationPass && sp.now.Sub(s.quotaWait.since) < objective {
+			q.blocked, q.blockedPass = s.spec.Need, p.reservationPass
+		}
+		return
+	}
+	if !sp.turnHolds(q) {
+		late, due := sp.turnDue()
+		if !due || late && sp.now.Before(q.lateTurnAfter) || sp.now.Before(s.quotaWait.restUntil) {
+			return
+		}
+		q.turn = quotaTurn{step: s, since: sp.now, until: sp.now.Add(objective), late: late}
+		p.log.Info("quota of a team is kept for a gang", "team", q.name, "step", s.ref(), "members", len(s.tasks), "need", ladderteam.Unit(s.spec),
+			"standing", p.standing(q).String(), "late", late)
+	}
+	if q.turn.step == s && len(s.tickets.rows) == 0 {
+		sp.queryForTasks() // The answer takes about as long as the team's runs take to end.
+	}
+}
+
+// turnDue reports whether a gang that the quota holds back should get its turn now: it must start as soon as
+// the team's runs have ended to meet its objective. It is late if it can't meet that.
+func (sp *stepPlacement) turnDue() (late, due bool) {
+	s := sp.step
+	remaining := s.round.job.criticalPaths[s.index]
+	latestStart := s.round.due.Add(sp.planner.objective(s.round.job) - remaining)
+	if latestStart.Before(sp.now) {
+		return true, true
+	}
+	return false, !sp.now.Add(errorAllowance(remaining) + s.expectedDuration()).Before(latestStart)
+}
+
+// turnHolds reports whether a gang of the team has its turn, which ends once the gang has started or does not
+// need to, its time is over, or it no longer fits the quota.
+func (sp *stepPlacement) turnHolds(q *teamQuota) bool {
+	t := &q.turn
+	s := t.step
+	if s == nil {
+		return false
+	}
+	waits := s.waiting == len(s.tasks) && s.round.job.active() && !s.finished()
+	over := !sp.now.Before(t.until) || ladderteam.Exceeds(q.quota, ladderteam.Unit(s.spec))
+	if waits && !over {
+		return true
+	}
+	took := sp.now.Sub(t.since)
+	if waits {
+		s.quotaWait.restUntil = sp.now.Add(worthlessFactor * took)
+		sp.planner.log.Info("gang could not start in its turn on the quota", "team", q.name, "step", s.ref(), "took", took.Round(time.Millisecond))
+	}
+	if t.late {
+		q.lateTurnAfter = sp.now.Add(worthlessFactor * took)
+	}
+	*t = quotaTurn{}
+	return false
+}
+
+// logHeld records that a quota holds a step back, and logs it if it did not hold anything back before.
+func (p *Planner) logHeld(now time.Time, q *teamQuota, s *step, st ladderteam.Standing) {
+	q.heldAt = now
+	if q.heldSince.IsZero() {
+		q.heldSince = now
+		p.quotas.holding = append(p.quotas.holding, q)
+		p.log.Info("quota of a team holds work back", "team", q.name, "standing", st.String(), "kept", st.Kept, "step", s.ref(),
+			"need", s.spec.Need, "gang", s.spec.Gang, "runs", p.ledger.Runs(q.name))
+	}
+}
+
+// logReleased logs, at the end of a placement pass, which quotas no longer hold work back.
+func (p *Planner) logReleased(now time.Time) {
+	p.quotas.holding = slices.DeleteFunc(p.quotas.holding, func(q *teamQuota) bool {
+		if now.Sub(q.heldAt) < quotaLogPause {
+			return false
+		}
+		p.log.Info("quota of a team no longer holds work back", "team", q.name, "standing", p.standing(q).String(),
+			"after", q.heldAt.Sub(q.heldSince).Round(time.Millisecond))
+		q.heldSince = time.Time{}
+		return true
+	})
+}
+
+// logTooSmall logs, once for each quota, that the step needs more at once than the quota. The job stays queued:
+// it was accepted, and a later configuration may raise the quota.
+func (sp *stepPlacement) logTooSmall(q *teamQuota) {
+	s := sp.step
+	if s.quotaWait.exceeded == q.quota {
+		return
+	}
+	s.quotaWait.exceeded = q.quota
+	sp.planner.log.Warn("job no longer fits the quota of its team; it stays queued", "step", s.ref(), "team", q.name,
+		"need", ladderteam.Unit(s.spec), "quota", q.quota)
+}
+
+// quotaWhy describes how the quota of its team held a step back in the last placement pass, or is empty.
+func (p *Planner) quotaWhy(s *step) string {
+	q := s.round.job.quota
+	switch {
+	case !q.limited() || !s.waitReason.ofQuota():
+		return ""
+	case s.waitReason == waitQuotaTooSmall:
+		return "it needs " + ladderteam.Unit(s.spec).String() + " at once, more than the team's quota of " + q.quota.String()
+	}
+	return s.waitReason.String() + ": " + p.standing(q).String()
+}
--- a/ladderplan/record.go
+++ b/ladderplan/record.go
@@ -188,6 +188,11 @@
 	}
 	p.endStored(j, r.State)
 	if r.State.Final() {
+		if r.State == ladderflow.Done {
+			for _, x := range j.rounds {
+				j.quota.roundDone(x)
+			}
+		}
 		j.state, j.endedAt = r.State, now
 		clear(j.rounds)
 		delete(p.unstoredJobs, r.Job)
@@ -195,6 +200,7 @@
 	}
 	for _, i := range r.CompletedRounds {
 		j.completedRounds[i] = true
+		j.quota.roundDone(j.rounds[i])
 		delete(j.rounds, i)
 	}
 	for _, rr := range r.Rounds {
@@ -209,6 +215,7 @@
 		if x.restore(rr) {
 			j.started, j.begun = true, true
 		}
+		p.assumeRuns(x)
 		p.markReadySteps(now, x)
 	}
 }
--- a/ladderplan/waiting.go
+++ b/ladderplan/waiting.go
@@ -27,8 +27,16 @@
 	waitCapacity
 	waitTickets
 	waitRack
+	waitQuota
+	waitQuotaKept
+	waitQuotaTooSmall
 )
 
+// ofQuota reports whether the quota of the step's team holds it back.
+func (r waitReason) ofQuota() bool {
+	return r == waitQuota || r == waitQuotaKept || r == waitQuotaTooSmall
+}
+
 // String returns the reason as text.
 func (r waitReason) String() string {
 	return [...]string{
@@ -45,6 +53,9 @@
 		waitCapacity:       "its workers have too little room",
 		waitTickets:        "tickets are missing",
 		waitRack:           "a single rack has too little room",
+		waitQuota:          "the team's quota is in use",
+		waitQuotaKept:      "the rest of the team's quota is kept for earlier work",
+		waitQuotaTooSmall:  "it needs more at once than the team's quota",
 	}[r]
 }
 
--- a/ladderteam/ledger.go
+++ b/ladderteam/ledger.go
@@ -15,7 +15,9 @@
 // entry is what one team has running.
 type entry struct {
 	used ladderflow.Size
-	runs int
+	// bestEffort is the processor amount that best-effort runs ask for. It is no part of used.
+	bestEffort int
+	runs       int
 }
 
 // NewLedger returns a ledger in which no team has anything running.
@@ -46,7 +48,29 @@
 	}
 }
 
-// Used returns what the team has running.
+// AddBestEffort records that a run of the team, which was added, is best-effort and asks for the given
+// processor amount.
+func (l *Ledger) AddBestEffort(team string, processor int) {
+	if e := l.entries[team]; e != nil {
+		e.bestEffort += processor
+	}
+}
+
+// RemoveBestEffort records that a best-effort run of the team is about to be removed.
+func (l *Ledger) RemoveBestEffort(team string, processor int) { l.AddBestEffort(team, -processor) }
+
+// Needed returns what the team has running, including the processor amount that its best-effort runs ask
+// for. Quotas limit it.
+func (l *Ledger) Needed(team string) ladderflow.Size {
+	e := l.entries[team]
+	if e == nil {
+		return ladderflow.Size{}
+	}
+	return e.used.Plus(ladderflow.Size{Processor: e.bestEffort})
+}
+
+// Used returns how much of the workers' capacity the team's runs occupy. Best-effort runs occupy no processor
+// capacity.
 func (l *Ledger) Used(team string) ladderflow.Size {
 	if e := l.entries[team]; e != nil {
 		return e.used
--- a/laddervm/frontend.go
+++ b/laddervm/frontend.go
@@ -192,6 +192,9 @@
 		x.fail(http.StatusBadRequest, err.Error())
 		return
 	}
+	if !v.fitsQuota(x, &job) {
+		return
+	}
 	outcome, err := v.writer.submit(x.ctx, &job)
 	v.stats.acceptTime.UpdateDuration(began)
 	v.log.Info("job submission processed", "job", job.ID, "queue", job.Queue, "outcome", outcome, "err", err,
