--- a/laddervm/frontend.go
+++ b/laddervm/frontend.go
@@ -196,6 +196,9 @@
 		x.fail(http.StatusBadRequest, err.Error())
 		return
 	}
+	if !v.fitsQuota(x, &job) {
+		return
+	}
 	if !v.intake.admit(x, &job) {
 		return
 	}
