Draft: shares of teams in the order of placement

Change: package laddershare holds rates and shares; the planner places steps within them first. Without teams in the configuration nothing changes.

--- a/ladderload/job.go
+++ b/ladderload/job.go
@@ -31,11 +31,35 @@
 // task takes at least 50 ms and needs at least 100 millicores and 16 MiB of memory, but
 // not more than a worker has.
 func (sim *simulation) drawJob(q *Queue, n int) *job {
+	return sim.drawJobOf(q, q.Name, sim.drawTeam(q), n)
+}
+
+// drawTeam returns the team that sends the next job of a queue. It has random numbers of its own, so that a load
+// has the same jobs with and without teams.
+func (sim *simulation) drawTeam(q *Queue) string {
+	total := 0.0
+	for _, t := range sim.load.Teams {
+		total += t.Part
+	}
+	if total == 0 {
+		return ""
+	}
+	at := sim.teamRandom[q.Name].Float64() * total
+	for _, t := range sim.load.Teams {
+		if at -= t.Part; at < 0 {
+			return t.Name
+		}
+	}
+	return sim.load.Teams[len(sim.load.Teams)-1].Name
+}
+
+// drawJobOf returns job n of a stream of jobs that a team sends to a queue.
+func (sim *simulation) drawJobOf(q *Queue, stream, team string, n int) *job {
 	j := &job{queue: q, arrivedAt: sim.now, startedAt: -1}
-	random := sim.jobRandom[q.Name]
+	random := sim.jobRandom[stream]
 	spec := &ladderflow.Job{
-		ID: fmt.Sprintf("%08x%08x", xxhash.Sum64String(q.Name)&math.MaxUint32, n), Queue: q.Name, Service: serviceName,
-		Accepted: sim.time(),
+		ID: fmt.Sprintf("%08x%08x", xxhash.Sum64String(stream)&math.MaxUint32, n), Queue: q.Name, Service: serviceName,
+		Team: team, Accepted: sim.time(),
 	}
 	steps := 1
 	for float64(steps) < q.MeanSteps && random.Float64() < q.MeanSteps-float64(steps) {
--- a/ladderload/load.go
+++ b/ladderload/load.go
@@ -29,6 +29,26 @@
 	PlanPause time.Duration
 	Queues    []Queue
 	Bursts    []Burst
+	// Teams sends the jobs. If there are none, the jobs have no team.
+	Teams []Team
+	// Extras are streams of jobs beside those of the queues, which get the same jobs with and without them.
+	Extras []Extra
+}
+
+// Team is a team of callers.
+type Team struct {
+	Name   string
+	Weight float64
+	// Part is the part of the jobs of each queue that the team sends, relative to the parts of the others.
+	Part float64
+}
+
+// Extra is a stream of jobs that one team sends to a queue from the time Start on, for the time Duration.
+type Extra struct {
+	Team, Queue     string
+	Start, Duration time.Duration
+	// Rate is the mean number of jobs in a second.
+	Rate float64
 }
 
 // Workers describes the machines that run tasks.
--- a/ladderload/simulation.go
+++ b/ladderload/simulation.go
@@ -85,6 +85,8 @@
 	// jobRandom holds, for each queue, the random source of its jobs and their arrivals.
 	// The planner's decisions do not influence it, so every rule gets the same jobs.
 	jobRandom map[string]*rand.Rand
+	// teamRandom holds, for each queue, the random source of the teams of its jobs.
+	teamRandom map[string]*rand.Rand
 	// seed also determines which runs fail; see startRun.
 	seed    uint64
 	planner *ladderplan.Planner
@@ -124,7 +126,7 @@
 
 func newSimulation(l *Load, seed uint64, order ladderplan.Order) *simulation {
 	sim := &simulation{
-		load: l, jobRandom: map[string]*rand.Rand{}, seed: seed, start: time.UnixMilli(0), workers: map[string]*worker{},
+		load: l, jobRandom: map[string]*rand.Rand{}, teamRandom: map[string]*rand.Rand{}, seed: seed, start: time.UnixMilli(0), workers: map[string]*worker{},
 		jobs: map[string]*job{}, records: map[string]ladderplan.Record{}, gangs: map[gangRun][]gangMember{}, adviceBusyUntil: map[string]time.Duration{}, result: newResult(l, seed, order),
 	}
 	sim.planner = sim.newPlanner(1, order)
@@ -132,7 +134,15 @@
 	for i := range l.Queues {
 		name := l.Queues[i].Name
 		sim.jobRandom[name] = rand.New(rand.NewPCG(seed, xxhash.Sum64String(name)))
+		sim.teamRandom[name] = rand.New(rand.NewPCG(seed, xxhash.Sum64String("team "+name)))
 		sim.scheduleArrival(&l.Queues[i], 0)
+		for k := range l.Extras {
+			if x := &l.Extras[k]; x.Queue == name {
+				stream := fmt.Sprintf("%s %d", x.Team, k)
+				sim.jobRandom[stream] = rand.New(rand.NewPCG(seed, xxhash.Sum64String(stream)))
+				sim.schedule(x.Start, func() { sim.scheduleExtra(x, &l.Queues[i], stream, 0) })
+			}
+		}
 	}
 	return sim
 }
@@ -177,6 +187,9 @@
 			BaseObjective: q.BaseObjective, Advice: q.Advice,
 		})
 	}
+	for _, t := range l.Teams {
+		f.Teams = append(f.Teams, ladderflow.Team{Name: t.Name, Weight: t.Weight})
+	}
 	return f
 }
 
@@ -444,14 +457,30 @@
 		return
 	}
 	sim.schedule(gap, func() {
-		j := sim.drawJob(q, n)
-		sim.jobs[j.spec.ID] = j
-		sim.planner.AddJob(sim.time(), j.spec, false)
-		sim.schedulePlan()
+		sim.submit(sim.drawJob(q, n))
 		sim.scheduleArrival(q, n+1)
 	})
 }
 
+// scheduleExtra schedules the arrival of job n of an extra stream.
+func (sim *simulation) scheduleExtra(x *Extra, q *Queue, stream string, n int) {
+	gap := time.Duration(sim.jobRandom[stream].ExpFloat64() / max(x.Rate, 1e-9) * float64(time.Second))
+	if sim.now+gap > min(x.Start+x.Duration, sim.load.ArrivalPeriod) {
+		return
+	}
+	sim.schedule(gap, func() {
+		sim.submit(sim.drawJobOf(q, stream, x.Team, n))
+		sim.scheduleExtra(x, q, stream, n+1)
+	})
+}
+
+// submit submits a job to the leader.
+func (sim *simulation) submit(j *job) {
+	sim.jobs[j.spec.ID] = j
+	sim.planner.AddJob(sim.time(), j.spec, false)
+	sim.schedulePlan()
+}
+
 // drawFrom returns a random value of a distribution.
 func drawFrom(random *rand.Rand, d Distribution) float64 {
 	v := d.Mean
--- a/ladderplan/advice.go
+++ b/ladderplan/advice.go
@@ -70,6 +70,10 @@
 	longQueryPutOffAt time.Time
 	// shortQueries is the number of short queries that are unanswered.
 	shortQueries int
+	// preferredAt is when a step within the share of its team last asked for advice, and yieldingWaitUntil the
+	// time before which no VM is idle for the long queries of others.
+	preferredAt       time.Time
+	yieldingWaitUntil time.Time
 }
 
 func newAdvisers() advisers {
@@ -82,20 +86,26 @@
 // SetVMs sets the entry VMs that can query the advice service.
 func (p *Planner) SetVMs(names []string) {
 	p.vmNames = slices.Sorted(slices.Values(names))
-	p.longQueriesWaitUntil = time.Time{}
+	p.longQueriesWaitUntil, p.yieldingWaitUntil = time.Time{}, time.Time{}
 }
 
 // pickVM returns the VM with the shortest backlog for a query, and adds the query's cost to that
 // backlog. It returns false if no VM can be used, or if a long query should wait for a shorter
 // backlog. Long queries use only the first two thirds of the VMs. Short ones leave the first third to
-// them for a while after one was put off, since many short ones would otherwise put it off for good.
-func (a *advisers) pickVM(now time.Time, cost time.Duration) (string, bool) {
+// them for a while after one was put off, since many short ones would otherwise put it off for good. A
+// query that yields is for a step beyond the share of its team: see [advisers.yields].
+func (a *advisers) pickVM(now time.Time, cost time.Duration, yields bool) (string, bool) {
 	names := a.vmNames
-	if !a.mayQuery(now, cost) {
+	if !a.mayQuery(now, cost, yields) {
 		return "", false
 	}
-	if cost >= longQueryCost && len(names) > 1 {
+	long := cost >= longQueryCost
+	yields = long && a.yields(now, yields)
+	if long && len(names) > 1 {
 		names = names[:max(1, len(names)*2/3)]
+		if yields {
+			names = names[len(names)/2:]
+		}
 	} else if cost < longQueryCost && now.Sub(a.longQueryPutOffAt) < longQueryPreference {
 		names = names[len(names)/3:]
 	}
@@ -111,7 +121,11 @@
 	if found == "" {
 		return "", false
 	}
-	if cost >= longQueryCost && wait > maxLongQueryBacklog {
+	if yields && wait > 0 {
+		a.yieldingWaitUntil = now.Add(wait)
+		return "", false
+	}
+	if long && wait > maxLongQueryBacklog {
 		a.longQueriesWaitUntil, a.longQueryPutOffAt = now.Add(wait-maxLongQueryBacklog), now
 		return "", false
 	}
@@ -121,13 +135,30 @@
 
 // mayQuery reports whether a query of the given cost may be sent: for a long one, a VM may have a backlog
 // that is short enough; few enough short ones are unanswered.
-func (a *advisers) mayQuery(now time.Time, cost time.Duration) bool {
+func (a *advisers) mayQuery(now time.Time, cost time.Duration, yields bool) bool {
+	if !yields {
+		a.preferredAt = now
+	}
 	if cost < longQueryCost {
-		return a.shortQueries < maxShortQueries*len(a.vmNames)
+		limit := maxShortQueries * len(a.vmNames)
+		if a.yields(now, yields) {
+			limit /= 2
+		}
+		return a.shortQueries < limit
+	}
+	if a.yields(now, yields) && now.Before(a.yieldingWaitUntil) {
+		return false
 	}
 	return !now.Before(a.longQueriesWaitUntil)
 }
 
+// yields reports whether a query for a step that yields to others has to leave room to them: steps within the
+// shares of their teams have asked for advice lately. It then has half of the room for short queries, and half
+// of the VMs for long ones while these VMs are idle.
+func (a *advisers) yields(now time.Time, yields bool) bool {
+	return yields && !a.preferredAt.IsZero() && now.Sub(a.preferredAt) < longQueryPreference
+}
+
 // allowedShare estimates which share of a queue's workers is allowed.
 func (a *advisers) allowedShare(queue string) float64 {
 	const weight = 20 // the number of queried workers that initialAllowedShare counts as
@@ -138,7 +169,7 @@
 // them.
 func (sp *stepPlacement) queryForTasks() {
 	if !sp.needsTickets() || sp.step.waiting == 0 || !sp.mayQuery() ||
-		!sp.planner.mayQuery(sp.now, sp.queue.Advice.ResponseTime(minQueryWorkers)) {
+		!sp.planner.mayQuery(sp.now, sp.queue.Advice.ResponseTime(minQueryWorkers), sp.yields) {
 		return
 	}
 	names := sp.workersToQuery()
@@ -163,7 +194,7 @@
 	}
 	for part := range slices.Chunk(names, evenPart(len(names), maxQueryWorkers)) {
 		cost := sp.queue.Advice.ResponseTime(len(part))
-		vm, ok := sp.planner.pickVM(sp.now, cost)
+		vm, ok := sp.planner.pickVM(sp.now, cost, sp.yields)
 		if !ok {
 			return
 		}
--- a/ladderplan/advice_test.go
+++ b/ladderplan/advice_test.go
@@ -18,9 +18,9 @@
 	sent := 0
 	for range 600 {
 		for range 20 {
-			h.planner.pickVM(h.now, 20*time.Millisecond)
+			h.planner.pickVM(h.now, 20*time.Millisecond, false)
 		}
-		if _, ok := h.planner.pickVM(h.now, 2*longQueryCost); ok {
+		if _, ok := h.planner.pickVM(h.now, 2*longQueryCost, false); ok {
 			sent++
 		}
 		h.advance(10 * time.Millisecond)
--- a/ladderplan/health.go
+++ b/ladderplan/health.go
@@ -33,6 +33,9 @@
 			x.worker.releasesStale = true
 		}
 	}
+	if r.Checkpoint != x.checkpoint {
+		x.savedAt = now
+	}
 	x.tailLatency, x.checkpoint = r.TailLatency, r.Checkpoint
 }
 
--- a/ladderplan/model.go
+++ b/ladderplan/model.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lacewingladder/ladderflow"
+	"lacewingladder/laddershare"
 	"lacewingladder/ladderteam"
 )
 
@@ -49,6 +50,11 @@
 	// queue holds the rules of the job under the configuration queueFleet; see [Planner.queue].
 	queue      *ladderflow.Queue
 	queueFleet *ladderflow.FleetConfig
+	// team is the state of the job's team in teamShares; see [Planner.team]. beyondRate is true if the team
+	// sent the job beyond its rate.
+	team       *laddershare.Team
+	teamShares *laddershare.Shares
+	beyondRate bool
 }
 
 // waited returns the time from the job's acceptance to its first start, as text for logs.
@@ -218,7 +224,9 @@
 	// resumesFrom is the checkpoint that the start carried.
 	resumesFrom checkpoint
 	// checkpoint is the last one that was reported, or empty. It is kept for a run whose task is unknown.
+	// It last changed at savedAt.
 	checkpoint string
+	savedAt    time.Time
 	// ofCancelledJob is true once the run was ordered to stop after its job was canceled.
 	ofCancelledJob bool
 	// percent is the last progress that was reported, and progressedAt is when it last changed.
--- a/ladderplan/place.go
+++ b/ladderplan/place.go
@@ -1,7 +1,6 @@
 package ladderplan
 
 import (
-	"cmp"
 	"iter"
 	"slices"
 	"time"
@@ -13,6 +12,7 @@
 	// worthlessFactor is the multiple of a job's objective after which its result is no longer of
 	// use.
 	worthlessFactor = 3
+	worthlessClass  = 3
 	// idlePassInterval is the time between two placement passes if nothing has happened in between
 	// that lets a task start, except that time has passed.
 	idlePassInterval = 20 * time.Millisecond
@@ -28,7 +28,7 @@
 	backfillFactor = 2
 )
 
-// rank is the position of a step in the order of placement: first by class, then by latestStart. Rules
+// rank is the position of a step in the order of placement: first by turn, then by class, then by latestStart. Rules
 // other than ByObjective set latestStart to the time or duration by which they order the steps.
 type rank struct {
 	step *step
@@ -36,9 +36,11 @@
 	//   0: urgent or long-running
 	//   1: can meet its objective, even if it takes longer than expected
 	//   2: is likely to miss its objective
-	//   3: its result is no longer of use
+	//   3: its result is no longer of use (worthlessClass)
 	class       int
 	latestStart time.Time
+	// turn is turnWithin under rules other than ByObjective, and if the configuration has no teams.
+	turn turn
 }
 
 // Confidence is how confident a VM is that it is the leader. It decides what the VM may order.
@@ -89,7 +91,8 @@
 	p.refreshPools(now)
 	p.reservationPass++
 	gangs, maxGangs := 0, max(minReservingGangs, len(p.workers)/workersPerReservingGang)
-	for _, k := range p.rankedSteps(now) {
+	p.refreshShares(now)
+	for k := range p.placementOrder(now) {
 		s := k.step
 		if p.fleet == nil {
 			continue
@@ -108,7 +111,7 @@
 			continue
 		}
 		sp := p.stepPlacement(now, s)
-		sp.heedsReservations = k.class > 0
+		sp.heedsReservations, sp.yields = k.class > 0 || k.turn > turnWithin, k.turn > turnWithin
 		hopeless := sp.hopeless()
 		switch {
 		case s.spec.Gang && !hopeless && sp.placeGang():
@@ -123,7 +126,7 @@
 		case !hopeless:
 			sp.placeTasks()
 			sp.queryForTasks()
-			if k.class == 0 && !now.After(k.latestStart) {
+			if k.class < sp.preemptClasses() && k.turn == turnWithin && !now.After(k.latestStart) {
 				sp.preempt()
 			}
 		}
@@ -154,9 +157,7 @@
 	}
 	clear(p.readySteps[len(kept):])
 	p.readySteps = kept
-	slices.SortFunc(list, func(a, b rank) int {
-		return cmp.Or(cmp.Compare(a.class, b.class), a.latestStart.Compare(b.latestStart))
-	})
+	slices.SortFunc(list, compareRanks)
 	return list
 }
 
@@ -188,7 +189,7 @@
 		// Its tasks are of use for as long as the job lasts, whenever that was accepted.
 		k.class, k.latestStart = 0, later(k.latestStart, now)
 	case now.Add(remaining).After(s.round.due.Add(worthlessFactor * objective)):
-		k.class = 3
+		k.class = worthlessClass
 	case urgent:
 		k.class = 0
 	case now.Add(errorAllowance(remaining)).After(k.latestStart):
@@ -196,6 +197,7 @@
 	default:
 		k.class = 1
 	}
+	k.turn = p.turn(now, s, k.class)
 	return k
 }
 
@@ -219,6 +221,8 @@
 	now     time.Time
 	// heedsReservations is true unless the step may use workers that are reserved for gangs.
 	heedsReservations bool
+	// yields is true if steps within the shares of their teams come before the step.
+	yields bool
 }
 
 func (p *Planner) stepPlacement(now time.Time, s *step) stepPlacement {
--- a/ladderplan/planner.go
+++ b/ladderplan/planner.go
@@ -32,6 +32,7 @@
 	pools         workerPools
 	// ledger counts what each team has running. Quotas and shares are decided on it.
 	ledger *ladderteam.Ledger
+	teams  teamShares
 	// queuedJobs holds, by queue, the jobs that may have neither begun nor ended. Jobs with a schedule are
 	// left out.
 	queuedJobs map[string][]*job
@@ -131,6 +132,7 @@
 	j.estimateDurations(p.estimators, p.adviceTime(j))
 	j.addedAt, j.knownToEarlierLeader = now, knownToEarlierLeader || !p.jobsReadAt.After(p.options.EarlierLeaseEnd)
 	p.jobs[spec.ID] = j
+	p.awaitRateCheck(j)
 	if _, ok := p.cancellations[spec.ID]; ok {
 		delete(p.cancellations, spec.ID)
 		p.finish(now, j, ladderflow.Cancelled)
--- a/ladderplan/preempt.go
+++ b/ladderplan/preempt.go
@@ -18,14 +18,19 @@
 )
 
 // preempt stops runs of less urgent queues to free capacity for an urgent task that has waited for
-// preemptDelay and can still meet its objective. It stops only runs that can resume elsewhere from a
-// checkpoint, on the worker where the runs to stop have the least processor demand.
+// preemptDelay and can still meet its objective. For a task within the share of its team, urgent or not, it stops
+// runs that are beyond the shares of other teams, if that throws less work away than the task does. It stops
+// only runs that can resume elsewhere from a checkpoint, on the worker where the runs to stop have the least
+// processor demand.
 func (sp *stepPlacement) preempt() {
 	s := sp.step
-	if s.waiting == 0 || s.onlySuspectsWait() || sp.queue.Priority > 0 || s.spec.Gang ||
+	if s.waiting == 0 || s.onlySuspectsWait() || sp.queue.Priority > 0 && !sp.mayTakeBack() || s.spec.Gang ||
 		sp.now.Sub(s.readySince) < preemptDelay || sp.now.Sub(s.preemptedAt) < preemptInterval {
 		return
 	}
+	if sp.mayTakeBack() {
+		s.preemptedAt = sp.now // Most such steps find none, and there may be many.
+	}
 	var victims []*run
 	least := 0
 	for w := range sp.startable() {
@@ -40,7 +45,11 @@
 	for _, x := range victims {
 		sp.planner.log.Info("preempting run", "task", x.name.Task, "run", x.name.Number, "worker", x.worker.spec.ID,
 			"step", s.ref())
-		sp.planner.stopRun(sp.now, x, "an urgent task needs its capacity")
+		why := "an urgent task needs its capacity"
+		if !sp.lessUrgent(x) {
+			why = "a team within its share needs its capacity"
+		}
+		sp.planner.stopRun(sp.now, x, why)
 		x.task.preempted = true
 		s.preemptedAt = sp.now
 	}
@@ -64,11 +73,16 @@
 			cmp.Compare(a.name.Task.Index, b.name.Task.Index))
 	})
 	need, free, cost := sp.step.spec.Demand(), w.free, 0
+	thrownAway := time.Duration(0)
 	for i, x := range stoppable {
 		free = free.Plus(x.size)
 		cost += x.size.Processor
+		if !sp.lessUrgent(x) {
+			thrownAway += time.Duration(x.size.Processor) * x.unsaved(sp.now)
+		}
 		if need.Fits(free) {
-			return stoppable[:i+1], cost, true
+			won := time.Duration(need.Processor) * sp.step.expectedDuration()
+			return stoppable[:i+1], cost, thrownAway <= won
 		}
 	}
 	return nil, 0, false
@@ -81,6 +95,38 @@
 		return false
 	}
 	s := x.task.step
-	return !x.task.preempted && sp.planner.queue(s.round.job).Priority > sp.queue.Priority && s.spec.Checkpointable && !s.spec.Gang && !s.spec.LongRunning &&
-		x.size != ladderflow.Size{}
+	return !x.task.preempted && s.spec.Checkpointable && !s.spec.Gang && !s.spec.LongRunning && x.size != ladderflow.Size{} &&
+		(sp.lessUrgent(x) || sp.beyondOtherShare(x))
+}
+
+// lessUrgent reports whether the step is urgent and a run is not.
+func (sp *stepPlacement) lessUrgent(x *run) bool {
+	return sp.queue.Priority == 0 && sp.planner.queue(x.task.step.round.job).Priority > 0
+}
+
+// preemptClasses returns the number of classes of the step's rank, from the first on, for which runs are
+// preempted: steps of a team may take the capacity of other teams back while they can meet their objective.
+func (sp *stepPlacement) preemptClasses() int {
+	if sp.mayTakeBack() {
+		return 2
+	}
+	return 1
 }
+
+// mayTakeBack reports whether there may be runs beyond the shares of other teams that are stopped for the step.
+func (sp *stepPlacement) mayTakeBack() bool {
+	return sp.planner.teams.anyBeyond && sp.planner.team(sp.step.round.job) != nil
+}
+
+// beyondOtherShare reports whether a run is beyond the share of its team, while the step is not of that team.
+func (sp *stepPlacement) beyondOtherShare(x *run) bool {
+	j, own := x.task.step.round.job, sp.planner.team(sp.step.round.job)
+	t := sp.planner.team(j)
+	if own == nil || t == nil || t == own {
+		return false
+	}
+	return j.beyondRate && t.OverRate(sp.now) || !sp.planner.withinShare(t, x.task.step)
+}
+
+// unsaved returns how much of a run's work is lost if it is stopped now, as time.
+func (x *run) unsaved(now time.Time) time.Duration { return now.Sub(later(x.startedAt, x.savedAt)) }
--- a/ladderplan/reserve.go
+++ b/ladderplan/reserve.go
@@ -85,7 +85,7 @@
 	}
 	soon := !startAt.After(sp.now.Add(horizon))
 	var unknown []string
-	if startAt.After(sp.now) && sp.mayQuery() && sp.planner.mayQuery(sp.now, horizon) {
+	if startAt.After(sp.now) && sp.mayQuery() && sp.planner.mayQuery(sp.now, horizon, sp.yields) {
 		freeNow := 0
 		for _, o := range g.reservation.slots {
 			freeNow += boolToInt(!o.at.After(sp.now))
