--- a/ladderplan/planner.go
+++ b/ladderplan/planner.go
@@ -35,6 +35,7 @@
 	// ledger counts what each team has running. Quotas and shares are decided on it.
 	ledger *ladderteam.Ledger
 	quotas quotas
+	teams  teamShares
 	// queuedJobs holds, by queue, the jobs that may have neither begun nor ended. Jobs with a schedule are
 	// left out.
 	queuedJobs map[string][]*job
@@ -146,6 +147,7 @@
 	j.addedAt, j.knownToEarlierLeader = now, knownToEarlierLeader || !p.jobsReadAt.After(p.options.EarlierLeaseEnd)
 	j.quota = p.quotas.team(spec.Team)
 	p.jobs[spec.ID] = j
+	p.awaitRateCheck(j)
 	if p.takeCancellation(now, spec) {
 		p.finish(now, j, ladderflow.Cancelled)
 		return
