--- a/laddervm/quota.go
+++ b/laddervm/quota.go
@@ -5,11 +5,10 @@
 
 	"lacewingladder/ladderflow"
 	"lacewingladder/ladderteam"
-	"lacewingladder/platform"
 )
 
 // fitsQuota reports whether a job that is handed in can run under its team's quota. If it never can, it
-// responds to the caller, and the job is not stored. A job with this id that was stored before, under a larger
+// responds to the caller, and the job is not stored. A job with this ID that was stored before, under a larger
 // quota, stays accepted: its caller may not have got the answer.
 func (v *VM) fitsQuota(x *exchange, job *ladderflow.Job) bool {
 	team, ok := x.fleet.Team(job.Team)
@@ -27,7 +26,7 @@
 	case err != nil:
 		x.failRetryable(http.StatusServiceUnavailable, retryAfterSeconds, "the job does not fit the quota of its team, and whether it is stored is not known now")
 	case stored:
-		x.respond(http.StatusOK, platform.FormatState(ladderflow.Queued))
+		return true // The writer finds out whether it is of the caller's team.
 	default:
 		x.fail(http.StatusUnprocessableEntity, reason+"; nothing was stored")
 	}
