--- a/ladderjournal/journal.go
+++ b/ladderjournal/journal.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"sync/atomic"
 
 	"lacewingladder/ladderaccess"
 	"lacewingladder/ladderflow"
@@ -227,43 +228,33 @@
 var ErrSuperseded = errors.New("the store names another leader")
 
 // ProgressWriter writes the progress of jobs and the roster during one leader's term, one
-// transaction after the other. Create one with [Journal.ProgressWriter]. It is not safe
+// call after the other. Create one with [Journal.ProgressWriter]. It is not safe
 // for concurrent use.
 type ProgressWriter struct {
 	journal *Journal
 	// leaderRevision is the revision of LeaderKey in this term.
 	leaderRevision int64
-	// recordOrder, rosterOrder and cordonOrder are the last known revisions of recordOrderKey,
-	// rosterOrderKey and cordonOrderKey.
-	recordOrder int64
+	// rosterOrder and cordonOrder are the last known revisions of rosterOrderKey and cordonOrderKey.
 	rosterOrder int64
 	cordonOrder int64
+	// lanes order the writes of progress that are made side by side.
+	lanes [recordLanes]lane
+	// sequential is true if they are made one after the other.
+	sequential bool
 	// token is unique to this writer, and count is the number of its writes. Together
 	// they identify each write.
 	token string
-	count int
+	count atomic.Int64
 }
 
 // ProgressWriter returns a writer for a leader's term. LeaderRevision is the revision of
 // [LeaderKey] that the leader wrote, and c is what it then loaded from the store.
 func (j *Journal) ProgressWriter(leaderRevision int64, c *Contents) *ProgressWriter {
-	return &ProgressWriter{
-		journal: j, leaderRevision: leaderRevision, recordOrder: c.recordOrder, rosterOrder: c.rosterOrder, cordonOrder: c.cordonOrder, token: rand.Text(),
-	}
-}
-
-// Commit stores up to [MaxRecords] records in one transaction. It returns [ErrSuperseded]
-// if the leader's term is over.
-func (p *ProgressWriter) Commit(ctx context.Context, records []ladderplan.Record) error {
-	var writes []platform.Write
-	for _, r := range records {
-		value, err := EncodeRecord(r)
-		if err != nil {
-			return err
-		}
-		writes = append(writes, platform.Write{Key: recordPrefix + r.Job, Value: value})
+	p := &ProgressWriter{
+		journal: j, leaderRevision: leaderRevision, rosterOrder: c.rosterOrder, cordonOrder: c.cordonOrder, token: rand.Text(),
 	}
-	return p.write(ctx, recordOrderKey, &p.recordOrder, writes)
+	p.lanes[0].order = c.recordOrder
+	return p
 }
 
 // write commits writes in one transaction that also changes orderKey, whose last known
@@ -272,8 +263,7 @@
 // path, so that the write is complete, or an earlier write, after which this one is tried
 // again.
 func (p *ProgressWriter) write(ctx context.Context, orderKey string, order *int64, writes []platform.Write) error {
-	p.count++
-	writeID := fmt.Sprintf("%s/%d", p.token, p.count)
+	writeID := fmt.Sprintf("%s/%d", p.token, p.count.Add(1))
 	for range writeAttempts {
 		revision, found, err := p.journal.store.Commit(ctx, platform.Txn{
 			Conditions: []platform.Condition{{Key: LeaderKey, ModRevision: p.leaderRevision}, {Key: orderKey, ModRevision: *order}},
@@ -307,7 +297,7 @@
 // path to the store.
 const writeAttempts = 4
 
-// MaxRecords is the maximum number of records in one call of [ProgressWriter.Commit].
+// MaxRecords is the maximum number of records in one transaction of [ProgressWriter.Commit].
 // The transaction also holds two conditions and the write of the order key.
 const MaxRecords = platform.MaxTxn - 3
 
--- a/laddervm/save.go
+++ b/laddervm/save.go
@@ -85,15 +85,11 @@
 	})
 }
 
-// commit stores a batch in as many transactions as it needs.
+// commit stores a batch in as many transactions as it needs, several at a time.
 func (t *term) commit(ctx context.Context, b *ladderplan.Batch) error {
 	began := t.vm.clock.Now()
-	for rest := b.Records; len(rest) > 0; {
-		n := min(len(rest), ladderjournal.MaxRecords)
-		if err := t.recordWriter.Commit(ctx, rest[:n]); err != nil {
-			return err
-		}
-		rest = rest[n:]
+	if err := t.recordWriter.Commit(ctx, b.Records, ladderjournal.MaxRecords); err != nil {
+		return err
 	}
 	if len(b.JobsToDelete) > 0 {
 		if err := t.recordWriter.DeleteJobs(ctx, b.JobsToDelete); err != nil {
