Promise turns while a job is of use; tell the leader of submissions with unknown outcomes

Cause, found by the review: a turn was promised only if the job could be on time then, which no short job can, since Retry-After states whole seconds; a rejection made a VM forget that an earlier submission of the job had an unknown outcome; another VM could not know of that; a refusal waited for the leader and the store one after the other; the spread Retry-After also held for queries and cancellations, and had no bound. Half of a team's weight goes to callers that return in their turn.

--- a/laddercodec/intake.go
+++ b/laddercodec/intake.go
@@ -23,6 +23,8 @@
 	_      struct{} `cbor:",toarray"`
 	VM     string
 	Counts []intakeCountWire
+	// Unsettled holds the IDs of jobs whose submission has an unknown outcome.
+	Unsettled []string
 }
 
 // intakeCountWire encodes a [ladderintake.Count].
@@ -51,6 +53,7 @@
 	Team      string
 	Job       string
 	Weight    float64
+	Path      int64
 	Objective int64
 	Allowance int64
 	Slack     int64
@@ -79,7 +82,7 @@
 	switch m := m.(type) {
 	case laddermessage.IntakeReport:
 		return kindIntakeReport, intakeReportWire{
-			VM: m.VM, Counts: mapAll(m.Counts, func(c ladderintake.Count) intakeCountWire {
+			VM: m.VM, Unsettled: m.Unsettled, Counts: mapAll(m.Counts, func(c ladderintake.Count) intakeCountWire {
 				return intakeCountWire{Service: c.Service, Team: c.Team, Admitted: c.Admitted, Refused: c.Refused}
 			}),
 		}, true
@@ -88,7 +91,7 @@
 	case laddermessage.IntakeQuery:
 		o := m.Offer
 		return kindIntakeQuery, intakeQueryWire{
-			Service: o.Service, Team: o.Team, Job: o.Job, Weight: o.Weight, Objective: int64(o.Objective), Allowance: int64(o.Allowance),
+			Service: o.Service, Team: o.Team, Job: o.Job, Weight: o.Weight, Path: int64(o.Path), Objective: int64(o.Objective), Allowance: int64(o.Allowance),
 			Slack: int64(o.Slack), Due: int64(o.Due),
 		}, true
 	case laddermessage.IntakeTurn:
@@ -118,7 +121,7 @@
 }
 
 func toIntakeReport(w intakeReportWire) (laddermessage.IntakeReport, error) {
-	return laddermessage.IntakeReport{VM: w.VM, Counts: mapAll(w.Counts, func(c intakeCountWire) ladderintake.Count {
+	return laddermessage.IntakeReport{VM: w.VM, Unsettled: w.Unsettled, Counts: mapAll(w.Counts, func(c intakeCountWire) ladderintake.Count {
 		return ladderintake.Count{
 			Key: ladderintake.Key{Service: c.Service, Team: c.Team}, Admitted: max(0, c.Admitted), Refused: max(0, c.Refused),
 		}
@@ -157,7 +160,7 @@
 	}
 	return laddermessage.IntakeQuery{Offer: ladderintake.Offer{
 		Key: ladderintake.Key{Service: w.Service, Team: w.Team}, Job: w.Job, Weight: w.Weight,
-		Objective: max(0, time.Duration(w.Objective)), Allowance: max(0, time.Duration(w.Allowance)), Slack: max(0, time.Duration(w.Slack)),
+		Path: max(0, time.Duration(w.Path)), Objective: max(0, min(time.Duration(w.Objective), maxBacklog)), Allowance: max(0, time.Duration(w.Allowance)), Slack: max(0, time.Duration(w.Slack)),
 		Due: max(0, time.Duration(w.Due)), Class: ladderintake.ClassOf(time.Duration(w.Due)),
 	}}, nil
 }
--- a/ladderintake/class.go
+++ b/ladderintake/class.go
@@ -54,9 +54,10 @@
 	// Weight is the team's weight: the number of its jobs per second that are owed. Zero means that no rate
 	// is stated.
 	Weight float64
-	// Objective is the time within which the job should end. Allowance is by how much longer than expected
-	// it may take. Slack is by how much later its first tasks may start if it does, and Due when they must
+	// Path is how long the job is expected to take. Objective is the time within which it should end.
+	// Allowance is by how much longer than expected it may take. Slack is by how much later its first tasks may start if it does, and Due when they must
 	// have ended then, from which Class follows.
+	Path      time.Duration
 	Objective time.Duration
 	Allowance time.Duration
 	Slack     time.Duration
@@ -88,7 +89,7 @@
 		Key: Key{Service: job.Service, Team: job.Team}, Job: job.ID, Weight: team.Weight,
 		Objective: time.Duration(q.ObjectiveFactor*float64(path)) + q.BaseObjective,
 	}
-	o.Allowance = path / 2
+	o.Path, o.Allowance = path, path/2
 	o.Slack = max(0, o.Objective-path-o.Allowance)
 	o.Due = o.Slack + first
 	o.Class = ClassOf(o.Due)
--- a/ladderintake/limiter.go
+++ b/ladderintake/limiter.go
@@ -57,8 +57,6 @@
 	limited map[Key]*limited
 	offers  map[Key]map[string]*offered
 	turns   *turns
-	// updatedAt is when Update was last called.
-	updatedAt time.Time
 }
 
 // limited is the state of a team that is limited.
@@ -81,11 +79,6 @@
 	return &Limiter{limited: map[Key]*limited{}, offers: map[Key]map[string]*offered{}, turns: newTurns()}
 }
 
-// Due reports whether the limiter should be updated.
-func (l *Limiter) Due(now time.Time) bool {
-	return l.updatedAt.IsZero() || now.Sub(l.updatedAt) >= UpdateInterval
-}
-
 // Change is the begin or the end of a team's limit. Backlog is the longest, for the jobs of Class.
 type Change struct {
 	Key
@@ -97,7 +90,6 @@
 // Update decides which teams are limited by the present work on all services. It returns what has changed,
 // sorted.
 func (l *Limiter) Update(now time.Time, services []ServiceLoad) []Change {
-	l.updatedAt = now
 	before := map[Key]bool{}
 	for k, t := range l.limited {
 		before[k], t.backlogs = true, [Classes]time.Duration{}
--- a/ladderintake/turns.go
+++ b/ladderintake/turns.go
@@ -13,6 +13,12 @@
 	turnLifetime = NewsLifetime + time.Second
 	// uselessFactor is the multiple of a job's objective after which its result is no longer of use.
 	uselessFactor = 3
+	// returnShare is the share of a team's rate that goes to those who return in their turn, while there are
+	// some. The rest is left for those who come for the first time, whose jobs can still be on time: with all
+	// of it, each job of a team that sends too much for long would have waited for the whole line first.
+	returnShare = 0.5
+	// maxHalvings bounds how often the time that a caller is told is halved.
+	maxHalvings = 2
 	// unstatedRate is the rate of turns, in jobs per second, if none is known. It is one job for each
 	// second that Retry-After can tell apart.
 	unstatedRate = 1.0
@@ -34,7 +40,7 @@
 	callers map[caller]*callerTurn
 	// order holds the callers in the order in which they were added.
 	order []caller
-	lines map[Key]*lines
+	lines map[Key]*line
 }
 
 // caller identifies who submits a job.
@@ -50,13 +56,10 @@
 	refusals int
 }
 
-// lines holds, by class, the turn of the last caller that has a promised one, and the time of the last of
-// the others.
-type lines struct {
-	promised, others [Classes]time.Time
-}
+// line holds, by class, the last turn that was promised.
+type line [Classes]time.Time
 
-func newTurns() *turns { return &turns{callers: map[caller]*callerTurn{}, lines: map[Key]*lines{}} }
+func newTurns() *turns { return &turns{callers: map[caller]*callerTurn{}, lines: map[Key]*line{}} }
 
 // ready reports whether the caller was promised a turn that has come.
 func (t *turns) ready(now time.Time, o Offer) bool {
@@ -79,36 +82,27 @@
 	}
 	l := t.lines[o.Key]
 	if l == nil {
-		l = &lines{}
+		l = &line{}
 		t.lines[o.Key] = l
 	}
-	interval := seconds(1 / rate)
-	turn := Turn{Wait: later(l.promised[o.Class], now.Add(wait)).Add(interval).Sub(now)}
-	if time.Duration(turn.Seconds())*time.Second <= o.Allowance {
-		// There is room at the turn if the job just meets its objective then with all that it is allowed.
+	interval := seconds(1 / (rate * returnShare))
+	turn := Turn{Wait: later(l[o.Class], now.Add(wait)).Add(interval).Sub(now)}
+	if useful := o.useful(); time.Duration(turn.Seconds())*time.Second <= useful {
 		turn.Promised = true
 		for i := o.Class; i < Classes; i++ {
-			l.promised[i] = later(later(l.promised[i], now).Add(interval), now.Add(turn.Wait))
+			l[i] = later(later(l[i], now).Add(interval), now.Add(turn.Wait))
 		}
 	} else {
-		turn.Wait = t.behind(now, o, l, wait, interval) >> min(c.refusals, 8)
+		// There is no room for as long as the job is of use, unless others do not return.
+		turn.Wait = (useful/2 + time.Duration(share(o.Job)*float64(useful/2))) >> min(c.refusals, maxHalvings)
 	}
 	c.at, c.promised, c.refusals = now.Add(turn.Wait), turn.Promised, c.refusals+1
 	return turn
 }
 
-// behind returns the time for a caller that no turn is promised to. Times are spread as far apart as the
-// team's rate allows, up to that after which the job is of no use; from there on, over the second half of it.
-func (t *turns) behind(now time.Time, o Offer, l *lines, wait, interval time.Duration) time.Duration {
-	useful := max(2*time.Second, uselessFactor*o.Objective)
-	next := later(l.others[o.Class], now.Add(wait)).Add(interval)
-	if next.Sub(now) > useful {
-		return useful/2 + time.Duration(share(o.Job)*float64(useful/2))
-	}
-	for i := o.Class; i < Classes; i++ {
-		l.others[i] = later(later(l.others[i], now).Add(interval), next)
-	}
-	return next.Sub(now)
+// useful returns for how long it is of use that the job starts later.
+func (o *Offer) useful() time.Duration {
+	return max(time.Second, uselessFactor*o.Objective-o.Path)
 }
 
 // remember records a turn that somebody else gave.
--- a/laddermessage/intake.go
+++ b/laddermessage/intake.go
@@ -13,6 +13,9 @@
 	// VM is the name of the sender.
 	VM     string
 	Counts []ladderintake.Count
+	// Unsettled holds the IDs of jobs whose submission to the sender has an unknown outcome, so that no VM
+	// must refuse them.
+	Unsettled []string
 }
 
 // IntakeLimits states which teams are limited. All others are not.
@@ -28,7 +31,8 @@
 
 // IntakeTurn tells when the caller of a refused job should come back.
 type IntakeTurn struct {
-	// Found is true if the leader knows the job, so that it must not be refused.
+	// Found is true if the leader knows the job, or that it may have been accepted, so that it must not be
+	// refused.
 	Found bool
 	// Promised is true if the caller will be admitted after Wait, and Ready if it has come back in a turn
 	// that it was promised.
--- a/laddervm/intake.go
+++ b/laddervm/intake.go
@@ -21,10 +21,8 @@
 	// existsTimeout bounds the read of the store that precedes a refusal. A job that it can't tell about in
 	// that time is submitted to it.
 	existsTimeout = leaderQueryTimeout
-	// maxUnsettled bounds the jobs of which the VM remembers that it may have stored them, for at most
-	// unsettledTime. That is as long as the leader is told of jobs that it may not have found.
-	maxUnsettled  = 4096
-	unsettledTime = lateNoticePeriod
+	// maxReportedUnsettled bounds the unsettled jobs in one report. The oldest are left out.
+	maxReportedUnsettled = 256
 )
 
 // intake decides which jobs of teams this VM refuses, and tells the leader what it was offered. It is safe
@@ -43,15 +41,16 @@
 	// reportedAt is when the last report was sent, and reporting is true until it is answered.
 	reportedAt time.Time
 	reporting  bool
-	// unsettled holds the jobs that are being submitted, or whose submission has an unknown outcome, by ID,
-	// with the time at which that began.
-	unsettled map[string]time.Time
+	// unsettled holds the jobs that this VM may have stored, and unreported those of them that the leader is to
+	// be told of.
+	unsettled  ladderintake.Unsettled
+	unreported []string
 }
 
 func newIntake(v *VM) *intake {
 	return &intake{
 		vm: v, exists: v.journal.Exists, ask: v.callLeader, checks: make(chan struct{}, maxIntakeQueries),
-		gate: ladderintake.NewGate(), unsettled: map[string]time.Time{},
+		gate: ladderintake.NewGate(),
 	}
 }
 
@@ -69,19 +68,20 @@
 	if !ok {
 		return true
 	}
-	defer i.report()
+	defer i.report(false)
 	o := ladderintake.NewOffer(job, x.queue, team)
 	d := i.decide(o)
-	if !d.Refused {
-		return true
+	var turn ladderintake.Turn
+	if d.Refused {
+		turn, d.Refused = i.check(x.ctx, o, d)
+		if !d.Refused && x.ctx.Err() != nil {
+			// The caller's time is up, or it has gone: it must not take up room that it does not wait for.
+			x.fail(http.StatusGatewayTimeout, "the store has not answered")
+			return false
+		}
 	}
-	turn, refused := i.check(x.ctx, o, d)
-	switch {
-	case !refused && x.ctx.Err() != nil:
-		// The caller's time is up, or it has gone: it must not take up room that it does not wait for.
-		x.fail(http.StatusGatewayTimeout, "the store has not answered")
-		return false
-	case !refused:
+	if !d.Refused {
+		i.began(o)
 		return true
 	}
 	i.vm.stats.set.GetOrCreateCounter(fmt.Sprintf(`ladder_jobs_refused_total{cause=%q,team=%q}`, string(d.Cause), o.Team)).Inc()
@@ -109,7 +109,7 @@
 	defer i.mu.Unlock()
 	now := i.now()
 	d := i.gate.Decide(now, o)
-	if began, ok := i.unsettled[o.Job]; ok && now.Sub(began) <= unsettledTime {
+	if i.unsettled.Has(now, o.Job) {
 		d.Refused = false // An earlier submission may store the job.
 		return d
 	}
@@ -117,24 +117,22 @@
 		d.Refused = false
 	}
 	if !d.Refused {
-		i.admitted(now, o)
+		i.gate.Admitted(now, o)
 	}
 	return d
 }
 
-// admitted counts a job that is going to be submitted. The caller holds the lock.
-func (i *intake) admitted(now time.Time, o ladderintake.Offer) {
-	i.gate.Admitted(now, o)
-	if len(i.unsettled) >= maxUnsettled {
-		for id, began := range i.unsettled {
-			if now.Sub(began) > unsettledTime {
-				delete(i.unsettled, id)
-			}
-		}
-	}
-	if len(i.unsettled) < maxUnsettled {
-		i.unsettled[o.Job] = now
-	}
+// began records that a job is being submitted.
+func (i *intake) began(o ladderintake.Offer) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.unsettled.Began(i.now(), o.Job)
+}
+
+// existence is what the store has told about a job.
+type existence struct {
+	exists bool
+	err    error
 }
 
 // check makes sure that a job that is to be refused was never accepted, and returns the turn of its caller.
@@ -148,30 +146,35 @@
 		i.admitUnchecked(o, "too many refusals are being checked")
 		return ladderintake.Turn{}, false
 	}
+	// The store is read at the same time, since the leader may not have heard of the job yet.
+	reading, cancel := context.WithTimeout(ctx, existsTimeout)
+	defer cancel()
+	read := make(chan existence, 1)
+	go func() {
+		exists, err := i.exists(reading, o.Job)
+		read <- existence{exists, err}
+	}()
 	reply, _ := i.ask(ctx, laddermessage.IntakeQuery{Offer: o}, leaderQueryTimeout)
 	answer, ok := reply.(laddermessage.IntakeTurn)
-	if ok && answer.Found {
-		return ladderintake.Turn{}, false
-	}
 	turn := ladderintake.Turn{Wait: answer.Wait, Promised: answer.Promised, Ready: answer.Ready}
-	if !ok {
+	switch {
+	case answer.Found:
+		return turn, false
+	case !ok:
 		turn = i.ownTurn(o, d)
 	}
 	if turn.Ready {
 		i.mu.Lock()
 		defer i.mu.Unlock()
-		i.admitted(i.now(), o)
+		i.gate.Admitted(i.now(), o)
 		return turn, false
 	}
-	// The leader may not have heard of the job yet.
-	ctx, cancel := context.WithTimeout(ctx, existsTimeout)
-	defer cancel()
-	exists, err := i.exists(ctx, o.Job)
+	e := <-read
 	switch {
-	case err != nil:
+	case e.err != nil:
 		i.admitUnchecked(o, "the store does not tell whether the job was accepted before")
 		return turn, false
-	case exists:
+	case e.exists:
 		return turn, false
 	}
 	i.mu.Lock()
@@ -196,48 +199,77 @@
 	i.vm.log.Info("job not refused", "job", o.Job, "team", o.Team, "why", why)
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.admitted(i.now(), o)
+	i.gate.Admitted(i.now(), o)
 }
 
-// settle records the outcome of a submission.
+// settle records the outcome of a submission. The leader is told of one that is unknown, since its caller comes
+// back to other VMs.
 func (i *intake) settle(job *ladderflow.Job, outcome ladderjournal.Outcome) {
-	if job.Team == "" || outcome == ladderjournal.OutcomeUnknown {
+	if job.Team == "" {
 		return
 	}
+	if i.settled(job.ID, outcome) {
+		i.report(true)
+	}
+}
+
+// settled records the outcome of a submission. It returns true if the leader should be told of it.
+func (i *intake) settled(id string, outcome ladderjournal.Outcome) bool {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	delete(i.unsettled, job.ID)
+	switch outcome {
+	case ladderjournal.OutcomeUnknown:
+		i.unsettled.Unknown(i.now(), id)
+		i.unreported = append(i.unreported, id)
+		return true
+	case ladderjournal.Rejected:
+		i.unsettled.Rejected(id)
+	default:
+		i.unsettled.Stored(id)
+	}
+	return false
 }
 
 // report tells the leader what this VM was offered, and learns which teams are limited, unless the last
-// report is recent.
-func (i *intake) report() {
+// report is recent. If there is an unsettled job to tell of, it does so at once, but for a report that is under way.
+func (i *intake) report(unsettled bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	sent := i.now()
-	if i.reporting || !i.reportedAt.IsZero() && sent.Sub(i.reportedAt) < ladderintake.ReportInterval {
+	if i.reporting || !unsettled && !i.reportedAt.IsZero() && sent.Sub(i.reportedAt) < ladderintake.ReportInterval {
 		return
 	}
-	counts := i.gate.Report(sent)
+	m := laddermessage.IntakeReport{VM: i.vm.settings.Name, Counts: i.gate.Report(sent)}
+	m.Unsettled, i.unreported = i.unreported[max(0, len(i.unreported)-maxReportedUnsettled):], nil
 	i.reporting, i.reportedAt = true, sent
 	i.vm.wait.Go(func() {
-		reply, ok := i.ask(context.Background(), laddermessage.IntakeReport{VM: i.vm.settings.Name, Counts: counts}, notifyTimeout)
+		reply, _ := i.ask(context.Background(), m, notifyTimeout)
+		limits, ok := reply.(laddermessage.IntakeLimits)
+		if i.reported(sent, m, limits, ok) {
+			i.report(true)
+		}
+	})
+}
+
+// reported records the leader's reply to a report, or that there was none. It returns true if there are more
+// unsettled jobs to tell of.
+func (i *intake) reported(sent time.Time, m laddermessage.IntakeReport, limits laddermessage.IntakeLimits, ok bool) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.reporting = false
+	if !ok {
+		i.gate.Unreported(m.Counts)
+		i.unreported = append(m.Unsettled, i.unreported...)
+		return false
+	}
+	i.gate.Heard(sent, limits.Limits, i.vm.vmCount())
+	i.vm.stats.set.GetOrCreateGauge("ladder_limits_age_seconds", func() float64 {
 		i.mu.Lock()
 		defer i.mu.Unlock()
-		i.reporting = false
-		limits, valid := reply.(laddermessage.IntakeLimits)
-		if !ok || !valid {
-			i.gate.Unreported(counts)
-			return
-		}
-		i.gate.Heard(sent, limits.Limits, i.vm.vmCount())
-		i.vm.stats.set.GetOrCreateGauge("ladder_limits_age_seconds", func() float64 {
-			i.mu.Lock()
-			defer i.mu.Unlock()
-			age, _ := i.gate.Age(i.now())
-			return age.Seconds()
-		})
+		age, _ := i.gate.Age(i.now())
+		return age.Seconds()
 	})
+	return len(i.unreported) > 0
 }
 
 // vmCount returns the number of registered VMs, of which this is one.
@@ -249,11 +281,11 @@
 }
 
 // retrySeconds returns after how many seconds a caller should come back while it is not known when it can be
-// served: with teams, callers are spread over the time for which they wait for an answer, so that they do
-// not all come back together.
+// served: with teams, callers that submit jobs are spread over the time for which callers usually wait for an
+// answer, so that they do not all come back together.
 func (x *exchange) retrySeconds(seconds int) int {
-	if x.fleet == nil || len(x.fleet.Teams) == 0 {
+	if x.fleet == nil || len(x.fleet.Teams) == 0 || x.request.Method != http.MethodPost {
 		return seconds
 	}
-	return ladderintake.Spread(x.jobID, processingTime(x.request)+responseMargin)
+	return ladderintake.Spread(x.jobID, defaultDeadline)
 }
--- a/laddervm/term.go
+++ b/laddervm/term.go
@@ -64,8 +64,11 @@
 	// inbox holds the functions that wait for the control goroutine.
 	inbox   chan func()
 	planner *ladderplan.Planner
-	// intake decides which teams are limited.
-	intake *ladderintake.Limiter
+	// intake decides which teams are limited, at intakeDue again. unsettled holds the jobs that VMs may have
+	// stored.
+	intake    *ladderintake.Limiter
+	intakeDue time.Time
+	unsettled ladderintake.Unsettled
 	// workerLease is how long a worker's lease lasts after each poll. It is fixed for the
 	// whole term, even if the settings change.
 	workerLease time.Duration
