Ask the leader whether a team is within its weight before a VM refuses for its own part

A small team's part at one of 30 VMs owes it 0.1 jobs a second, so that a fraction of a job left in the meter counted as too much; and a wait of half a second was a reason to refuse, though no refused caller comes back before a second. The leader measures what all VMs admit, and admits what is within the weight when it is asked before a refusal. A VM may be ahead by one job at least, and a job that is owed is not refused for a wait of less than a second.

--- a/laddercodec/intake.go
+++ b/laddercodec/intake.go
@@ -33,7 +33,7 @@
 	Service  string
 	Team     string
 	Admitted int
-	Refused  int
+	Referred int
 }
 
 // intakeLimitWire encodes a [ladderintake.Limit]. Rate is in millionths of a job per second, and Backlogs is
@@ -58,6 +58,7 @@
 	Allowance int64
 	Slack     int64
 	Due       int64
+	Cause     string
 }
 
 // intakeTurnWire encodes a [laddermessage.IntakeTurn].
@@ -83,7 +84,7 @@
 	case laddermessage.IntakeReport:
 		return kindIntakeReport, intakeReportWire{
 			VM: m.VM, Unsettled: m.Unsettled, Counts: mapAll(m.Counts, func(c ladderintake.Count) intakeCountWire {
-				return intakeCountWire{Service: c.Service, Team: c.Team, Admitted: c.Admitted, Refused: c.Refused}
+				return intakeCountWire{Service: c.Service, Team: c.Team, Admitted: c.Admitted, Referred: c.Referred}
 			}),
 		}, true
 	case laddermessage.IntakeLimits:
@@ -92,7 +93,7 @@
 		o := m.Offer
 		return kindIntakeQuery, intakeQueryWire{
 			Service: o.Service, Team: o.Team, Job: o.Job, Weight: o.Weight, Path: int64(o.Path), Objective: int64(o.Objective), Allowance: int64(o.Allowance),
-			Slack: int64(o.Slack), Due: int64(o.Due),
+			Slack: int64(o.Slack), Due: int64(o.Due), Cause: string(m.Cause),
 		}, true
 	case laddermessage.IntakeTurn:
 		return kindIntakeTurn, intakeTurnWire{Found: m.Found, Promised: m.Promised, Ready: m.Ready, Wait: int64(m.Wait)}, true
@@ -123,7 +124,7 @@
 func toIntakeReport(w intakeReportWire) (laddermessage.IntakeReport, error) {
 	return laddermessage.IntakeReport{VM: w.VM, Unsettled: w.Unsettled, Counts: mapAll(w.Counts, func(c intakeCountWire) ladderintake.Count {
 		return ladderintake.Count{
-			Key: ladderintake.Key{Service: c.Service, Team: c.Team}, Admitted: max(0, c.Admitted), Refused: max(0, c.Refused),
+			Key: ladderintake.Key{Service: c.Service, Team: c.Team}, Admitted: max(0, c.Admitted), Referred: max(0, c.Referred),
 		}
 	})}, nil
 }
@@ -158,7 +159,7 @@
 	if w.Weight < 0 || math.IsNaN(w.Weight) || math.IsInf(w.Weight, 1) {
 		return laddermessage.IntakeQuery{}, fmt.Errorf("job %q: the weight %v is not a rate", w.Job, w.Weight)
 	}
-	return laddermessage.IntakeQuery{Offer: ladderintake.Offer{
+	return laddermessage.IntakeQuery{Cause: ladderintake.Cause(w.Cause), Offer: ladderintake.Offer{
 		Key: ladderintake.Key{Service: w.Service, Team: w.Team}, Job: w.Job, Weight: w.Weight,
 		Path: max(0, time.Duration(w.Path)), Objective: max(0, min(time.Duration(w.Objective), maxBacklog)), Allowance: max(0, time.Duration(w.Allowance)), Slack: max(0, time.Duration(w.Slack)),
 		Due: max(0, time.Duration(w.Due)), Class: ladderintake.ClassOf(time.Duration(w.Due)),
--- a/ladderintake/gate.go
+++ b/ladderintake/gate.go
@@ -10,6 +10,9 @@
 	// NewsLifetime is how long a VM relies on what the leader told it. It is how long callers wait for an
 	// answer at most: what is older than that describes none of the calls that the VM answers now.
 	NewsLifetime = 3 * time.Second
+	// shortestReturn is the shortest time after which a refused caller comes back. A job that is owed is not
+	// refused for a shorter wait.
+	shortestReturn = time.Second
 )
 
 // limitLifetime is the time after which a limit that was not renewed has ended in any case. A backlog that
@@ -35,10 +38,11 @@
 	Backlogs [Classes]time.Duration
 }
 
-// Count is how many jobs of a team a VM has admitted and refused since its last report.
+// Count is how many jobs of a team a VM was offered since its last report. Admitted counts those that it has
+// admitted by itself, and Referred those that it has asked the leader about, or has refused.
 type Count struct {
 	Key
-	Admitted, Refused int
+	Admitted, Referred int
 }
 
 // Decision is the decision about an offer, with the figures that decided it.
@@ -108,7 +112,7 @@
 		return d
 	case excess > 0:
 		d.Refused, d.Cause = true, Rate
-	case wait > o.Allowance, d.Rate <= 0:
+	case wait > max(o.Allowance, shortestReturn), d.Rate <= 0:
 		d.Refused, d.Cause = true, Backlog
 	}
 	d.Wait = max(wait, excess)
@@ -163,6 +167,14 @@
 	}
 }
 
+// AdmittedByLeader counts a job that was admitted since the leader said so, which has counted it then.
+func (g *Gate) AdmittedByLeader(now time.Time, o Offer) {
+	g.Admitted(now, o)
+	t := g.team(o.Key)
+	t.count.Admitted--
+	t.count.Referred++
+}
+
 // Returned reports whether this VM, or the leader through it, has promised the caller of the offer a turn
 // that has come.
 func (g *Gate) Returned(now time.Time, o Offer) bool { return g.turns.ready(now, o) }
@@ -173,7 +185,7 @@
 }
 
 // Refused counts a refused offer.
-func (g *Gate) Refused(o Offer) { g.team(o.Key).count.Refused++ }
+func (g *Gate) Refused(o Offer) { g.team(o.Key).count.Referred++ }
 
 // TurnGiven records the turn that the leader has given to the caller of a refused offer.
 func (g *Gate) TurnGiven(now time.Time, o Offer, t Turn) { g.turns.remember(now, o, t) }
@@ -182,7 +194,7 @@
 func (g *Gate) Report(now time.Time) []Count {
 	var list []Count
 	for k, t := range g.teams {
-		if t.count.Admitted+t.count.Refused > 0 {
+		if t.count.Admitted+t.count.Referred > 0 {
 			list = append(list, t.count)
 			t.count = Count{Key: k}
 		} else if now.Sub(t.meter.at) > limitLifetime {
@@ -198,7 +210,7 @@
 	for _, c := range counts {
 		t := g.team(c.Key)
 		t.count.Admitted += c.Admitted
-		t.count.Refused += c.Refused
+		t.count.Referred += c.Referred
 	}
 }
 
--- a/ladderintake/limiter.go
+++ b/ladderintake/limiter.go
@@ -17,6 +17,8 @@
 	// evenShare is the share of a rate that is divided evenly among all VMs. The rest is divided by what
 	// each is offered.
 	evenShare = 0.2
+	// maxReported bounds the jobs of one report that count as admitted. It is far more than a VM takes in the time.
+	maxReported = 10_000
 	// fullyMet is the share of a demand that counts as all of it. The rest is an error of the arithmetic.
 	fullyMet = 1 - 1e-6
 )
@@ -56,7 +58,9 @@
 type Limiter struct {
 	limited map[Key]*limited
 	offers  map[Key]map[string]*offered
-	turns   *turns
+	// admitted measures what all VMs have admitted.
+	admitted map[Key]*meter
+	turns    *turns
 }
 
 // limited is the state of a team that is limited.
@@ -76,7 +80,7 @@
 
 // NewLimiter returns a limiter that limits no team.
 func NewLimiter() *Limiter {
-	return &Limiter{limited: map[Key]*limited{}, offers: map[Key]map[string]*offered{}, turns: newTurns()}
+	return &Limiter{limited: map[Key]*limited{}, offers: map[Key]map[string]*offered{}, admitted: map[Key]*meter{}, turns: newTurns()}
 }
 
 // Change is the begin or the end of a team's limit. Backlog is the longest, for the jobs of Class.
@@ -145,8 +149,14 @@
 			o = &offered{at: now}
 			vms[vm] = o
 		}
-		o.jobs = o.lately(now) + float64(max(0, c.Admitted)+max(0, c.Refused))
+		o.jobs = o.lately(now) + float64(max(0, c.Admitted)+max(0, c.Referred))
 		o.at = now
+		if t := l.limited[c.Key]; t != nil && t.weight > 0 {
+			m := l.meter(now, c.Key, t.weight)
+			for range min(c.Admitted, maxReported) {
+				m.add(0, t.weight)
+			}
+		}
 	}
 }
 
@@ -187,14 +197,37 @@
 	return evenShare*even + own.granted
 }
 
-// Turn gives the caller of an offer a turn, which a VM would refuse. It is ready if the caller has returned
-// in a turn that it was promised.
-func (l *Limiter) Turn(now time.Time, o Offer) Turn {
+// Turn gives the caller of an offer a turn, which a VM would refuse for the given cause. It is ready if the caller has
+// returned in a turn that it was promised, or if the VM's part of the rate is used up and the team's whole rate is
+// not.
+func (l *Limiter) Turn(now time.Time, o Offer, cause Cause) Turn {
 	wait := time.Duration(0)
 	if t := l.limited[o.Key]; t != nil {
 		wait = max(0, t.backlogs[o.Class]-o.Due)
 	}
-	return l.turns.give(now, o, wait, o.Weight)
+	if o.Weight <= 0 {
+		return l.turns.give(now, o, wait, 0)
+	}
+	m := l.meter(now, o.Key, o.Weight)
+	turn := Turn{Ready: cause == Rate && wait <= max(o.Allowance, shortestReturn) && m.excess(o.Class, o.Weight) == 0}
+	if !turn.Ready {
+		turn = l.turns.give(now, o, wait, o.Weight)
+	}
+	if turn.Ready {
+		m.add(0, o.Weight)
+	}
+	return turn
+}
+
+// meter returns the meter of what all VMs have admitted of a team's jobs.
+func (l *Limiter) meter(now time.Time, k Key, weight float64) *meter {
+	m := l.admitted[k]
+	if m == nil {
+		m = &meter{}
+		l.admitted[k] = m
+	}
+	m.drain(now, weight)
+	return m
 }
 
 // forget drops VMs and teams of which no offers were reported for a while.
@@ -207,6 +240,7 @@
 		}
 		if len(vms) == 0 {
 			delete(l.offers, k)
+			delete(l.admitted, k)
 		}
 	}
 }
--- a/ladderintake/meter.go
+++ b/ladderintake/meter.go
@@ -21,20 +21,24 @@
 }
 
 // excess returns for how long no job of the class may be admitted. It is zero if one may be: the jobs that
-// the team is ahead by are owed within the horizon.
+// the team is ahead by are owed within the horizon, or it is one at most.
 func (m *meter) excess(c Class, rate float64) time.Duration {
-	over := m.level[c] - rate*c.Horizon().Seconds()
+	over := m.level[c] - m.burst(c, rate)
 	if over <= 0 {
 		return 0
 	}
 	return seconds(over / rate)
 }
 
+// burst returns the number of jobs that the team may be ahead by. It is one at least, since a part of a rate may
+// owe less than a job within the horizon.
+func (m *meter) burst(c Class, rate float64) float64 { return max(1, rate*c.Horizon().Seconds()) }
+
 // add counts a job. The team never gets further ahead than one job beyond what is owed within the horizon:
 // a rate that was not limited leaves no debt that would be collected later.
 func (m *meter) add(c Class, rate float64) {
 	for i := c; i < Classes; i++ {
-		m.level[i] = min(m.level[i]+1, rate*i.Horizon().Seconds()+1)
+		m.level[i] = min(m.level[i]+1, m.burst(i, rate)+1)
 	}
 }
 
--- a/laddermessage/intake.go
+++ b/laddermessage/intake.go
@@ -27,6 +27,8 @@
 // [NotLeader].
 type IntakeQuery struct {
 	Offer ladderintake.Offer
+	// Cause is why the sender would refuse it.
+	Cause ladderintake.Cause
 }
 
 // IntakeTurn tells when the caller of a refused job should come back.
@@ -34,8 +36,7 @@
 	// Found is true if the leader knows the job, or that it may have been accepted, so that it must not be
 	// refused.
 	Found bool
-	// Promised is true if the caller will be admitted after Wait, and Ready if it has come back in a turn
-	// that it was promised.
+	// Promised is true if the caller will be admitted after Wait, and Ready if the job is to be admitted now.
 	Promised, Ready bool
 	Wait            time.Duration
 }
--- a/laddervm/intake.go
+++ b/laddervm/intake.go
@@ -136,8 +136,8 @@
 }
 
 // check makes sure that a job that is to be refused was never accepted, and returns the turn of its caller.
-// It returns false if the job must not be refused: its caller has come back in its turn, or the job was
-// accepted, or nobody can tell. The store then finds it or takes it as any other.
+// It returns false if the job must not be refused: the leader admits it, or it was accepted before, or nobody can
+// tell. The store then finds it or takes it as any other.
 func (i *intake) check(ctx context.Context, o ladderintake.Offer, d ladderintake.Decision) (ladderintake.Turn, bool) {
 	select {
 	case i.checks <- struct{}{}:
@@ -154,7 +154,7 @@
 		exists, err := i.exists(reading, o.Job)
 		read <- existence{exists, err}
 	}()
-	reply, _ := i.ask(ctx, laddermessage.IntakeQuery{Offer: o}, leaderQueryTimeout)
+	reply, _ := i.ask(ctx, laddermessage.IntakeQuery{Offer: o, Cause: d.Cause}, leaderQueryTimeout)
 	answer, ok := reply.(laddermessage.IntakeTurn)
 	turn := ladderintake.Turn{Wait: answer.Wait, Promised: answer.Promised, Ready: answer.Ready}
 	switch {
@@ -166,7 +166,7 @@
 	if turn.Ready {
 		i.mu.Lock()
 		defer i.mu.Unlock()
-		i.gate.Admitted(i.now(), o)
+		i.gate.AdmittedByLeader(i.now(), o)
 		return turn, false
 	}
 	e := <-read
--- a/laddervm/intake_term.go
+++ b/laddervm/intake_term.go
@@ -33,7 +33,7 @@
 	if !t.updateIntake(now) {
 		return laddermessage.NotLeader{}
 	}
-	turn := t.intake.Turn(now, m.Offer)
+	turn := t.intake.Turn(now, m.Offer, m.Cause)
 	return laddermessage.IntakeTurn{Promised: turn.Promised, Ready: turn.Ready, Wait: turn.Wait}
 }
 
