--- a/laddercodec/flow.go
+++ b/laddercodec/flow.go
@@ -36,11 +36,33 @@
 
 // jobAcceptedWire encodes a [laddermessage.JobAccepted].
 type jobAcceptedWire struct {
+	_        struct{} `cbor:",toarray"`
+	Job      string
+	Body     []byte
+	Revision int64
+}
+
+// jobAcceptedWireWithoutRevision is the encoding from before revisions were sent.
+type jobAcceptedWireWithoutRevision struct {
 	_    struct{} `cbor:",toarray"`
 	Job  string
 	Body []byte
 }
 
+// UnmarshalCBOR decodes both encodings.
+func (w *jobAcceptedWire) UnmarshalCBOR(data []byte) error {
+	if len(data) > 0 && data[0] == cborArrayOfTwo {
+		var o jobAcceptedWireWithoutRevision
+		if err := decoder.Unmarshal(data, &o); err != nil {
+			return err
+		}
+		*w = jobAcceptedWire{Job: o.Job, Body: o.Body}
+		return nil
+	}
+	type plain jobAcceptedWire // It has no methods, so that its decoding does not come back here.
+	return decoder.Unmarshal(data, (*plain)(w))
+}
+
 // jobStateWire encodes a [laddermessage.JobState], or a [laddermessage.OperatorReply] with
 // its text as State.
 type jobStateWire struct {
@@ -49,6 +71,30 @@
 	State string
 }
 
+// teamJobStateWire encodes a [laddermessage.JobState] of a job that has a team.
+type teamJobStateWire struct {
+	_     struct{} `cbor:",toarray"`
+	Found bool
+	State string
+	Team  string
+	Queue string
+}
+
+// cborArrayOfTwo is the first byte of an encoded jobStateWire or jobAcceptedWireWithoutRevision.
+const cborArrayOfTwo = 0x82
+
+// toJobState decodes both forms of a job's state.
+func toJobState(body []byte) (laddermessage.Message, error) {
+	if len(body) > 0 && body[0] == cborArrayOfTwo {
+		return decode(body, func(w jobStateWire) (laddermessage.JobState, error) {
+			return laddermessage.JobState{Found: w.Found, State: w.State}, nil
+		})
+	}
+	return decode(body, func(w teamJobStateWire) (laddermessage.JobState, error) {
+		return laddermessage.JobState{Found: w.Found, State: w.State, Team: w.Team, Queue: w.Queue}, nil
+	})
+}
+
 // operatorQueryWire encodes a [laddermessage.OperatorQuery].
 type operatorQueryWire struct {
 	_    struct{} `cbor:",toarray"`
@@ -111,12 +157,15 @@
 func toFlowWire(m laddermessage.Message) (kind, any, bool) {
 	switch m := m.(type) {
 	case laddermessage.JobAccepted:
-		return kindJobAccepted, jobAcceptedWire{Job: m.Job, Body: m.Body}, true
+		return kindJobAccepted, jobAcceptedWire{Job: m.Job, Body: m.Body, Revision: m.Revision}, true
 	case laddermessage.JobCancelled:
 		return kindJobCancelled, m.Job, true
 	case laddermessage.JobStateQuery:
 		return kindJobStateQuery, m.Job, true
 	case laddermessage.JobState:
+		if m.Team != "" {
+			return kindJobState, teamJobStateWire{Found: m.Found, State: m.State, Team: m.Team, Queue: m.Queue}, true
+		}
 		return kindJobState, jobStateWire{Found: m.Found, State: m.State}, true
 	case laddermessage.QueueLengthQuery:
 		return kindQueueLengthQuery, m.Queue, true
@@ -161,7 +210,7 @@
 	switch k {
 	case kindJobAccepted:
 		return decode(body, func(w jobAcceptedWire) (laddermessage.JobAccepted, error) {
-			return laddermessage.JobAccepted{Job: w.Job, Body: w.Body}, nil
+			return laddermessage.JobAccepted{Job: w.Job, Body: w.Body, Revision: w.Revision}, nil
 		})
 	case kindJobCancelled:
 		return decode(body, func(w string) (laddermessage.JobCancelled, error) {
@@ -172,9 +221,7 @@
 			return laddermessage.JobStateQuery{Job: w}, nil
 		})
 	case kindJobState:
-		return decode(body, func(w jobStateWire) (laddermessage.JobState, error) {
-			return laddermessage.JobState{Found: w.Found, State: w.State}, nil
-		})
+		return toJobState(body)
 	case kindQueueLengthQuery:
 		return decode(body, func(w string) (laddermessage.QueueLengthQuery, error) {
 			return laddermessage.QueueLengthQuery{Queue: w}, nil
--- a/ladderplan/explain.go
+++ b/ladderplan/explain.go
@@ -96,9 +96,12 @@
 	if !s.ready {
 		return fmt.Sprintf("waits for the end of steps %v", s.spec.DependsOn)
 	}
-	if !p.earlierRunsKnown && s.round.job.knownToEarlierLeader {
+	if p.mayRunUnseen(s.round.job) {
 		return fmt.Sprintf("an earlier leader may have started it on %d workers that were not seen yet", len(p.unseenWorkers))
 	}
+	if text := p.quotaWhy(s); text != "" {
+		return text
+	}
 	sp := p.stepPlacement(now, s)
 	usable, withTickets, slots := 0, 0, 0
 	p.refreshPools(now)
--- a/ladderplan/place.go
+++ b/ladderplan/place.go
@@ -1,7 +1,6 @@
 package ladderplan
 
 import (
-	"cmp"
 	"iter"
 	"slices"
 	"time"
@@ -29,7 +28,7 @@
 	backfillFactor = 2
 )
 
-// rank is the position of a step in the order of placement: first by class, then by latestStart. Rules
+// rank is the position of a step in the order of placement: first by turn, then by class, then by latestStart. Rules
 // other than ByObjective set latestStart to the time or duration by which they order the steps.
 type rank struct {
 	step *step
@@ -40,6 +39,8 @@
 	//   3: its result is no longer of use (worthlessClass)
 	class       int
 	latestStart time.Time
+	// turn is turnWithin under rules other than ByObjective, and if the configuration has no teams.
+	turn turn
 }
 
 // Confidence is how confident a VM is that it is the leader. It decides what the VM may order.
@@ -88,14 +89,18 @@
 // place starts the tasks for which there is capacity, in the order of their steps' ranks.
 func (p *Planner) place(now time.Time) {
 	p.refreshPools(now)
+	p.refreshUnseenRevision()
 	p.reservationPass++
+	p.sizeQuotas()
+	defer p.logReleased(now)
 	gangs, maxGangs := 0, max(minReservingGangs, len(p.workers)/workersPerReservingGang)
-	for _, k := range p.rankedSteps(now) {
+	p.refreshShares(now)
+	for k := range p.placementOrder(now) {
 		s := k.step
 		if p.fleet == nil {
 			continue
 		}
-		if !p.earlierRunsKnown && s.round.job.knownToEarlierLeader {
+		if p.mayRunUnseen(s.round.job) {
 			s.waitReason = waitEarlierRuns
 			continue
 		}
@@ -109,7 +114,10 @@
 			continue
 		}
 		sp := p.stepPlacement(now, s)
-		sp.heedsReservations = k.class > 0
+		sp.heedsReservations, sp.yields = k.class > 0 || k.turn > turnWithin, k.turn > turnWithin
+		if sp.heldByQuota() {
+			continue
+		}
 		hopeless := sp.hopeless()
 		switch {
 		case s.spec.Gang && !hopeless && sp.placeGang():
@@ -124,7 +132,7 @@
 		case !hopeless:
 			sp.placeTasks()
 			sp.queryForTasks()
-			if k.class == 0 && !now.After(k.latestStart) {
+			if k.class < sp.preemptClasses() && k.turn == turnWithin && !now.After(k.latestStart) {
 				sp.preempt()
 			}
 		}
@@ -155,9 +163,7 @@
 	}
 	clear(p.readySteps[len(kept):])
 	p.readySteps = kept
-	slices.SortFunc(list, func(a, b rank) int {
-		return cmp.Or(cmp.Compare(a.class, b.class), a.latestStart.Compare(b.latestStart))
-	})
+	slices.SortFunc(list, compareRanks)
 	return list
 }
 
@@ -197,6 +203,7 @@
 	default:
 		k.class = 1
 	}
+	k.turn = p.turn(now, s, k.class)
 	return k
 }
 
@@ -220,6 +227,8 @@
 	now     time.Time
 	// heedsReservations is true unless the step may use workers that are reserved for gangs.
 	heedsReservations bool
+	// yields is true if steps within the shares of their teams come before the step.
+	yields bool
 }
 
 func (p *Planner) stepPlacement(now time.Time, s *step) stepPlacement {
@@ -306,6 +315,9 @@
 			sp.planner.orders.AtStartLimit = true
 			return
 		}
+		if sp.heldByQuota() {
+			return
+		}
 		if t.suspect() {
 			sp.startSuspect(t, candidates)
 			continue
@@ -380,9 +392,10 @@
 func (sp *stepPlacement) start(t *task, w *worker, number int, from checkpoint) {
 	p := sp.planner
 	x := &run{
-		task: t, name: ladderflow.Run{Task: t.name(), Number: number}, phase: phaseSent, size: sp.step.spec.Demand(), team: sp.step.round.job.spec.Team,
+		task: t, name: ladderflow.Run{Task: t.name(), Number: number}, phase: phaseSent, team: sp.step.round.job.spec.Team,
 		startedAt: sp.now, progressedAt: sp.now, percent: -1, speedPercent: 100, resumesFrom: from,
 	}
+	x.setSize(sp.step.spec)
 	w.addRun(x)
 	if t.suspect() {
 		w.suspectUntil = sp.now.Add(suspectTime)
