--- a/laddervm/quota_test.go
+++ b/laddervm/quota_test.go
@@ -50,7 +50,7 @@
 			v.store = platform.NewStore(v.storeCarrier, netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://")))
 			v.journal = ladderjournal.New(v.store)
 			answer := httptest.NewRecorder()
-			x := &exchange{writer: answer, ctx: t.Context(), fleet: &ladderflow.FleetConfig{Teams: []ladderflow.Team{
+			x := &exchange{writer: answer, request: httptest.NewRequest(http.MethodPost, "/", http.NoBody), ctx: t.Context(), fleet: &ladderflow.FleetConfig{Teams: []ladderflow.Team{
 				{Name: "a", Quota: ladderflow.Size{Processor: 2000}}, {Name: "b"},
 			}}}
 			step := gang
