--- a/laddercodec/intake.go
+++ b/laddercodec/intake.go
@@ -23,6 +23,8 @@
 	_      struct{} `cbor:",toarray"`
 	VM     string
 	Counts []intakeCountWire
+	// Unsettled holds the IDs of jobs whose submission has an unknown outcome.
+	Unsettled []string
 }
 
 // intakeCountWire encodes a [ladderintake.Count].
@@ -31,7 +33,7 @@
 	Service  string
 	Team     string
 	Admitted int
-	Refused  int
+	Referred int
 }
 
 // intakeLimitWire encodes a [ladderintake.Limit]. Rate is in millionths of a job per second, and Backlogs is
@@ -51,10 +53,12 @@
 	Team      string
 	Job       string
 	Weight    float64
+	Path      int64
 	Objective int64
 	Allowance int64
 	Slack     int64
 	Due       int64
+	Cause     string
 }
 
 // intakeTurnWire encodes a [laddermessage.IntakeTurn].
@@ -79,8 +83,8 @@
 	switch m := m.(type) {
 	case laddermessage.IntakeReport:
 		return kindIntakeReport, intakeReportWire{
-			VM: m.VM, Counts: mapAll(m.Counts, func(c ladderintake.Count) intakeCountWire {
-				return intakeCountWire{Service: c.Service, Team: c.Team, Admitted: c.Admitted, Refused: c.Refused}
+			VM: m.VM, Unsettled: m.Unsettled, Counts: mapAll(m.Counts, func(c ladderintake.Count) intakeCountWire {
+				return intakeCountWire{Service: c.Service, Team: c.Team, Admitted: c.Admitted, Referred: c.Referred}
 			}),
 		}, true
 	case laddermessage.IntakeLimits:
@@ -88,8 +92,8 @@
 	case laddermessage.IntakeQuery:
 		o := m.Offer
 		return kindIntakeQuery, intakeQueryWire{
-			Service: o.Service, Team: o.Team, Job: o.Job, Weight: o.Weight, Objective: int64(o.Objective), Allowance: int64(o.Allowance),
-			Slack: int64(o.Slack), Due: int64(o.Due),
+			Service: o.Service, Team: o.Team, Job: o.Job, Weight: o.Weight, Path: int64(o.Path), Objective: int64(o.Objective), Allowance: int64(o.Allowance),
+			Slack: int64(o.Slack), Due: int64(o.Due), Cause: string(m.Cause),
 		}, true
 	case laddermessage.IntakeTurn:
 		return kindIntakeTurn, intakeTurnWire{Found: m.Found, Promised: m.Promised, Ready: m.Ready, Wait: int64(m.Wait)}, true
@@ -118,9 +122,9 @@
 }
 
 func toIntakeReport(w intakeReportWire) (laddermessage.IntakeReport, error) {
-	return laddermessage.IntakeReport{VM: w.VM, Counts: mapAll(w.Counts, func(c intakeCountWire) ladderintake.Count {
+	return laddermessage.IntakeReport{VM: w.VM, Unsettled: w.Unsettled, Counts: mapAll(w.Counts, func(c intakeCountWire) ladderintake.Count {
 		return ladderintake.Count{
-			Key: ladderintake.Key{Service: c.Service, Team: c.Team}, Admitted: max(0, c.Admitted), Refused: max(0, c.Refused),
+			Key: ladderintake.Key{Service: c.Service, Team: c.Team}, Admitted: max(0, c.Admitted), Referred: max(0, c.Referred),
 		}
 	})}, nil
 }
@@ -155,9 +159,9 @@
 	if w.Weight < 0 || math.IsNaN(w.Weight) || math.IsInf(w.Weight, 1) {
 		return laddermessage.IntakeQuery{}, fmt.Errorf("job %q: the weight %v is not a rate", w.Job, w.Weight)
 	}
-	return laddermessage.IntakeQuery{Offer: ladderintake.Offer{
+	return laddermessage.IntakeQuery{Cause: ladderintake.Cause(w.Cause), Offer: ladderintake.Offer{
 		Key: ladderintake.Key{Service: w.Service, Team: w.Team}, Job: w.Job, Weight: w.Weight,
-		Objective: max(0, time.Duration(w.Objective)), Allowance: max(0, time.Duration(w.Allowance)), Slack: max(0, time.Duration(w.Slack)),
+		Path: max(0, time.Duration(w.Path)), Objective: max(0, min(time.Duration(w.Objective), maxBacklog)), Allowance: max(0, time.Duration(w.Allowance)), Slack: max(0, time.Duration(w.Slack)),
 		Due: max(0, time.Duration(w.Due)), Class: ladderintake.ClassOf(time.Duration(w.Due)),
 	}}, nil
 }
