Keep the rank of a step as small as before

Cause: the order by teams made the rank of a step larger, also without teams. Change: the rank has the size that it had, and is computed without teams if the configuration has none.

--- a/ladderplan/place.go
+++ b/ladderplan/place.go
@@ -37,10 +37,10 @@
 	//   1: can meet its objective, even if it takes longer than expected
 	//   2: is likely to miss its objective
 	//   3: its result is no longer of use (worthlessClass)
-	class       int
-	latestStart time.Time
+	class int32
 	// turn is turnWithin under rules other than ByObjective, and if the configuration has no teams.
-	turn turn
+	turn        turn
+	latestStart time.Time
 }
 
 // Confidence is how confident a VM is that it is the leader. It decides what the VM may order.
@@ -176,7 +176,7 @@
 	case ByArrival:
 		return rank{step: s, latestStart: s.readySince}
 	case ByPriority:
-		k.class, k.latestStart = q.Priority, s.readySince
+		k.class, k.latestStart = int32(q.Priority), s.readySince
 		return k
 	case ByDeadline:
 		return rank{step: s, latestStart: s.round.due.Add(objective)}
@@ -197,7 +197,9 @@
 	default:
 		k.class = 1
 	}
-	k.turn = p.turn(now, s, k.class)
+	if p.teams.shares != nil {
+		k.turn = p.turn(now, s, k.class)
+	}
 	return k
 }
 
--- a/ladderplan/preempt.go
+++ b/ladderplan/preempt.go
@@ -106,7 +106,7 @@
 
 // preemptClasses returns the number of classes of the step's rank, from the first on, for which runs are
 // preempted: steps of a team may take the capacity of other teams back while they can meet their objective.
-func (sp *stepPlacement) preemptClasses() int {
+func (sp *stepPlacement) preemptClasses() int32 {
 	if sp.mayTakeBack() {
 		return 2
 	}
--- a/ladderplan/share.go
+++ b/ladderplan/share.go
@@ -126,11 +126,11 @@
 	return j.team
 }
 
-// turn returns the part of the order to which a step of the given class belongs.
-func (p *Planner) turn(now time.Time, s *step, class int) turn {
+// turn returns the part of the order to which a step of the given class belongs. The configuration has teams.
+func (p *Planner) turn(now time.Time, s *step, class int32) turn {
 	t := p.team(s.round.job)
 	if t == nil {
-		if class == worthlessClass && p.teams.shares != nil {
+		if class == worthlessClass {
 			return turnUseless
 		}
 		return turnWithin
@@ -162,7 +162,13 @@
 
 // compareRanks orders ranks as steps are placed.
 func compareRanks(a, b rank) int {
-	return cmp.Or(cmp.Compare(a.turn, b.turn), cmp.Compare(a.class, b.class), a.latestStart.Compare(b.latestStart))
+	switch {
+	case a.turn != b.turn:
+		return cmp.Compare(a.turn, b.turn)
+	case a.class != b.class:
+		return cmp.Compare(a.class, b.class)
+	}
+	return a.latestStart.Compare(b.latestStart)
 }
 
 // placementOrder returns the steps to place in their order. A step whose team has used up its share in the same
