Stop runs beyond other teams' shares for gangs within theirs; model checkpoints in the load simulation

Cause: a gang of a team within its share waited for room held by teams beyond theirs, however long their runs took. Change: runs beyond their team's share that resume from a checkpoint are stopped for it. The simulation has checkpoints, so that it shows what a stop costs.

--- a/ladderload/job.go
+++ b/ladderload/job.go
@@ -77,6 +77,9 @@
 			Estimate: time.Duration(seconds * math.Exp(q.EstimateSigma*random.NormFloat64()) * float64(time.Second)),
 			Gang:     random.Float64() < q.GangShare,
 		}
+		if q.SavesShare > 0 {
+			s.Checkpointable = random.Float64() < q.SavesShare
+		}
 		if i > 0 {
 			s.DependsOn = []int{i - 1}
 		}
--- a/ladderload/load.go
+++ b/ladderload/load.go
@@ -25,6 +25,8 @@
 	// LateShare is the share of starts that take LateRoundTrip instead.
 	LateShare     float64
 	LateRoundTrip time.Duration
+	// StopTime is the time that a worker takes to stop a run that saves its work.
+	StopTime time.Duration
 	// PlanPause is the time in which the leader gathers events before it plans.
 	PlanPause time.Duration
 	Queues    []Queue
@@ -93,6 +95,8 @@
 	GangShare float64
 	// FailureShare is the share of runs that fail.
 	FailureShare float64
+	// SavesShare is the share of steps whose tasks save their work each saveInterval and resume elsewhere.
+	SavesShare float64
 	// Unevenness is the standard deviation of the natural logarithm of a task's duration divided by
 	// that of its step. The tasks of a gang are all alike.
 	Unevenness float64
--- a/ladderload/share_test.go
+++ b/ladderload/share_test.go
@@ -30,6 +30,7 @@
 	l.Bursts = nil
 	l.ArrivalPeriod, l.ExtraTime = hotStart+hotLength+4*time.Second, 20*time.Second
 	l.Delegates, l.OrderRoundTrip, l.PlanPause = 5, 20*time.Millisecond, 10*time.Millisecond
+	l.Queues[0].SavesShare, l.Queues[1].SavesShare, l.StopTime = 0.5, 0.8, 300*time.Millisecond
 	const skew = 1.2
 	total, rate := 0.0, 0.0
 	for i := range teams {
--- a/ladderload/simulation.go
+++ b/ladderload/simulation.go
@@ -26,6 +26,10 @@
 	pollInterval = time.Second
 	// storeTime is the time that a write of progress to the store takes.
 	storeTime = 40 * time.Millisecond
+	// saveInterval is the time between two checkpoints of a run, and resumeTime the time that it takes to resume
+	// from one.
+	saveInterval = 500 * time.Millisecond
+	resumeTime   = 250 * time.Millisecond
 	// leaseDuration is the duration of a worker lease.
 	leaseDuration = 5 * time.Second
 	// serviceName is the name of the only pool of workers.
@@ -62,6 +66,8 @@
 	slowdown float64
 	// running holds the start time of each run.
 	running map[ladderflow.Run]time.Duration
+	// resumed holds the checkpoint from which each run has resumed, as the work that was done.
+	resumed map[ladderflow.Run]time.Duration
 	// ended lists the ended runs that the leader has not acknowledged yet.
 	ended []ladderflow.EndedRun
 	// endCount counts the ended runs; the run that ends next gets the next number.
@@ -203,7 +209,7 @@
 				ID: fmt.Sprintf("w%03d", i), Service: serviceName, Capacity: sim.load.Workers.Size,
 				Labels: []string{fmt.Sprintf("r%d", i/max(1, sim.load.Workers.WorkersPerRack))},
 			},
-			slowdown: 1, running: map[ladderflow.Run]time.Duration{},
+			slowdown: 1, running: map[ladderflow.Run]time.Duration{}, resumed: map[ladderflow.Run]time.Duration{},
 		}
 		if s := sim.load.Workers.SlowdownFactors; len(s) > 0 {
 			w.slowdown = s[i%len(s)]
@@ -240,7 +246,7 @@
 			total = sim.gangTime(run)
 		}
 		percent := 100 * float64(sim.now-startedAt) / float64(max(total, 1))
-		report.Running = append(report.Running, ladderflow.ActiveRun{Run: run, Percent: int(min(percent, 99))})
+		report.Running = append(report.Running, ladderflow.ActiveRun{Run: run, Percent: int(min(percent, 99)), Checkpoint: sim.saved(w, run)})
 	}
 	sim.planner.RecordReport(sim.time(), w.spec.ID, sim.time(), report)
 	sim.schedulePlan()
@@ -315,6 +321,10 @@
 		return
 	}
 	duration := j.runTime(s.Run.Task, w.slowdown)
+	if done, err := time.ParseDuration(s.Checkpoint); err == nil {
+		w.resumed[s.Run] = done
+		duration = max(0, duration-done) + resumeTime
+	}
 	reason := ladderflow.EndDone
 	random := rand.New(rand.NewPCG(sim.seed, xxhash.Sum64String(fmt.Sprint(s.Run))))
 	if random.Float64() < j.queue.FailureShare {
@@ -378,8 +388,34 @@
 	return sim.jobs[r.Task.Job].runTime(r.Task, slowest)
 }
 
+// saved returns the newest checkpoint of a run in progress, or an empty one. A run that resumes saves nothing while it
+// does.
+func (sim *simulation) saved(w *worker, r ladderflow.Run) string {
+	s := sim.jobs[r.Task.Job].spec.Steps[r.Task.Step]
+	if !s.Checkpointable || s.Gang {
+		return ""
+	}
+	done, worked := w.resumed[r], sim.now-w.running[r]
+	if done > 0 {
+		worked = max(0, worked-resumeTime)
+	}
+	if done += worked.Truncate(saveInterval); done == 0 {
+		return ""
+	}
+	return done.String()
+}
+
 // stopRun executes an order to stop a run.
 func (sim *simulation) stopRun(s ladderplan.StopOrder) {
+	if sim.jobs[s.Run.Task.Job].spec.Steps[s.Run.Task.Step].Checkpointable && sim.load.StopTime > 0 {
+		sim.schedule(sim.load.StopTime, func() { sim.stop(s) })
+		return
+	}
+	sim.stop(s)
+}
+
+// stop ends a run that was ordered to stop.
+func (sim *simulation) stop(s ladderplan.StopOrder) {
 	sim.endRun(sim.workers[s.Worker.ID], s.Run, ladderflow.EndStopped)
 	sim.planner.StopSettled(sim.time(), s.Worker.ID, s.Run, ladderplan.Result{})
 }
@@ -391,13 +427,17 @@
 	if !ok {
 		return
 	}
+	checkpoint := ""
+	if reason == ladderflow.EndStopped {
+		checkpoint = sim.saved(w, run)
+	}
 	delete(w.running, run)
 	j := sim.jobs[run.Task.Job]
 	if reason == ladderflow.EndDone {
 		sim.usefulWork += float64(j.spec.Steps[run.Task.Step].Need.Processor) * (sim.now - startedAt).Seconds()
 	}
 	w.endCount++
-	w.ended = append(w.ended, ladderflow.EndedRun{Sequence: w.endCount, Run: run, Reason: reason})
+	w.ended = append(w.ended, ladderflow.EndedRun{Sequence: w.endCount, Run: run, Reason: reason, Checkpoint: checkpoint})
 	if w.reportPending {
 		return
 	}
@@ -407,7 +447,7 @@
 		report := ladderflow.StatusReport{Incarnation: 1, Clock: sim.now, Ended: w.ended}
 		for _, run := range w.sortedRuns() {
 			// 50% stands in for the progress, which only regular status polls report exactly.
-			report.Running = append(report.Running, ladderflow.ActiveRun{Run: run, Percent: 50})
+			report.Running = append(report.Running, ladderflow.ActiveRun{Run: run, Percent: 50, Checkpoint: sim.saved(w, run)})
 		}
 		sim.planner.RecordReport(sim.time(), w.spec.ID, sim.time(), report)
 		for _, e := range report.Ended {
--- a/ladderplan/model.go
+++ b/ladderplan/model.go
@@ -229,6 +229,8 @@
 	savedAt    time.Time
 	// ofCancelledJob is true once the run was ordered to stop after its job was canceled.
 	ofCancelledJob bool
+	// freeAt is when the capacity of a run that was stopped for a gang is expected to be free.
+	freeAt time.Time
 	// percent is the last progress that was reported, and progressedAt is when it last changed.
 	percent      int
 	progressedAt time.Time
--- a/ladderplan/place.go
+++ b/ladderplan/place.go
@@ -122,6 +122,9 @@
 			s.waitReason = waitTooLarge
 		case s.spec.Gang:
 			gangs++
+			if k.class < sp.preemptClasses() && k.turn == turnWithin && !now.After(k.latestStart) {
+				sp.takeBackForGang()
+			}
 			sp.reserveForGang(hopeless)
 		case !hopeless:
 			sp.placeTasks()
--- a/ladderplan/preempt.go
+++ b/ladderplan/preempt.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"slices"
 	"time"
-
-	"lacewingladder/ladderflow"
 )
 
 const (
@@ -88,15 +86,10 @@
 	return nil, 0, false
 }
 
-// preemptible reports whether a run is less urgent than the step and can resume elsewhere. A task is
-// preempted once: under a backlog of urgent tasks it would otherwise never end.
+// preemptible reports whether a run is less urgent than the step, or beyond its team's share, and can resume
+// elsewhere. A task is preempted once: under a backlog of urgent tasks it would otherwise never end.
 func (sp *stepPlacement) preemptible(x *run) bool {
-	if x.task == nil {
-		return false
-	}
-	s := x.task.step
-	return !x.task.preempted && s.spec.Checkpointable && !s.spec.Gang && !s.spec.LongRunning && x.size != ladderflow.Size{} &&
-		(sp.lessUrgent(x) || sp.beyondOtherShare(x))
+	return x.resumable() && (sp.lessUrgent(x) || sp.beyondOtherShare(x))
 }
 
 // lessUrgent reports whether the step is urgent and a run is not.
--- a/ladderplan/reserve.go
+++ b/ladderplan/reserve.go
@@ -230,6 +230,9 @@
 // expectedEnd returns when a run of a task that is not long-running is expected to end. It uses the
 // run's progress if at least a tenth is done, and the expected duration otherwise.
 func (x *run) expectedEnd() time.Time {
+	if !x.freeAt.IsZero() {
+		return x.freeAt
+	}
 	if x.percent >= 10 && !x.progressedAt.Before(x.startedAt) {
 		return x.startedAt.Add(x.progressedAt.Sub(x.startedAt) * 100 / time.Duration(x.percent))
 	}
