--- a/ladderjournal/journal.go
+++ b/ladderjournal/journal.go
@@ -453,13 +453,17 @@
 	if err := j.loadCordons(ctx, c); err != nil {
 		return nil, err
 	}
-	for i, prefix := range []string{jobPrefix, cancelPrefix, recordPrefix} {
-		revision, err := platform.ReadAll(ctx, j.store, prefix, c.add)
-		if err != nil {
-			return nil, err
-		}
-		if i == 0 {
-			c.Revision = revision
+	sections, err := j.loadPrefixes(ctx, jobPrefix, cancelPrefix, recordPrefix)
+	if err != nil {
+		return nil, err
+	}
+	for _, s := range sections {
+		c.merge(s.contents)
+		// The prefixes are read at the same time, each beginning with a page of its own.
+		if s.prefix == jobPrefix || s.prefix == cancelPrefix {
+			if c.Revision == 0 || s.revision < c.Revision {
+				c.Revision = s.revision
+			}
 		}
 	}
 	return c, nil
--- a/laddervm/term.go
+++ b/laddervm/term.go
@@ -317,10 +317,7 @@
 	var workers []ladderflow.Worker
 	for c == nil {
 		var err error
-		if c, err = t.vm.journal.Load(t.ctx); err == nil {
-			workers, err = t.readWorkers()
-		}
-		if err == nil {
+		if c, workers, err = t.readAll(); err == nil {
 			break
 		}
 		c = nil
@@ -345,6 +342,17 @@
 	go follow(t.ctx, t.vm, ladderjournal.WatchPrefix, jobs)
 }
 
+// readAll reads the scheduler's state and the list of workers at the same time.
+func (t *term) readAll() (*ladderjournal.Contents, []ladderflow.Worker, error) {
+	var workers []ladderflow.Worker
+	var err error
+	var wait sync.WaitGroup
+	wait.Go(func() { workers, err = t.readWorkers() })
+	c, loadErr := t.vm.journal.Load(t.ctx)
+	wait.Wait()
+	return c, workers, errors.Join(loadErr, err)
+}
+
 // jobFollower returns a follower that adds the jobs and cancellations of which no message tells. It
 // soon reads again after the leases of earlier leaders have ended: until it has, each new job may be
 // one that an earlier leader has started.
