Bound the turns of gangs on their team's quota

Change: turns take at most a tenth of a team's time, tasks that end before the gang can start may use its room, and a gang gets none while what runs besides does not end by itself.

--- a/ladderplan/model.go
+++ b/ladderplan/model.go
@@ -206,6 +206,8 @@
 	size   ladderflow.Size
 	// bestEffort is the processor amount that a best-effort run asks for, which is no part of its size.
 	bestEffort int
+	// quotaIndex is the run's index in [teamQuota.runs].
+	quotaIndex int
 	// sizeUnknown is true if the leader does not know the run's job yet. The size is then zero.
 	sizeUnknown bool
 	// team is the team of the run's job, or empty if the job has none or is not known.
@@ -382,7 +384,7 @@
 		t.runs = append(t.runs, r)
 		t.step.runsOn[w]++
 		t.lastRun = max(t.lastRun, r.name.Number)
-		t.step.round.job.quota.known(t)
+		t.step.round.job.quota.add(r)
 	}
 }
 
@@ -407,6 +409,7 @@
 	if t == nil {
 		return
 	}
+	t.step.round.job.quota.remove(r)
 	t.runs = slices.DeleteFunc(t.runs, func(o *run) bool { return o == r })
 	t.lastClosedRun = max(t.lastClosedRun, r.name.Number)
 	if t.step.runsOn[w]--; t.step.runsOn[w] <= 0 {
--- a/ladderplan/quota.go
+++ b/ladderplan/quota.go
@@ -12,9 +12,12 @@
 const (
 	// quotaLogPause is how long a quota must hold nothing back before that is logged.
 	quotaLogPause = time.Second
-	// maxKeptWait is how long a step waits for room that is kept for other work of its team while the team
+	// maxKeptWait is how long a step waits for room that is kept for other work of its team once the team
 	// uses less than half of its quota. A job must not wait for 3 s then with nothing running.
 	maxKeptWait = 1500 * time.Millisecond
+	// turnShare limits the turns of a team's gangs to one part in turnShare of the time. What is kept free for
+	// them is idle, which costs a team more than it gains if its quota is always in use.
+	turnShare = 10
 )
 
 // quotas holds the quotas of the teams that are configured or have jobs.
@@ -38,12 +41,16 @@
 	// be done. bestEffort is the part of its processor amount that is due to best-effort tasks.
 	tasks      ladderflow.Size
 	bestEffort int
-	turn       quotaTurn
-	// lateTurnAfter is the time before which no gang that can't meet its objective gets a turn.
-	lateTurnAfter time.Time
+	// runs holds the known runs of the team's tasks, each at its [run.quotaIndex].
+	runs []*run
+	turn quotaTurn
+	// turnAfter is the time before which no gang gets a turn.
+	turnAfter time.Time
 	// blocked is what a step of single tasks keeps free for one of them in the placement pass blockedPass.
 	blocked     ladderflow.Size
 	blockedPass int64
+	// underHalfSince is since when the team uses less than half of its quota while work waits, or zero.
+	underHalfSince time.Time
 	// heldAt is when the quota last held work back, and heldSince since when that is logged, or zero.
 	heldAt, heldSince time.Time
 }
@@ -52,20 +59,42 @@
 type quotaTurn struct {
 	step         *step
 	since, until time.Time
-	// late is true if the gang could not meet its objective any more when its turn began.
-	late bool
+	// startAt is when the gang is expected to start, as computed at sizedAt. Until then, work of the team that
+	// is expected to have ended by then may use the room.
+	startAt, sizedAt time.Time
 }
 
 // quotaWait is what a step remembers while its team's quota holds it back.
 type quotaWait struct {
 	// since is when the quota began to hold the step back, or zero if it does not.
 	since time.Time
-	// restUntil is the time before which a gang gets no further turn.
-	restUntil time.Time
+	// nextCheck is when to check again whether a gang should get its turn.
+	nextCheck time.Time
 	// exceeded is the last quota that was logged to be less than the step needs at once.
 	exceeded ladderflow.Size
 }
 
+// add records a run of the team's task.
+func (q *teamQuota) add(x *run) {
+	if q == nil {
+		return
+	}
+	x.quotaIndex = len(q.runs)
+	q.runs = append(q.runs, x)
+	q.known(x.task)
+}
+
+// remove records that a run that was added is over.
+func (q *teamQuota) remove(x *run) {
+	if q == nil {
+		return
+	}
+	last := q.runs[len(q.runs)-1]
+	q.runs[x.quotaIndex], last.quotaIndex = last, x.quotaIndex
+	q.runs[len(q.runs)-1] = nil
+	q.runs = q.runs[:len(q.runs)-1]
+}
+
 // limited reports whether there is a quota.
 func (q *teamQuota) limited() bool { return q != nil && q.quota != ladderflow.Size{} }
 
@@ -227,18 +256,30 @@
 	case q.turn.step == s:
 		return quotaAllows, st
 	}
+	waitedLong := q.underHalf(sp.now, st) >= maxKeptWait && sp.now.Sub(s.readySince) >= maxKeptWait
 	st.Kept = sp.quotaKept(q)
-	waitedLong := st.UnderHalf() && sp.now.Sub(s.readySince) >= maxKeptWait
 	if waitedLong || st.MoreRuns(unit, 1) > 0 {
 		return quotaAllows, st
 	}
 	return quotaKept, st
 }
 
+// underHalf returns for how long the team has used less than half of its quota.
+func (q *teamQuota) underHalf(now time.Time, st ladderteam.Standing) time.Duration {
+	switch {
+	case !st.UnderHalf():
+		q.underHalfSince = time.Time{}
+		return 0
+	case q.underHalfSince.IsZero():
+		q.underHalfSince = now
+	}
+	return now.Sub(q.underHalfSince)
+}
+
 // quotaKept returns what is kept free for other work of the step's team.
 func (sp *stepPlacement) quotaKept(q *teamQuota) ladderflow.Size {
 	var kept ladderflow.Size
-	if sp.turnHolds(q) {
+	if sp.turnHolds(q) && !sp.endsBefore(q.turn.startAt) {
 		kept = ladderteam.Unit(q.turn.step.spec)
 	}
 	if q.blockedPass == sp.planner.reservationPass {
@@ -247,6 +288,11 @@
 	return kept
 }
 
+// endsBefore reports whether a task of the step that starts now is expected to have ended before a time.
+func (sp *stepPlacement) endsBefore(at time.Time) bool {
+	return !sp.step.spec.LongRunning && !sp.now.Add(backfillFactor*sp.step.expectedDuration()).After(at)
+}
+
 // heldByQuota reports whether the quota of the step's team holds its next start back.
 func (sp *stepPlacement) heldByQuota() bool {
 	s := sp.step
@@ -302,30 +348,67 @@
 		}
 		return
 	}
-	if !sp.turnHolds(q) {
-		late, due := sp.turnDue()
-		if !due || late && sp.now.Before(q.lateTurnAfter) || sp.now.Before(s.quotaWait.restUntil) {
+	if sp.turnHolds(q) {
+		if q.turn.step != s {
 			return
 		}
-		q.turn = quotaTurn{step: s, since: sp.now, until: sp.now.Add(objective), late: late}
-		p.log.Info("quota of a team is kept for a gang", "team", q.name, "step", s.ref(), "members", len(s.tasks), "need", ladderteam.Unit(s.spec),
-			"standing", p.standing(q).String(), "late", late)
+		if sp.now.Sub(q.turn.sizedAt) >= reservationLife {
+			q.turn.startAt, _ = sp.quotaFreeAt(q)
+			q.turn.sizedAt = sp.now
+		}
+	} else if !sp.takeTurn(q, objective) {
+		return
 	}
-	if q.turn.step == s && len(s.tickets.rows) == 0 {
+	if len(s.tickets.rows) == 0 {
 		sp.queryForTasks() // The answer takes about as long as the team's runs take to end.
 	}
 }
 
-// turnDue reports whether a gang that the quota holds back should get its turn now: it must start as soon as
-// the team's runs have ended to meet its objective. It is late if it can't meet that.
-func (sp *stepPlacement) turnDue() (late, due bool) {
-	s := sp.step
+// takeTurn gives a gang that the quota holds back its turn, if it is due: the gang must start as soon as enough
+// runs of the team have ended, to meet its objective, or it has been held back for as long as that.
+func (sp *stepPlacement) takeTurn(q *teamQuota, objective time.Duration) bool {
+	p, s := sp.planner, sp.step
+	if sp.now.Before(q.turnAfter) || sp.now.Before(s.quotaWait.nextCheck) {
+		return false
+	}
+	s.quotaWait.nextCheck = sp.now.Add(reservationLife)
 	remaining := s.round.job.criticalPaths[s.index]
-	latestStart := s.round.due.Add(sp.planner.objective(s.round.job) - remaining)
-	if latestStart.Before(sp.now) {
-		return true, true
+	latestStart := s.round.due.Add(objective - remaining)
+	startAt, ok := sp.quotaFreeAt(q)
+	switch {
+	case !ok, startAt.Sub(sp.now) >= objective:
+		return false // Too much of what runs does not end soon.
+	case startAt.Add(errorAllowance(remaining)).Before(latestStart):
+		return false // It can wait.
+	case startAt.After(latestStart) && sp.now.Sub(s.quotaWait.since) < objective:
+		return false // It is late in any case.
+	}
+	q.turn = quotaTurn{step: s, since: sp.now, until: sp.now.Add(objective), startAt: startAt, sizedAt: sp.now}
+	p.log.Info("quota of a team is kept for a gang", "team", q.name, "step", s.ref(), "members", len(s.tasks), "need", ladderteam.Unit(s.spec),
+		"standing", p.standing(q).String(), "held", sp.now.Sub(s.quotaWait.since).Round(time.Millisecond), "startsIn", startAt.Sub(sp.now).Round(time.Millisecond))
+	return true
+}
+
+// quotaFreeAt returns when the quota is expected to have room for the step, if nothing else of the team starts
+// until then. It returns false if it has none after all known runs that end by themselves.
+func (sp *stepPlacement) quotaFreeAt(q *teamQuota) (time.Time, bool) {
+	p := sp.planner
+	st, unit := p.standing(q), ladderteam.Unit(sp.step.spec)
+	var list []capacityRelease
+	for _, x := range q.runs {
+		if !x.task.step.spec.LongRunning {
+			size := x.size.Plus(ladderflow.Size{Processor: x.bestEffort})
+			list = append(list, capacityRelease{later(x.expectedEnd(), sp.now), size})
+		}
+	}
+	slices.SortStableFunc(list, func(a, b capacityRelease) int { return a.at.Compare(b.at) })
+	for _, e := range list {
+		st.Used = st.Used.Minus(e.size)
+		if st.MoreRuns(unit, 1) > 0 {
+			return e.at, true
+		}
 	}
-	return false, !sp.now.Add(errorAllowance(remaining) + s.expectedDuration()).Before(latestStart)
+	return time.Time{}, false
 }
 
 // turnHolds reports whether a gang of the team has its turn, which ends once the gang has started or does not
@@ -343,12 +426,9 @@
 	}
 	took := sp.now.Sub(t.since)
 	if waits {
-		s.quotaWait.restUntil = sp.now.Add(worthlessFactor * took)
 		sp.planner.log.Info("gang could not start in its turn on the quota", "team", q.name, "step", s.ref(), "took", took.Round(time.Millisecond))
 	}
-	if t.late {
-		q.lateTurnAfter = sp.now.Add(worthlessFactor * took)
-	}
+	q.turnAfter = sp.now.Add((turnShare - 1) * took)
 	*t = quotaTurn{}
 	return false
 }
