--- a/ladderload/share_test.go
+++ b/ladderload/share_test.go
@@ -55,10 +55,9 @@
 	}
 }
 
-// othersEarn returns what the jobs that arrive in each tenth of a second earn. It leaves out the hot teams. The
-// worst part that a team earns is over the whole simulation.
-func othersEarn(sim *simulation, hot map[string]bool) (earned []float64) {
-	earned = make([]float64, sim.load.ArrivalPeriod/(100*time.Millisecond)+1)
+// othersEarn returns what the jobs that arrive in each tenth of a second earn, but for those of the hot teams.
+func othersEarn(sim *simulation, hot map[string]bool) []float64 {
+	earned := make([]float64, sim.load.ArrivalPeriod/(100*time.Millisecond)+1)
 	for _, j := range sim.jobs {
 		if hot[j.spec.Team] {
 			continue
@@ -86,37 +85,14 @@
 	hot  map[string]bool
 }
 
-func shareCases(t *testing.T) map[string]func() shareCase {
-	heated := func(teams int, hot ...int) func() shareCase {
-		return func() shareCase {
-			c := shareCase{load: teamLoad(t, teams), hot: map[string]bool{}}
-			for _, i := range hot {
-				c.load.heat(i)
-				c.hot[c.load.Teams[i].Name] = true
-			}
-			return c
-		}
-	}
-	return map[string]func() shareCase{
-		"the largest of 20 teams sends 8 times its usual": heated(20, 0),
-		"the third of 20 teams sends 8 times its usual":   heated(20, 2),
-		"two of 20 teams send 8 times their usual":        heated(20, 1, 4),
-		"the third of 140 teams sends 8 times its usual":  heated(140, 2),
-		"weights of 100 to 1": func() shareCase {
-			c := heated(20, 3)()
-			for i := range c.load.Teams {
-				c.load.Teams[i].Weight = max(1, 100*math.Pow(float64(i+1), -1.5))
-			}
-			return c
-		},
-		"wide gangs beside small tasks": func() shareCase {
-			c := heated(20)()
-			c.hot[c.load.Teams[2].Name] = true
-			q := c.load.Queues[0]
-			c.load.Extras = []Extra{{Team: c.load.Teams[2].Name, Queue: q.Name, Start: hotStart, Duration: hotLength, Rate: 2 * q.Rate}}
-			return c
-		},
+// heated returns a load of the given number of teams of which some send hotFactor times their usual.
+func heated(t *testing.T, teams int, hot ...int) shareCase {
+	c := shareCase{load: teamLoad(t, teams), hot: map[string]bool{}}
+	for _, i := range hot {
+		c.load.heat(i)
+		c.hot[c.load.Teams[i].Name] = true
 	}
+	return c
 }
 
 // simulateShare simulates a load and checks that no room is idle while work waits.
@@ -128,42 +104,74 @@
 	return sim
 }
 
-// TestOthersKeepWhatTheyGet checks that teams that send too much cost the others little in any window. The earnings of
-// a window are summed over several seeds: a window of one has few of the largest jobs.
+// TestOthersKeepWhatTheyGet checks that a team that sends too much costs the others little in any window.
 func TestOthersKeepWhatTheyGet(t *testing.T) {
-	const seeds = 8
-	for name, c := range shareCases(t) {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			c := c()
-			usual := *c.load
-			usual.Extras = nil
-			var with, without []float64
-			for seed := range uint64(seeds) {
-				with = plus(with, othersEarn(simulateShare(t, c.load, seed), c.hot))
-				without = plus(without, othersEarn(simulateShare(t, &usual, seed), c.hot))
-			}
-			n := int(shareWindow / (100 * time.Millisecond))
-			worst, worstAt := math.Inf(1), 0
-			for i := 0; i+n <= len(with); i++ {
-				if kept := sum(with[i:i+n]) / sum(without[i:i+n]); kept < worst {
-					worst, worstAt = kept, i
-				}
-			}
-			t.Logf("kept %.3f in the worst window, from %v; %.3f in all", worst, time.Duration(worstAt)*100*time.Millisecond, sum(with)/sum(without))
-			require.GreaterOrEqual(t, worst, minKept)
-		})
+	steep := heated(t, 20, 3)
+	for i := range steep.load.Teams {
+		steep.load.Teams[i].Weight = max(1, 100*math.Pow(float64(i+1), -1.5))
+	}
+	gangs := heated(t, 20)
+	gangs.hot[gangs.load.Teams[2].Name] = true
+	q := gangs.load.Queues[0]
+	gangs.load.Extras = []Extra{{Team: gangs.load.Teams[2].Name, Queue: q.Name, Start: hotStart, Duration: hotLength, Rate: 2 * q.Rate}}
+	for name, c := range map[string]shareCase{
+		"the third of 20 teams sends 8 times its usual":  heated(t, 20, 2),
+		"the third of 140 teams sends 8 times its usual": heated(t, 140, 2),
+		"weights of 100 to 1":                            steep,
+		"wide gangs beside small tasks":                  gangs,
+	} {
+		t.Run(name, func(t *testing.T) { requireOthersKeep(t, c) })
 	}
 }
 
-func plus(a, b []float64) []float64 {
-	if a == nil {
-		return b
+// TestOthersKeepBesideLargeTeams is as TestOthersKeepWhatTheyGet, with teams whose usual is so much that 8 times of it is
+// several times what the fleet can do.
+func TestOthersKeepBesideLargeTeams(t *testing.T) {
+	for name, c := range map[string]shareCase{
+		"the largest of 20 teams sends 8 times its usual": heated(t, 20, 0),
+		"two of 20 teams send 8 times their usual":        heated(t, 20, 1, 4),
+	} {
+		t.Run(name, func(t *testing.T) { requireOthersKeep(t, c) })
+	}
+}
+
+// requireOthersKeep compares what the teams that are not hot earn with what they earn without the extra jobs. The
+// earnings of a window are summed over several seeds: a window of one has few of the largest jobs.
+func requireOthersKeep(t *testing.T, c shareCase) {
+	const seeds = 40
+	usual := *c.load
+	usual.Extras = nil
+	with, without := make([][]float64, seeds), make([][]float64, seeds)
+	t.Run("seeds", func(t *testing.T) {
+		for seed := range seeds {
+			t.Run(fmt.Sprint(seed), func(t *testing.T) {
+				t.Parallel()
+				with[seed] = othersEarn(simulateShare(t, c.load, uint64(seed)), c.hot)
+				without[seed] = othersEarn(simulateShare(t, &usual, uint64(seed)), c.hot)
+			})
+		}
+	})
+	a, b := total(with), total(without)
+	n := int(shareWindow / (100 * time.Millisecond))
+	worst, worstAt := math.Inf(1), 0
+	for i := 0; i+n <= len(a); i++ {
+		if kept := sum(a[i:i+n]) / sum(b[i:i+n]); kept < worst {
+			worst, worstAt = kept, i
+		}
 	}
-	for i := range b {
-		a[i] += b[i]
+	t.Logf("kept %.3f in the worst window, from %v; %.3f in all", worst, time.Duration(worstAt)*100*time.Millisecond, sum(a)/sum(b))
+	require.GreaterOrEqual(t, worst, minKept)
+}
+
+// total returns the sums of lists of the same length.
+func total(lists [][]float64) []float64 {
+	sums := make([]float64, len(lists[0]))
+	for _, l := range lists {
+		for i, v := range l {
+			sums[i] += v
+		}
 	}
-	return a
+	return sums
 }
 
 func sum(list []float64) (total float64) {
@@ -172,3 +180,14 @@
 	}
 	return total
 }
+
+// TestNoTeamStarves checks that all jobs end some time after a hot team has stopped, its own as well.
+func TestNoTeamStarves(t *testing.T) {
+	c := heated(t, 140, 0, 60)
+	c.load.ExtraTime = 90 * time.Second
+	sim := newSimulation(c.load, 1, ladderplan.ByObjective)
+	sim.run()
+	for id, j := range sim.jobs {
+		require.NotZero(t, j.endedAt, "job %s of team %s", id, j.spec.Team)
+	}
+}
--- a/ladderplan/share_test.go
+++ b/ladderplan/share_test.go
@@ -213,3 +213,58 @@
 	require.True(t, a.BeyondRate)
 	require.Positive(t, a.UsedShare)
 }
+
+// TestTakeBackForGang lets a gang wait for workers that another team has filled with jobs beyond its rate.
+func TestTakeBackForGang(t *testing.T) {
+	for name, c := range map[string]struct {
+		team   string
+		change func(*ladderflow.Step)
+		age    time.Duration
+		stops  int
+	}{
+		"runs that can resume":        {"b", func(s *ladderflow.Step) { s.Checkpointable = true }, time.Second, 4},
+		"too much work would be lost": {"b", func(s *ladderflow.Step) { s.Checkpointable = true }, 40 * time.Second, 0},
+		"runs that can't resume":      {"b", func(*ladderflow.Step) {}, time.Second, 0},
+		"gangs":                       {"b", func(s *ladderflow.Step) { s.Checkpointable, s.Gang = true, true }, time.Second, 0},
+		"a gang of the same team":     {"a", func(s *ladderflow.Step) { s.Checkpointable = true }, time.Second, 0},
+		"a gang without a team":       {"", func(s *ladderflow.Step) { s.Checkpointable = true }, time.Second, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newShareHarness(t, 2, map[string]float64{"a": 1, "b": 1})
+			h.planner.fleet.Queues[0].BaseObjective = time.Hour
+			for i := range 12 {
+				s := stepOf(1)
+				s.Estimate = time.Minute
+				if i >= minBurst {
+					c.change(&s)
+				}
+				h.advance(time.Millisecond)
+				h.send("a", fmt.Sprintf("a%02d", i), s)
+			}
+			require.Len(t, h.startAll(), 8)
+			for h.now.Sub(time.UnixMilli(1_000_000)) < c.age {
+				h.advance(500 * time.Millisecond)
+				running := map[string][]ladderflow.ActiveRun{}
+				for id, w := range h.planner.workers {
+					for _, x := range w.runOrder {
+						running[id] = append(running[id], ladderflow.ActiveRun{Run: x.name, Percent: x.percent + 1})
+					}
+				}
+				h.pollAll(running)
+				// The team goes on sending, so that it stays over its rate.
+				for i := range 3 {
+					h.send("a", fmt.Sprintf("%v%d", h.now.UnixMilli(), i), stepOf(1))
+				}
+				h.plan()
+			}
+			h.send(c.team, "gang", gangOf(4))
+			h.plan()
+			stops := 0
+			for range 4 {
+				h.advance(100 * time.Millisecond)
+				stops += len(h.plan().Stops)
+			}
+			require.Equal(t, c.stops, stops)
+		})
+	}
+}
