Check quotas of teams in the model of the planner

Cause: the model of leaders, workers and the store had no teams, so a team that runs more than its quota would not be found. Change: TestFlowQuotas gives the simulation two teams. Quotas are drawn, raised and lowered; leaders learn of it up to 3 s late, and out of turn; gangs often just fit. On each start the sum of what the team runs on all simulated workers is compared with the highest quota that the team may have, and after each plan what the leader counts with the quota that it knows.

--- a/ladderproof/doc.go
+++ b/ladderproof/doc.go
@@ -14,7 +14,7 @@
 //   - TestFlowUnderInterleaving runs the production planner and journal of several leaders,
 //     some of which have lost an election without knowing it. Workers, the store's
 //     faults and delegates are simulated. TestFlowGangsOfLeadersThatResign adds leaders that
-//     resign half way through their orders.
+//     resign half way through their orders, and TestFlowQuotas adds teams whose quotas change.
 //
 // The package contains only tests.
 //
--- a/ladderproof/flow_simulation_test.go
+++ b/ladderproof/flow_simulation_test.go
@@ -166,8 +166,9 @@
 	// jobs from it.
 	storeOutUntil  time.Time
 	readsLateUntil time.Time
-	// gangs, if set, checks how long members of gangs wait.
-	gangs *gangWatch
+	// gangs, if set, checks how long members of gangs wait, and quotas what teams run.
+	gangs  *gangWatch
+	quotas *quotaWatch
 	// steps and starts count the checked actions and the started runs of all simulations.
 	steps  *int
 	starts *int
@@ -212,8 +213,8 @@
 	return sim
 }
 
-// fleet returns the configuration, which has one queue.
-func (sim *flowSimulation) fleet() *ladderflow.FleetConfig {
+// baseFleet returns a configuration with one queue and no teams.
+func (sim *flowSimulation) baseFleet() *ladderflow.FleetConfig {
 	return &ladderflow.FleetConfig{Version: 1, Queues: []ladderflow.Queue{{
 		Name: flowQueue, Service: "s", MaxFailures: flowMaxAttempts, ObjectiveFactor: 2, BaseObjective: time.Second,
 	}}}
@@ -259,7 +260,7 @@
 		setGangTimeout(&options)
 	}
 	l.planner = ladderplan.New(options)
-	l.planner.SetFleet(sim.fleet())
+	l.planner.SetFleet(sim.firstFleet(l))
 	for _, j := range c.Jobs {
 		l.planner.AddJob(sim.now, j, true)
 	}
@@ -323,6 +324,7 @@
 	l.planner.SetStoreServing(sim.now, !sim.storeOut())
 	sim.gangs.planned(l, sim.now)
 	o := l.planner.Plan(sim.now, sim.now, l.confidence(sim.now))
+	sim.checkPlan(l, o.Starts)
 	for i := range o.Starts {
 		s := &o.Starts[i]
 		sim.assignment(l, sim.workerByID(s.Worker.ID)).guard.StartSent()
@@ -354,6 +356,7 @@
 			*sim.starts++
 			sim.checkStart(o.start.Run)
 			sim.checkCapacity(o)
+			sim.checkQuota(o)
 			sim.checkStartAfterShown(o)
 		}
 		r.Refusal, r.Clock = refusal, w.clock(sim.now)
--- a/ladderproof/flow_test.go
+++ b/ladderproof/flow_test.go
@@ -117,6 +117,7 @@
 	sim.now = sim.now.Add(d)
 	sim.clock.Advance(d)
 	sim.catchUp()
+	sim.learnFleets()
 	changed := false
 	for _, w := range sim.workers {
 		changed = w.list(sim.now) || changed
@@ -141,6 +142,7 @@
 	if sim.storeOut() {
 		return
 	}
+	sim.drawTeam(t, j)
 	sim.accept(j)
 	sim.drawCrashers(t, j)
 	l.planner.AddJob(sim.now, j, false)
