--- a/ladderstand/platformworker.go
+++ b/ladderstand/platformworker.go
@@ -55,8 +55,9 @@
 	// connection. A connection does not outlive the incarnation.
 	connections map[string]int64
 	crashes     CrashSpec
-	// gangs, if set, knows which tasks work only together.
+	// gangs, if set, knows which tasks work only together, and teams counts what teams run.
 	gangs *Gangs
+	teams *Teams
 	// latency, if set, returns how long the worker takes to carry out a start.
 	latency func(task string) time.Duration
 }
@@ -175,6 +176,7 @@
 	}
 	active.timer.Stop()
 	delete(p.current.running, run)
+	p.teams.end(p, run)
 	if p.gangs.has(run) {
 		reason = p.gangs.end(run, reason, active.startedAt, p.clock.Now())
 	}
@@ -201,6 +203,7 @@
 // extendLease extends the lease, but not beyond maxLease from now. The caller must hold p.mu.
 func (p *PlatformWorker) extendLease(until time.Duration) {
 	p.current.until = max(p.current.until, min(until, p.now()+maxLease))
+	p.teams.extendLease(p, p.startedAt.Add(p.current.until))
 }
 
 // Handler returns the HTTP interface of the worker. POST /-/pace, which limits the speed
@@ -316,6 +319,7 @@
 	active := &activeRun{startedAt: p.clock.Now(), duration: duration}
 	p.current.running[run] = active
 	p.starts[task]++
+	p.teams.start(p, run, p.startedAt.Add(p.current.until))
 	if p.gangs.has(run) {
 		active.timer = time.AfterFunc(p.gangs.timeout, func() { p.giveUpGang(run, active) })
 		p.gangs.join(p, run, duration, fails)
--- a/ladderstand/platformworker_crash.go
+++ b/ladderstand/platformworker_crash.go
@@ -82,6 +82,7 @@
 func (p *PlatformWorker) restart() {
 	for run, active := range p.current.running {
 		active.timer.Stop()
+		p.teams.end(p, run)
 		if p.gangs.has(run) {
 			p.gangs.end(run, ladderflow.EndFailed, active.startedAt, p.clock.Now())
 		}
