Check the operators' configuration of the members' platform

Cause: lacewingladder check knew the product's own configuration only, so a malformed team was found when a VM had read it. Change: a file with the key routes is read as the VMs read it. No finding shows a key.

--- a/laddercommand/check.go
+++ b/laddercommand/check.go
@@ -25,8 +25,10 @@
 func (*check) Usage() string {
 	return `check FILE...
   Validate files and print every finding with its position. A file whose name ends
-  in .jsonl is a trace, a file with the key "defaults" is a configuration, and any
-  other file contains the settings of an entry VM.
+  in .jsonl is a trace, a file with the key "defaults" is a configuration, one with
+  the key "routes" is the operators' configuration on the members' platform, as the
+  store holds it under op/config, and any other file contains the settings of an
+  entry VM. No finding shows a key of a team.
 `
 }
 
@@ -56,9 +58,13 @@
 		_, err := laddertrace.Parse(file, data)
 		return err
 	}
-	if ladderyaml.Parse(file, data).HasKey("defaults") {
+	document := ladderyaml.Parse(file, data)
+	switch {
+	case document.HasKey("defaults"):
 		_, err := ladderconfig.Parse(file, data)
 		return err
+	case document.HasKey("routes"):
+		return checkFleet(file, data)
 	}
 	_, err = laddersettings.Parse(file, data)
 	return err
--- a/laddercommand/command_test.go
+++ b/laddercommand/command_test.go
@@ -65,9 +65,10 @@
 		args   []string
 		status subcommands.ExitStatus
 	}{
-		"help":   {args: []string{"help"}},
-		"check":  {args: []string{"check", "testdata/bad-fleet.yaml", "testdata/bad-entry.yaml", "testdata/bad-trace.jsonl"}, status: subcommands.ExitFailure},
-		"status": {args: []string{"status", "-to", address}},
+		"help":           {args: []string{"help"}},
+		"check":          {args: []string{"check", "testdata/bad-fleet.yaml", "testdata/bad-entry.yaml", "testdata/bad-trace.jsonl"}, status: subcommands.ExitFailure},
+		"check-platform": {args: []string{"check", "testdata/bad-platform.json"}, status: subcommands.ExitFailure},
+		"status":         {args: []string{"status", "-to", address}},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -147,3 +148,11 @@
 	require.Equal(t, subcommands.ExitFailure, status)
 	require.Contains(t, out, "another change was accepted")
 }
+
+// TestCheckShowsNoKeys checks that the findings in a configuration do not contain the keys of teams.
+func TestCheckShowsNoKeys(t *testing.T) {
+	_, out := run(t, "check", "testdata/bad-platform.json")
+	require.Contains(t, out, "tailors")
+	require.NotContains(t, out, "stays-secret")
+	require.NotContains(t, out, "12345")
+}
