Play teams with processes: keys, withdrawals, quotas, and a soak with a hot team

Cause: no test with real processes knew keys or quotas. Change: a flow cluster may have teams. New tests: calls need a key on each VM; a withdrawn key stops working everywhere in time, stays withdrawn on a VM that has refused it, and after a restart of all VMs and a loss of the store's history; a team's quota is kept while its leader dies, and after it is lowered and raised. The soak has a team with a changing quota, a key that is replaced again and again, and a team that sends some eight times its usual; it judges each answer by its key, and starts by the quotas. Its other streams of random numbers are as before, except that of the configurations.

--- a/laddertest/flow_cluster_test.go
+++ b/laddertest/flow_cluster_test.go
@@ -41,6 +41,9 @@
 	jobs atomic.Int64
 	// cpuShare is the share of a core that each VM started from now on gets.
 	cpuShare float64
+	// teams are the teams of the configuration, or nil, and key is the key of the caller, if any.
+	teams *flowTeams
+	key   string
 	// runTime returns how long a run takes and whether it fails. If it is nil, all runs succeed
 	// after 20 ms.
 	runTime func(ladderflow.Run, string) (time.Duration, bool)
@@ -111,6 +114,9 @@
 		worker := ladderstand.NewPlatformWorker(ladderclock.System{}, spec, f.runTime)
 		deferred.handler.Store(ptr(worker.Handler()))
 		require.NoError(f.t, worker.Register(f.platform.Store()))
+		if f.teams != nil {
+			worker.SetTeams(f.teams.runs)
+		}
 		f.workers = append(f.workers, worker)
 	}
 }
@@ -134,10 +140,7 @@
 // configure stores a version of the operators' configuration. The parameter more holds the
 // JSON of further queues.
 func (f *flowCluster) configure(version int, more string) {
-	value := []byte(fmt.Sprintf(flowConfig, version, more))
-	_, _, err := platform.ParseFleet(value)
-	require.NoError(f.t, err)
-	f.platform.Store().Txn(platform.Txn{Writes: []platform.Write{{Key: platform.FleetKey, Value: value}}})
+	f.storeFleet([]byte(fmt.Sprintf(flowConfig, version, more)))
 }
 
 // startVM starts an entry VM's process on free ports.
@@ -219,11 +222,20 @@
 
 // call makes a caller's request. It returns status 0 and the error if there is no response.
 func (f *flowCluster) call(v *flowVM, method, path, body string) (int, string, http.Header) {
+	f.t.Helper()
+	return f.callAs(v, f.key, method, path, body)
+}
+
+// callAs makes a caller's request with a key, if it is not empty.
+func (f *flowCluster) callAs(v *flowVM, key, method, path, body string) (int, string, http.Header) {
 	f.t.Helper()
 	r, err := http.NewRequest(method, "http://"+v.callers+path, strings.NewReader(body))
 	require.NoError(f.t, err)
 	r.Host = "fit.example"
 	r.Header.Set("Deadline-Ms", "3000")
+	if key != "" {
+		r.Header.Set("Authorization", "Bearer "+key)
+	}
 	response, err := f.client.Do(r)
 	if err != nil {
 		return 0, err.Error(), nil
--- a/laddertest/soak_test.go
+++ b/laddertest/soak_test.go
@@ -89,6 +89,8 @@
 	// that each VM is known to serve.
 	queues int
 	shown  map[*flowVM]int
+	// keys is what is known of withdrawn keys.
+	keys soakKeys
 	// calmSince is when the last fault but shutdowns was over, or zero.
 	calmSince time.Time
 	// alone counts the runs that waited in vain for their gang, and aloneExcused those near a fault or a
@@ -193,6 +195,9 @@
 func (s *soak) submitSteps(r *rand.Rand, prefix, idPrefix, payload, steps string) *soakJob {
 	id := idPrefix + fmt.Sprintf("%016x", s.flowCluster.jobs.Add(1))[len(idPrefix):]
 	s.recordGangs(id, steps)
+	s.mu.Lock()
+	s.teams.record(s.t, id, s.teamOf(id).name, steps)
+	s.mu.Unlock()
 	for range 4 {
 		status, _ := s.ask(s.any(r), http.MethodPost, prefix+id, `{"spec":"`+payload+`","steps":`+steps+`}`)
 		if status == http.StatusOK {
@@ -275,7 +280,8 @@
 	s.queues += 1 + r.IntN(100)
 	n := s.queues
 	s.mu.Unlock()
-	s.configure(1+n, manyQueues(n))
+	s.changeTeams(r, n)
+	s.configure(2+n, manyQueues(n))
 }
 
 // watchQueues checks that no VM goes back to an older configuration.
@@ -300,19 +306,30 @@
 	}
 }
 
-// ask makes a caller's request. It returns status 0 if there is no complete response.
+// ask makes a caller's request with the key of the team of its job. It returns status 0 if there is no complete response.
 func (s *soak) ask(v *flowVM, method, path, body string) (int, string) {
+	s.mu.Lock()
+	key := s.teamOf(path[strings.LastIndex(path, "/")+1:]).keys[0]
+	s.mu.Unlock()
+	return s.askAs(v, key, method, path, body)
+}
+
+// askAs is ask with a key. It checks that the key works as the configuration says.
+func (s *soak) askAs(v *flowVM, key, method, path, body string) (int, string) {
+	sent := time.Now()
 	r, err := http.NewRequest(method, "http://"+v.callers+path, strings.NewReader(body))
 	if err != nil {
 		return 0, ""
 	}
 	r.Host = "fit.example"
 	r.Header.Set("Deadline-Ms", "3000")
+	r.Header.Set("Authorization", "Bearer "+key)
 	response, err := s.client.Do(r)
 	if err != nil {
 		return 0, ""
 	}
 	defer func() { _ = response.Body.Close() }()
+	s.judge(v, key, sent, response.StatusCode)
 	data, err := io.ReadAll(response.Body)
 	if err != nil {
 		return 0, ""
@@ -337,7 +354,8 @@
 
 // TestSoak guards the promises that docs/PROOFS.md lists against faults in series and overlapping:
 // VMs are killed, stopped and shut down, the store is away, slow, silent, loses answers or forgets
-// its history, workers leave calls without a response or crash, some tasks crash them, and the configuration changes. Then
+// its history, workers leave calls without a response or crash, some tasks crash them, the configuration changes, keys are
+// withdrawn, quotas are raised and lowered, and a team sends many times its usual. Then
 // leaders are shut down while gangs start and callers cancel jobs, without other faults. All
 // choices come from the seed, but not the moments at which processes act. By default it plays no
 // seed.
@@ -364,6 +382,7 @@
 		w.SetGangs(s.stand)
 		w.SetCrashes(ladderstand.CrashSpec{Downtime: crashDowntime, Store: s.platform.Store(), After: s.crashes})
 	}
+	s.addTeams()
 	s.startVMs(soakVMs)
 	for i := range uint64(soakCallers) {
 		s.do(i, s.runCaller)
@@ -372,6 +391,8 @@
 	s.do(101, s.watchQueues)
 	s.do(102, s.watchRuns)
 	s.do(103, s.disturb)
+	s.do(104, s.watchKeys)
+	s.do(105, s.heat)
 	time.Sleep(*soakTime)
 	close(s.stop)
 	s.wait.Wait()
