--- a/ladderplan/model.go
+++ b/ladderplan/model.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lacewingladder/ladderflow"
+	"lacewingladder/laddershare"
 	"lacewingladder/ladderteam"
 )
 
@@ -49,6 +50,13 @@
 	// queue holds the rules of the job under the configuration queueFleet; see [Planner.queue].
 	queue      *ladderflow.Queue
 	queueFleet *ladderflow.FleetConfig
+	// quota is the quota of the job's team, or nil if it has no team.
+	quota *teamQuota
+	// team is the state of the job's team in teamShares; see [Planner.team]. beyondRate is true if the team
+	// sent the job beyond its rate.
+	team       *laddershare.Team
+	teamShares *laddershare.Shares
+	beyondRate bool
 }
 
 // waited returns the time from the job's acceptance to its first start, as text for logs.
@@ -94,6 +102,7 @@
 	readySince  time.Time
 	lastTry     lastTry
 	waitReason  waitReason
+	quotaWait   quotaWait
 	// durations holds the durations of the runs that were not interrupted, until the step is finished.
 	durations []taskDuration
 }
@@ -161,7 +170,10 @@
 	crashedAt    time.Time
 	suspicions   int
 	suspectSince time.Time
-	runs         []*run
+	// assumed is true while the task counts against its team's quota because an earlier leader may have started
+	// it; see [Planner.assumeRuns].
+	assumed bool
+	runs    []*run
 }
 
 func (t *task) name() ladderflow.Task {
@@ -198,6 +210,10 @@
 	worker *worker
 	phase  phase
 	size   ladderflow.Size
+	// bestEffort is the processor amount that a best-effort run asks for, which is no part of its size.
+	bestEffort int
+	// quotaIndex is the run's index in [teamQuota.runs].
+	quotaIndex int
 	// sizeUnknown is true if the leader does not know the run's job yet. The size is then zero.
 	sizeUnknown bool
 	// team is the team of the run's job, or empty if the job has none or is not known.
@@ -218,9 +234,13 @@
 	// resumesFrom is the checkpoint that the start carried.
 	resumesFrom checkpoint
 	// checkpoint is the last one that was reported, or empty. It is kept for a run whose task is unknown.
+	// It last changed at savedAt.
 	checkpoint string
+	savedAt    time.Time
 	// ofCancelledJob is true once the run was ordered to stop after its job was canceled.
 	ofCancelledJob bool
+	// freeAt is when the capacity of a run that was stopped for a gang is expected to be free.
+	freeAt time.Time
 	// percent is the last progress that was reported, and progressedAt is when it last changed.
 	percent      int
 	progressedAt time.Time
@@ -230,6 +250,12 @@
 	speedChangedAt time.Time
 }
 
+// setSize sets the size of a run of a step's task.
+func (x *run) setSize(s *ladderflow.Step) {
+	x.size = s.Demand()
+	x.bestEffort = s.Need.Processor - x.size.Processor
+}
+
 // confirm records that the worker has the run.
 func (x *run) confirm() {
 	if x.task != nil {
@@ -284,7 +310,9 @@
 	free             ladderflow.Size
 	// leastCapacity is the least amount of each resource that the worker's incarnation has had.
 	leastCapacity ladderflow.Size
-	runs          map[ladderflow.Run]*run
+	// mostCapacity is the largest amount of each resource that the worker was ever listed with.
+	mostCapacity ladderflow.Size
+	runs         map[ladderflow.Run]*run
 	// runOrder holds the runs in the order in which they were added. releases is the result of
 	// expectedReleases, which is computed again if releasesStale is true.
 	runOrder      []*run
@@ -328,7 +356,7 @@
 
 func newWorker(spec ladderflow.Worker, index int, freed *freedLog, pools *workerPools, ledger *ladderteam.Ledger) *worker {
 	return &worker{
-		spec: spec, ledger: ledger, index: index, freed: freed, pools: pools, free: spec.Capacity, leastCapacity: spec.Capacity, runs: map[ladderflow.Run]*run{}, justEnded: map[ladderflow.Run]bool{},
+		spec: spec, ledger: ledger, index: index, freed: freed, pools: pools, free: spec.Capacity, leastCapacity: spec.Capacity, mostCapacity: spec.Capacity, runs: map[ladderflow.Run]*run{}, justEnded: map[ladderflow.Run]bool{},
 		failedJobs: map[string]bool{},
 	}
 }
@@ -353,8 +381,10 @@
 	w.releasesStale = true
 	w.free = w.free.Minus(r.size)
 	w.ledger.Add(r.team, r.size)
+	w.ledger.AddBestEffort(r.team, r.bestEffort)
 	if r.sizeUnknown {
 		w.unknownRuns++
+		w.pools.unknownRuns++
 		w.pools.stale = true
 	}
 	if t := r.task; t != nil {
@@ -364,6 +394,7 @@
 		t.runs = append(t.runs, r)
 		t.step.runsOn[w]++
 		t.lastRun = max(t.lastRun, r.name.Number)
+		t.step.round.job.quota.add(r)
 	}
 }
 
@@ -376,9 +407,11 @@
 	w.runOrder = slices.DeleteFunc(w.runOrder, func(o *run) bool { return o == r })
 	w.releasesStale = true
 	w.free = w.free.Plus(r.size)
+	w.ledger.RemoveBestEffort(r.team, r.bestEffort)
 	w.ledger.Remove(r.team, r.size)
 	if r.sizeUnknown {
 		w.unknownRuns--
+		w.pools.unknownRuns--
 		w.pools.stale = true
 	}
 	w.freed.add(w)
@@ -386,6 +419,7 @@
 	if t == nil {
 		return
 	}
+	t.step.round.job.quota.remove(r)
 	t.runs = slices.DeleteFunc(t.runs, func(o *run) bool { return o == r })
 	t.lastClosedRun = max(t.lastClosedRun, r.name.Number)
 	if t.step.runsOn[w]--; t.step.runsOn[w] <= 0 {
--- a/ladderplan/place.go
+++ b/ladderplan/place.go
@@ -1,7 +1,6 @@
 package ladderplan
 
 import (
-	"cmp"
 	"iter"
 	"slices"
 	"time"
@@ -13,6 +12,7 @@
 	// worthlessFactor is the multiple of a job's objective after which its result is no longer of
 	// use.
 	worthlessFactor = 3
+	worthlessClass  = 3
 	// idlePassInterval is the time between two placement passes if nothing has happened in between
 	// that lets a task start, except that time has passed.
 	idlePassInterval = 20 * time.Millisecond
@@ -28,7 +28,7 @@
 	backfillFactor = 2
 )
 
-// rank is the position of a step in the order of placement: first by class, then by latestStart. Rules
+// rank is the position of a step in the order of placement: first by turn, then by class, then by latestStart. Rules
 // other than ByObjective set latestStart to the time or duration by which they order the steps.
 type rank struct {
 	step *step
@@ -36,8 +36,10 @@
 	//   0: urgent or long-running
 	//   1: can meet its objective, even if it takes longer than expected
 	//   2: is likely to miss its objective
-	//   3: its result is no longer of use
-	class       int
+	//   3: its result is no longer of use (worthlessClass)
+	class int32
+	// turn is turnWithin under rules other than ByObjective, and if the configuration has no teams.
+	turn        turn
 	latestStart time.Time
 }
 
@@ -87,14 +89,18 @@
 // place starts the tasks for which there is capacity, in the order of their steps' ranks.
 func (p *Planner) place(now time.Time) {
 	p.refreshPools(now)
+	p.refreshUnseenRevision()
 	p.reservationPass++
+	p.sizeQuotas()
+	defer p.logReleased(now)
 	gangs, maxGangs := 0, max(minReservingGangs, len(p.workers)/workersPerReservingGang)
-	for _, k := range p.rankedSteps(now) {
+	p.refreshShares(now)
+	for k := range p.placementOrder(now) {
 		s := k.step
 		if p.fleet == nil {
 			continue
 		}
-		if !p.earlierRunsKnown && s.round.job.knownToEarlierLeader {
+		if p.mayRunUnseen(s.round.job) {
 			s.waitReason = waitEarlierRuns
 			continue
 		}
@@ -108,7 +114,10 @@
 			continue
 		}
 		sp := p.stepPlacement(now, s)
-		sp.heedsReservations = k.class > 0
+		sp.heedsReservations, sp.yields = k.class > 0 || k.turn > turnWithin, k.turn > turnWithin
+		if sp.heldByQuota() {
+			continue
+		}
 		hopeless := sp.hopeless()
 		switch {
 		case s.spec.Gang && !hopeless && sp.placeGang():
@@ -119,11 +128,14 @@
 			s.waitReason = waitTooLarge
 		case s.spec.Gang:
 			gangs++
+			if k.class < sp.preemptClasses() && k.turn == turnWithin && !now.After(k.latestStart) {
+				sp.takeBackForGang()
+			}
 			sp.reserveForGang(hopeless)
 		case !hopeless:
 			sp.placeTasks()
 			sp.queryForTasks()
-			if k.class == 0 && !now.After(k.latestStart) {
+			if k.class < sp.preemptClasses() && k.turn == turnWithin && !now.After(k.latestStart) {
 				sp.preempt()
 			}
 		}
@@ -154,9 +166,7 @@
 	}
 	clear(p.readySteps[len(kept):])
 	p.readySteps = kept
-	slices.SortFunc(list, func(a, b rank) int {
-		return cmp.Or(cmp.Compare(a.class, b.class), a.latestStart.Compare(b.latestStart))
-	})
+	slices.SortFunc(list, compareRanks)
 	return list
 }
 
@@ -175,7 +185,7 @@
 	case ByArrival:
 		return rank{step: s, latestStart: s.readySince}
 	case ByPriority:
-		k.class, k.latestStart = q.Priority, s.readySince
+		k.class, k.latestStart = int32(q.Priority), s.readySince
 		return k
 	case ByDeadline:
 		return rank{step: s, latestStart: s.round.due.Add(objective)}
@@ -188,7 +198,7 @@
 		// Its tasks are of use for as long as the job lasts, whenever that was accepted.
 		k.class, k.latestStart = 0, later(k.latestStart, now)
 	case now.Add(remaining).After(s.round.due.Add(worthlessFactor * objective)):
-		k.class = 3
+		k.class = worthlessClass
 	case urgent:
 		k.class = 0
 	case now.Add(errorAllowance(remaining)).After(k.latestStart):
@@ -196,6 +206,9 @@
 	default:
 		k.class = 1
 	}
+	if p.teams.shares != nil {
+		k.turn = p.turn(now, s, k.class)
+	}
 	return k
 }
 
@@ -219,6 +232,8 @@
 	now     time.Time
 	// heedsReservations is true unless the step may use workers that are reserved for gangs.
 	heedsReservations bool
+	// yields is true if steps within the shares of their teams come before the step.
+	yields bool
 }
 
 func (p *Planner) stepPlacement(now time.Time, s *step) stepPlacement {
@@ -305,6 +320,9 @@
 			sp.planner.orders.AtStartLimit = true
 			return
 		}
+		if sp.heldByQuota() {
+			return
+		}
 		if t.suspect() {
 			sp.startSuspect(t, candidates)
 			continue
@@ -379,9 +397,10 @@
 func (sp *stepPlacement) start(t *task, w *worker, number int, from checkpoint) {
 	p := sp.planner
 	x := &run{
-		task: t, name: ladderflow.Run{Task: t.name(), Number: number}, phase: phaseSent, size: sp.step.spec.Demand(), team: sp.step.round.job.spec.Team,
+		task: t, name: ladderflow.Run{Task: t.name(), Number: number}, phase: phaseSent, team: sp.step.round.job.spec.Team,
 		startedAt: sp.now, progressedAt: sp.now, percent: -1, speedPercent: 100, resumesFrom: from,
 	}
+	x.setSize(sp.step.spec)
 	w.addRun(x)
 	if t.suspect() {
 		w.suspectUntil = sp.now.Add(suspectTime)
--- a/ladderplan/planner.go
+++ b/ladderplan/planner.go
@@ -19,6 +19,8 @@
 	// cancellations maps the ids of jobs that are not known yet to the time at which they were
 	// canceled.
 	cancellations map[string]time.Time
+	// cancellationTeams holds those of them that may not cancel jobs of all teams. It is nil while there are none.
+	cancellationTeams map[string]ladderflow.Cancellation
 	// deletedJobs holds the jobs that were deleted from the store lately.
 	deletedJobs map[string]deletedJob
 	workers     map[string]*worker
@@ -32,6 +34,8 @@
 	pools         workerPools
 	// ledger counts what each team has running. Quotas and shares are decided on it.
 	ledger *ladderteam.Ledger
+	quotas quotas
+	teams  teamShares
 	// queuedJobs holds, by queue, the jobs that may have neither begun nor ended. Jobs with a schedule are
 	// left out.
 	queuedJobs map[string][]*job
@@ -49,6 +53,10 @@
 	// unseenWorkers holds the workers on which an earlier leader may have started tasks and that
 	// have not answered this leader yet.
 	unseenWorkers map[string]bool
+	// unseenRevision is the store's revision after which no job was stored that may have tasks on unseenWorkers,
+	// or above all revisions if there is none.
+	unseenRevision int64
+	cordons        cordons
 	// earlierRunsKnown is true once all runs that earlier leaders started are known, or must have
 	// ended with the lease of their worker.
 	earlierRunsKnown bool
@@ -99,7 +107,8 @@
 		options: o, log: o.Log, jobs: map[string]*job{}, cancellations: map[string]time.Time{}, deletedJobs: map[string]deletedJob{},
 		workers: map[string]*worker{}, departed: map[string]*worker{}, pools: workerPools{byService: map[string][]*worker{}, stale: true}, unseenWorkers: map[string]bool{},
 		unstoredJobs: map[string]*job{}, estimators: durationEstimators{}, spreads: spreads{}, advisers: newAdvisers(),
-		ledger: ladderteam.NewLedger(), window: newStartWindow(o.MaxUnansweredStarts), queuedJobs: map[string][]*job{},
+		ledger: ladderteam.NewLedger(), cordons: newCordons(), window: newStartWindow(o.MaxUnansweredStarts), queuedJobs: map[string][]*job{},
+		quotas: quotas{teams: map[string]*teamQuota{}},
 	}
 }
 
@@ -107,7 +116,10 @@
 func (p *Planner) Superseded() bool { return p.superseded }
 
 // SetFleet sets the configuration.
-func (p *Planner) SetFleet(f *ladderflow.FleetConfig) { p.fleet, p.placementDue = f, true }
+func (p *Planner) SetFleet(f *ladderflow.FleetConfig) {
+	p.fleet, p.placementDue = f, true
+	p.refreshQuotas()
+}
 
 // SetSenders sets the number of VMs that send starts: the leader and its delegates.
 func (p *Planner) SetSenders(n int) { p.window.setSenders(n) }
@@ -121,7 +133,10 @@
 // [Options.EarlierLeaseEnd] are known counts as such in any case.
 func (p *Planner) AddJob(now time.Time, spec *ladderflow.Job, knownToEarlierLeader bool) {
 	p.placementDue = true
-	if _, ok := p.jobs[spec.ID]; ok {
+	if j, ok := p.jobs[spec.ID]; ok {
+		if j.spec.Revision == 0 {
+			j.spec.Revision = spec.Revision
+		}
 		return
 	}
 	if d, ok := p.deletedJobs[spec.ID]; ok && !spec.Accepted.After(d.accepted) {
@@ -130,9 +145,10 @@
 	j := newJob(spec)
 	j.estimateDurations(p.estimators, p.adviceTime(j))
 	j.addedAt, j.knownToEarlierLeader = now, knownToEarlierLeader || !p.jobsReadAt.After(p.options.EarlierLeaseEnd)
+	j.quota = p.quotas.team(spec.Team)
 	p.jobs[spec.ID] = j
-	if _, ok := p.cancellations[spec.ID]; ok {
-		delete(p.cancellations, spec.ID)
+	p.awaitRateCheck(j)
+	if p.takeCancellation(now, spec) {
 		p.finish(now, j, ladderflow.Cancelled)
 		return
 	}
@@ -151,6 +167,7 @@
 	switch {
 	case !ok:
 		p.cancellations[id] = now
+		delete(p.cancellationTeams, id)
 	case j.active():
 		p.finish(now, j, ladderflow.Cancelled)
 	}
@@ -162,6 +179,7 @@
 	r := j.addRound(index, due)
 	j.nextRound = max(j.nextRound, index+1)
 	p.markReadySteps(now, r)
+	p.assumeRuns(r)
 	p.recordHeld(now, r)
 }
 
@@ -305,6 +323,7 @@
 			s.waiting--
 		}
 		m.done = true
+		j.quota.known(m)
 		s.done++
 		for _, x := range m.runs {
 			if !s.spec.Gang {
--- a/ladderplan/pools.go
+++ b/ladderplan/pools.go
@@ -13,6 +13,8 @@
 	// pass is the number of times that they were determined. Workers that accept new tasks have the
 	// number in lastPass.
 	pass int64
+	// unknownRuns is the number of runs on all workers whose size is unknown.
+	unknownRuns int
 }
 
 // changeAt records that a worker begins or ceases to accept tasks at a given time.
@@ -68,7 +70,7 @@
 // except that time passes, marks the pools as stale.
 func (p *Planner) acceptsTasks(now time.Time, w *worker) bool {
 	switch {
-	case !w.listed, !w.seenByLeader, w.unresponsive, !w.leavesAt.IsZero(), now.Sub(w.polledAt) >= unresponsiveAfter:
+	case p.cordons.has(w.spec.ID), !w.listed, !w.seenByLeader, w.unresponsive, !w.leavesAt.IsZero(), now.Sub(w.polledAt) >= unresponsiveAfter:
 		return false
 	case !w.inRoster, now.Before(w.excludedUntil), now.Before(w.maintenanceUntil), p.nearMaintenance[w.spec.ID]:
 		return false
