--- a/ladderplan/explain.go
+++ b/ladderplan/explain.go
@@ -21,7 +21,9 @@
 	Aim time.Duration
 	// Stored is true if the store holds the job's state as the leader knows it.
 	Stored bool
-	Steps  []StepExplanation
+	// Team describes the job's team, or is nil if the job has none.
+	Team  *JobTeam
+	Steps []StepExplanation
 }
 
 // StepExplanation describes the state of one step of a job.
@@ -46,7 +48,7 @@
 	}
 	e := Explanation{
 		Job: id, Queue: j.spec.Queue, State: j.state, Age: now.Sub(j.spec.Accepted), Aim: p.objective(j),
-		Stored: j.storedState == j.state,
+		Stored: j.storedState == j.state, Team: p.jobTeam(now, j),
 	}
 	if j.active() && j.started {
 		e.State = ladderflow.Running
@@ -136,6 +138,9 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "job %s in queue %s: %s for %v, aim %v, stored %v\n", e.Job, e.Queue, e.State,
 		e.Age.Round(time.Millisecond), e.Aim.Round(time.Millisecond), e.Stored)
+	if e.Team != nil {
+		fmt.Fprintf(&b, "  %v\n", e.Team)
+	}
 	for _, s := range e.Steps {
 		fmt.Fprintf(&b, "  round %d step %d: %d tasks of %v, %d done, %d running, %d waiting; allowed on %d workers, denied on %d\n",
 			s.Round, s.Step, s.Tasks, s.Need, s.Done, s.Running, s.Waiting, s.Allowed, s.Denied)
@@ -164,6 +169,8 @@
 	// Certain is true once all runs that earlier leaders started are known or must have ended.
 	Certain bool
 	Queues  []QueueOverview
+	// Teams is empty if the configuration has no teams.
+	Teams   []TeamOverview
 	Workers []WorkerOverview
 }
 
@@ -190,7 +197,7 @@
 
 // Overview describes the state of the whole fleet.
 func (p *Planner) Overview(now time.Time) Overview {
-	o := Overview{Fence: p.options.Fence, Certain: p.earlierRunsKnown}
+	o := Overview{Fence: p.options.Fence, Certain: p.earlierRunsKnown, Teams: p.teamOverviews(now)}
 	byQueue := map[string]*QueueOverview{}
 	for _, j := range p.jobs {
 		q, ok := byQueue[j.spec.Queue]
@@ -252,6 +259,7 @@
 	for _, q := range o.Queues {
 		fmt.Fprintf(&b, "%-16s %8d %8d %8d %8d\n", q.Name, q.Waiting, q.Running, q.Done, q.Ended)
 	}
+	writeTeams(&b, o.Teams)
 	fmt.Fprintf(&b, "%-16s %-14s %5s %-22s %-22s %9s %-20s %s\n", "worker", "zone", "runs", "free", "size", "heard", "holder", "status")
 	for _, w := range o.Workers {
 		fmt.Fprintf(&b, "%-16s %-14s %5d %-22v %-22v %9v %-20s %s\n", w.ID, w.Zone, w.Runs, w.Free, w.Size,
--- a/ladderproof/flow_quota_test.go
+++ b/ladderproof/flow_quota_test.go
@@ -270,11 +270,7 @@
 				sim.crashDue()
 				if rapid.Bool().Draw(t, "former") && former.confidence(sim.now) != ladderplan.LeadershipNone {
 					sim.poll(former, w)
-					before := len(sim.orders)
-					sim.plan(former)
-					for _, o := range sim.orders[before:] {
-						sim.deliver(o, true)
-					}
+					sim.planAndDeliver(former)
 				}
 				sim.pollOthers(sim.newest(), w)
 				sim.check()
@@ -288,7 +284,8 @@
 
 // TestFlowQuotas guards against teams that run more than their quota. Quotas are raised and lowered, leaders learn of it
 // late and by turns, jobs and gangs often take all of a quota, and the faults are those of TestFlowUnderInterleaving,
-// TestFlowOvertakenJobs and TestFlowGangsOfLeadersThatResign, whose checks it makes except that of the wait of members.
+// TestFlowOvertakenJobs, TestFlowCordonedWorkers and TestFlowGangsOfLeadersThatResign, whose checks it makes except that of
+// the wait of members.
 //
 // It checks:
 //
@@ -300,9 +297,11 @@
 	steps, starts, bound, over := 0, 0, 0, 0
 	rapid.Check(t, func(rt *rapid.T) {
 		sim := drawFlowSimulation(rt, &steps, &starts)
+		sim.cordons = &cordonWatch{}
 		sim.watchQuotas(map[string]ladderflow.Size{"a": drawQuota(rt), "b": drawQuota(rt)})
 		actions := sim.actions()
 		maps.Copy(actions, sim.overtakenActions())
+		maps.Copy(actions, sim.cordonActions())
 		maps.Copy(actions, sim.quotaActions())
 		rt.Repeat(actions)
 		bound, over = bound+sim.quotas.bound, over+sim.quotas.over
--- a/laddertest/flow_teams_test.go
+++ b/laddertest/flow_teams_test.go
@@ -4,7 +4,11 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -267,3 +271,47 @@
 	}
 	require.GreaterOrEqual(t, f.teams.runs.Most("tailors").Processor, 4000)
 }
+
+// TestFlowShowsTeams guards against operators who can't see what a team has: in top, in explain and in the leader's
+// metrics. None of them, nor a log, may show a key.
+func TestFlowShowsTeams(t *testing.T) {
+	f := startTeams(t, 1, 2, func(ladderflow.Run, string) (time.Duration, bool) { return time.Minute, false })
+	running := f.submitAs(f.vms[0], f.teams.list[0], "/regrade/", twoTasks)
+	f.await(running, "running", 3*time.Second)
+	waiting := f.submitAs(f.vms[1], f.teams.list[0], "/regrade/", twoTasks)
+	f.await(waiting, "queued", 3*time.Second)
+	status, _, _ := f.callAs(f.vms[0], "key-of-nobody", http.MethodGet, waiting, "")
+	require.Equal(t, http.StatusUnauthorized, status)
+	shown := ""
+	for _, args := range [][]string{
+		{"top", "-to", f.vms[0].metrics}, {"explain", "-to", f.vms[1].metrics, waiting[len("/regrade/"):]},
+		{"top", "-json", "-to", f.vms[2].metrics}, {"explain", "-json", "-to", f.vms[0].metrics, waiting[len("/regrade/"):]},
+	} {
+		out, err := exec.Command(filepath.Join(programs, "lacewingladder"), args...).CombinedOutput()
+		require.NoError(t, err, string(out))
+		shown += string(out)
+	}
+	for _, v := range f.vms {
+		response, err := f.client.Get("http://" + v.metrics + "/metrics")
+		require.NoError(t, err)
+		body, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		_ = response.Body.Close()
+		log, err := os.ReadFile(v.log)
+		require.NoError(t, err)
+		shown += string(body) + string(log)
+	}
+	for _, text := range []string{
+		`ladder_team_used{team="tailors",resource="processor"} 2000`, `ladder_team_quota{team="tailors",resource="processor"} 2000`,
+		`ladder_team_runs{team="tailors"} 2`, `ladder_team_jobs{team="tailors",state="waiting"} 1`, `ladder_team_share{team="cutters"} `,
+		"team tailors: 2 runs use 2000m/200MiB/0a, quota 2000m/0MiB/0a; ", `"Configured":true`, `"JobsBefore":0`,
+	} {
+		require.Contains(t, shown, text)
+	}
+	require.Regexp(t, `(?m)^tailors +100 .* 2 +1 +1 +0 2000m/200MiB/0a +2000m/0MiB/0a `, shown)
+	for _, team := range f.teams.list {
+		for _, key := range append(team.keys, "key-of-nobody") {
+			require.NotContains(t, shown, key)
+		}
+	}
+}
--- a/laddervm/stats.go
+++ b/laddervm/stats.go
@@ -140,11 +140,12 @@
 		polled[w.Holder]++
 	}
 	for _, q := range o.Queues {
-		gauge(`ladder_queue_jobs{queue="`+q.Name+`",state="waiting"}`, float64(q.Waiting))
-		gauge(`ladder_queue_jobs{queue="`+q.Name+`",state="running"}`, float64(q.Running))
+		gauge(`ladder_queue_jobs{queue="`+labelValue(q.Name)+`",state="waiting"}`, float64(q.Waiting))
+		gauge(`ladder_queue_jobs{queue="`+labelValue(q.Name)+`",state="running"}`, float64(q.Running))
 	}
+	writeTeamGauges(gauge, o.Teams)
 	for by, n := range polled {
-		gauge(`ladder_workers_held{by="`+by+`"}`, float64(n))
+		gauge(`ladder_workers_held{by="`+labelValue(by)+`"}`, float64(n))
 	}
 }
 
