--- a/ladderaccess/access.go
+++ b/ladderaccess/access.go
@@ -47,9 +47,7 @@
 			c.Team = t.Name
 			return c, nil
 		}
-		refusal = &Refusal{
-			Reason: "unknown key", Key: hash.String(), Text: "the key is not valid", Challenge: scheme + ` error="invalid_token"`,
-		}
+		refusal = unknownKey(key, hash)
 	}
 	if q.Public {
 		return c, nil
@@ -57,27 +55,35 @@
 	return Caller{}, refusal
 }
 
-// parseKey returns the key in the values of the Authorization headers.
-func parseKey(headers []string) (string, *Refusal) {
-	malformed := func(text string) (string, *Refusal) {
-		return "", &Refusal{Reason: "malformed header", Text: text, Challenge: scheme + ` error="invalid_request"`}
+// unknownKey returns the refusal of a key that no team has.
+func unknownKey(key string, hash ladderflow.KeyHash) *Refusal {
+	if strings.ContainsFunc(key, func(r rune) bool { return r <= ' ' || r > '~' }) {
+		return malformed("the key in the Authorization header has a space or a character outside of ASCII")
 	}
+	return &Refusal{
+		Reason: "unknown key", Key: hash.String(), Text: "the key is not valid", Challenge: scheme + ` error="invalid_token"`,
+	}
+}
+
+// malformed returns the refusal of a header that is not as RFC 6750 says.
+func malformed(text string) *Refusal {
+	return &Refusal{Reason: "malformed header", Text: text, Challenge: scheme + ` error="invalid_request"`}
+}
+
+// parseKey returns the key in the values of the Authorization headers: all that follows the scheme.
+func parseKey(headers []string) (string, *Refusal) {
 	switch {
 	case len(headers) == 0:
 		return "", &Refusal{Reason: "no key", Text: "this queue needs a key: Authorization: Bearer KEY", Challenge: scheme}
 	case len(headers) > 1:
-		return malformed("there is more than one Authorization header")
+		return "", malformed("there is more than one Authorization header")
 	}
 	name, key, _ := strings.Cut(strings.Trim(headers[0], " \t"), " ")
 	if !strings.EqualFold(name, scheme) {
-		return malformed("the Authorization header is not of the form: Bearer KEY")
+		return "", malformed("the Authorization header is not of the form: Bearer KEY")
 	}
-	key = strings.TrimLeft(key, " ")
-	if key == "" {
-		return malformed("the Authorization header has no key after Bearer")
-	}
-	if strings.ContainsFunc(key, func(r rune) bool { return r <= ' ' || r > '~' }) {
-		return malformed("the key in the Authorization header has a space or a character outside of ASCII")
+	if key = strings.TrimLeft(key, " "); key == "" {
+		return "", malformed("the Authorization header has no key after Bearer")
 	}
 	return key, nil
 }
--- a/ladderjournal/access.go
+++ b/ladderjournal/access.go
@@ -65,11 +65,11 @@
 }
 
 // storedOutcome returns the outcome of a submission or a cancellation of a job that the store holds. A job that
-// can't be decoded may be anybody's.
+// can't be decoded may be the caller's, so that the outcome is unknown.
 func storedOutcome(caller ladderaccess.Caller, id string, item platform.Item) (Outcome, error) {
 	job, err := DecodeJob(id, item.Value)
 	if err != nil {
-		return OtherTeam, err
+		return OutcomeUnknown, err
 	}
 	if !caller.MayUse(job.Team, job.Queue) {
 		return OtherTeam, nil
@@ -98,7 +98,7 @@
 	// The job is read first, since most that are canceled exist.
 	job, _, err := j.store.Get(ctx, jobPrefix+id)
 	if err != nil {
-		return Rejected, false, err
+		return outcomeOf(err), false, err
 	}
 	cancellation := platform.Item{}
 	for range cancelAttempts {
@@ -131,7 +131,7 @@
 	id string, caller ladderaccess.Caller, job, stored platform.Item,
 ) (next ladderflow.Cancellation, outcome Outcome, err error) {
 	if job.ModRevision != 0 {
-		if outcome, err := storedOutcome(caller, id, job); outcome == OtherTeam {
+		if outcome, err := storedOutcome(caller, id, job); outcome != AlreadyStored {
 			return next, outcome, err
 		}
 		if stored.ModRevision != 0 && cancelsStored(id, stored, job) {
--- a/ladderjournal/access_test.go
+++ b/ladderjournal/access_test.go
@@ -209,3 +209,20 @@
 		}
 	})
 }
+
+// TestUnreadableJobIsNobodysForCertain submits and cancels a job that the store holds in a form that this build can't
+// decode. Neither success nor refusal may be told, and nothing stored.
+func TestUnreadableJobIsNobodysForCertain(t *testing.T) {
+	ctx := context.Background()
+	s := newFakeStore()
+	j := New(s)
+	s.store.Txn(platform.Txn{Writes: []platform.Write{{Key: jobPrefix + "j", Value: []byte{0x8f}}}})
+	submitted := &Submission{Job: fullJob("j"), Caller: callerOf("a")}
+	j.Accept(ctx, []*Submission{submitted})
+	require.Equal(t, OutcomeUnknown, submitted.Outcome)
+	require.Error(t, submitted.Err)
+	outcome, _, err := j.CancelFor(ctx, "j", callerOf("a"))
+	require.Equal(t, OutcomeUnknown, outcome)
+	require.Error(t, err)
+	require.Equal(t, []string{jobPrefix + "j"}, s.store.Keys("ladder/"))
+}
--- a/laddervm/frontend.go
+++ b/laddervm/frontend.go
@@ -269,10 +269,16 @@
 	began := v.clock.Now()
 	defer func() { v.stats.cancelTime.UpdateDuration(began) }()
 	outcome, known, err := ladderjournal.OutcomeUnknown, false, error(nil)
+	unconfirmed := false
 	for x.ctx.Err() == nil {
-		if outcome, known, err = v.cancel(x); outcome != ladderjournal.OutcomeUnknown {
+		outcome, known, err = v.cancel(x)
+		if outcome == ladderjournal.Rejected && unconfirmed {
+			outcome = ladderjournal.OutcomeUnknown // An earlier attempt may have taken effect.
+		}
+		if outcome != ladderjournal.OutcomeUnknown {
 			break
 		}
+		unconfirmed = true
 		select {
 		case <-x.ctx.Done():
 		case <-v.clock.After(retryInterval):
