Ask peers also while a store call hangs; hold back each first configuration

Cause: found in review. Peers were asked between two store calls only, so that a watch that hangs put it off by 2.8 s. An offer to a VM without a configuration was applied whatever its version. Change: answers of peers come through a channel, and useStore asks when it is due, so that a reader watches as before. A first configuration in which callers need keys is held back until the other sources have been asked, also one that was offered, and while the store is read. Figures: go test ./laddervm, ./ladderfanout, ./laddertest -run 'TestFlowWithdrawn|TestLargeConfiguration' pass. Without the hold TestOfferOfAnEarlierConfiguration fails in both cases, without the timer TestPeersAreAskedDuringACall.

--- a/ladderfanout/feed.go
+++ b/ladderfanout/feed.go
@@ -19,8 +19,6 @@
 	// VM that the store answers polls at most as often, and several of them fit into the time that a
 	// configuration may take until it is in force.
 	maxAskInterval = minPollInterval
-	// watchEvery is the number of store calls of a reader that the store does not answer of which one is a watch.
-	watchEvery = 3
 	// fetchInterval is the time between two attempts to get the whole state from a peer.
 	fetchInterval = 150 * time.Millisecond
 	// minPatience is how long a VM without state waits for its peers before it reads the store,
@@ -71,8 +69,6 @@
 	// next due.
 	asks  bool
 	askAt time.Time
-	// storeCalls counts the calls of a reader to the store while asks is true.
-	storeCalls int
 	// jitter returns a random number from 0 up to 1.
 	jitter func() float64
 }
@@ -88,7 +84,7 @@
 // Next returns what to do now. For [Wait], it also returns until when.
 func (f *Feed) Next(now time.Time, p Placement) (Action, time.Time) {
 	if f.asks && !now.Before(f.askAt) {
-		f.askAt = now.Add(f.spread(maxAskInterval))
+		f.Asked(now)
 		return Ask, time.Time{}
 	}
 	action, until := f.nextOfStore(now, p)
@@ -104,25 +100,13 @@
 	case f.lost:
 		return f.nextWhileLost(now, p)
 	case p.reads():
-		return f.nextOfReader(), time.Time{}
+		return Watch, time.Time{}
 	case now.Before(f.pollAt):
 		return Wait, f.pollAt
 	}
 	return Poll, time.Time{}
 }
 
-// nextOfReader returns the next store call of a reader. While the store does not answer, a poll shows sooner than a watch
-// whether it answers again, and peers can be asked meanwhile. A watch is still tried, since it waits longer for a store
-// that answers slowly.
-func (f *Feed) nextOfReader() Action {
-	if f.asks {
-		if f.storeCalls++; f.storeCalls%watchEvery != 0 {
-			return Poll
-		}
-	}
-	return Watch
-}
-
 // nextWhileLost returns what a VM does that cannot continue from its revision.
 func (f *Feed) nextWhileLost(now time.Time, p Placement) (Action, time.Time) {
 	readAt := f.lostAt.Add(minPatience + time.Duration(p.Rank)*patiencePerRank)
@@ -182,10 +166,17 @@
 // AskPeers makes the VM ask peers for changes, at once and then from time to time, until the store answers.
 func (f *Feed) AskPeers(now time.Time) {
 	if !f.asks {
-		f.asks, f.askAt, f.storeCalls = true, now, 0
+		f.asks, f.askAt = true, now
 	}
 }
 
+// AskAt returns when peers are next asked for changes, also while a call to the store is under way. It returns false if
+// the store answers. Next returns [Ask] then; a caller that does not call Next before asks them, and calls Asked.
+func (f *Feed) AskAt() (time.Time, bool) { return f.askAt, f.asks }
+
+// Asked records that peers are asked for changes now.
+func (f *Feed) Asked(now time.Time) { f.askAt = now.Add(f.spread(maxAskInterval)) }
+
 // Fetches reports whether to fetch what a peer offers. If not, the VM polls the store first.
 func (f *Feed) Fetches() bool { return f.lost || !f.failed }
 
--- a/laddervm/fleet_feed.go
+++ b/laddervm/fleet_feed.go
@@ -42,6 +42,8 @@
 	feed   *ladderfanout.Feed
 	state  fleetState
 	offers chan laddermessage.FleetOffer
+	// answers holds the answers of peers that were asked for changes.
+	answers chan fetchResult
 	// turn counts the times at which peers were asked for changes. It begins with a random number, so that VMs
 	// that are cut off together ask different peers.
 	turn int
@@ -50,7 +52,7 @@
 func newFleetFeed(v *VM) *fleetFeed {
 	return &fleetFeed{
 		vm: v, feed: ladderfanout.NewFeed(v.clock.Now(), rand.Float64),
-		offers: make(chan laddermessage.FleetOffer, offerQueueSize), turn: rand.IntN(maxFirstTurn),
+		offers: make(chan laddermessage.FleetOffer, offerQueueSize), answers: make(chan fetchResult, offerQueueSize), turn: rand.IntN(maxFirstTurn),
 	}
 }
 
@@ -76,9 +78,9 @@
 		case action == ladderfanout.Fetch && !f.vm.registry.announced(now):
 			f.awaitOffer(ctx, now.Add(registryCheckInterval))
 		case action == ladderfanout.Fetch:
-			f.fetchNewest(ctx, fleet.Sources())
+			f.fetchAny(ctx, fleet.Sources())
 		case action == ladderfanout.Ask:
-			f.askPeers(ctx, fleet)
+			f.askPeers(ctx)
 		default:
 			f.useStore(ctx, action)
 		}
@@ -129,6 +131,8 @@
 	case <-ctx.Done():
 	case o := <-f.offers:
 		f.accept(ctx, o)
+	case r := <-f.answers:
+		f.handleAnswer(ctx, r)
 	case <-f.vm.clock.After(until.Sub(f.vm.clock.Now())):
 	}
 }
@@ -136,7 +140,7 @@
 // accept fetches what a peer offers, unless another peer will offer it.
 func (f *fleetFeed) accept(ctx context.Context, o laddermessage.FleetOffer) {
 	if f.wants(o) {
-		f.take(ctx, f.request(ctx, o.From, f.state.fleetRevision(), fetchTimeout))
+		f.takeNewest(ctx, f.request(ctx, o.From, f.state.fleetRevision(), fetchTimeout), f.fleet().Sources())
 	}
 }
 
@@ -152,7 +156,7 @@
 	return true
 }
 
-// useStore reads, watches or polls the store. If a peer's offer brings the state meanwhile, it
+// useStore reads, watches or polls the store. If a peer's offer or answer brings the state meanwhile, it
 // gives up. A peer that offers and does not answer delays nothing.
 func (f *fleetFeed) useStore(ctx context.Context, action ladderfanout.Action) {
 	calling, cancel := context.WithCancel(ctx)
@@ -163,10 +167,15 @@
 	go func() { results <- f.callStore(calling, action, after) }()
 	have := f.state.fleetRevision()
 	offers, fetched := f.offers, make(chan fetchResult, 1)
+	var held *fetchResult // A first configuration, of which there may be a later version.
+	asking := f.askTimer()
 	for {
 		select {
 		case r := <-results:
 			f.handle(ctx, action, began, r)
+			if held != nil {
+				f.takeNewest(ctx, *held, f.fleet().Sources())
+			}
 			return
 		case o := <-offers:
 			if f.wants(o) {
@@ -175,13 +184,32 @@
 			}
 		case r := <-fetched:
 			offers = f.offers
-			if f.take(ctx, r) {
+			if f.isFirst(r) {
+				held = &r
+			} else if f.take(ctx, r) {
+				return
+			}
+		case r := <-f.answers:
+			if f.handleAnswer(ctx, r) {
 				return
 			}
+		case <-asking:
+			f.feed.Asked(f.vm.clock.Now())
+			f.askPeers(ctx)
+			asking = f.askTimer()
 		}
 	}
 }
 
+// askTimer returns a channel that receives when peers are next asked for changes, or nil while the store answers.
+func (f *fleetFeed) askTimer() <-chan time.Time {
+	at, ok := f.feed.AskAt()
+	if !ok {
+		return nil
+	}
+	return f.vm.clock.After(max(0, at.Sub(f.vm.clock.Now())))
+}
+
 // callStore makes the store call of an action.
 func (f *fleetFeed) callStore(ctx context.Context, action ladderfanout.Action, after int64) (r storeResult) {
 	switch action {
@@ -303,28 +331,39 @@
 	}
 }
 
-// fetchNewest gets the state of the operators' keys from the VMs of the given names, until one has something new. A
-// VM without a configuration asks all of them before it takes one in which callers need keys: one of them may have an
-// earlier version, with keys that were withdrawn.
-func (f *fleetFeed) fetchNewest(ctx context.Context, names []string) {
-	have := f.state.fleetRevision()
-	var newest *fetchResult
-	for _, name := range names {
-		r := f.request(ctx, name, have, sourceTimeout)
-		switch {
-		case r.err == nil && newest != nil:
-			if r.delta != nil && r.follow(newest) {
-				newest, have = &r, r.state.FleetRevision
-			}
-		case r.err == nil && f.state.fleetRevision() == 0 && r.delta != nil && r.delta.KeysRequired:
-			newest, have = &r, r.state.FleetRevision
-		case f.take(ctx, r):
+// fetchAny gets the state of the operators' keys from the VMs of the given names, until one has something new.
+func (f *fleetFeed) fetchAny(ctx context.Context, names []string) {
+	for i, name := range names {
+		if f.takeNewest(ctx, f.request(ctx, name, f.state.fleetRevision(), sourceTimeout), names[i+1:]) {
 			return
 		}
 	}
-	if newest != nil {
-		f.take(ctx, *newest)
+}
+
+// takeNewest applies the state that a peer has sent. If it is the first configuration of this VM, and callers need keys,
+// it asks the VMs of the given names before: one of them may have a later version, in which keys were withdrawn.
+// It returns true if there was something new.
+func (f *fleetFeed) takeNewest(ctx context.Context, newest fetchResult, names []string) bool {
+	if f.isFirst(newest) {
+		asked := newest.from
+		for _, name := range names {
+			if name == asked {
+				continue
+			}
+			r := f.request(ctx, name, newest.state.FleetRevision, sourceTimeout)
+			if r.err != nil {
+				f.vm.log.Debug("peer was asked for a later configuration and did not answer", "peer", name, "err", r.err)
+			} else if r.delta != nil && r.follow(&newest) {
+				newest = r
+			}
+		}
 	}
+	return f.take(ctx, newest)
+}
+
+// isFirst reports whether a peer has sent a configuration in which callers need keys to a VM that has none.
+func (f *fleetFeed) isFirst(r fetchResult) bool {
+	return r.err == nil && f.state.fleetRevision() == 0 && r.delta != nil && r.delta.KeysRequired
 }
 
 // follow makes the difference in r, which may be from the version in earlier, a whole configuration. The earlier
@@ -341,26 +380,39 @@
 	return false
 }
 
-// askPeers asks peers for changes of the operators' keys, at the same time, while the store does not answer.
-func (f *fleetFeed) askPeers(ctx context.Context, fleet ladderfanout.Fleet) {
-	names, have := fleet.Asked(f.turn), f.state.fleetRevision()
+// askPeers asks peers for changes of the operators' keys, since the store does not answer. It does not wait for their
+// answers.
+func (f *fleetFeed) askPeers(ctx context.Context) {
+	names, have := f.fleet().Asked(f.turn), f.state.fleetRevision()
 	f.turn++
-	answers := make(chan fetchResult, len(names))
 	for _, name := range names {
-		go func() { answers <- f.request(ctx, name, have, sourceTimeout) }()
-	}
-	for range names {
-		r := <-answers
-		before := f.state.fleetRevision()
-		if r.err != nil {
-			f.vm.log.Debug("peer was asked for changes of the operators' keys and did not answer", "peer", r.from, "err", r.err)
-		} else if f.take(ctx, r) {
-			f.vm.log.Info("changes of the operators' keys heard from a peer, since the store does not answer", "peer", r.from,
-				"revision", f.feed.Revision(), "from", before, "to", f.state.fleetRevision())
-		}
+		go func() {
+			select {
+			case f.answers <- f.request(ctx, name, have, sourceTimeout):
+			case <-ctx.Done():
+			}
+		}()
 	}
 }
 
+// handleAnswer handles the answer of a peer that was asked for changes. It returns true if it brought some.
+func (f *fleetFeed) handleAnswer(ctx context.Context, r fetchResult) bool {
+	if r.err != nil {
+		f.vm.log.Debug("peer was asked for changes of the operators' keys and did not answer", "peer", r.from, "err", r.err)
+		return false
+	}
+	if r.state.FleetRevision > f.state.fleetRevision() && r.state.Base != 0 && r.state.Base != f.state.fleetRevision() {
+		return false // Another answer was faster; the next one is from the version that it brought.
+	}
+	before := f.state.fleetRevision()
+	if !f.take(ctx, r) {
+		return false
+	}
+	f.vm.log.Info("changes of the operators' keys heard from a peer, since the store does not answer", "peer", r.from,
+		"revision", f.feed.Revision(), "from", before, "to", f.state.fleetRevision())
+	return true
+}
+
 // fetchResult is the state that a peer has sent.
 type fetchResult struct {
 	from  string
