Report each fault of a team's keys once, where the parser finds it

The checker of the platform's configuration repeated what the parser has come to report with its place. It keeps what the parser accepts: teams without usable keys or weight, and a key that a team has twice.

--- a/laddercommand/check_fleet.go
+++ b/laddercommand/check_fleet.go
@@ -1,6 +1,8 @@
 package laddercommand
 
 import (
+	"slices"
+
 	"lacewingladder/ladderfinding"
 	"lacewingladder/ladderflow"
 	"lacewingladder/platform"
@@ -33,31 +35,20 @@
 	return findings.Err()
 }
 
-// checkTeams adds the findings in the teams of a configuration.
+// checkTeams adds the findings in the teams of a configuration that are no faults of single entries.
 func checkTeams(findings *ladderfinding.List, place ladderfinding.Place, f *ladderflow.FleetConfig) {
-	teams, owners := map[string]bool{}, map[ladderflow.KeyHash]string{}
 	for i := range f.Teams {
 		t := &f.Teams[i]
 		switch {
-		case teams[t.Name]:
-			findings.Add(place, "team %q occurs twice; the first one counts", t.Name)
-			continue
 		case len(t.Keys) == 0:
-			findings.Add(place, "team %q has no keys; its callers can't submit jobs", t.Name)
+			findings.Add(place, "team %q has no keys that can be used; its callers can't submit jobs", t.Name)
 		case t.Weight == 0:
 			findings.Add(place, "team %q has no weight; under contention it gets nothing", t.Name)
 		}
-		teams[t.Name] = true
 		for j, h := range t.Keys {
-			switch owner, ok := owners[h]; {
-			case ok && owner == t.Name:
+			if slices.Contains(t.Keys[:j], h) {
 				findings.Add(place, "team %q has apiKeys[%d] twice", t.Name, j)
-			case ok:
-				findings.Add(place, "team %q: apiKeys[%d] is a key of team %q too; it belongs to neither", t.Name, j, owner)
-			case h == ladderflow.HashKey(""):
-				findings.Add(place, "team %q: apiKeys[%d] is empty", t.Name, j)
 			}
-			owners[h] = t.Name
 		}
 	}
 }
--- a/laddertest/flow_teams_test.go
+++ b/laddertest/flow_teams_test.go
@@ -284,8 +284,10 @@
 	require.Equal(t, http.StatusUnauthorized, status)
 	shown := ""
 	for _, args := range [][]string{
-		{"top", "-to", f.vms[0].metrics}, {"explain", "-to", f.vms[1].metrics, waiting[len("/regrade/"):]},
-		{"top", "-json", "-to", f.vms[2].metrics}, {"explain", "-json", "-to", f.vms[0].metrics, waiting[len("/regrade/"):]},
+		{"top", "-to", f.vms[0].metrics},
+		{"explain", "-to", f.vms[1].metrics, waiting[len("/regrade/"):]},
+		{"top", "-json", "-to", f.vms[2].metrics},
+		{"explain", "-json", "-to", f.vms[0].metrics, waiting[len("/regrade/"):]},
 	} {
 		out, err := exec.Command(filepath.Join(programs, "lacewingladder"), args...).CombinedOutput()
 		require.NoError(t, err, string(out))
