--- a/ladderplan/record.go
+++ b/ladderplan/record.go
@@ -110,16 +110,8 @@
 			w.lastStoredEnd = max(w.lastStoredEnd, end.sequence)
 		}
 	}
-	for id, s := range b.states {
-		if j, ok := p.jobs[id]; ok {
-			if s.Final() && !j.storedState.Final() {
-				p.log.Info("end of a job stored", "job", id, "state", s)
-			}
-			p.endStored(j, s)
-			if n := b.crashes[id]; n > j.storedCrashes {
-				j.storedCrashes, p.placementDue = n, true
-			}
-		}
+	for id := range b.states {
+		p.recordStored(b, id)
 	}
 	for _, id := range b.JobsToDelete {
 		if j, ok := p.jobs[id]; ok {
@@ -135,12 +127,35 @@
 	}
 }
 
-// BatchNotStored records that a batch may not have been stored. The next batch includes records of
-// the same jobs.
-func (p *Planner) BatchNotStored(b *Batch) {
+// recordStored records that the record of a job in a batch was stored.
+func (p *Planner) recordStored(b *Batch, id string) {
+	j, ok := p.jobs[id]
+	if !ok {
+		return
+	}
+	s := b.states[id]
+	if s.Final() && !j.storedState.Final() {
+		p.log.Info("end of a job stored", "job", id, "state", s)
+	}
+	p.endStored(j, s)
+	if n := b.crashes[id]; n > j.storedCrashes {
+		j.storedCrashes, p.placementDue = n, true
+	}
+}
+
+// BatchNotStored records that a batch was stored at most in part. Missing holds the records that may not be stored.
+// The next batch includes records of the same jobs. Ends are acknowledged once the whole of a batch is stored.
+func (p *Planner) BatchNotStored(b *Batch, missing []Record) {
+	unstored := make(map[string]bool, len(missing))
+	for _, r := range missing {
+		unstored[r.Job] = true
+		if j, ok := p.jobs[r.Job]; ok {
+			p.unstoredJobs[r.Job] = j
+		}
+	}
 	for id := range b.states {
-		if j, ok := p.jobs[id]; ok {
-			p.unstoredJobs[id] = j
+		if !unstored[id] {
+			p.recordStored(b, id)
 		}
 	}
 }
--- a/laddervm/resign.go
+++ b/laddervm/resign.go
@@ -176,7 +176,8 @@
 		case b != nil && b.Empty():
 			return nil
 		case b != nil:
-			return t.commit(ctx, b)
+			_, err := t.commit(ctx, b)
+			return err
 		}
 		select {
 		case <-t.vm.clock.After(resignInterval):
--- a/laddervm/save.go
+++ b/laddervm/save.go
@@ -67,8 +67,8 @@
 	}
 	t.saver.pendingSince = time.Time{}
 	go func() {
-		err := t.commit(t.ctx, b)
-		t.do(func() { t.batchSaved(b, err) })
+		missing, err := t.commit(t.ctx, b)
+		t.do(func() { t.batchSaved(b, missing, err) })
 	}()
 }
 
@@ -85,31 +85,32 @@
 	})
 }
 
-// commit stores a batch in as many transactions as it needs, several at a time.
-func (t *term) commit(ctx context.Context, b *ladderplan.Batch) error {
+// commit stores a batch in as many transactions as it needs, several at a time. After an error, it returns the records
+// that may not be stored.
+func (t *term) commit(ctx context.Context, b *ladderplan.Batch) (missing []ladderplan.Record, err error) {
 	began := t.vm.clock.Now()
-	if err := t.recordWriter.Commit(ctx, b.Records, ladderjournal.MaxRecords); err != nil {
-		return err
+	if missing, err := t.recordWriter.Commit(ctx, b.Records, ladderjournal.MaxRecords); err != nil {
+		return missing, err
 	}
 	if len(b.JobsToDelete) > 0 {
 		if err := t.recordWriter.DeleteJobs(ctx, b.JobsToDelete); err != nil {
-			return err
+			return nil, err
 		}
 	}
 	if len(b.CancellationsToDelete) > 0 {
 		deleted, err := t.recordWriter.DeleteCancellations(ctx, b.CancellationsToDelete)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		t.log.Info("expired cancellations of unknown jobs deleted", "expired", len(b.CancellationsToDelete), "deleted", len(deleted))
 		b.CancellationsToDelete = deleted
 	}
 	t.vm.stats.commitTime.UpdateDuration(began)
-	return nil
+	return nil, nil
 }
 
-// batchSaved handles the result of storing a batch.
-func (t *term) batchSaved(b *ladderplan.Batch, err error) {
+// batchSaved handles the result of storing a batch. Missing holds the records that may not be stored.
+func (t *term) batchSaved(b *ladderplan.Batch, missing []ladderplan.Record, err error) {
 	t.saver.busy = false
 	switch {
 	case errors.Is(err, ladderjournal.ErrSuperseded):
@@ -118,9 +119,9 @@
 	case err != nil:
 		if t.saver.failingSince.IsZero() {
 			t.saver.failingSince = t.vm.clock.Now()
-			t.log.Warn("storing progress failed; retrying", "records", len(b.Records), "err", err)
+			t.log.Warn("storing progress failed; retrying", "records", len(b.Records), "missing", len(missing), "err", err)
 		}
-		t.planner.BatchNotStored(b)
+		t.planner.BatchNotStored(b, missing)
 		if !t.saver.finalDue {
 			t.scheduleSave(saveRetryInterval)
 		}
--- a/laddervm/store_carrier.go
+++ b/laddervm/store_carrier.go
@@ -27,7 +27,7 @@
 	// watchSlack is how long after its wait a watch call times out.
 	watchSlack = 800 * time.Millisecond
 	// minHedgeDelay is the minimum time for which a call must be unanswered before it is also
-	// sent on the next path.
+	// sent on the next path, and again on the one after that.
 	minHedgeDelay = 120 * time.Millisecond
 	// pathBackoff is how long a failure of a path has an effect. After a failure of the direct
 	// path, calls are sent through peers first. After a failure of a peer, the peer is not used.
@@ -106,7 +106,8 @@
 		}
 	}
 	sendNext()
-	hedge := c.vm.clock.After(c.hedgeDelay(call, timeout))
+	hedgeDelay := c.hedgeDelay(call, timeout)
+	hedge := c.vm.clock.After(hedgeDelay)
 	failures := pathFailures{last: pathResult{err: platform.ErrUnsent}}
 	for pending > 0 {
 		select {
@@ -123,6 +124,10 @@
 			hedge = nil
 			if !answering.Load() {
 				sendNext()
+				// The store may lose the responses on both paths.
+				if sent < limit && len(paths) > 0 {
+					hedge = c.vm.clock.After(hedgeDelay)
+				}
 			}
 		case <-back:
 			back = nil
@@ -176,7 +181,7 @@
 const maxPaths = 3
 
 // paths returns the paths for a call in order of preference, and the maximum number of them to
-// use. The next path is used whenever one has failed, and once if the call is slow.
+// use. The next path is used whenever one has failed, and each time that the call is slow.
 // While the store is unavailable, each call uses a single path, alternately the direct one and
 // a peer, because more attempts would only add to the number of calls. The channel back is then closed
 // when the store is available again. The call may be lost, so it is sent once more; a watch is not,
