--- a/ladderjournal/lane.go
+++ b/ladderjournal/lane.go
@@ -19,9 +19,9 @@
 type lane struct {
 	// order is the last known revision of the lane's key.
 	order int64
-	// unsettled is true if a transaction of the lane may take effect yet. The next one in the lane that succeeds
-	// prevents that.
-	unsettled bool
+	// unsettled holds the jobs whose records a transaction of the lane may store yet. The next one in the lane that
+	// succeeds prevents that. Until then, records of these jobs are written in this lane only.
+	unsettled map[string]bool
 }
 
 // laneKey returns the key of a lane. The first lane's key is the one that builds with a single lane use.
@@ -39,69 +39,51 @@
 // returns [ErrSuperseded] if the leader's term is over. After another error, it returns the records that may not be
 // stored. They may be stored later, unless a later call stores others of the same jobs.
 func (p *ProgressWriter) Commit(ctx context.Context, records []ladderplan.Record, size int) (missing []ladderplan.Record, err error) {
-	var chunks []chunk
-	for len(records) > 0 {
-		n := min(len(records), size)
-		var writes []platform.Write
-		for _, r := range records[:n] {
-			value, err := EncodeRecord(r)
-			if err != nil {
-				return records, err
-			}
-			writes = append(writes, platform.Write{Key: recordPrefix + r.Job, Value: value})
-		}
-		chunks, records = append(chunks, chunk{records[:n], writes}), records[n:]
-	}
-	// A record must not be written in one lane while an earlier one of its job may take effect in another.
-	rest, err := p.settleLanes(ctx, chunks)
-	for len(rest) > 0 && err == nil {
-		n := min(len(rest), recordLanes)
-		var failed []ladderplan.Record
-		failed, err = p.writeLanes(ctx, rest[:n])
-		missing, rest = append(missing, failed...), rest[n:]
+	for len(records) > 0 && err == nil {
+		var chunks [recordLanes][]ladderplan.Record
+		chunks, records = p.assignLanes(records, size)
+		missing, err = p.writeLanes(ctx, chunks)
 	}
-	for _, c := range rest {
-		missing = append(missing, c.records...)
-	}
-	return missing, err
+	return append(missing, records...), err
 }
 
-// chunk is a set of records that one transaction writes.
-type chunk struct {
-	records []ladderplan.Record
-	writes  []platform.Write
-}
-
-// settleLanes writes in the lanes that are not settled, so that no earlier transaction there can take effect any more.
-// It returns the chunks that are left to write.
-func (p *ProgressWriter) settleLanes(ctx context.Context, chunks []chunk) ([]chunk, error) {
-	var unsettled []int
+// assignLanes divides records among the lanes, the first ones first. It returns the records that are left because
+// their lanes are full.
+func (p *ProgressWriter) assignLanes(records []ladderplan.Record, size int) (chunks [recordLanes][]ladderplan.Record, rest []ladderplan.Record) {
+	owners := map[string]int{}
 	for i := range p.lanes {
-		if p.lanes[i].unsettled {
-			unsettled = append(unsettled, i)
+		for job := range p.lanes[i].unsettled {
+			owners[job] = i
 		}
 	}
-	if len(unsettled) == 1 && len(chunks) > 0 {
-		if err := p.writeLane(ctx, unsettled[0], chunks[0].writes); err != nil {
-			return chunks, err
+	next := 0
+	for _, r := range records {
+		i, owned := owners[r.Job]
+		if !owned {
+			for next < recordLanes && len(chunks[next]) == size {
+				next++
+			}
+			i = next
 		}
-		return chunks[1:], nil
-	}
-	for _, i := range unsettled {
-		if err := p.writeLane(ctx, i, nil); err != nil {
-			return chunks, err
+		if i == recordLanes || len(chunks[i]) == size {
+			rest = append(rest, r)
+			continue
 		}
+		chunks[i] = append(chunks[i], r)
 	}
-	return chunks, nil
+	return chunks, rest
 }
 
-// writeLanes writes each chunk in a lane of its own. It returns the records that may not be stored.
-func (p *ProgressWriter) writeLanes(ctx context.Context, chunks []chunk) (missing []ladderplan.Record, err error) {
-	failures := make([]error, len(chunks))
+// writeLanes writes each chunk in its lane. It returns the records that may not be stored.
+func (p *ProgressWriter) writeLanes(ctx context.Context, chunks [recordLanes][]ladderplan.Record) (missing []ladderplan.Record, err error) {
+	var failures [recordLanes]error
 	var wait sync.WaitGroup
 	for i, c := range chunks {
-		write := func() { failures[i] = p.writeLane(ctx, i, c.writes) }
-		if p.sequential || len(chunks) == 1 {
+		if len(c) == 0 {
+			continue
+		}
+		write := func() { failures[i] = p.writeLane(ctx, i, c) }
+		if p.sequential {
 			write()
 			continue
 		}
@@ -110,16 +92,32 @@
 	wait.Wait()
 	for i, err := range failures {
 		if err != nil {
-			missing = append(missing, chunks[i].records...)
+			missing = append(missing, chunks[i]...)
 		}
 	}
-	return missing, errors.Join(failures...)
+	return missing, errors.Join(failures[:]...)
 }
 
-// writeLane writes in one lane.
-func (p *ProgressWriter) writeLane(ctx context.Context, i int, writes []platform.Write) error {
+// writeLane writes records in one lane.
+func (p *ProgressWriter) writeLane(ctx context.Context, i int, records []ladderplan.Record) error {
+	var writes []platform.Write
+	for _, r := range records {
+		value, err := EncodeRecord(r)
+		if err != nil {
+			return err
+		}
+		writes = append(writes, platform.Write{Key: recordPrefix + r.Job, Value: value})
+	}
 	l := &p.lanes[i]
-	err := p.write(ctx, laneKey(i), &l.order, writes)
-	l.unsettled = err != nil
-	return err
+	if err := p.write(ctx, laneKey(i), &l.order, writes); err != nil {
+		if l.unsettled == nil {
+			l.unsettled = map[string]bool{}
+		}
+		for _, r := range records {
+			l.unsettled[r.Job] = true
+		}
+		return err
+	}
+	clear(l.unsettled)
+	return nil
 }
