Ask less of a quota that keeps nothing free

Cause: each waiting step of a team computed what the quota allows three times in a pass. Change: the second and third time only while room is kept free.

--- a/ladderplan/quota.go
+++ b/ladderplan/quota.go
@@ -256,8 +256,10 @@
 	case q.turn.step == s:
 		return quotaAllows, st
 	}
+	if st.Kept = sp.quotaKept(q); st.Kept == (ladderflow.Size{}) {
+		return quotaAllows, st
+	}
 	waitedLong := q.underHalf(sp.now, st) >= maxKeptWait && sp.now.Sub(s.readySince) >= maxKeptWait
-	st.Kept = sp.quotaKept(q)
 	if waitedLong || st.MoreRuns(unit, 1) > 0 {
 		return quotaAllows, st
 	}
@@ -383,6 +385,7 @@
 	case startAt.After(latestStart) && sp.now.Sub(s.quotaWait.since) < objective:
 		return false // It is late in any case.
 	}
+	q.underHalfSince = time.Time{}
 	q.turn = quotaTurn{step: s, since: sp.now, until: sp.now.Add(objective), startAt: startAt, sizedAt: sp.now}
 	p.log.Info("quota of a team is kept for a gang", "team", q.name, "step", s.ref(), "members", len(s.tasks), "need", ladderteam.Unit(s.spec),
 		"standing", p.standing(q).String(), "held", sp.now.Sub(s.quotaWait.since).Round(time.Millisecond), "startsIn", startAt.Sub(sp.now).Round(time.Millisecond))
--- a/ladderteam/quota.go
+++ b/ladderteam/quota.go
@@ -20,25 +20,25 @@
 // MoreRuns returns how many more runs of the given size the quota allows, up to limit. It allows none while
 // the team exceeds its quota of any resource, whether or not the runs need that resource.
 func (s Standing) MoreRuns(need ladderflow.Size, limit int) int {
-	n := limit
-	taken := s.Used.Plus(s.Assumed)
-	for _, r := range [...][4]int{
-		{s.Quota.Processor, taken.Processor, s.Kept.Processor, need.Processor},
-		{s.Quota.Memory, taken.Memory, s.Kept.Memory, need.Memory},
-		{s.Quota.Accelerators, taken.Accelerators, s.Kept.Accelerators, need.Accelerators},
-	} {
-		quota, taken, kept, need := r[0], r[1], r[2], r[3]
-		switch {
-		case quota == 0:
-		case taken > quota:
-			return 0
-		case need > 0:
-			n = min(n, max(0, quota-taken-kept)/need)
-		}
-	}
+	n := moreOf(s.Quota.Processor, s.Used.Processor+s.Assumed.Processor, s.Kept.Processor, need.Processor, limit)
+	n = moreOf(s.Quota.Memory, s.Used.Memory+s.Assumed.Memory, s.Kept.Memory, need.Memory, n)
+	n = moreOf(s.Quota.Accelerators, s.Used.Accelerators+s.Assumed.Accelerators, s.Kept.Accelerators, need.Accelerators, n)
 	return max(n, 0)
 }
 
+// moreOf returns how many more runs the quota of one resource allows, up to limit.
+func moreOf(quota, taken, kept, need, limit int) int {
+	switch {
+	case quota == 0:
+		return limit
+	case taken > quota:
+		return 0
+	case need == 0:
+		return limit
+	}
+	return min(limit, max(0, quota-taken-kept)/need)
+}
+
 // UnderHalf reports whether the team is known to use less than half of its quota of each resource.
 func (s Standing) UnderHalf() bool {
 	return under(2*s.Used.Processor, s.Quota.Processor) && under(2*s.Used.Memory, s.Quota.Memory) &&
