Count a task again after a takeover if its known run was not done; give large tasks turns

Cause (review): a run that a worker reports to a new leader may be an older one than the run on a worker that has not reported; its end took the task out of what is assumed (8 starts beside a gang that may fill the quota). A step of single tasks that is larger than what becomes free at once kept room for its objective only, then never again. Change: a task whose known run is over, and which is not done, is assumed again until all earlier runs are known. Single tasks get turns as gangs do, once they have been held back for their objective; after three times that, also while the team's runs take longer.

--- a/ladderplan/model.go
+++ b/ladderplan/model.go
@@ -409,8 +409,8 @@
 	if t == nil {
 		return
 	}
-	t.step.round.job.quota.remove(r)
 	t.runs = slices.DeleteFunc(t.runs, func(o *run) bool { return o == r })
+	t.step.round.job.quota.remove(r)
 	t.lastClosedRun = max(t.lastClosedRun, r.name.Number)
 	if t.step.runsOn[w]--; t.step.runsOn[w] <= 0 {
 		delete(t.step.runsOn, w)
--- a/ladderplan/poll.go
+++ b/ladderplan/poll.go
@@ -362,6 +362,7 @@
 	}
 	if len(p.unseenWorkers) == 0 || p.earlierLeasesExpired(now) {
 		p.earlierRunsKnown, p.placementDue = true, true
+		p.quotas.heard = true
 		p.log.Info("all runs of earlier leaders are known", "unseen", len(p.unseenWorkers),
 			"after", now.Sub(p.options.ElectedAt).Round(time.Millisecond))
 		clear(p.unseenWorkers)
--- a/ladderplan/quota.go
+++ b/ladderplan/quota.go
@@ -15,7 +15,9 @@
 	// maxKeptWait is how long a step waits for room that is kept for other work of its team once the team
 	// uses less than half of its quota. A job must not wait for 3 s then with nothing running.
 	maxKeptWait = 1500 * time.Millisecond
-	// turnShare limits the turns of a team's gangs to one part in turnShare of the time. What is kept free for
+	// turnCheckInterval is the time between two checks whether a step should get its turn.
+	turnCheckInterval = 500 * time.Millisecond
+	// turnShare limits the turns of a team's steps to one part in turnShare of the time. What is kept free for
 	// them is idle, which costs a team more than it gains if its quota is always in use.
 	turnShare = 10
 )
@@ -23,6 +25,8 @@
 // quotas holds the quotas of the teams that are configured or have jobs.
 type quotas struct {
 	teams map[string]*teamQuota
+	// heard is true once all runs of earlier leaders are known.
+	heard bool
 	// holding lists the teams whose quota is logged to hold work back.
 	holding []*teamQuota
 	// unseen is the capacity of the unseen workers in the present placement pass, and unknown the most that
@@ -32,6 +36,7 @@
 
 // teamQuota is the quota of one team.
 type teamQuota struct {
+	all   *quotas
 	name  string
 	quota ladderflow.Size
 	// configured is true if the present configuration has the team. A team that is removed keeps the last
@@ -44,8 +49,10 @@
 	// runs holds the known runs of the team's tasks, each at its [run.quotaIndex].
 	runs []*run
 	turn quotaTurn
-	// turnAfter is the time before which no gang gets a turn.
+	// turnAfter is the time before which no step gets a turn.
 	turnAfter time.Time
+	// nextCheck is when to check again whether a step should get its turn.
+	nextCheck time.Time
 	// blocked is what a step of single tasks keeps free for one of them in the placement pass blockedPass.
 	blocked     ladderflow.Size
 	blockedPass int64
@@ -55,9 +62,11 @@
 	heldAt, heldSince time.Time
 }
 
-// quotaTurn is the turn of a gang: room of the quota is kept free for it.
+// quotaTurn is the turn of a step: room of the quota is kept free for the gang, or for one of its tasks.
 type quotaTurn struct {
-	step         *step
+	step *step
+	// waiting is the number of tasks that waited when the turn began.
+	waiting      int
 	since, until time.Time
 	// startAt is when the gang is expected to start, as computed at sizedAt. Until then, work of the team that
 	// is expected to have ended by then may use the room.
@@ -68,7 +77,7 @@
 type quotaWait struct {
 	// since is when the quota began to hold the step back, or zero if it does not.
 	since time.Time
-	// nextCheck is when to check again whether a gang should get its turn.
+	// nextCheck is when to check again whether the step should get its turn.
 	nextCheck time.Time
 	// exceeded is the last quota that was logged to be less than the step needs at once.
 	exceeded ladderflow.Size
@@ -93,6 +102,7 @@
 	q.runs[x.quotaIndex], last.quotaIndex = last, x.quotaIndex
 	q.runs[len(q.runs)-1] = nil
 	q.runs = q.runs[:len(q.runs)-1]
+	q.assume(x.task)
 }
 
 // limited reports whether there is a quota.
@@ -105,7 +115,7 @@
 	}
 	q := z.teams[name]
 	if q == nil {
-		q = &teamQuota{name: name}
+		q = &teamQuota{all: z, name: name}
 		z.teams[name] = q
 	}
 	return q
@@ -191,23 +201,32 @@
 // or to be done.
 func (p *Planner) assumeRuns(r *round) {
 	q := r.job.quota
-	if q == nil || p.earlierRunsKnown || !r.job.knownToEarlierLeader {
+	if q == nil {
 		return
 	}
 	for _, s := range r.steps {
 		for _, t := range s.tasks {
-			switch mayRun := !t.done && len(t.runs) == 0; {
-			case !mayRun:
+			if t.needsRun() {
+				q.assume(t)
+			} else {
 				q.known(t)
-			case !t.assumed:
-				t.assumed = true
-				q.tasks = q.tasks.Plus(s.spec.Need)
-				q.bestEffort += s.spec.Need.Processor - s.spec.Demand().Processor
 			}
 		}
 	}
 }
 
+// assume counts a task that an earlier leader may have started and that has no known run. The run that was known
+// may have been older than one on a worker that has not reported.
+func (q *teamQuota) assume(t *task) {
+	if q.all.heard || t.assumed || !t.needsRun() || !t.step.round.job.knownToEarlierLeader {
+		return
+	}
+	t.assumed = true
+	s := t.step.spec
+	q.tasks = q.tasks.Plus(s.Need)
+	q.bestEffort += s.Need.Processor - s.Demand().Processor
+}
+
 // known records that a task is known to run on a worker that has reported, or to be done, so that it does not
 // run elsewhere.
 func (q *teamQuota) known(t *task) {
@@ -340,12 +359,12 @@
 
 // keepQuota keeps room of the quota free for a step that the quota holds back, so that smaller work of the
 // team does not use up whatever becomes free. For a step of single tasks, that is the room for one task, in
-// the present pass, for as long as its job's objective. A gang has to wait for its turn.
+// the present pass, for as long as its job's objective. After that it waits for its turn, as a gang does.
 func (sp *stepPlacement) keepQuota(q *teamQuota) {
 	p, s := sp.planner, sp.step
 	objective := p.objective(s.round.job)
-	if !s.spec.Gang {
-		if q.blockedPass != p.reservationPass && sp.now.Sub(s.quotaWait.since) < objective {
+	if !s.spec.Gang && sp.now.Sub(s.quotaWait.since) < objective {
+		if q.blockedPass != p.reservationPass {
 			q.blocked, q.blockedPass = s.spec.Need, p.reservationPass
 		}
 		return
@@ -361,34 +380,36 @@
 	} else if !sp.takeTurn(q, objective) {
 		return
 	}
-	if len(s.tickets.rows) == 0 {
+	if s.spec.Gang && len(s.tickets.rows) == 0 {
 		sp.queryForTasks() // The answer takes about as long as the team's runs take to end.
 	}
 }
 
-// takeTurn gives a gang that the quota holds back its turn, if it is due: the gang must start as soon as enough
-// runs of the team have ended, to meet its objective, or it has been held back for as long as that.
+// takeTurn gives a step that the quota holds back its turn, if it is due: the step must start as soon as enough
+// runs of the team have ended, to meet its objective, or it has been held back for as long as that. After three
+// times as long, it is due even if these runs take longer.
 func (sp *stepPlacement) takeTurn(q *teamQuota, objective time.Duration) bool {
 	p, s := sp.planner, sp.step
-	if sp.now.Before(q.turnAfter) || sp.now.Before(s.quotaWait.nextCheck) {
+	if sp.now.Before(q.turnAfter) || sp.now.Before(q.nextCheck) || sp.now.Before(s.quotaWait.nextCheck) {
 		return false
 	}
-	s.quotaWait.nextCheck = sp.now.Add(reservationLife)
+	q.nextCheck, s.quotaWait.nextCheck = sp.now.Add(idlePassInterval), sp.now.Add(turnCheckInterval)
+	held := sp.now.Sub(s.quotaWait.since)
 	remaining := s.round.job.criticalPaths[s.index]
 	latestStart := s.round.due.Add(objective - remaining)
 	startAt, ok := sp.quotaFreeAt(q)
 	switch {
-	case !ok, startAt.Sub(sp.now) >= objective:
+	case !ok, startAt.Sub(sp.now) >= objective && held < worthlessFactor*objective:
 		return false // Too much of what runs does not end soon.
 	case startAt.Add(errorAllowance(remaining)).Before(latestStart):
 		return false // It can wait.
-	case startAt.After(latestStart) && sp.now.Sub(s.quotaWait.since) < objective:
+	case startAt.After(latestStart) && held < objective:
 		return false // It is late in any case.
 	}
 	q.underHalfSince = time.Time{}
-	q.turn = quotaTurn{step: s, since: sp.now, until: sp.now.Add(objective), startAt: startAt, sizedAt: sp.now}
-	p.log.Info("quota of a team is kept for a gang", "team", q.name, "step", s.ref(), "members", len(s.tasks), "need", ladderteam.Unit(s.spec),
-		"standing", p.standing(q).String(), "held", sp.now.Sub(s.quotaWait.since).Round(time.Millisecond), "startsIn", startAt.Sub(sp.now).Round(time.Millisecond))
+	q.turn = quotaTurn{step: s, waiting: s.waiting, since: sp.now, until: startAt.Add(objective), startAt: startAt, sizedAt: sp.now}
+	p.log.Info("quota of a team is kept for a step", "team", q.name, "step", s.ref(), "gang", s.spec.Gang, "need", ladderteam.Unit(s.spec),
+		"standing", p.standing(q).String(), "held", held.Round(time.Millisecond), "startsIn", startAt.Sub(sp.now).Round(time.Millisecond))
 	return true
 }
 
@@ -414,22 +435,22 @@
 	return time.Time{}, false
 }
 
-// turnHolds reports whether a gang of the team has its turn, which ends once the gang has started or does not
-// need to, its time is over, or it no longer fits the quota.
+// turnHolds reports whether a step of the team has its turn, which ends once the gang or a task has started or does
+// not need to, its time is over, or it no longer fits the quota.
 func (sp *stepPlacement) turnHolds(q *teamQuota) bool {
 	t := &q.turn
 	s := t.step
 	if s == nil {
 		return false
 	}
-	waits := s.waiting == len(s.tasks) && s.round.job.active() && !s.finished()
+	waits := s.waiting >= t.waiting && s.round.job.active() && !s.finished()
 	over := !sp.now.Before(t.until) || ladderteam.Exceeds(q.quota, ladderteam.Unit(s.spec))
 	if waits && !over {
 		return true
 	}
 	took := sp.now.Sub(t.since)
 	if waits {
-		sp.planner.log.Info("gang could not start in its turn on the quota", "team", q.name, "step", s.ref(), "took", took.Round(time.Millisecond))
+		sp.planner.log.Info("step could not start in its turn on the quota", "team", q.name, "step", s.ref(), "took", took.Round(time.Millisecond))
 	}
 	q.turnAfter = sp.now.Add((turnShare - 1) * took)
 	*t = quotaTurn{}
--- a/ladderplan/quota_test.go
+++ b/ladderplan/quota_test.go
@@ -337,3 +337,95 @@
 	h.poll("w0", ladderflow.StatusReport{})
 	require.Len(t, h.startAll(), 3)
 }
+
+// TestOlderRunsOfGangAfterTakeover has run 1 of a gang on w0 and w1, which earlier leaders gave up to start run 2 on w2 and
+// w3. The members of run 1 are listed and then end. The other workers have not reported.
+func TestOlderRunsOfGangAfterTakeover(t *testing.T) {
+	h := newHarness(t, 4)
+	h.planner.SetFleet(&ladderflow.FleetConfig{Version: 2, Queues: h.planner.fleet.Queues, Teams: []ladderflow.Team{
+		{Name: "a", Quota: ladderflow.Size{Processor: 16000}},
+	}})
+	g := gangOf(8)
+	g.Estimate = time.Minute
+	j := testJob(h.now, "a", g)
+	j.Team = "a"
+	next := h.nextLeader([]*ladderflow.Job{j}, nil, 4)
+	next.planner.SetJobsReadAt(next.now.Add(10 * time.Second))
+	run := func(i int) ladderflow.Run {
+		return ladderflow.Run{Task: ladderflow.Task{Job: "a", Index: i}, Number: 1}
+	}
+	for w := range 2 {
+		var list []ladderflow.ActiveRun
+		for i := range 4 {
+			list = append(list, ladderflow.ActiveRun{Run: run(4*w + i), Percent: 1})
+		}
+		next.poll(testWorker(w).ID, ladderflow.StatusReport{Running: list})
+	}
+	next.plan()
+	for w := range 2 {
+		var list []ladderflow.EndedRun
+		for i := range 4 {
+			list = append(list, ladderflow.EndedRun{Sequence: int64(i + 1), Run: run(4*w + i), Reason: ladderflow.EndStopped})
+		}
+		next.poll(testWorker(w).ID, ladderflow.StatusReport{Ended: list})
+	}
+	n := 0
+	for i := range 8 {
+		k := testJob(next.now, fmt.Sprint("n", i), stepOf(1))
+		k.Team = "a"
+		next.planner.AddJob(next.now, k, false)
+	}
+	for range 3 {
+		next.advance(50 * time.Millisecond)
+		n += len(next.plan().Starts)
+	}
+	require.LessOrEqual(t, n, 1, "run 2 of the gang may occupy the whole quota on w2 and w3")
+}
+
+// TestLargeTaskGetsTurnOnQuota hands in small tasks all the time, which take several times the objective of a task that
+// needs the whole quota.
+func TestLargeTaskGetsTurnOnQuota(t *testing.T) {
+	h := newQuotaHarness(t, 4, 4)
+	var running []StartOrder
+	largeAt, begun := 0, 0
+	for i := range 1200 {
+		small := stepOf(1)
+		small.Estimate = 10 * time.Second
+		if i%10 == 0 {
+			h.submitFor("a", fmt.Sprint("s", i), small)
+		}
+		if i == 200 {
+			large := stepOf(1)
+			large.Need.Processor = 8000
+			h.submitFor("a", "large", large)
+		}
+		for len(running) > 0 && h.now.Sub(h.planner.workers[running[0].Worker.ID].runs[running[0].Run].startedAt) >= 10*time.Second {
+			h.endRun(running[0], ladderflow.EndDone)
+			running = running[1:]
+		}
+		for _, s := range h.startAll() {
+			begun++
+			running = append(running, s)
+			if s.Run.Task.Job == "large" {
+				largeAt = i
+				h.endRun(s, ladderflow.EndDone)
+				running = running[:len(running)-1]
+			}
+		}
+		h.advance(98 * time.Millisecond)
+		h.pollProgress()
+	}
+	require.NotZero(t, largeAt)
+	require.Greater(t, begun, 40, "the quota is used")
+}
+
+// pollProgress delivers a status report of each worker in which runs of 10 s make progress.
+func (h *harness) pollProgress() {
+	for id, w := range h.planner.workers {
+		var list []ladderflow.ActiveRun
+		for _, x := range w.runOrder {
+			list = append(list, ladderflow.ActiveRun{Run: x.name, Percent: min(99, int(h.now.Sub(x.startedAt)/(100*time.Millisecond)))})
+		}
+		h.poll(id, ladderflow.StatusReport{Running: list})
+	}
+}
