--- a/ladderload/load.go
+++ b/ladderload/load.go
@@ -95,7 +95,8 @@
 	GangShare float64
 	// FailureShare is the share of runs that fail.
 	FailureShare float64
-	// SavesShare is the share of steps whose tasks save their work each saveInterval and resume elsewhere.
+	// SavesShare is the share of steps whose tasks save their work each saveInterval and resume elsewhere, if
+	// the load has a StopTime.
 	SavesShare float64
 	// Unevenness is the standard deviation of the natural logarithm of a task's duration divided by
 	// that of its step. The tasks of a gang are all alike.
--- a/ladderload/share_test.go
+++ b/ladderload/share_test.go
@@ -24,13 +24,19 @@
 	rateFactor = 1.9
 )
 
-// teamLoad returns the load of the grown fleet without bursts, sent by teams of which the largest come first.
+// teamLoad returns the load of the grown fleet without bursts, sent by teams.
 func teamLoad(t testing.TB, teams int) *Load {
 	l := readExample(t, "jadewing", "grown.yaml")
 	l.Bursts = nil
 	l.ArrivalPeriod, l.ExtraTime = hotStart+hotLength+4*time.Second, 20*time.Second
 	l.Delegates, l.OrderRoundTrip, l.PlanPause = 5, 20*time.Millisecond, 10*time.Millisecond
 	l.Queues[0].SavesShare, l.Queues[1].SavesShare, l.StopTime = 0.5, 0.8, 300*time.Millisecond
+	l.addTeams(teams)
+	return l
+}
+
+// addTeams lets teams send the load, of which the largest come first.
+func (l *Load) addTeams(teams int) {
 	const skew = 1.2
 	total, rate := 0.0, 0.0
 	for i := range teams {
@@ -43,7 +49,6 @@
 		part := math.Pow(float64(i+1), -skew) / total
 		l.Teams = append(l.Teams, Team{Name: fmt.Sprintf("t%03d", i), Part: part, Weight: max(1, rateFactor*part*rate)})
 	}
-	return l
 }
 
 // heat lets a team send hotFactor times its usual of all queues.
--- a/ladderload/simulation.go
+++ b/ladderload/simulation.go
@@ -391,8 +391,10 @@
 // saved returns the newest checkpoint of a run in progress, or an empty one. A run that resumes saves nothing while it
 // does.
 func (sim *simulation) saved(w *worker, r ladderflow.Run) string {
-	s := sim.jobs[r.Task.Job].spec.Steps[r.Task.Step]
-	if !s.Checkpointable || s.Gang {
+	if sim.load.StopTime == 0 {
+		return "" // No task of the load can be stopped.
+	}
+	if s := &sim.jobs[r.Task.Job].spec.Steps[r.Task.Step]; !s.Checkpointable || s.Gang {
 		return ""
 	}
 	done, worked := w.resumed[r], sim.now-w.running[r]
@@ -407,7 +409,7 @@
 
 // stopRun executes an order to stop a run.
 func (sim *simulation) stopRun(s ladderplan.StopOrder) {
-	if sim.jobs[s.Run.Task.Job].spec.Steps[s.Run.Task.Step].Checkpointable && sim.load.StopTime > 0 {
+	if sim.load.StopTime > 0 && sim.jobs[s.Run.Task.Job].spec.Steps[s.Run.Task.Step].Checkpointable {
 		sim.schedule(sim.load.StopTime, func() { sim.stop(s) })
 		return
 	}
