Leave teams their share when runs are stopped; take a clock that is set back

Runs being stopped for others still counted as used, so more of one team was stopped than its excess; and a clock that is set back filled no tokens until it had caught up. Change: a team keeps its share when runs are stopped, and tokens go on from the time that was set.

--- a/ladderplan/advice.go
+++ b/ladderplan/advice.go
@@ -99,6 +99,9 @@
 	if !a.mayQuery(now, cost, yields) {
 		return "", false
 	}
+	if !yields {
+		a.preferredAt = now
+	}
 	long := cost >= longQueryCost
 	yields = long && a.yields(now, yields)
 	if long && len(names) > 1 {
@@ -136,20 +139,18 @@
 // mayQuery reports whether a query of the given cost may be sent: for a long one, a VM may have a backlog
 // that is short enough; few enough short ones are unanswered.
 func (a *advisers) mayQuery(now time.Time, cost time.Duration, yields bool) bool {
-	if !yields {
-		a.preferredAt = now
+	limit, may := maxShortQueries*len(a.vmNames), !now.Before(a.longQueriesWaitUntil)
+	if a.yields(now, yields) {
+		limit /= 2
+		may = may && !now.Before(a.yieldingWaitUntil)
 	}
 	if cost < longQueryCost {
-		limit := maxShortQueries * len(a.vmNames)
-		if a.yields(now, yields) {
-			limit /= 2
-		}
-		return a.shortQueries < limit
+		may = a.shortQueries < limit
 	}
-	if a.yields(now, yields) && now.Before(a.yieldingWaitUntil) {
-		return false
+	if !yields && !may {
+		a.preferredAt = now
 	}
-	return !now.Before(a.longQueriesWaitUntil)
+	return may
 }
 
 // yields reports whether a query for a step that yields to others has to leave room to them: steps within the
--- a/ladderplan/preempt.go
+++ b/ladderplan/preempt.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"lacewingladder/ladderflow"
 )
 
 const (
@@ -41,6 +43,9 @@
 		}
 	}
 	for _, x := range victims {
+		if !sp.lessUrgent(x) {
+			sp.planner.teams.stopped = append(sp.planner.teams.stopped, x)
+		}
 		sp.planner.log.Info("preempting run", "task", x.name.Task, "run", x.name.Number, "worker", x.worker.spec.ID,
 			"step", s.ref())
 		why := "an urgent task needs its capacity"
@@ -71,25 +76,35 @@
 			cmp.Compare(a.name.Task.Index, b.name.Task.Index))
 	})
 	need, free, cost := sp.step.spec.Demand(), w.free, 0
-	thrownAway := time.Duration(0)
-	for i, x := range stoppable {
-		free = free.Plus(x.size)
-		cost += x.size.Processor
+	thrownAway, chosen := time.Duration(0), 0
+	var left usesLeft
+	if sp.mayTakeBack() {
+		left = sp.planner.usesLeft()
+	}
+	for _, x := range stoppable {
 		if !sp.lessUrgent(x) {
+			if !sp.beyondOtherShare(x, left) {
+				continue
+			}
+			left.stop(x)
 			thrownAway += time.Duration(x.size.Processor) * x.unsaved(sp.now)
 		}
+		free = free.Plus(x.size)
+		cost += x.size.Processor
+		stoppable[chosen] = x
+		chosen++
 		if need.Fits(free) {
 			won := time.Duration(need.Processor) * sp.step.expectedDuration()
-			return stoppable[:i+1], cost, thrownAway <= won
+			return stoppable[:chosen], cost, thrownAway <= won
 		}
 	}
 	return nil, 0, false
 }
 
-// preemptible reports whether a run is less urgent than the step, or beyond its team's share, and can resume
+// preemptible reports whether a run is less urgent than the step, or may be beyond its team's share, and can resume
 // elsewhere. A task is preempted once: under a backlog of urgent tasks it would otherwise never end.
 func (sp *stepPlacement) preemptible(x *run) bool {
-	return x.resumable() && (sp.lessUrgent(x) || sp.beyondOtherShare(x))
+	return x.resumable() && (sp.lessUrgent(x) || sp.mayTakeBack())
 }
 
 // lessUrgent reports whether the step is urgent and a run is not.
@@ -111,15 +126,38 @@
 	return sp.planner.teams.anyBeyond && sp.planner.team(sp.step.round.job) != nil
 }
 
-// beyondOtherShare reports whether a run is beyond the share of its team, while the step is not of that team.
-func (sp *stepPlacement) beyondOtherShare(x *run) bool {
+// beyondOtherShare reports whether a run is beyond the rate or the share of its team, while the step is not of that
+// team. The team keeps its share: runs that are being stopped for others don't count as used.
+func (sp *stepPlacement) beyondOtherShare(x *run, left usesLeft) bool {
 	j, own := x.task.step.round.job, sp.planner.team(sp.step.round.job)
 	t := sp.planner.team(j)
 	if own == nil || t == nil || t == own {
 		return false
 	}
-	return j.beyondRate && t.OverRate(sp.now) || !sp.planner.withinShare(t, x.task.step)
+	if j.beyondRate && t.OverRate(sp.now) {
+		return true
+	}
+	return t.Exceeds(sp.planner.ledger.Used(t.Name()).Minus(left[t.Name()])) && !sp.planner.withinShare(t, x.task.step)
+}
+
+// usesLeft holds, by team, the size of the runs that are being stopped because they are beyond the team's share.
+type usesLeft map[string]ladderflow.Size
+
+// usesLeft returns the size of the runs that are being stopped.
+func (p *Planner) usesLeft() usesLeft {
+	left := usesLeft{}
+	p.teams.stopped = slices.DeleteFunc(p.teams.stopped, func(x *run) bool {
+		if x.worker.runs[x.name] != x {
+			return true
+		}
+		left.stop(x)
+		return false
+	})
+	return left
 }
 
+// stop adds a run that is going to be stopped.
+func (l usesLeft) stop(x *run) { l[x.team] = l[x.team].Plus(x.size) }
+
 // unsaved returns how much of a run's work is lost if it is stopped now, as time.
 func (x *run) unsaved(now time.Time) time.Duration { return now.Sub(later(x.startedAt, x.savedAt)) }
--- a/ladderplan/share.go
+++ b/ladderplan/share.go
@@ -37,6 +37,8 @@
 	capacityPass int64
 	// anyBeyond is true if a team uses more than its share or sends more than its rate.
 	anyBeyond bool
+	// stopped holds the runs that were stopped because they are beyond their team's share. Some may be over.
+	stopped []*run
 	// added holds the jobs whose acceptance was not counted yet.
 	added []*job
 }
@@ -101,12 +103,8 @@
 		return cmp.Or(a.spec.Accepted.Compare(b.spec.Accepted), cmp.Compare(a.spec.ID, b.spec.ID))
 	})
 	for _, j := range added {
-		at := j.spec.Accepted
-		if at.After(now) {
-			at = now // The clock of the VM that accepted the job is ahead.
-		}
 		t := p.team(j)
-		within, first := t.Accept(at)
+		within, first := t.Accept(now, j.spec.Accepted)
 		if j.beyondRate = !within; first {
 			p.log.Info("team sends jobs beyond its rate", "team", j.spec.Team, "rate", t.Weight(), "job", j.spec.ID)
 		}
@@ -201,16 +199,15 @@
 				return
 			}
 			if k.turn == turnWithin && t != nil && k.step.waiting < before {
-				t.Started(k.step.size(), k.step.holdTime())
+				t.Started(times(k.step.spec.Demand(), len(k.step.tasks)-k.step.waiting-k.step.done), k.step.holdTime())
 			}
 		}
 	}
 }
 
-// size returns what all tasks of the step need together.
-func (s *step) size() ladderflow.Size {
-	d, n := s.spec.Demand(), len(s.tasks)
-	return ladderflow.Size{Processor: d.Processor * n, Memory: d.Memory * n, Accelerators: d.Accelerators * n}
+// times returns n times a size.
+func times(s ladderflow.Size, n int) ladderflow.Size {
+	return ladderflow.Size{Processor: s.Processor * n, Memory: s.Memory * n, Accelerators: s.Accelerators * n}
 }
 
 // TeamStanding describes what a team has running and waiting, and what it is entitled to.
--- a/ladderplan/takeback.go
+++ b/ladderplan/takeback.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -26,15 +27,19 @@
 	if !sp.mayTakeBack() || len(r.slots) < len(s.tasks) || sp.now.Sub(s.readySince) < preemptDelay || sp.now.Sub(s.preemptedAt) < preemptInterval {
 		return
 	}
+	if s.spec.PreferSameRack && !sp.mayUseSeveralRacks() {
+		return // What is freed would have to be in one rack.
+	}
 	sooner := r.startAt().Sub(sp.now) - p.options.StopTimeout
 	if sooner <= 0 {
 		return
 	}
 	s.preemptedAt = sp.now
 	var list []takenBack
+	left := p.usesLeft()
 	for w := range sp.knownAllowed() {
 		if sp.usable(w) && !sp.reserved(w) && !w.probation {
-			list = append(list, sp.takeBack(w))
+			list = append(list, sp.takeBack(w, left))
 		}
 	}
 	slices.SortFunc(list, func(a, b takenBack) int {
@@ -42,9 +47,13 @@
 	})
 	slots, lost, used := 0, time.Duration(0), 0
 	for ; used < len(list) && slots < len(s.tasks); used++ {
-		slots, lost = slots+list[used].slots, lost+list[used].unsaved
+		b := sp.takeBack(list[used].worker, left) // Other workers' runs of the same teams are stopped as well.
+		for _, x := range b.runs {
+			left.stop(x)
+		}
+		list[used], slots, lost = b, slots+b.slots, lost+b.unsaved
 	}
-	won := time.Duration(s.size().Processor) * sooner
+	won := time.Duration(len(s.tasks)*s.spec.Demand().Processor) * sooner
 	if slots < len(s.tasks) || lost > won {
 		return
 	}
@@ -52,6 +61,7 @@
 	for _, b := range list[:used] {
 		for _, x := range b.runs {
 			p.stopRun(sp.now, x, "a gang of a team within its share needs its capacity")
+			p.teams.stopped = append(p.teams.stopped, x)
 			x.task.preempted, x.freeAt, b.worker.releasesStale = true, sp.now.Add(p.options.StopTimeout), true
 			stopped++
 		}
@@ -64,8 +74,8 @@
 }
 
 // takeBack returns the capacity that a worker has for members of the gang after StopTimeout, with as few runs
-// stopped as it takes.
-func (sp *stepPlacement) takeBack(w *worker) takenBack {
+// stopped as it takes, beside those that are stopped on other workers.
+func (sp *stepPlacement) takeBack(w *worker, stopped usesLeft) takenBack {
 	b := takenBack{worker: w}
 	free, soon := w.free, sp.now.Add(sp.planner.options.StopTimeout)
 	var victims []*run
@@ -73,7 +83,7 @@
 		switch {
 		case x.phase == phaseStopping || x.task != nil && !x.task.step.spec.LongRunning && !x.expectedEnd().After(soon):
 			free = free.Plus(x.size)
-		case x.phase == phaseRunning && x.resumable() && sp.beyondOtherShare(x):
+		case x.phase == phaseRunning && x.resumable() && sp.beyondOtherShare(x, stopped):
 			victims = append(victims, x)
 		}
 	}
@@ -82,13 +92,22 @@
 		limit = max(0, min(limit, sp.step.spec.MaxPerWorker-sp.step.runsOn[w]))
 	}
 	b.slots = need.FitCount(free, limit)
+	if len(victims) == 0 {
+		return b
+	}
 	slices.SortStableFunc(victims, func(a, b *run) int { return cmp.Compare(b.size.Processor, a.size.Processor) })
-	lost := time.Duration(0)
-	for i, x := range victims {
+	lost, chosen, left := time.Duration(0), 0, maps.Clone(stopped)
+	for _, x := range victims {
+		if !sp.beyondOtherShare(x, left) {
+			continue
+		}
+		left.stop(x)
+		victims[chosen] = x
+		chosen++
 		free = free.Plus(x.size)
 		lost += time.Duration(x.size.Processor) * x.unsaved(sp.now)
 		if n := need.FitCount(free, limit); n > b.slots {
-			b.slots, b.runs, b.unsaved = n, victims[:i+1], lost
+			b.slots, b.runs, b.unsaved = n, victims[:chosen], lost
 		}
 	}
 	return b
--- a/laddershare/shares_test.go
+++ b/laddershare/shares_test.go
@@ -20,7 +20,7 @@
 func cores(n int) ladderflow.Size { return ladderflow.Size{Processor: n * 1000} }
 
 func accepts(team *laddershare.Team, at time.Time) bool {
-	within, _ := team.Accept(at)
+	within, _ := team.Accept(at, at)
 	return within
 }
 
@@ -62,7 +62,11 @@
 		require.True(t, accepts(team, start))
 	}
 	require.False(t, accepts(team, start))
-	require.False(t, accepts(team, start.Add(-time.Hour)), "a clock that is an hour behind gives no tokens")
+	for _, late := range []time.Duration{-time.Hour, time.Hour} {
+		within, first := team.Accept(start, start.Add(late))
+		require.False(t, within, "a clock that is an hour behind or ahead gives no tokens")
+		require.False(t, first)
+	}
 	require.True(t, team.OverRate(start))
 	require.True(t, accepts(team, start.Add(500*time.Millisecond)))
 	require.False(t, team.OverRate(start.Add(2*time.Second)))
@@ -270,3 +274,23 @@
 	}
 	return weights
 }
+
+// TestClockStepsBack sets the leader's clock back by 5 s. The team keeps to half of its rate.
+func TestClockStepsBack(t *testing.T) {
+	s := laddershare.New()
+	s.SetWeights([]laddershare.Weight{{Team: "a", Weight: 10}})
+	team := s.Team("a")
+	beyond := 0
+	at := start
+	for i := range 50 {
+		if i == 15 {
+			at = at.Add(-5 * time.Second)
+		}
+		at = at.Add(200 * time.Millisecond)
+		if !accepts(team, at) {
+			beyond++
+		}
+	}
+	require.Zero(t, beyond)
+	require.False(t, team.OverRate(at))
+}
--- a/laddershare/team.go
+++ b/laddershare/team.go
@@ -56,12 +56,16 @@
 
 // Accept takes a token for a job that was accepted at the given time. If there is none, within is false: the
 // job is beyond the team's rate, and first is true if it is the first since the team was last within it. Jobs
-// should be accepted in the order of their times. One that comes late takes a token of the present ones.
-func (t *Team) Accept(at time.Time) (within, first bool) {
+// should be accepted in the order of their times. One that comes late takes a token of the present ones, and a
+// time after now counts as now.
+func (t *Team) Accept(now, at time.Time) (within, first bool) {
 	if t.rate == 0 {
 		return true, false
 	}
-	t.refill(at)
+	if at.After(now) {
+		at = now
+	}
+	t.refill(now, at)
 	if t.tokens < 1 {
 		first, t.overRate = !t.overRate, true
 		return false, first
@@ -71,10 +75,13 @@
 }
 
 // refill adds the tokens of the time that has passed.
-func (t *Team) refill(at time.Time) {
+func (t *Team) refill(now, at time.Time) {
 	if t.tokensAt.IsZero() {
 		t.tokens, t.tokensAt = t.burst(), at
 	}
+	if t.tokensAt.After(now) {
+		t.tokensAt = now // The clock was set back.
+	}
 	if passed := at.Sub(t.tokensAt); passed > 0 {
 		t.tokens, t.tokensAt = min(t.burst(), t.tokens+t.rate*passed.Seconds()), at
 	}
@@ -86,7 +93,7 @@
 // OverRate reports whether the team sends more than its rate: the jobs that are beyond it count as such.
 func (t *Team) OverRate(now time.Time) bool {
 	if t.overRate {
-		t.refill(now)
+		t.refill(now, now)
 	}
 	return t.overRate
 }
@@ -118,6 +125,9 @@
 	return max(t.share*CreditTime.Seconds(), min(t.largest, t.share*MaxStepTime.Seconds()))
 }
 
+// Exceeds reports whether the team uses more than its share if it has used running.
+func (t *Team) Exceeds(used ladderflow.Size) bool { return t.shares.part(used) > t.share }
+
 // Within reports whether a step that takes the given time is within the team's share, while the team has used
 // running.
 func (t *Team) Within(used ladderflow.Size, duration time.Duration) bool {
@@ -125,8 +135,8 @@
 	return t.debt+over*duration.Seconds() <= t.allowance()
 }
 
-// Started records that tasks of one step that was within the share were started: their size together and the
-// time that they take.
+// Started records that tasks of one step that was within the share were started: the size of all tasks of the step
+// that run, and the time that they take.
 func (t *Team) Started(size ladderflow.Size, duration time.Duration) {
 	t.largest = max(t.largest, t.shares.part(size)*duration.Seconds())
 }
