--- a/laddervm/leadership.go
+++ b/laddervm/leadership.go
@@ -211,32 +211,70 @@
 	}
 }
 
-// renewLease renews the leader's lease until the term ends.
+// renewLease renews the leader's lease until the term ends. A renewal whose answer is late is followed by another one:
+// if the store loses answers, the lease must not expire while a single call waits.
 func (l *leadership) renewLease(t *term) {
+	results := make(chan renewal, maxRenewals)
+	var begun, succeeded, pending int
 	failing := false
 	for t.ctx.Err() == nil {
-		wait := leaderRenewInterval
-		err := l.lease.renew(t.ctx)
-		if errors.Is(err, platform.ErrNoLease) {
-			l.endTerm(t, "the leader's lease has expired")
+		if pending < l.renewalLimit() {
+			pending++
+			begun++
+			go func(number int) { results <- renewal{number, l.lease.renew(t.ctx)} }(begun)
+		}
+		var r renewal
+		select {
+		case r = <-results:
+			pending--
+		case <-l.vm.clock.After(leaderRenewInterval):
+			continue
+		case <-t.ctx.Done():
 			return
 		}
-		if err != nil && t.ctx.Err() == nil {
-			wait = retryInterval
-			if !failing {
-				l.log.Warn("leader lease renewal failed; retrying", "remaining", l.lease.remaining().Round(time.Millisecond), "err", err)
+		pause := leaderRenewInterval
+		switch {
+		case errors.Is(r.err, platform.ErrNoLease):
+			l.endTerm(t, "the leader's lease has expired")
+			return
+		case r.err == nil:
+			if failing {
+				l.log.Info("leader lease is renewed again", "remaining", l.lease.remaining().Round(time.Millisecond))
 			}
-		} else if failing {
-			l.log.Info("leader lease is renewed again", "remaining", l.lease.remaining().Round(time.Millisecond))
+			succeeded, failing = max(succeeded, r.number), false
+		case r.number < succeeded:
+			continue // A later one has succeeded.
+		default:
+			if !failing && t.ctx.Err() == nil {
+				l.log.Warn("leader lease renewal failed; retrying", "remaining", l.lease.remaining().Round(time.Millisecond), "err", r.err)
+			}
+			failing, pause = true, retryInterval
 		}
-		failing = err != nil
 		select {
 		case <-t.ctx.Done():
-		case <-l.vm.clock.After(wait):
+		case <-l.vm.clock.After(pause):
 		}
 	}
 }
 
+// renewal is the result of a renewal of the leader's lease. Renewals are numbered from 1.
+type renewal struct {
+	number int
+	err    error
+}
+
+// maxRenewals bounds the renewals of the leader's lease that are in flight.
+const maxRenewals = 3
+
+// renewalLimit returns how many renewals may be in flight now. While the store serves nothing, more than one would only
+// add to the number of calls.
+func (l *leadership) renewalLimit() int {
+	if l.vm.storeCarrier.unavailable() {
+		return 1
+	}
+	return maxRenewals
+}
+
 // endTerm ends a term, unless it has ended already.
 func (l *leadership) endTerm(t *term, why string) {
 	if l.term.CompareAndSwap(t, nil) {
--- a/laddervm/lease.go
+++ b/laddervm/lease.go
@@ -61,7 +61,8 @@
 	case errors.Is(err, platform.ErrNoLease):
 		l.id, l.until = 0, 0
 	case err == nil:
-		l.until = began + l.length - leaseSafetyMargin
+		// Renewals overlap, so that an earlier one may be answered later.
+		l.until = max(l.until, began+l.length-leaseSafetyMargin)
 	}
 	return err
 }
