--- a/laddervm/vm.go
+++ b/laddervm/vm.go
@@ -172,7 +172,7 @@
 		}
 	}()
 	for _, f := range []func(context.Context){
-		v.fleetFeed.run, v.registry.watch, v.registry.keepRegistered, v.leadership.run, v.writer.run, v.late.run,
+		newStoreProbe(v.storeCarrier, v.settings.StoreAddress).run, v.fleetFeed.run, v.registry.watch, v.registry.keepRegistered, v.leadership.run, v.writer.run, v.late.run,
 	} {
 		v.wait.Go(func() { f(serving) })
 	}
