Bound what may run on a worker that has shrunk by the largest of its service

The worker had shrunk under the run of an earlier leader, so that the team got its whole quota besides. Change: the largest worker of its service counts, and the roster holds the largest capacity that a worker was known to have.

--- a/ladderplan/quota.go
+++ b/ladderplan/quota.go
@@ -150,30 +150,37 @@
 func (p *Planner) sizeQuotas() {
 	z := &p.quotas
 	z.unseen, z.unknown = ladderflow.Size{}, ladderflow.Size{}
-	if len(z.teams) == 0 {
+	if len(z.teams) == 0 || p.earlierRunsKnown && p.pools.unknownRuns == 0 {
 		return
 	}
-	if !p.earlierRunsKnown {
-		for id := range p.unseenWorkers {
-			if w, ok := p.workers[id]; ok {
-				z.unseen = z.unseen.Plus(w.mostUnheard())
-			}
-		}
-	}
-	if p.pools.unknownRuns == 0 {
-		return
+	largest := map[string]ladderflow.Size{}
+	for _, w := range p.allWorkers() {
+		largest[w.spec.Service] = largestSize(largest[w.spec.Service], w.mostCapacity)
 	}
 	for _, w := range p.allWorkers() {
+		if !p.earlierRunsKnown && p.unseenWorkers[w.spec.ID] {
+			z.unseen = z.unseen.Plus(w.mostUnheard(largest[w.spec.Service]))
+		}
 		if w.unknownRuns > 0 {
-			z.unknown = z.unknown.Plus(w.mostUnheard())
+			z.unknown = z.unknown.Plus(w.mostUnheard(largest[w.spec.Service]))
 		}
 	}
 }
 
-// mostUnheard returns the most that may run on a worker besides its known runs.
-func (w *worker) mostUnheard() ladderflow.Size {
+// LargestCapacity returns the largest amount of each resource that a worker is known to have had. The roster
+// holds it: the worker may shrink under runs that the next leader does not know.
+func (p *Planner) LargestCapacity(id string) ladderflow.Size {
+	if w, ok := p.workers[id]; ok {
+		return w.mostCapacity
+	}
+	return ladderflow.Size{}
+}
+
+// mostUnheard returns the most that may run on a worker besides its known runs. The worker may have shrunk
+// under them before this leader first saw its capacity, so the largest worker of its service counts.
+func (w *worker) mostUnheard(largest ladderflow.Size) ladderflow.Size {
 	known := w.spec.Capacity.Minus(w.free)
-	rest := w.mostCapacity.Minus(known)
+	rest := largest.Minus(known)
 	return ladderflow.Size{Processor: max(0, rest.Processor), Memory: max(0, rest.Memory), Accelerators: max(0, rest.Accelerators)}
 }
 
--- a/ladderplan/quota_test.go
+++ b/ladderplan/quota_test.go
@@ -429,3 +429,32 @@
 		h.poll(id, ladderflow.StatusReport{Running: list})
 	}
 }
+
+// TestWorkerThatShrankAfterTakeover has a silent worker that shrank under the run of an earlier leader, before the next
+// one first saw its capacity.
+func TestWorkerThatShrankAfterTakeover(t *testing.T) {
+	for name, processor := range map[string]int{"to nothing": 0, "to half": 4000, "not at all": 8000} {
+		t.Run(name, func(t *testing.T) {
+			h := newQuotaHarness(t, 2, 4)
+			large := stepOf(1)
+			large.Need.Processor = 8000
+			next := h.nextLeader([]*ladderflow.Job{teamJob(h.now, "a", "x", large)}, nil, 0)
+			shrunk := testWorker(0)
+			shrunk.Capacity.Processor = processor
+			next.planner.AddEarlierWorker(shrunk)
+			next.planner.SetRoster(map[string]bool{"w0": true, "w1": true})
+			next.planner.SetWorkers(next.now, []ladderflow.Worker{shrunk, testWorker(1)})
+			next.advance(1500 * time.Millisecond)
+			next.poll("w1", ladderflow.StatusReport{})
+			next.planner.SetJobsReadAt(next.now)
+			next.submitFor("a", "y", stepOf(2))
+			require.Empty(t, next.startAll())
+			next.poll("w0", ladderflow.StatusReport{})
+			require.NotEmpty(t, next.startAll(), "all is known")
+			grown := testWorker(0)
+			next.planner.SetWorkers(next.now, []ladderflow.Worker{grown, testWorker(1)})
+			next.planner.SetWorkers(next.now, []ladderflow.Worker{shrunk, testWorker(1)})
+			require.Equal(t, 8000, next.planner.LargestCapacity("w0").Processor, "the roster holds it")
+		})
+	}
+}
--- a/laddervm/save.go
+++ b/laddervm/save.go
@@ -163,6 +163,7 @@
 	var list []ladderflow.Worker
 	for _, w := range t.planner.Workers() {
 		if t.planner.InRoster(w.ID) {
+			w.Capacity = t.planner.LargestCapacity(w.ID)
 			list = append(list, w)
 		}
 	}
