Cordon workers that leave although they answer

Cause: workers that drain answer their polls, and the check for cordons passed over fleets in which all do. A worker that had left during an outage of the store held all jobs back after the loss of power that followed.

--- a/ladderplan/cordon.go
+++ b/ladderplan/cordon.go
@@ -62,9 +62,6 @@
 		return nil, false
 	}
 	c.nextCheck = now.Add(cordonCheckInterval)
-	if !p.hasIrregular && len(c.revisions) == 0 && len(c.blockedSince) == 0 {
-		return nil, false
-	}
 	var list []Cordon
 	changed := c.unsaved
 	kept := 0
--- a/ladderplan/cordon_test.go
+++ b/ladderplan/cordon_test.go
@@ -102,6 +102,22 @@
 	}
 }
 
+// TestWorkerThatLeavesIsCordonedAtOnce lets a worker drain that answers all polls.
+func TestWorkerThatLeavesIsCordonedAtOnce(t *testing.T) {
+	h := newHarness(t, 2)
+	h.planner.SetStoreServing(h.now, true)
+	h.advance(1100 * time.Millisecond)
+	h.pollAll(nil)
+	h.plan()
+	leaving := testWorker(1)
+	leaving.Draining, leaving.RemainingTime = true, 10*time.Second
+	h.planner.SetWorkers(h.now, []ladderflow.Worker{testWorker(0), leaving})
+	h.plan()
+	list, ok := h.planner.NextCordons(h.now)
+	require.True(t, ok)
+	require.Equal(t, []Cordon{{Worker: "w1"}}, list)
+}
+
 // TestNoCordonWhileItWouldNotHold checks the times at which a silent worker is not cordoned: while the store is away,
 // and while an earlier leader may still hear of new jobs.
 func TestNoCordonWhileItWouldNotHold(t *testing.T) {
