--- a/ladderplan/share.go
+++ b/ladderplan/share.go
@@ -24,6 +24,12 @@
 	turnBeyondRate
 )
 
+// beyondLogPause is how long a team must be within its share and its rate before that is logged.
+const beyondLogPause = time.Second
+
+// beyondPeriod is the time in which a team was beyond its share or its rate, at least once in beyondLogPause.
+type beyondPeriod struct{ since, until time.Time }
+
 // longRunningHold is the time for which a long-running task counts when a team's share is decided on.
 const longRunningHold = 10 * time.Second
 
@@ -39,6 +45,8 @@
 	anyBeyond bool
 	// stopped holds the runs that were stopped because they are beyond their team's share. Some may be over.
 	stopped []*run
+	// beyond holds the teams that are logged to be beyond their share or their rate.
+	beyond map[*laddershare.Team]beyondPeriod
 	// added holds the jobs whose acceptance was not counted yet.
 	added []*job
 }
@@ -62,7 +70,7 @@
 		return
 	}
 	if ts.shares == nil {
-		ts.shares = laddershare.New()
+		ts.shares, ts.beyond = laddershare.New(), map[*laddershare.Team]beyondPeriod{}
 	}
 	if ts.fleet != p.fleet {
 		ts.fleet = p.fleet
@@ -77,9 +85,30 @@
 	}
 	p.checkRates(now)
 	ts.shares.Update(now, ts.capacity, p.ledger.Used)
-	ts.anyBeyond = slices.ContainsFunc(ts.shares.Teams(), func(t *laddershare.Team) bool {
-		return t.OverRate(now) || !t.Within(p.ledger.Used(t.Name()), 0)
-	})
+	ts.anyBeyond = false
+	for _, t := range ts.shares.Teams() {
+		overRate := t.OverRate(now)
+		beyond := overRate || !t.Within(p.ledger.Used(t.Name()), 0)
+		ts.anyBeyond = ts.anyBeyond || beyond
+		p.logBeyond(now, t, beyond, overRate)
+	}
+}
+
+// logBeyond logs that a team is beyond its share or its rate, and that it is not any more.
+func (p *Planner) logBeyond(now time.Time, t *laddershare.Team, beyond, overRate bool) {
+	b, logged := p.teams.beyond[t]
+	switch {
+	case beyond && !logged:
+		p.teams.beyond[t] = beyondPeriod{now, now}
+		p.log.Info("team is beyond its share or its rate; its steps come after those of others", "team", t.Name(), "used", t.Used(),
+			"share", t.Share(), "debt", t.Debt().Round(time.Millisecond), "overRate", overRate, "weight", t.Weight())
+	case beyond:
+		p.teams.beyond[t] = beyondPeriod{b.since, now}
+	case logged && now.Sub(b.until) >= beyondLogPause:
+		delete(p.teams.beyond, t)
+		p.log.Info("team is within its share and its rate again", "team", t.Name(), "used", t.Used(), "share", t.Share(),
+			"after", b.until.Sub(b.since).Round(time.Millisecond))
+	}
 }
 
 // pooledCapacity returns the capacity of the workers that accept new tasks.
@@ -103,11 +132,7 @@
 		return cmp.Or(a.spec.Accepted.Compare(b.spec.Accepted), cmp.Compare(a.spec.ID, b.spec.ID))
 	})
 	for _, j := range added {
-		t := p.team(j)
-		within, first := t.Accept(now, j.spec.Accepted)
-		if j.beyondRate = !within; first {
-			p.log.Info("team sends jobs beyond its rate", "team", j.spec.Team, "rate", t.Weight(), "job", j.spec.ID)
-		}
+		j.beyondRate = !p.team(j).Accept(now, j.spec.Accepted)
 	}
 	clear(added)
 	p.teams.added = added[:0]
--- a/laddershare/doc.go
+++ b/laddershare/doc.go
@@ -25,7 +25,7 @@
 //	shares := laddershare.New()
 //	shares.SetWeights([]laddershare.Weight{{Team: "tailors", Weight: 12}})
 //	team := shares.Team("tailors")
-//	within, _ := team.Accept(now, job.Accepted)
+//	within := team.Accept(now, job.Accepted)
 //	team.Wants(now) // it has a step that waits
 //	shares.Update(now, capacity, ledger.Used)
 //	if team.Within(ledger.Used("tailors"), step.Duration) {
--- a/laddershare/team.go
+++ b/laddershare/team.go
@@ -54,24 +54,23 @@
 // Weight returns the weight that counts for the team's share.
 func (t *Team) Weight() float64 { return t.weight }
 
-// Accept takes a token for a job that was accepted at the given time. If there is none, within is false: the
-// job is beyond the team's rate, and first is true if it is the first since the team was last within it. Jobs
-// should be accepted in the order of their times. One that comes late takes a token of the present ones, and a
-// time after now counts as now.
-func (t *Team) Accept(now, at time.Time) (within, first bool) {
+// Accept takes a token for a job that was accepted at the given time. It returns false if there is none: the job
+// is beyond the team's rate. Jobs should be accepted in the order of their times. One that comes late takes a token
+// of the present ones, and a time after now counts as now.
+func (t *Team) Accept(now, at time.Time) bool {
 	if t.rate == 0 {
-		return true, false
+		return true
 	}
 	if at.After(now) {
 		at = now
 	}
 	t.refill(now, at)
 	if t.tokens < 1 {
-		first, t.overRate = !t.overRate, true
-		return false, first
+		t.overRate = true
+		return false
 	}
 	t.tokens--
-	return true, false
+	return true
 }
 
 // refill adds the tokens of the time that has passed.
