Log when only jobs stored before a revision wait after a takeover

Cause: after a takeover no line told which jobs still wait for silent workers. Change: one line for each change of that revision. What waits is the same.

--- a/ladderplan/cordon.go
+++ b/ladderplan/cordon.go
@@ -152,7 +152,8 @@
 
 // refreshUnseenRevision determines the store's revision after which no job can have been stored of which a task
 // runs on a worker that has not answered this leader yet.
-func (p *Planner) refreshUnseenRevision() {
+func (p *Planner) refreshUnseenRevision(now time.Time) {
+	before := p.unseenRevision
 	p.unseenRevision = 0
 	if p.earlierRunsKnown {
 		return
@@ -165,4 +166,8 @@
 		}
 		p.unseenRevision = max(p.unseenRevision, revision)
 	}
+	if before != p.unseenRevision {
+		p.log.Info("only jobs stored before a revision wait for workers that have not answered", "revision", p.unseenRevision,
+			"unseen", len(p.unseenWorkers), "after", now.Sub(p.options.ElectedAt).Round(time.Millisecond))
+	}
 }
--- a/ladderplan/place.go
+++ b/ladderplan/place.go
@@ -89,7 +89,7 @@
 // place starts the tasks for which there is capacity, in the order of their steps' ranks.
 func (p *Planner) place(now time.Time) {
 	p.refreshPools(now)
-	p.refreshUnseenRevision()
+	p.refreshUnseenRevision(now)
 	p.reservationPass++
 	p.sizeQuotas()
 	defer p.logReleased(now)
