Start nothing on a worker that outgrows its entry in the roster, where there are teams

Cause: a worker may grow after the roster was stored, run more, and shrink before the next leader first sees it. That leader would assume too little of what its teams run there. Change: where the configuration has teams, the roster is stored again when a worker has more capacity than it holds, and nothing starts there until it is.

--- a/laddervm/roster_test.go
+++ b/laddervm/roster_test.go
@@ -116,3 +116,48 @@
 		return w1.runs() == 1
 	}, 5*time.Second, time.Millisecond)
 }
+
+// TestGrownWorkerGetsNoTaskUntilTheRosterHoldsItsCapacity lists a worker with more capacity than the stored roster has of it.
+// The next leader would assume too little of what its team may run there.
+func TestGrownWorkerGetsNoTaskUntilTheRosterHoldsItsCapacity(t *testing.T) {
+	for name, teams := range map[string][]ladderflow.Team{"teams": {{Name: "a"}}, "no teams": nil} {
+		t.Run(name, func(t *testing.T) {
+			var silent atomic.Bool
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				if silent.Load() {
+					<-r.Context().Done()
+					return
+				}
+				_, _ = w.Write([]byte(`{"rev":9}`))
+			}))
+			defer s.CloseClientConnections()
+			v := newTestVM(t, "e1")
+			v.store = platform.NewStore(v.storeCarrier, netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://")))
+			v.journal = ladderjournal.New(v.store)
+			v.fleet.Store(&ladderflow.FleetConfig{Teams: teams, Queues: []ladderflow.Queue{{Name: "queue", Service: "service", MaxFailures: 2}}})
+			w0 := newTestWorker(t, "w0")
+			contents := &ladderjournal.Contents{Roster: []ladderflow.Worker{w0.Worker}}
+			term := newTerm(t.Context(), v, &lease{vm: v, until: v.boot.SinceBoot() + time.Minute}, 5, time.Now())
+			term.applyContents(contents, contents.Roster, term.vm.journal.ProgressWriter(term.fence, contents))
+			runInbox(term, 100*time.Millisecond)
+
+			silent.Store(true)
+			grown := w0.Worker
+			grown.Capacity.Processor *= 2
+			term.setWorkers([]ladderflow.Worker{grown})
+			require.Equal(t, len(teams) > 0, term.savingRoster)
+			term.planner.AddJob(time.Now(), &ladderflow.Job{ID: "a", Queue: "queue", Service: "service", Accepted: time.Now(), Steps: []ladderflow.Step{{
+				Tasks: 1, Need: ladderflow.Size{Processor: 1000, Memory: 1000}, Estimate: time.Minute,
+			}}}, false)
+			runInbox(term, 300*time.Millisecond)
+			require.Equal(t, len(teams) == 0, w0.runs() == 1)
+
+			silent.Store(false)
+			require.Eventually(t, func() bool {
+				runInbox(term, 50*time.Millisecond)
+				return w0.runs() == 1
+			}, 5*time.Second, time.Millisecond)
+		})
+	}
+}
--- a/laddervm/save.go
+++ b/laddervm/save.go
@@ -163,7 +163,9 @@
 	var list []ladderflow.Worker
 	for _, w := range t.planner.Workers() {
 		if t.planner.InRoster(w.ID) {
-			w.Capacity = t.planner.LargestCapacity(w.ID)
+			if t.hasTeams() {
+				w.Capacity = t.planner.LargestCapacity(w.ID)
+			}
 			list = append(list, w)
 		}
 	}
@@ -175,7 +177,7 @@
 		}
 	}
 	t.roster = both
-	t.planner.SetRoster(both)
+	t.planner.SetRoster(t.startable())
 	terms := t.terms()
 	go func() {
 		err := t.rosterWriter.SaveRoster(t.ctx, list, terms)
@@ -196,19 +198,42 @@
 		time.AfterFunc(saveRetryInterval, func() { t.do(t.saveRoster) })
 		return
 	}
-	t.roster = map[string]bool{}
+	t.roster, t.rosterSizes = map[string]bool{}, map[string]ladderflow.Size{}
 	for _, w := range list {
-		t.roster[w.ID] = true
+		t.roster[w.ID], t.rosterSizes[w.ID] = true, w.Capacity
 	}
-	t.planner.SetRoster(t.roster)
+	t.planner.SetRoster(t.startable())
 	for id := range t.pollers {
-		if t.planner.InRoster(id) != t.roster[id] {
+		if t.planner.InRoster(id) != t.roster[id] || t.outgrown(id) {
 			t.saveRoster()
 			return
 		}
 	}
 }
 
+// outgrown reports whether a worker of the roster has more capacity than the stored roster ever had of it. The next
+// leader would assume too little of what may run there.
+func (t *term) outgrown(id string) bool {
+	return t.hasTeams() && t.roster[id] && !t.planner.LargestCapacity(id).Fits(t.rosterSizes[id])
+}
+
+// hasTeams reports whether the configuration has teams, whose quotas must hold.
+func (t *term) hasTeams() bool {
+	f := t.vm.fleet.Load()
+	return f != nil && len(f.Teams) > 0
+}
+
+// startable returns the workers of the roster on which tasks may start.
+func (t *term) startable() map[string]bool {
+	ids := map[string]bool{}
+	for id := range t.roster {
+		if !t.outgrown(id) {
+			ids[id] = true
+		}
+	}
+	return ids
+}
+
 // readWorkers reads the workers that are listed in the store.
 func (t *term) readWorkers() ([]ladderflow.Worker, error) {
 	var items []platform.Item
--- a/laddervm/term.go
+++ b/laddervm/term.go
@@ -118,6 +118,8 @@
 	// waves holds the numbers of the maintenance waves that this term has started.
 	waves        map[int64]bool
 	savingRoster bool
+	// rosterSizes holds the largest capacity that the stored roster has of each worker in roster.
+	rosterSizes map[string]ladderflow.Size
 }
 
 func newTerm(ctx context.Context, v *VM, lease *lease, fence int64, began time.Time) *term {
@@ -125,7 +127,7 @@
 		vm: v, log: v.logs.RateLimited("term", v.clock), lease: lease, fence: fence, began: began,
 		inbox: make(chan func(), inboxSize), orderSlots: make(chan struct{}, ladderplan.MaxOrders),
 		pollers: map[string]*poller{}, delegates: map[string]*delegateClient{}, excludedUntil: map[string]time.Time{},
-		roster: map[string]bool{}, waves: map[int64]bool{}, runtimeLoad: newRuntimeLoad(),
+		roster: map[string]bool{}, rosterSizes: map[string]ladderflow.Size{}, waves: map[int64]bool{}, runtimeLoad: newRuntimeLoad(),
 	}
 	t.ctx, t.cancel = context.WithCancel(ctx)
 	t.outageSeenAt.Store(math.MinInt64 / 2)
@@ -375,7 +377,7 @@
 	}
 	for _, w := range c.Roster {
 		t.planner.AddEarlierWorker(w)
-		t.roster[w.ID] = true
+		t.roster[w.ID], t.rosterSizes[w.ID] = true, w.Capacity
 	}
 	t.planner.SetRoster(t.roster)
 	t.loaded = true
--- a/laddervm/workers.go
+++ b/laddervm/workers.go
@@ -74,12 +74,21 @@
 	// A worker that is gone must be removed from the stored roster as well: the next leader
 	// waits for tasks that an earlier one may have started on workers of the roster that cannot
 	// be reached.
+	gone, grown := false, ""
 	for id := range t.roster {
-		if !t.planner.InRoster(id) {
-			t.saveRoster()
-			break
+		gone = gone || !t.planner.InRoster(id)
+		if t.outgrown(id) {
+			grown = id
 		}
 	}
+	if grown != "" {
+		t.log.Info("worker has more capacity than the roster holds; nothing starts there until it is stored", "worker", grown,
+			"capacity", t.planner.LargestCapacity(grown), "stored", t.rosterSizes[grown])
+		t.planner.SetRoster(t.startable())
+	}
+	if gone || grown != "" {
+		t.saveRoster()
+	}
 }
 
 func (t *term) stopPolling(p *poller) {
