Look up fewer teams in each pass

Cause: each pass looked up what each team uses only to log it. Change: whether a team is beyond its share is read from its debt, and the log is asked only while some team is.

--- a/ladderplan/share.go
+++ b/ladderplan/share.go
@@ -88,9 +88,11 @@
 	ts.anyBeyond = false
 	for _, t := range ts.shares.Teams() {
 		overRate := t.OverRate(now)
-		beyond := overRate || !t.Within(p.ledger.Used(t.Name()), 0)
+		beyond := overRate || t.Beyond()
 		ts.anyBeyond = ts.anyBeyond || beyond
-		p.logBeyond(now, t, beyond, overRate)
+		if beyond || len(ts.beyond) > 0 {
+			p.logBeyond(now, t, beyond, overRate)
+		}
 	}
 }
 
@@ -285,7 +287,7 @@
 		s := TeamStanding{
 			Team: t.Name(), Weight: t.Weight(), Used: p.ledger.Used(t.Name()), Share: t.Share(), UsedShare: t.Used(),
 			Running: running[t.Name()], Waiting: waiting[t.Name()], Excess: excess[t.Name()],
-			BeyondShare: !t.Within(p.ledger.Used(t.Name()), 0), BeyondRate: t.OverRate(now),
+			BeyondShare: t.Beyond(), BeyondRate: t.OverRate(now),
 		}
 		configured, ok := p.fleet.Team(t.Name())
 		switch {
--- a/laddershare/team.go
+++ b/laddershare/team.go
@@ -124,6 +124,9 @@
 	return max(t.share*CreditTime.Seconds(), min(t.largest, t.share*MaxStepTime.Seconds()))
 }
 
+// Beyond reports whether no step of the team is within its share, however short: its debt exceeds its allowance.
+func (t *Team) Beyond() bool { return t.debt > t.allowance() }
+
 // Exceeds reports whether the team uses more than its share if it has used running.
 func (t *Team) Exceeds(used ladderflow.Size) bool { return t.shares.part(used) > t.share }
 
