Compute shares at most every 5 ms

Cause: the shares were computed in each pass, also in passes without new work. Change: at most every 5 ms, and at once under another configuration. Within a pass, a step is looked at again only if something has started since.

--- a/ladderplan/share.go
+++ b/ladderplan/share.go
@@ -24,6 +24,10 @@
 	turnBeyondRate
 )
 
+// shareInterval is the least time between two computations of the shares. What a team has running is looked up
+// for each step.
+const shareInterval = 5 * time.Millisecond
+
 // beyondLogPause is how long a team must be within its share and its rate before that is logged.
 const beyondLogPause = time.Second
 
@@ -41,6 +45,9 @@
 	// capacity is that of the workers that accepted tasks in the pass capacityPass of the pools.
 	capacity     ladderflow.Size
 	capacityPass int64
+	// updatedAt is when the shares were last computed, under the configuration updatedFor.
+	updatedAt  time.Time
+	updatedFor *ladderflow.FleetConfig
 	// anyBeyond is true if a team uses more than its share or sends more than its rate.
 	anyBeyond bool
 	// stopped holds the runs that were stopped because they are beyond their team's share. Some may be over.
@@ -80,10 +87,14 @@
 		}
 		ts.shares.SetWeights(list)
 	}
+	p.checkRates(now)
+	if passed := now.Sub(ts.updatedAt); passed >= 0 && passed < shareInterval && ts.updatedFor == p.fleet {
+		return
+	}
+	ts.updatedAt, ts.updatedFor = now, p.fleet
 	if ts.capacityPass != p.pools.pass {
 		ts.capacityPass, ts.capacity = p.pools.pass, p.pooledCapacity()
 	}
-	p.checkRates(now)
 	ts.shares.Update(now, ts.capacity, p.ledger.Used)
 	ts.anyBeyond = false
 	for _, t := range ts.shares.Teams() {
@@ -205,6 +216,7 @@
 	}
 	return func(yield func(rank) bool) {
 		var over []rank
+		starts := len(p.orders.Starts)
 		for len(list) > 0 || len(over) > 0 {
 			if len(list) == 0 || len(over) > 0 && compareRanks(over[0], list[0]) < 0 {
 				if !yield(over[0]) {
@@ -216,7 +228,7 @@
 			k := list[0]
 			list = list[1:]
 			t := p.team(k.step.round.job)
-			if k.turn == turnWithin && t != nil && !p.withinShare(t, k.step) {
+			if k.turn == turnWithin && t != nil && len(p.orders.Starts) > starts && !p.withinShare(t, k.step) {
 				k.turn = turnOver
 				over = append(over, k)
 				continue
