Stop the comparison of shares if a simulation has failed

Cause: after a failed simulation the comparison went on with the results that it had, and its message hid the failure. Change: the test stops there.

--- a/ladderload/share_test.go
+++ b/ladderload/share_test.go
@@ -147,7 +147,7 @@
 	usual := *c.load
 	usual.Extras = nil
 	with, without := make([][]float64, seeds), make([][]float64, seeds)
-	t.Run("seeds", func(t *testing.T) {
+	ok := t.Run("seeds", func(t *testing.T) {
 		for seed := range seeds {
 			t.Run(fmt.Sprint(seed), func(t *testing.T) {
 				t.Parallel()
@@ -156,6 +156,7 @@
 			})
 		}
 	})
+	require.True(t, ok)
 	a, b := total(with), total(without)
 	n := int(shareWindow / (100 * time.Millisecond))
 	worst, worstAt := math.Inf(1), 0
