--- a/ladderjournal/lane.go
+++ b/ladderjournal/lane.go
@@ -19,9 +19,9 @@
 type lane struct {
 	// order is the last known revision of the lane's key.
 	order int64
-	// unsettled is true if a transaction of the lane may take effect yet. The next one in the lane that succeeds
-	// prevents that.
-	unsettled bool
+	// unsettled holds the jobs whose records a transaction of the lane may store yet. The next one in the lane that
+	// succeeds prevents that. Until then, records of these jobs are written in this lane only.
+	unsettled map[string]bool
 }
 
 // laneKey returns the key of a lane. The first lane's key is the one that builds with a single lane use.
@@ -36,72 +36,88 @@
 func (p *ProgressWriter) Sequential() { p.sequential = true }
 
 // Commit stores records, at most size of them in a transaction, which must not be more than [MaxRecords]. It
-// returns [ErrSuperseded] if the leader's term is over. After another error, each record may be stored, or may be
-// stored later unless Commit succeeds before.
-func (p *ProgressWriter) Commit(ctx context.Context, records []ladderplan.Record, size int) error {
-	var chunks [][]platform.Write
-	for len(records) > 0 {
-		n := min(len(records), size)
-		var writes []platform.Write
-		for _, r := range records[:n] {
-			value, err := EncodeRecord(r)
-			if err != nil {
-				return err
-			}
-			writes = append(writes, platform.Write{Key: recordPrefix + r.Job, Value: value})
-		}
-		chunks, records = append(chunks, writes), records[n:]
+// returns [ErrSuperseded] if the leader's term is over. After another error, it returns the records that may not be
+// stored. They may be stored later, unless a later call stores others of the same jobs.
+func (p *ProgressWriter) Commit(ctx context.Context, records []ladderplan.Record, size int) (missing []ladderplan.Record, err error) {
+	for len(records) > 0 && err == nil {
+		var chunks [recordLanes][]ladderplan.Record
+		chunks, records = p.assignLanes(records, size)
+		missing, err = p.writeLanes(ctx, chunks)
 	}
-	// A record must not be written in one lane while an earlier one of its job may take effect in another.
-	rest, err := p.settleLanes(ctx, chunks)
-	for len(rest) > 0 && err == nil {
-		n := min(len(rest), recordLanes)
-		err = p.writeLanes(ctx, rest[:n])
-		rest = rest[n:]
-	}
-	return err
+	return append(missing, records...), err
 }
 
-// settleLanes writes in the lanes that are not settled, so that no earlier transaction there can take effect any more.
-// It returns the chunks that are left to write.
-func (p *ProgressWriter) settleLanes(ctx context.Context, chunks [][]platform.Write) ([][]platform.Write, error) {
-	var unsettled []int
+// assignLanes divides records among the lanes, the first ones first. It returns the records that are left because
+// their lanes are full.
+func (p *ProgressWriter) assignLanes(records []ladderplan.Record, size int) (chunks [recordLanes][]ladderplan.Record, rest []ladderplan.Record) {
+	owners := map[string]int{}
 	for i := range p.lanes {
-		if p.lanes[i].unsettled {
-			unsettled = append(unsettled, i)
+		for job := range p.lanes[i].unsettled {
+			owners[job] = i
 		}
 	}
-	if len(unsettled) == 1 && len(chunks) > 0 {
-		return chunks[1:], p.writeLane(ctx, unsettled[0], chunks[0])
-	}
-	for _, i := range unsettled {
-		if err := p.writeLane(ctx, i, nil); err != nil {
-			return nil, err
+	next := 0
+	for _, r := range records {
+		i, owned := owners[r.Job]
+		if !owned {
+			for next < recordLanes && len(chunks[next]) == size {
+				next++
+			}
+			i = next
+		}
+		if i == recordLanes || len(chunks[i]) == size {
+			rest = append(rest, r)
+			continue
 		}
+		chunks[i] = append(chunks[i], r)
 	}
-	return chunks, nil
+	return chunks, rest
 }
 
-// writeLanes writes each chunk in a lane of its own.
-func (p *ProgressWriter) writeLanes(ctx context.Context, chunks [][]platform.Write) error {
-	failures := make([]error, len(chunks))
+// writeLanes writes each chunk in its lane. It returns the records that may not be stored.
+func (p *ProgressWriter) writeLanes(ctx context.Context, chunks [recordLanes][]ladderplan.Record) (missing []ladderplan.Record, err error) {
+	var failures [recordLanes]error
 	var wait sync.WaitGroup
 	for i, c := range chunks {
+		if len(c) == 0 {
+			continue
+		}
 		write := func() { failures[i] = p.writeLane(ctx, i, c) }
-		if p.sequential || len(chunks) == 1 {
+		if p.sequential {
 			write()
 			continue
 		}
 		wait.Go(write)
 	}
 	wait.Wait()
-	return errors.Join(failures...)
+	for i, err := range failures {
+		if err != nil {
+			missing = append(missing, chunks[i]...)
+		}
+	}
+	return missing, errors.Join(failures[:]...)
 }
 
-// writeLane writes in one lane.
-func (p *ProgressWriter) writeLane(ctx context.Context, i int, writes []platform.Write) error {
+// writeLane writes records in one lane.
+func (p *ProgressWriter) writeLane(ctx context.Context, i int, records []ladderplan.Record) error {
+	var writes []platform.Write
+	for _, r := range records {
+		value, err := EncodeRecord(r)
+		if err != nil {
+			return err
+		}
+		writes = append(writes, platform.Write{Key: recordPrefix + r.Job, Value: value})
+	}
 	l := &p.lanes[i]
-	err := p.write(ctx, laneKey(i), &l.order, writes)
-	l.unsettled = err != nil
-	return err
+	if err := p.write(ctx, laneKey(i), &l.order, writes); err != nil {
+		if l.unsettled == nil {
+			l.unsettled = map[string]bool{}
+		}
+		for _, r := range records {
+			l.unsettled[r.Job] = true
+		}
+		return err
+	}
+	clear(l.unsettled)
+	return nil
 }
--- a/ladderplan/share.go
+++ b/ladderplan/share.go
@@ -24,6 +24,12 @@
 	turnBeyondRate
 )
 
+// beyondLogPause is how long a team must be within its share and its rate before that is logged.
+const beyondLogPause = time.Second
+
+// beyondPeriod is the time in which a team was beyond its share or its rate, at least once in beyondLogPause.
+type beyondPeriod struct{ since, until time.Time }
+
 // longRunningHold is the time for which a long-running task counts when a team's share is decided on.
 const longRunningHold = 10 * time.Second
 
@@ -37,6 +43,10 @@
 	capacityPass int64
 	// anyBeyond is true if a team uses more than its share or sends more than its rate.
 	anyBeyond bool
+	// stopped holds the runs that were stopped because they are beyond their team's share. Some may be over.
+	stopped []*run
+	// beyond holds the teams that are logged to be beyond their share or their rate.
+	beyond map[*laddershare.Team]beyondPeriod
 	// added holds the jobs whose acceptance was not counted yet.
 	added []*job
 }
@@ -60,7 +70,7 @@
 		return
 	}
 	if ts.shares == nil {
-		ts.shares = laddershare.New()
+		ts.shares, ts.beyond = laddershare.New(), map[*laddershare.Team]beyondPeriod{}
 	}
 	if ts.fleet != p.fleet {
 		ts.fleet = p.fleet
@@ -75,9 +85,30 @@
 	}
 	p.checkRates(now)
 	ts.shares.Update(now, ts.capacity, p.ledger.Used)
-	ts.anyBeyond = slices.ContainsFunc(ts.shares.Teams(), func(t *laddershare.Team) bool {
-		return t.OverRate(now) || !t.Within(p.ledger.Used(t.Name()), 0)
-	})
+	ts.anyBeyond = false
+	for _, t := range ts.shares.Teams() {
+		overRate := t.OverRate(now)
+		beyond := overRate || !t.Within(p.ledger.Used(t.Name()), 0)
+		ts.anyBeyond = ts.anyBeyond || beyond
+		p.logBeyond(now, t, beyond, overRate)
+	}
+}
+
+// logBeyond logs that a team is beyond its share or its rate, and that it is not any more.
+func (p *Planner) logBeyond(now time.Time, t *laddershare.Team, beyond, overRate bool) {
+	b, logged := p.teams.beyond[t]
+	switch {
+	case beyond && !logged:
+		p.teams.beyond[t] = beyondPeriod{now, now}
+		p.log.Info("team is beyond its share or its rate; its steps come after those of others", "team", t.Name(), "used", t.Used(),
+			"share", t.Share(), "debt", t.Debt().Round(time.Millisecond), "overRate", overRate, "weight", t.Weight())
+	case beyond:
+		p.teams.beyond[t] = beyondPeriod{b.since, now}
+	case logged && now.Sub(b.until) >= beyondLogPause:
+		delete(p.teams.beyond, t)
+		p.log.Info("team is within its share and its rate again", "team", t.Name(), "used", t.Used(), "share", t.Share(),
+			"after", b.until.Sub(b.since).Round(time.Millisecond))
+	}
 }
 
 // pooledCapacity returns the capacity of the workers that accept new tasks.
@@ -101,15 +132,7 @@
 		return cmp.Or(a.spec.Accepted.Compare(b.spec.Accepted), cmp.Compare(a.spec.ID, b.spec.ID))
 	})
 	for _, j := range added {
-		at := j.spec.Accepted
-		if at.After(now) {
-			at = now // The clock of the VM that accepted the job is ahead.
-		}
-		t := p.team(j)
-		within, first := t.Accept(at)
-		if j.beyondRate = !within; first {
-			p.log.Info("team sends jobs beyond its rate", "team", j.spec.Team, "rate", t.Weight(), "job", j.spec.ID)
-		}
+		j.beyondRate = !p.team(j).Accept(now, j.spec.Accepted)
 	}
 	clear(added)
 	p.teams.added = added[:0]
@@ -201,16 +224,15 @@
 				return
 			}
 			if k.turn == turnWithin && t != nil && k.step.waiting < before {
-				t.Started(k.step.size(), k.step.holdTime())
+				t.Started(times(k.step.spec.Demand(), len(k.step.tasks)-k.step.waiting-k.step.done), k.step.holdTime())
 			}
 		}
 	}
 }
 
-// size returns what all tasks of the step need together.
-func (s *step) size() ladderflow.Size {
-	d, n := s.spec.Demand(), len(s.tasks)
-	return ladderflow.Size{Processor: d.Processor * n, Memory: d.Memory * n, Accelerators: d.Accelerators * n}
+// times returns n times a size.
+func times(s ladderflow.Size, n int) ladderflow.Size {
+	return ladderflow.Size{Processor: s.Processor * n, Memory: s.Memory * n, Accelerators: s.Accelerators * n}
 }
 
 // TeamStanding describes what a team has running and waiting, and what it is entitled to.
