Give new leaders of the model the stored roster's capacities; let all workers shrink

Cause: where there are teams, the stored roster holds the largest capacity that each worker was known to have, and nothing starts on a worker that outgrows it before it is stored. The model gave new leaders the listed capacity, which no new leader relies on any more. Change: in histories with teams, a new leader gets the largest capacity that the leader before knew. A leader of the model may start something on a worker that has just grown, which the product does not: the model is the stricter one there. Histories without teams are as before.

--- a/ladderproof/flow_quota_history_test.go
+++ b/ladderproof/flow_quota_history_test.go
@@ -11,9 +11,15 @@
 )
 
 // TestQuotaCountsRunsOnWorkerThatShrank guards against a new leader that bounds what may run on a silent worker by the
-// capacity that the worker is listed with, which has shrunk under its runs. The team's next job comes later.
+// capacity that the worker is listed with, which has shrunk under its runs, alone or with all others of its service. The
+// team's next job comes later.
 func TestQuotaCountsRunsOnWorkerThatShrank(t *testing.T) {
-	for name, cores := range map[string]int{"to nothing": 0, "to half": 1, "not at all": 4} {
+	for name, c := range map[string]struct {
+		cores int
+		all   bool
+	}{
+		"to nothing": {0, false}, "to a quarter": {1, false}, "not at all": {4, false}, "all workers, to half": {2, true},
+	} {
 		t.Run(name, func(t *testing.T) {
 			steps, starts := 0, 0
 			sim := newFlowSimulation(t, 0, &steps, &starts)
@@ -39,7 +45,11 @@
 				}
 			}
 			require.NotNil(t, silent)
-			silent.resize(sim.now, ladderflow.Size{Processor: 1000 * cores, Memory: 4000}, 0)
+			for _, w := range sim.workers {
+				if c.all || w == silent {
+					w.resize(sim.now, ladderflow.Size{Processor: 1000 * c.cores, Memory: 4000}, 0)
+				}
+			}
 			sim.advance(100 * time.Millisecond)
 			sim.elect()
 			for i := range 60 {
--- a/ladderproof/flow_quota_test.go
+++ b/ladderproof/flow_quota_test.go
@@ -109,6 +109,20 @@
 	}
 }
 
+// storedWorker returns a worker as the stored roster has it, before the next leader is added. Where there are teams, the
+// roster holds the largest capacity that a leader knew when it started something there.
+func (sim *flowSimulation) storedWorker(w ladderflow.Worker) ladderflow.Worker {
+	if sim.quotas == nil {
+		return w
+	}
+	known := sim.newest().planner.LargestCapacity(w.ID)
+	w.Capacity = ladderflow.Size{
+		Processor: max(w.Capacity.Processor, known.Processor), Memory: max(w.Capacity.Memory, known.Memory),
+		Accelerators: max(w.Capacity.Accelerators, known.Accelerators),
+	}
+	return w
+}
+
 // team returns the team of a job.
 func (sim *flowSimulation) team(job string) string {
 	for _, j := range sim.jobs {
--- a/ladderproof/flow_simulation_test.go
+++ b/ladderproof/flow_simulation_test.go
@@ -283,7 +283,7 @@
 	}
 	roster := map[string]bool{}
 	for _, w := range sim.listedWorkers() {
-		l.planner.AddEarlierWorker(w)
+		l.planner.AddEarlierWorker(sim.storedWorker(w))
 		roster[w.ID] = true
 	}
 	sim.restoreCordons(l, c)
