--- a/laddervm/term.go
+++ b/laddervm/term.go
@@ -127,8 +127,9 @@
 		vm: v, log: v.logs.RateLimited("term", v.clock), lease: lease, fence: fence, began: began,
 		inbox: make(chan func(), inboxSize), orderSlots: make(chan struct{}, ladderplan.MaxOrders),
 		pollers: map[string]*poller{}, delegates: map[string]*delegateClient{}, excludedUntil: map[string]time.Time{},
-		roster: map[string]bool{}, rosterSizes: map[string]ladderflow.Size{}, waves: map[int64]bool{}, runtimeLoad: newRuntimeLoad(),
+		roster: map[string]bool{}, waves: map[int64]bool{}, runtimeLoad: newRuntimeLoad(),
 	}
+	t.rosterSizes = map[string]ladderflow.Size{}
 	t.ctx, t.cancel = context.WithCancel(ctx)
 	t.outageSeenAt.Store(math.MinInt64 / 2)
 	b := v.bounds.Load()
