--- a/laddercodec/codec_test.go
+++ b/laddercodec/codec_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"compress/flate"
+	"math"
 	"net/netip"
 	"testing"
 	"time"
@@ -14,6 +15,7 @@
 	"lacewingladder/ladderconfig"
 	"lacewingladder/ladderflow"
 	"lacewingladder/ladderholder"
+	"lacewingladder/ladderintake"
 	"lacewingladder/ladderkey"
 	"lacewingladder/laddermessage"
 	"lacewingladder/laddermodel"
@@ -62,10 +64,11 @@
 	"ack":                 laddermessage.Ack{},
 	"error reply":         laddermessage.ErrorReply{Reason: "why"},
 
-	"job accepted":       laddermessage.JobAccepted{Job: "j", Body: []byte("b")},
+	"job accepted":       laddermessage.JobAccepted{Job: "j", Body: []byte("b"), Revision: 7},
 	"job cancelled":      laddermessage.JobCancelled{Job: "j"},
 	"job state query":    laddermessage.JobStateQuery{Job: "j"},
 	"job state":          laddermessage.JobState{Found: true, State: "done"},
+	"state of a team":    laddermessage.JobState{Found: true, State: "done", Team: "a", Queue: "q"},
 	"queue length query": laddermessage.QueueLengthQuery{Queue: "q"},
 	"queue length":       laddermessage.QueueLength{Pending: 3},
 	"not leader":         laddermessage.NotLeader{},
@@ -84,6 +87,14 @@
 		Revision: 7, FleetRevision: 6, Base: 5, Delta: []byte("d"), Items: []platform.Item{{Key: "k", Value: []byte("v"), ModRevision: 4}},
 	},
 	"operator reply": laddermessage.OperatorReply{Found: true, Text: "t"},
+	"intake report":  laddermessage.IntakeReport{VM: "e", Counts: []ladderintake.Count{{Key: intakeKey, Admitted: 1, Referred: 2}}, Unsettled: []string{"j"}},
+	"intake limits": laddermessage.IntakeLimits{Limits: []ladderintake.Limit{
+		{Key: intakeKey, Rate: 1.25, Backlogs: [ladderintake.Classes]time.Duration{2: time.Second, 5: time.Minute}},
+	}},
+	"intake query": laddermessage.IntakeQuery{Cause: ladderintake.Rate, Offer: ladderintake.Offer{
+		Key: intakeKey, Job: "j", Weight: 2.5, Path: 5, Objective: 4, Allowance: 3, Slack: 2, Due: 3 * time.Second, Class: ladderintake.ClassOf(3 * time.Second),
+	}},
+	"intake turn": laddermessage.IntakeTurn{Found: true, Promised: true, Ready: true, Wait: time.Second},
 	"delegation": laddermessage.Delegation{
 		Fence: 1, RenewUntil: 2, SendBefore: 3, LeaseDuration: 4, OrderTimeout: 5,
 		Assigned:   []laddermessage.Assignment{{Worker: "w", Address: address, Acknowledged: 6, Incarnation: 7}},
@@ -107,6 +118,9 @@
 	},
 }
 
+// intakeKey names a team's jobs in messages about them.
+var intakeKey = ladderintake.Key{Service: "s", Team: "t"}
+
 // run is the run in messages about runs.
 var run = ladderflow.Run{Task: ladderflow.Task{Job: "j", Round: 1, Step: 2, Index: 3}, Number: 4}
 
@@ -123,6 +137,21 @@
 	}
 }
 
+// TestJobStateOfEarlierBuild checks that the state of a job without a team has the form that builds from before
+// teams encode and decode.
+func TestJobStateOfEarlierBuild(t *testing.T) {
+	earlier := append([]byte{67, 0x82, 0xf5, 0x64}, "done"...)
+	data, err := laddercodec.Encode(laddermessage.JobState{Found: true, State: "done"})
+	require.NoError(t, err)
+	require.Equal(t, earlier, data)
+	m, err := laddercodec.Decode(earlier)
+	require.NoError(t, err)
+	require.Equal(t, laddermessage.JobState{Found: true, State: "done"}, m)
+	data, err = laddercodec.Encode(laddermessage.JobState{Found: true, State: "done", Team: "a", Queue: "q"})
+	require.NoError(t, err)
+	require.Equal(t, byte(0x84), data[1], "builds from before teams decode an array of two only")
+}
+
 // FuzzDecode checks that Decode never panics, and that each message that it returns can be
 // encoded again.
 func FuzzDecode(f *testing.F) {
@@ -184,3 +213,24 @@
 	_, err = laddercodec.DecodeDelta(bomb.Bytes())
 	require.ErrorContains(t, err, "more than")
 }
+
+// TestMalformedIntake checks that messages of a peer with figures that make no sense are rejected or corrected.
+func TestMalformedIntake(t *testing.T) {
+	for name, o := range map[string]ladderintake.Offer{
+		"weight negative": {Weight: -1},
+		"no weight":       {Weight: math.NaN()},
+		"infinite weight": {Weight: math.Inf(1)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			data, err := laddercodec.Encode(laddermessage.IntakeQuery{Offer: o})
+			require.NoError(t, err)
+			_, err = laddercodec.Decode(data)
+			require.Error(t, err)
+		})
+	}
+	data, err := laddercodec.Encode(laddermessage.IntakeReport{Counts: []ladderintake.Count{{Admitted: -5, Referred: 3}}})
+	require.NoError(t, err)
+	m, err := laddercodec.Decode(data)
+	require.NoError(t, err)
+	require.Equal(t, []ladderintake.Count{{Referred: 3}}, m.(laddermessage.IntakeReport).Counts)
+}
--- /dev/null
+++ b/laddercommand/check_fleet.go
@@ -0,0 +1,54 @@
+package laddercommand
+
+import (
+	"slices"
+
+	"lacewingladder/ladderfinding"
+	"lacewingladder/ladderflow"
+	"lacewingladder/platform"
+)
+
+// checkFleet returns all findings in the operators' configuration of the members' platform as one error. No finding shows
+// a key.
+func checkFleet(file string, data []byte) error {
+	place := ladderfinding.Place{File: file}
+	f, malformed, err := platform.ParseFleet(data)
+	if err != nil {
+		return err
+	}
+	var findings ladderfinding.List
+	for _, x := range malformed.Findings() {
+		findings.Add(place, "%s", x.Text)
+	}
+	queues := map[string]bool{}
+	for i := range f.Queues {
+		q := &f.Queues[i]
+		if queues[q.Name] {
+			findings.Add(place, "routes[%d]: the name %q occurs twice; the first one counts", i, q.Name)
+		}
+		queues[q.Name] = true
+		if _, ok := f.Services[q.Service]; !ok {
+			findings.Add(place, "routes[%d]: there is no service %q", i, q.Service)
+		}
+	}
+	checkTeams(&findings, place, f)
+	return findings.Err()
+}
+
+// checkTeams adds the findings in the teams of a configuration that are no faults of single entries.
+func checkTeams(findings *ladderfinding.List, place ladderfinding.Place, f *ladderflow.FleetConfig) {
+	for i := range f.Teams {
+		t := &f.Teams[i]
+		switch {
+		case len(t.Keys) == 0:
+			findings.Add(place, "team %q has no keys that can be used; its callers can't submit jobs", t.Name)
+		case t.Weight == 0:
+			findings.Add(place, "team %q has no weight; under contention it gets nothing", t.Name)
+		}
+		for j, h := range t.Keys {
+			if slices.Contains(t.Keys[:j], h) {
+				findings.Add(place, "team %q has apiKeys[%d] twice", t.Name, j)
+			}
+		}
+	}
+}
--- a/ladderjournal/journal.go
+++ b/ladderjournal/journal.go
@@ -8,7 +8,9 @@
 	"fmt"
 	"slices"
 	"strings"
+	"sync/atomic"
 
+	"lacewingladder/ladderaccess"
 	"lacewingladder/ladderflow"
 	"lacewingladder/ladderplan"
 	"lacewingladder/platform"
@@ -62,22 +64,30 @@
 	// OutcomeUnknown means that the outcome is unknown: the write may have taken effect,
 	// or may do so later.
 	OutcomeUnknown
+	// OtherTeam means that the store holds a job with this ID that the caller may not use. Nothing was
+	// stored.
+	OtherTeam
 )
 
 // String returns the name of the outcome.
 func (o Outcome) String() string {
 	return [...]string{
 		Stored: "stored", AlreadyStored: "known", CancelledFirst: "overtaken", Rejected: "rejected", OutcomeUnknown: "unsettled",
+		OtherTeam: "foreign",
 	}[o]
 }
 
 // Submission is a job to be stored, with the outcome that [Journal.Accept] fills in.
 type Submission struct {
-	Job     *ladderflow.Job
+	Job *ladderflow.Job
+	// Caller is who submits the job.
+	Caller  ladderaccess.Caller
 	Outcome Outcome
 	Err     error
-	// cancelRevision is the revision of the job's cancellation, or zero if none is known.
+	// cancelRevision is the revision of the job's cancellation, or zero if none is known, and cancelled
+	// whether it cancels the job.
 	cancelRevision int64
+	cancelled      bool
 }
 
 // MaxSubmissions is the maximum number of jobs in one call of [Journal.Accept]. Each
@@ -104,14 +114,17 @@
 	if len(pending) == 0 {
 		return
 	}
-	_, found, err := j.store.Commit(ctx, txn)
+	revision, found, err := j.store.Commit(ctx, txn)
 	if errors.Is(err, platform.ErrConditionFailed) {
 		j.acceptRest(ctx, pending, found)
 		return
 	}
 	for _, s := range pending {
 		s.Outcome, s.Err = outcomeOf(err), err
-		if err == nil && s.cancelRevision != 0 {
+		if err == nil {
+			s.Job.Revision = revision
+		}
+		if err == nil && s.cancelled {
 			s.Outcome = CancelledFirst
 		}
 	}
@@ -120,18 +133,21 @@
 // acceptRest handles a transaction whose conditions failed, as the found items show. It fills
 // in the outcome of the submissions that were stored before, and stores the others.
 func (j *Journal) acceptRest(ctx context.Context, pending []*Submission, found []platform.Item) {
-	revisions := revisionsOf(found)
+	items := itemsOf(found)
 	var rest []*Submission
 	changed := false
 	for _, s := range pending {
-		if revisions[jobPrefix+s.Job.ID] != 0 {
+		if item, ok := items[jobPrefix+s.Job.ID]; ok {
 			s.Outcome, s.Err = AlreadyStored, nil
+			if s.Caller.KeysRequired {
+				s.Outcome, s.Err = storedOutcome(s.Caller, s.Job.ID, item)
+			}
 			changed = true
 			continue
 		}
-		cancelRevision := revisions[cancelPrefix+s.Job.ID]
-		changed = changed || cancelRevision != s.cancelRevision
-		s.cancelRevision = cancelRevision
+		item := items[cancelPrefix+s.Job.ID]
+		changed = changed || item.ModRevision != s.cancelRevision
+		s.cancelRevision, s.cancelled = item.ModRevision, cancels(item, s.Job)
 		rest = append(rest, s)
 	}
 	if !changed {
@@ -147,14 +163,19 @@
 
 // Cancel stores the cancellation of a job. The job itself need not be stored yet.
 func (j *Journal) Cancel(ctx context.Context, id string) (Outcome, error) {
-	_, _, err := j.store.Commit(ctx, platform.Txn{
+	_, found, err := j.store.Commit(ctx, platform.Txn{
 		Conditions: []platform.Condition{{Key: cancelPrefix + id}},
-		Writes:     []platform.Write{{Key: cancelPrefix + id, Value: []byte{1}}},
+		Writes:     []platform.Write{{Key: cancelPrefix + id, Value: []byte{anyTeam}}},
 	})
-	if errors.Is(err, platform.ErrConditionFailed) {
-		return AlreadyStored, nil
+	if !errors.Is(err, platform.ErrConditionFailed) {
+		return outcomeOf(err), err
+	}
+	if item, ok := itemsOf(found)[cancelPrefix+id]; ok && !bytes.Equal(item.Value, []byte{anyTeam}) {
+		// It was stored while there were teams, and may have no effect on the job.
+		outcome, _, err := j.CancelFor(ctx, id, ladderaccess.Caller{})
+		return outcome, err
 	}
-	return outcomeOf(err), err
+	return AlreadyStored, nil
 }
 
 // outcomeOf returns the outcome of a transaction that returned err.
@@ -185,15 +206,15 @@
 		}
 		state = ladderflow.Running
 	}
-	_, cancelled, err := j.store.Get(ctx, cancelPrefix+id)
+	cancellation, cancelled, err := j.store.Get(ctx, cancelPrefix+id)
 	if err != nil {
 		return "", false, err
 	}
-	if cancelled {
+	// The store may hold the cancellation of a job that was never submitted, or that is another team's.
+	job, ok, err := j.store.Get(ctx, jobPrefix+id)
+	if cancelled && ok && cancelsStored(id, cancellation, job) {
 		state = ladderflow.Cancelled
 	}
-	// The store may hold the cancellation of a job that was never submitted.
-	ok, err = j.Exists(ctx, id)
 	return state, ok, err
 }
 
@@ -207,42 +228,33 @@
 var ErrSuperseded = errors.New("the store names another leader")
 
 // ProgressWriter writes the progress of jobs and the roster during one leader's term, one
-// transaction after the other. Create one with [Journal.ProgressWriter]. It is not safe
+// call after the other. Create one with [Journal.ProgressWriter]. It is not safe
 // for concurrent use.
 type ProgressWriter struct {
 	journal *Journal
 	// leaderRevision is the revision of LeaderKey in this term.
 	leaderRevision int64
-	// recordOrder and rosterOrder are the last known revisions of recordOrderKey and
-	// rosterOrderKey.
-	recordOrder int64
+	// rosterOrder and cordonOrder are the last known revisions of rosterOrderKey and cordonOrderKey.
 	rosterOrder int64
+	cordonOrder int64
+	// lanes order the writes of progress that are made side by side.
+	lanes [recordLanes]lane
+	// sequential is true if they are made one after the other.
+	sequential bool
 	// token is unique to this writer, and count is the number of its writes. Together
 	// they identify each write.
 	token string
-	count int
+	count atomic.Int64
 }
 
 // ProgressWriter returns a writer for a leader's term. LeaderRevision is the revision of
 // [LeaderKey] that the leader wrote, and c is what it then loaded from the store.
 func (j *Journal) ProgressWriter(leaderRevision int64, c *Contents) *ProgressWriter {
-	return &ProgressWriter{
-		journal: j, leaderRevision: leaderRevision, recordOrder: c.recordOrder, rosterOrder: c.rosterOrder, token: rand.Text(),
-	}
-}
-
-// Commit stores up to [MaxRecords] records in one transaction. It returns [ErrSuperseded]
-// if the leader's term is over.
-func (p *ProgressWriter) Commit(ctx context.Context, records []ladderplan.Record) error {
-	var writes []platform.Write
-	for _, r := range records {
-		value, err := EncodeRecord(r)
-		if err != nil {
-			return err
-		}
-		writes = append(writes, platform.Write{Key: recordPrefix + r.Job, Value: value})
+	p := &ProgressWriter{
+		journal: j, leaderRevision: leaderRevision, rosterOrder: c.rosterOrder, cordonOrder: c.cordonOrder, token: rand.Text(),
 	}
-	return p.write(ctx, recordOrderKey, &p.recordOrder, writes)
+	p.lanes[0].order = c.recordOrder
+	return p
 }
 
 // write commits writes in one transaction that also changes orderKey, whose last known
@@ -251,8 +263,7 @@
 // path, so that the write is complete, or an earlier write, after which this one is tried
 // again.
 func (p *ProgressWriter) write(ctx context.Context, orderKey string, order *int64, writes []platform.Write) error {
-	p.count++
-	writeID := fmt.Sprintf("%s/%d", p.token, p.count)
+	writeID := fmt.Sprintf("%s/%d", p.token, p.count.Add(1))
 	for range writeAttempts {
 		revision, found, err := p.journal.store.Commit(ctx, platform.Txn{
 			Conditions: []platform.Condition{{Key: LeaderKey, ModRevision: p.leaderRevision}, {Key: orderKey, ModRevision: *order}},
@@ -286,7 +297,7 @@
 // path to the store.
 const writeAttempts = 4
 
-// MaxRecords is the maximum number of records in one call of [ProgressWriter.Commit].
+// MaxRecords is the maximum number of records in one transaction of [ProgressWriter.Commit].
 // The transaction also holds two conditions and the write of the order key.
 const MaxRecords = platform.MaxTxn - 3
 
@@ -347,12 +358,21 @@
 // revisionsOf returns the revisions of the items that exist, by key.
 func revisionsOf(items []platform.Item) map[string]int64 {
 	revisions := map[string]int64{}
+	for key, item := range itemsOf(items) {
+		revisions[key] = item.ModRevision
+	}
+	return revisions
+}
+
+// itemsOf returns the items that exist, by key.
+func itemsOf(items []platform.Item) map[string]platform.Item {
+	byKey := make(map[string]platform.Item, len(items))
 	for _, item := range items {
-		if !item.Deleted {
-			revisions[item.Key] = item.ModRevision
+		if !item.Deleted && item.ModRevision != 0 {
+			byKey[item.Key] = item
 		}
 	}
-	return revisions
+	return byKey
 }
 
 // SaveStatus writes a status value that operators read, unless the key holds that value
@@ -371,21 +391,27 @@
 
 // Contents holds jobs, cancellations, progress and the roster, as read from the store.
 type Contents struct {
-	Jobs      []*ladderflow.Job
-	Cancelled []string
-	Records   []ladderplan.Record
-	Roster    []ladderflow.Worker
+	Jobs []*ladderflow.Job
+	// Cancelled holds the ids of jobs that are cancelled whatever their teams are, and TeamCancellations the
+	// cancellations that depend on the job's team.
+	Cancelled         []string
+	TeamCancellations []ladderflow.Cancellation
+	Records           []ladderplan.Record
+	Roster            []ladderflow.Worker
 	// Terms holds the terms that may not be over.
 	Terms []Term
+	// Cordons holds the cordons of workers, each with its revision.
+	Cordons []ladderplan.Cordon
 	// Revision is one up to which no change of a job or a cancellation is missing.
 	Revision int64
 	// DecodeErrors holds an error for each value that could not be decoded. Such values stay
 	// in the store as they are.
 	DecodeErrors []error
-	// recordOrder and rosterOrder are the revisions of recordOrderKey and
-	// rosterOrderKey.
+	// recordOrder, rosterOrder and cordonOrder are the revisions of recordOrderKey, rosterOrderKey and
+	// cordonOrderKey.
 	recordOrder int64
 	rosterOrder int64
+	cordonOrder int64
 }
 
 // Load reads everything from the store. A job that is stored meanwhile may be missing, and a
@@ -393,7 +419,9 @@
 // messages or by a watch of [WatchPrefix] from [Contents.Revision].
 func (j *Journal) Load(ctx context.Context) (*Contents, error) {
 	c := &Contents{}
-	for key, revision := range map[string]*int64{recordOrderKey: &c.recordOrder, rosterOrderKey: &c.rosterOrder} {
+	for key, revision := range map[string]*int64{
+		recordOrderKey: &c.recordOrder, rosterOrderKey: &c.rosterOrder, cordonOrderKey: &c.cordonOrder,
+	} {
 		item, _, err := j.store.Get(ctx, key)
 		if err != nil {
 			return nil, err
@@ -422,13 +450,20 @@
 			c.DecodeErrors = append(c.DecodeErrors, err)
 		}
 	}
-	for i, prefix := range []string{jobPrefix, cancelPrefix, recordPrefix} {
-		revision, err := platform.ReadAll(ctx, j.store, prefix, c.add)
-		if err != nil {
-			return nil, err
-		}
-		if i == 0 {
-			c.Revision = revision
+	if err := j.loadCordons(ctx, c); err != nil {
+		return nil, err
+	}
+	sections, err := j.loadPrefixes(ctx, jobPrefix, cancelPrefix, recordPrefix)
+	if err != nil {
+		return nil, err
+	}
+	for _, s := range sections {
+		c.merge(s.contents)
+		// The prefixes are read at the same time, each beginning with a page of its own.
+		if s.prefix == jobPrefix || s.prefix == cancelPrefix {
+			if c.Revision == 0 || s.revision < c.Revision {
+				c.Revision = s.revision
+			}
 		}
 	}
 	return c, nil
@@ -459,9 +494,18 @@
 			c.DecodeErrors = append(c.DecodeErrors, err)
 			return
 		}
+		job.Revision = item.ModRevision
 		c.Jobs = append(c.Jobs, job)
 	case strings.HasPrefix(item.Key, cancelPrefix):
-		c.Cancelled = append(c.Cancelled, item.Key[len(cancelPrefix):])
+		cancellation, err := decodeCancellation(item.Key[len(cancelPrefix):], item.Value)
+		switch {
+		case err != nil:
+			c.DecodeErrors = append(c.DecodeErrors, err)
+		case len(cancellation.Teams) == 0:
+			c.Cancelled = append(c.Cancelled, cancellation.Job)
+		default:
+			c.TeamCancellations = append(c.TeamCancellations, cancellation)
+		}
 	case strings.HasPrefix(item.Key, recordPrefix):
 		r, err := DecodeRecord(item.Key[len(recordPrefix):], item.Value)
 		if err != nil {
--- a/ladderload/load.go
+++ b/ladderload/load.go
@@ -25,10 +25,32 @@
 	// LateShare is the share of starts that take LateRoundTrip instead.
 	LateShare     float64
 	LateRoundTrip time.Duration
+	// StopTime is the time that a worker takes to stop a run that saves its work.
+	StopTime time.Duration
 	// PlanPause is the time in which the leader gathers events before it plans.
 	PlanPause time.Duration
 	Queues    []Queue
 	Bursts    []Burst
+	// Teams sends the jobs. If there are none, the jobs have no team.
+	Teams []Team
+	// Extras are streams of jobs beside those of the queues, which get the same jobs with and without them.
+	Extras []Extra
+}
+
+// Team is a team of callers.
+type Team struct {
+	Name   string
+	Weight float64
+	// Part is the part of the jobs of each queue that the team sends, relative to the parts of the others.
+	Part float64
+}
+
+// Extra is a stream of jobs that one team sends to a queue from the time Start on, for the time Duration.
+type Extra struct {
+	Team, Queue     string
+	Start, Duration time.Duration
+	// Rate is the mean number of jobs in a second.
+	Rate float64
 }
 
 // Workers describes the machines that run tasks.
@@ -73,6 +95,9 @@
 	GangShare float64
 	// FailureShare is the share of runs that fail.
 	FailureShare float64
+	// SavesShare is the share of steps whose tasks save their work each saveInterval and resume elsewhere, if
+	// the load has a StopTime.
+	SavesShare float64
 	// Unevenness is the standard deviation of the natural logarithm of a task's duration divided by
 	// that of its step. The tasks of a gang are all alike.
 	Unevenness float64
--- a/ladderload/simulation.go
+++ b/ladderload/simulation.go
@@ -26,6 +26,10 @@
 	pollInterval = time.Second
 	// storeTime is the time that a write of progress to the store takes.
 	storeTime = 40 * time.Millisecond
+	// saveInterval is the time between two checkpoints of a run, and resumeTime the time that it takes to resume
+	// from one.
+	saveInterval = 500 * time.Millisecond
+	resumeTime   = 250 * time.Millisecond
 	// leaseDuration is the duration of a worker lease.
 	leaseDuration = 5 * time.Second
 	// serviceName is the name of the only pool of workers.
@@ -62,6 +66,8 @@
 	slowdown float64
 	// running holds the start time of each run.
 	running map[ladderflow.Run]time.Duration
+	// resumed holds the checkpoint from which each run has resumed, as the work that was done.
+	resumed map[ladderflow.Run]time.Duration
 	// ended lists the ended runs that the leader has not acknowledged yet.
 	ended []ladderflow.EndedRun
 	// endCount counts the ended runs; the run that ends next gets the next number.
@@ -85,6 +91,8 @@
 	// jobRandom holds, for each queue, the random source of its jobs and their arrivals.
 	// The planner's decisions do not influence it, so every rule gets the same jobs.
 	jobRandom map[string]*rand.Rand
+	// teamRandom holds, for each queue, the random source of the teams of its jobs.
+	teamRandom map[string]*rand.Rand
 	// seed also determines which runs fail; see startRun.
 	seed    uint64
 	planner *ladderplan.Planner
@@ -124,7 +132,7 @@
 
 func newSimulation(l *Load, seed uint64, order ladderplan.Order) *simulation {
 	sim := &simulation{
-		load: l, jobRandom: map[string]*rand.Rand{}, seed: seed, start: time.UnixMilli(0), workers: map[string]*worker{},
+		load: l, jobRandom: map[string]*rand.Rand{}, teamRandom: map[string]*rand.Rand{}, seed: seed, start: time.UnixMilli(0), workers: map[string]*worker{},
 		jobs: map[string]*job{}, records: map[string]ladderplan.Record{}, gangs: map[gangRun][]gangMember{}, adviceBusyUntil: map[string]time.Duration{}, result: newResult(l, seed, order),
 	}
 	sim.planner = sim.newPlanner(1, order)
@@ -132,7 +140,15 @@
 	for i := range l.Queues {
 		name := l.Queues[i].Name
 		sim.jobRandom[name] = rand.New(rand.NewPCG(seed, xxhash.Sum64String(name)))
+		sim.teamRandom[name] = rand.New(rand.NewPCG(seed, xxhash.Sum64String("team "+name)))
 		sim.scheduleArrival(&l.Queues[i], 0)
+		for k := range l.Extras {
+			if x := &l.Extras[k]; x.Queue == name {
+				stream := fmt.Sprintf("%s %d", x.Team, k)
+				sim.jobRandom[stream] = rand.New(rand.NewPCG(seed, xxhash.Sum64String(stream)))
+				sim.schedule(x.Start, func() { sim.scheduleExtra(x, &l.Queues[i], stream, 0) })
+			}
+		}
 	}
 	return sim
 }
@@ -177,6 +193,9 @@
 			BaseObjective: q.BaseObjective, Advice: q.Advice,
 		})
 	}
+	for _, t := range l.Teams {
+		f.Teams = append(f.Teams, ladderflow.Team{Name: t.Name, Weight: t.Weight})
+	}
 	return f
 }
 
@@ -190,7 +209,7 @@
 				ID: fmt.Sprintf("w%03d", i), Service: serviceName, Capacity: sim.load.Workers.Size,
 				Labels: []string{fmt.Sprintf("r%d", i/max(1, sim.load.Workers.WorkersPerRack))},
 			},
-			slowdown: 1, running: map[ladderflow.Run]time.Duration{},
+			slowdown: 1, running: map[ladderflow.Run]time.Duration{}, resumed: map[ladderflow.Run]time.Duration{},
 		}
 		if s := sim.load.Workers.SlowdownFactors; len(s) > 0 {
 			w.slowdown = s[i%len(s)]
@@ -227,7 +246,7 @@
 			total = sim.gangTime(run)
 		}
 		percent := 100 * float64(sim.now-startedAt) / float64(max(total, 1))
-		report.Running = append(report.Running, ladderflow.ActiveRun{Run: run, Percent: int(min(percent, 99))})
+		report.Running = append(report.Running, ladderflow.ActiveRun{Run: run, Percent: int(min(percent, 99)), Checkpoint: sim.saved(w, run)})
 	}
 	sim.planner.RecordReport(sim.time(), w.spec.ID, sim.time(), report)
 	sim.schedulePlan()
@@ -302,6 +321,10 @@
 		return
 	}
 	duration := j.runTime(s.Run.Task, w.slowdown)
+	if done, err := time.ParseDuration(s.Checkpoint); err == nil {
+		w.resumed[s.Run] = done
+		duration = max(0, duration-done) + resumeTime
+	}
 	reason := ladderflow.EndDone
 	random := rand.New(rand.NewPCG(sim.seed, xxhash.Sum64String(fmt.Sprint(s.Run))))
 	if random.Float64() < j.queue.FailureShare {
@@ -365,8 +388,36 @@
 	return sim.jobs[r.Task.Job].runTime(r.Task, slowest)
 }
 
+// saved returns the newest checkpoint of a run in progress, or an empty one. A run that resumes saves nothing while it
+// does.
+func (sim *simulation) saved(w *worker, r ladderflow.Run) string {
+	if sim.load.StopTime == 0 {
+		return "" // No task of the load can be stopped.
+	}
+	if s := &sim.jobs[r.Task.Job].spec.Steps[r.Task.Step]; !s.Checkpointable || s.Gang {
+		return ""
+	}
+	done, worked := w.resumed[r], sim.now-w.running[r]
+	if done > 0 {
+		worked = max(0, worked-resumeTime)
+	}
+	if done += worked.Truncate(saveInterval); done == 0 {
+		return ""
+	}
+	return done.String()
+}
+
 // stopRun executes an order to stop a run.
 func (sim *simulation) stopRun(s ladderplan.StopOrder) {
+	if sim.load.StopTime > 0 && sim.jobs[s.Run.Task.Job].spec.Steps[s.Run.Task.Step].Checkpointable {
+		sim.schedule(sim.load.StopTime, func() { sim.stop(s) })
+		return
+	}
+	sim.stop(s)
+}
+
+// stop ends a run that was ordered to stop.
+func (sim *simulation) stop(s ladderplan.StopOrder) {
 	sim.endRun(sim.workers[s.Worker.ID], s.Run, ladderflow.EndStopped)
 	sim.planner.StopSettled(sim.time(), s.Worker.ID, s.Run, ladderplan.Result{})
 }
@@ -378,13 +429,17 @@
 	if !ok {
 		return
 	}
+	checkpoint := ""
+	if reason == ladderflow.EndStopped {
+		checkpoint = sim.saved(w, run)
+	}
 	delete(w.running, run)
 	j := sim.jobs[run.Task.Job]
 	if reason == ladderflow.EndDone {
 		sim.usefulWork += float64(j.spec.Steps[run.Task.Step].Need.Processor) * (sim.now - startedAt).Seconds()
 	}
 	w.endCount++
-	w.ended = append(w.ended, ladderflow.EndedRun{Sequence: w.endCount, Run: run, Reason: reason})
+	w.ended = append(w.ended, ladderflow.EndedRun{Sequence: w.endCount, Run: run, Reason: reason, Checkpoint: checkpoint})
 	if w.reportPending {
 		return
 	}
@@ -394,7 +449,7 @@
 		report := ladderflow.StatusReport{Incarnation: 1, Clock: sim.now, Ended: w.ended}
 		for _, run := range w.sortedRuns() {
 			// 50% stands in for the progress, which only regular status polls report exactly.
-			report.Running = append(report.Running, ladderflow.ActiveRun{Run: run, Percent: 50})
+			report.Running = append(report.Running, ladderflow.ActiveRun{Run: run, Percent: 50, Checkpoint: sim.saved(w, run)})
 		}
 		sim.planner.RecordReport(sim.time(), w.spec.ID, sim.time(), report)
 		for _, e := range report.Ended {
@@ -444,14 +499,30 @@
 		return
 	}
 	sim.schedule(gap, func() {
-		j := sim.drawJob(q, n)
-		sim.jobs[j.spec.ID] = j
-		sim.planner.AddJob(sim.time(), j.spec, false)
-		sim.schedulePlan()
+		sim.submit(sim.drawJob(q, n))
 		sim.scheduleArrival(q, n+1)
 	})
 }
 
+// scheduleExtra schedules the arrival of job n of an extra stream.
+func (sim *simulation) scheduleExtra(x *Extra, q *Queue, stream string, n int) {
+	gap := time.Duration(sim.jobRandom[stream].ExpFloat64() / max(x.Rate, 1e-9) * float64(time.Second))
+	if sim.now+gap > min(x.Start+x.Duration, sim.load.ArrivalPeriod) {
+		return
+	}
+	sim.schedule(gap, func() {
+		sim.submit(sim.drawJobOf(q, stream, x.Team, n))
+		sim.scheduleExtra(x, q, stream, n+1)
+	})
+}
+
+// submit submits a job to the leader.
+func (sim *simulation) submit(j *job) {
+	sim.jobs[j.spec.ID] = j
+	sim.planner.AddJob(sim.time(), j.spec, false)
+	sim.schedulePlan()
+}
+
 // drawFrom returns a random value of a distribution.
 func drawFrom(random *rand.Rand, d Distribution) float64 {
 	v := d.Mean
--- a/laddermessage/message.go
+++ b/laddermessage/message.go
@@ -156,6 +156,8 @@
 	Job string
 	// Body is the job as encoded in the store.
 	Body []byte
+	// Revision is the store's revision in which the job was stored, or zero if it is not known.
+	Revision int64
 }
 
 // JobCancelled informs the leader of a cancellation that was written to the store. The reply
@@ -174,6 +176,10 @@
 	// Found is false if the leader does not know the job.
 	Found bool
 	State string
+	// Team and Queue are those of the job. Both are empty if the job has no team. Builds from before teams do
+	// not decode a state with a team, and read the store.
+	Team  string
+	Queue string
 }
 
 // QueueLengthQuery asks the leader for the length of a queue. The reply is [QueueLength] or
--- a/ladderproof/flow_simulation_test.go
+++ b/ladderproof/flow_simulation_test.go
@@ -48,6 +48,8 @@
 	// 1 that it is applied and its reply is lost, 2 that it is added to delayed and not
 	// answered, and 3 that it is refused.
 	nextCommit int
+	// before is the number of commits before that one, which are applied and answered.
+	before int
 	// delayed holds the transactions that may still be applied, even more than once.
 	delayed []platform.Txn
 	// out reports whether the store takes nothing now.
@@ -68,7 +70,12 @@
 // Commit implements ladderjournal.Store.
 func (s *flowStore) Commit(_ context.Context, t platform.Txn) (int64, []platform.Item, error) {
 	outcome := s.nextCommit
-	s.nextCommit = 0
+	if s.before > 0 {
+		s.before--
+		outcome = 0
+	} else {
+		s.nextCommit = 0
+	}
 	if s.out() {
 		return 0, nil, platform.ErrRefused
 	}
@@ -166,8 +173,11 @@
 	// jobs from it.
 	storeOutUntil  time.Time
 	readsLateUntil time.Time
-	// gangs, if set, checks how long members of gangs wait.
-	gangs *gangWatch
+	// gangs, if set, checks how long members of gangs wait, and quotas what teams run.
+	gangs  *gangWatch
+	quotas *quotaWatch
+	// cordons is set if leaders store cordons and their terms.
+	cordons *cordonWatch
 	// steps and starts count the checked actions and the started runs of all simulations.
 	steps  *int
 	starts *int
@@ -212,8 +222,8 @@
 	return sim
 }
 
-// fleet returns the configuration, which has one queue.
-func (sim *flowSimulation) fleet() *ladderflow.FleetConfig {
+// baseFleet returns a configuration with one queue and no teams.
+func (sim *flowSimulation) baseFleet() *ladderflow.FleetConfig {
 	return &ladderflow.FleetConfig{Version: 1, Queues: []ladderflow.Queue{{
 		Name: flowQueue, Service: "s", MaxFailures: flowMaxAttempts, ObjectiveFactor: 2, BaseObjective: time.Second,
 	}}}
@@ -249,6 +259,7 @@
 		fence: o.Revision, cancelled: map[string]bool{}, progress: sim.journal.ProgressWriter(o.Revision, c),
 		seen: map[seenRun]bool{}, crashes: map[ladderflow.Task]*leaderCrashes{},
 	}
+	l.progress.Sequential()
 	sim.restoreCrashes(l)
 	options := ladderplan.Options{
 		Fence: l.fence, LeaseDuration: flowWorkerLease, MaxLeaseDuration: flowMaxWorkerLease, ElectedAt: sim.now, EarlierLeaderTimeout: flowFormerLeaderTime,
@@ -259,7 +270,7 @@
 		setGangTimeout(&options)
 	}
 	l.planner = ladderplan.New(options)
-	l.planner.SetFleet(sim.fleet())
+	l.planner.SetFleet(sim.firstFleet(l))
 	for _, j := range c.Jobs {
 		l.planner.AddJob(sim.now, j, true)
 	}
@@ -275,6 +286,7 @@
 		l.planner.AddEarlierWorker(w)
 		roster[w.ID] = true
 	}
+	sim.restoreCordons(l, c)
 	l.planner.SetRoster(roster)
 	l.planner.SetWorkers(sim.now, sim.listedWorkers())
 	sim.leaders = append(sim.leaders, l)
@@ -323,6 +335,7 @@
 	l.planner.SetStoreServing(sim.now, !sim.storeOut())
 	sim.gangs.planned(l, sim.now)
 	o := l.planner.Plan(sim.now, sim.now, l.confidence(sim.now))
+	sim.checkPlan(l, o.Starts)
 	for i := range o.Starts {
 		s := &o.Starts[i]
 		sim.assignment(l, sim.workerByID(s.Worker.ID)).guard.StartSent()
@@ -354,6 +367,7 @@
 			*sim.starts++
 			sim.checkStart(o.start.Run)
 			sim.checkCapacity(o)
+			sim.checkQuota(o)
 			sim.checkStartAfterShown(o)
 		}
 		r.Refusal, r.Clock = refusal, w.clock(sim.now)
@@ -472,18 +486,20 @@
 	if b.Empty() {
 		return
 	}
+	var missing []ladderplan.Record
 	var err error
 	if len(b.Records) > 0 {
-		sim.store.nextCommit = outcome
-		err = l.progress.Commit(context.Background(), b.Records[:min(len(b.Records), ladderjournal.MaxRecords)])
-		sim.store.nextCommit = 0
+		// Each record has a transaction of its own, and the outcome is that of one of them.
+		sim.store.nextCommit, sim.store.before = outcome, *sim.steps%len(b.Records)
+		missing, err = l.progress.Commit(context.Background(), b.Records, 1)
+		sim.store.nextCommit, sim.store.before = 0, 0
 	}
 	switch {
 	case errors.Is(err, ladderjournal.ErrSuperseded):
 		l.superseded = true
-		l.planner.BatchNotStored(b)
-	case err != nil || len(b.Records) > ladderjournal.MaxRecords:
-		l.planner.BatchNotStored(b)
+		l.planner.BatchNotStored(b, missing)
+	case err != nil:
+		l.planner.BatchNotStored(b, missing)
 	default:
 		l.planner.BatchStored(b)
 		sim.storeCrashes(l)
--- a/laddervm/fleet_feed.go
+++ b/laddervm/fleet_feed.go
@@ -9,6 +9,7 @@
 
 	"lacewingladder/laddercodec"
 	"lacewingladder/ladderfanout"
+	"lacewingladder/ladderflow"
 	"lacewingladder/laddermessage"
 	"lacewingladder/platform"
 )
@@ -41,15 +42,23 @@
 	feed   *ladderfanout.Feed
 	state  fleetState
 	offers chan laddermessage.FleetOffer
+	// answers holds the answers of peers that were asked for changes.
+	answers chan fetchResult
+	// turn counts the times at which peers were asked for changes. It begins with a random number, so that VMs
+	// that are cut off together ask different peers.
+	turn int
 }
 
 func newFleetFeed(v *VM) *fleetFeed {
 	return &fleetFeed{
 		vm: v, feed: ladderfanout.NewFeed(v.clock.Now(), rand.Float64),
-		offers: make(chan laddermessage.FleetOffer, offerQueueSize),
+		offers: make(chan laddermessage.FleetOffer, offerQueueSize), answers: make(chan fetchResult, offerQueueSize), turn: rand.IntN(maxFirstTurn),
 	}
 }
 
+// maxFirstTurn is larger than the number of VMs of a deployment.
+const maxFirstTurn = 1 << 16
+
 // storeResult is the result of a store call for the operators' keys.
 type storeResult struct {
 	items    []platform.Item
@@ -69,11 +78,9 @@
 		case action == ladderfanout.Fetch && !f.vm.registry.announced(now):
 			f.awaitOffer(ctx, now.Add(registryCheckInterval))
 		case action == ladderfanout.Fetch:
-			for _, name := range fleet.Sources() {
-				if f.fetch(ctx, name, sourceTimeout) {
-					break
-				}
-			}
+			f.fetchAny(ctx, fleet.Sources())
+		case action == ladderfanout.Ask:
+			f.askPeers(ctx)
 		default:
 			f.useStore(ctx, action)
 		}
@@ -124,6 +131,8 @@
 	case <-ctx.Done():
 	case o := <-f.offers:
 		f.accept(ctx, o)
+	case r := <-f.answers:
+		f.handleAnswer(ctx, r)
 	case <-f.vm.clock.After(until.Sub(f.vm.clock.Now())):
 	}
 }
@@ -131,7 +140,7 @@
 // accept fetches what a peer offers, unless another peer will offer it.
 func (f *fleetFeed) accept(ctx context.Context, o laddermessage.FleetOffer) {
 	if f.wants(o) {
-		f.fetch(ctx, o.From, fetchTimeout)
+		f.takeNewest(ctx, f.request(ctx, o.From, f.state.fleetRevision(), fetchTimeout), f.fleet().Sources())
 	}
 }
 
@@ -147,7 +156,7 @@
 	return true
 }
 
-// useStore reads, watches or polls the store. If a peer's offer brings the state meanwhile, it
+// useStore reads, watches or polls the store. If a peer's offer or answer brings the state meanwhile, it
 // gives up. A peer that offers and does not answer delays nothing.
 func (f *fleetFeed) useStore(ctx context.Context, action ladderfanout.Action) {
 	calling, cancel := context.WithCancel(ctx)
@@ -156,26 +165,51 @@
 	results := make(chan storeResult, 1)
 	after := f.feed.Revision()
 	go func() { results <- f.callStore(calling, action, after) }()
+	have := f.state.fleetRevision()
 	offers, fetched := f.offers, make(chan fetchResult, 1)
+	var held *fetchResult // A first configuration, of which there may be a later version.
+	asking := f.askTimer()
 	for {
 		select {
 		case r := <-results:
 			f.handle(ctx, action, began, r)
+			if held != nil {
+				f.takeNewest(ctx, *held, f.fleet().Sources())
+			}
 			return
 		case o := <-offers:
 			if f.wants(o) {
 				offers = nil
-				go func() { fetched <- f.request(calling, o.From, fetchTimeout) }()
+				go func() { fetched <- f.request(calling, o.From, have, fetchTimeout) }()
 			}
 		case r := <-fetched:
 			offers = f.offers
-			if f.take(ctx, r) {
+			if f.isFirst(r) {
+				held = &r
+			} else if f.take(ctx, r) {
 				return
 			}
+		case r := <-f.answers:
+			if f.handleAnswer(ctx, r) {
+				return
+			}
+		case <-asking:
+			f.feed.Asked(f.vm.clock.Now())
+			f.askPeers(ctx)
+			asking = f.askTimer()
 		}
 	}
 }
 
+// askTimer returns a channel that receives when peers are next asked for changes, or nil while the store answers.
+func (f *fleetFeed) askTimer() <-chan time.Time {
+	at, ok := f.feed.AskAt()
+	if !ok {
+		return nil
+	}
+	return f.vm.clock.After(max(0, at.Sub(f.vm.clock.Now())))
+}
+
 // callStore makes the store call of an action.
 func (f *fleetFeed) callStore(ctx context.Context, action ladderfanout.Action, after int64) (r storeResult) {
 	switch action {
@@ -200,6 +234,9 @@
 		f.feed.Lost(now)
 	case r.err != nil:
 		f.feed.Unanswered()
+		if fleet := f.vm.fleet.Load(); fleet != nil && fleet.KeysRequired {
+			f.feed.AskPeers(now) // A withdrawn key must stop working here too.
+		}
 		if ctx.Err() == nil {
 			f.vm.log.Warn("operators' keys could not be read; retrying", "action", action.String(), "revision", f.feed.Revision(),
 				"after", now.Sub(began).Round(time.Millisecond), "err", r.err)
@@ -294,30 +331,110 @@
 	}
 }
 
-// fetch gets the state of the operators' keys from a peer. It returns true if that was new.
-func (f *fleetFeed) fetch(ctx context.Context, name string, timeout time.Duration) bool {
-	return f.take(ctx, f.request(ctx, name, timeout))
+// fetchAny gets the state of the operators' keys from the VMs of the given names, until one has something new.
+func (f *fleetFeed) fetchAny(ctx context.Context, names []string) {
+	for i, name := range names {
+		if f.takeNewest(ctx, f.request(ctx, name, f.state.fleetRevision(), sourceTimeout), names[i+1:]) {
+			return
+		}
+	}
+}
+
+// takeNewest applies the state that a peer has sent. If it is the first configuration of this VM, and callers need keys,
+// it asks the VMs of the given names before: one of them may have a later version, in which keys were withdrawn.
+// It returns true if there was something new.
+func (f *fleetFeed) takeNewest(ctx context.Context, newest fetchResult, names []string) bool {
+	if f.isFirst(newest) {
+		asked := newest.from
+		for _, name := range names {
+			if name == asked {
+				continue
+			}
+			r := f.request(ctx, name, newest.state.FleetRevision, sourceTimeout)
+			if r.err != nil {
+				f.vm.log.Debug("peer was asked for a later configuration and did not answer", "peer", name, "err", r.err)
+			} else if r.delta != nil && r.follow(&newest) {
+				newest = r
+			}
+		}
+	}
+	return f.take(ctx, newest)
+}
+
+// isFirst reports whether a peer has sent a configuration in which callers need keys to a VM that has none.
+func (f *fleetFeed) isFirst(r fetchResult) bool {
+	return r.err == nil && f.state.fleetRevision() == 0 && r.delta != nil && r.delta.KeysRequired
+}
+
+// follow makes the difference in r, which may be from the version in earlier, a whole configuration. The earlier
+// version need not be applied then. It returns false if the difference is from another version.
+func (r *fetchResult) follow(earlier *fetchResult) bool {
+	switch r.state.Base {
+	case 0:
+		return true
+	case earlier.state.FleetRevision:
+		whole := r.delta.Apply(earlier.delta.Apply(nil)).Whole()
+		r.delta, r.state.Base = &whole, 0
+		return true
+	}
+	return false
+}
+
+// askPeers asks peers for changes of the operators' keys, since the store does not answer. It does not wait for their
+// answers.
+func (f *fleetFeed) askPeers(ctx context.Context) {
+	names, have := f.fleet().Asked(f.turn), f.state.fleetRevision()
+	f.turn++
+	for _, name := range names {
+		go func() {
+			select {
+			case f.answers <- f.request(ctx, name, have, sourceTimeout):
+			case <-ctx.Done():
+			}
+		}()
+	}
+}
+
+// handleAnswer handles the answer of a peer that was asked for changes. It returns true if it brought some.
+func (f *fleetFeed) handleAnswer(ctx context.Context, r fetchResult) bool {
+	if r.err != nil {
+		f.vm.log.Debug("peer was asked for changes of the operators' keys and did not answer", "peer", r.from, "err", r.err)
+		return false
+	}
+	if r.state.FleetRevision > f.state.fleetRevision() && r.state.Base != 0 && r.state.Base != f.state.fleetRevision() {
+		return false // Another answer was faster; the next one is from the version that it brought.
+	}
+	before := f.state.fleetRevision()
+	if !f.take(ctx, r) {
+		return false
+	}
+	f.vm.log.Info("changes of the operators' keys heard from a peer, since the store does not answer", "peer", r.from,
+		"revision", f.feed.Revision(), "from", before, "to", f.state.fleetRevision())
+	return true
 }
 
 // fetchResult is the state that a peer has sent.
 type fetchResult struct {
 	from  string
 	state laddermessage.FleetState
-	err   error
+	// delta is the decoded difference, or nil if the state has none, and decoded is how long that took.
+	delta   *ladderflow.FleetDelta
+	decoded time.Duration
+	err     error
 }
 
 // errNotRegistered is the error of a fetch from a VM that is no longer registered.
 var errNotRegistered = errors.New("the VM is not registered")
 
-// request asks a peer for its state. It changes nothing.
-func (f *fleetFeed) request(ctx context.Context, name string, timeout time.Duration) fetchResult {
+// request asks a peer for its state, with a difference from the configuration of revision have. It changes nothing.
+func (f *fleetFeed) request(ctx context.Context, name string, have int64, timeout time.Duration) fetchResult {
 	p, ok := f.vm.registry.find(name)
 	if !ok {
 		return fetchResult{from: name, err: errNotRegistered}
 	}
 	calling, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	reply, err := f.vm.registry.call(calling, p, laddermessage.FleetFetch{Have: f.state.fleetRevision()})
+	reply, err := f.vm.registry.call(calling, p, laddermessage.FleetFetch{Have: have})
 	if err != nil {
 		return fetchResult{from: name, err: err}
 	}
@@ -325,51 +442,65 @@
 	if !ok {
 		return fetchResult{from: name, err: fmt.Errorf("unexpected reply %T", reply)}
 	}
-	return fetchResult{from: name, state: s}
+	r := fetchResult{from: name, state: s}
+	if s.FleetRevision > have {
+		began := f.vm.clock.Now()
+		delta, err := laddercodec.DecodeDelta(s.Delta)
+		r.delta, r.decoded, r.err = &delta, f.vm.clock.Now().Sub(began), err
+	}
+	return r
 }
 
 // take applies the state that a peer has sent. It returns true if it was new.
 func (f *fleetFeed) take(ctx context.Context, r fetchResult) bool {
 	if r.err == nil {
-		if r.state.Revision <= f.feed.Revision() {
+		if r.state.Revision <= f.feed.Revision() && r.state.FleetRevision <= f.state.fleetRevision() {
 			return false
 		}
-		if r.err = f.adopt(ctx, r.from, r.state); r.err == nil {
-			return true
+		var changed bool
+		if changed, r.err = f.adopt(ctx, r); r.err == nil {
+			return changed
 		}
 	}
+	f.apply(r.from, r.state.Items) // They do not depend on the configuration.
 	f.feed.Failed(f.vm.clock.Now(), f.place())
 	f.vm.log.Warn("operators' keys could not be fetched from a peer", "peer", r.from, "err", r.err)
 	return false
 }
 
-// adopt applies the state that a peer has sent, and offers changes to those that rely on this VM.
-func (f *fleetFeed) adopt(ctx context.Context, from string, s laddermessage.FleetState) error {
-	have, changed := f.state.fleetRevision(), false
-	if s.FleetRevision != have {
-		if s.Base != 0 && s.Base != have {
-			return fmt.Errorf("the difference is from revision %d, not %d", s.Base, have)
+// adopt applies the state that a peer has sent, and offers changes to those that rely on this VM. It returns false
+// if the peer's configuration is an earlier one than this VM's: then it is not complete up to any revision that
+// matters here.
+func (f *fleetFeed) adopt(ctx context.Context, r fetchResult) (bool, error) {
+	s, have, changed := r.state, f.state.fleetRevision(), false
+	if s.FleetRevision > have {
+		if r.delta == nil {
+			return false, fmt.Errorf("the state of revision %d has no configuration", s.FleetRevision)
 		}
-		began := f.vm.clock.Now()
-		delta, err := laddercodec.DecodeDelta(s.Delta)
-		if err != nil {
-			return err
+		if s.Base != 0 && s.Base != have {
+			return false, fmt.Errorf("the difference is from revision %d, not %d", s.Base, have)
 		}
 		old := f.vm.fleet.Load()
 		if s.Base == 0 {
 			old = nil
 		}
-		fleet := delta.Apply(old)
-		if f.vm.applyFleet(fleet, s.FleetRevision, from, len(s.Delta), f.vm.clock.Now().Sub(began)) {
+		began := f.vm.clock.Now()
+		fleet := r.delta.Apply(old)
+		if f.vm.applyFleet(fleet, s.FleetRevision, r.from, len(s.Delta), r.decoded+f.vm.clock.Now().Sub(began)) {
 			f.state.setFleet(fleet, s.FleetRevision)
 			changed = true
 		}
 	}
-	changed = f.apply(from, s.Items) || changed
+	changed = f.apply(r.from, s.Items) || changed
+	if s.FleetRevision < have {
+		f.vm.log.Info("peer has an earlier configuration; the current one remains", "peer", r.from, "revision", s.FleetRevision,
+			"current", have, "complete", s.Revision)
+		return changed, nil
+	}
 	f.feed.Vouched(f.vm.clock.Now(), s.Revision, f.place())
 	f.state.publish(f.feed.Revision())
 	if changed {
-		f.offer(ctx, from)
+		f.offer(ctx, r.from)
 	}
-	return nil
+	return true, nil
 }
--- a/laddervm/term.go
+++ b/laddervm/term.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"lacewingladder/ladderflow"
+	"lacewingladder/ladderintake"
 	"lacewingladder/ladderjournal"
 	"lacewingladder/ladderlog"
 	"lacewingladder/laddermessage"
@@ -63,6 +64,11 @@
 	// inbox holds the functions that wait for the control goroutine.
 	inbox   chan func()
 	planner *ladderplan.Planner
+	// intake decides which teams are limited, at intakeDue again. unsettled holds the jobs that VMs may have
+	// stored.
+	intake    *ladderintake.Limiter
+	intakeDue time.Time
+	unsettled ladderintake.Unsettled
 	// workerLease is how long a worker's lease lasts after each poll. It is fixed for the
 	// whole term, even if the settings change.
 	workerLease time.Duration
@@ -104,10 +110,13 @@
 	// orderSlots bounds the orders in flight, and orderLatency is their typical latency.
 	orderSlots   chan struct{}
 	orderLatency typicalLatency
-	// recordWriter writes the progress of jobs, and rosterWriter the roster, the set of workers
-	// on which a leader may start tasks. Each is used by one goroutine at a time.
+	// recordWriter writes the progress of jobs, rosterWriter the roster, the set of workers on which a
+	// leader may start tasks, and cordonWriter the cordons. Each is used by one goroutine at a time.
 	recordWriter *ladderjournal.ProgressWriter
 	rosterWriter *ladderjournal.ProgressWriter
+	cordonWriter *ladderjournal.ProgressWriter
+	// cordonsSavedAt is when cordons were last begun to be stored.
+	cordonsSavedAt time.Time
 	// wallClock is the filtered time of day. roster holds the workers that are in the stored roster
 	// and in each one that may have been stored since.
 	wallClock filteredClock
@@ -127,7 +136,8 @@
 		vm: v, log: v.logs.RateLimited("term", v.clock), lease: lease, fence: fence, began: began,
 		inbox: make(chan func(), inboxSize), orderSlots: make(chan struct{}, ladderplan.MaxOrders),
 		pollers: map[string]*poller{}, delegates: map[string]*delegateClient{}, excludedUntil: map[string]time.Time{},
-		roster: map[string]bool{}, waves: map[int64]bool{}, runtimeLoad: newRuntimeLoad(),
+		roster: map[string]bool{}, rosterSizes: map[string]ladderflow.Size{}, waves: map[int64]bool{}, runtimeLoad: newRuntimeLoad(),
+		intake: ladderintake.NewLimiter(),
 	}
 	t.rosterSizes = map[string]ladderflow.Size{}
 	t.ctx, t.cancel = context.WithCancel(ctx)
@@ -290,6 +300,7 @@
 	t.sendOrders(o)
 	t.logPlacement(now)
 	t.save()
+	t.saveCordons(now)
 	return o
 }
 
@@ -310,10 +321,7 @@
 	var workers []ladderflow.Worker
 	for c == nil {
 		var err error
-		if c, err = t.vm.journal.Load(t.ctx); err == nil {
-			workers, err = t.readWorkers()
-		}
-		if err == nil {
+		if c, workers, err = t.readAll(); err == nil {
 			break
 		}
 		c = nil
@@ -338,6 +346,17 @@
 	go follow(t.ctx, t.vm, ladderjournal.WatchPrefix, jobs)
 }
 
+// readAll reads the scheduler's state and the list of workers at the same time.
+func (t *term) readAll() (*ladderjournal.Contents, []ladderflow.Worker, error) {
+	var workers []ladderflow.Worker
+	var err error
+	var wait sync.WaitGroup
+	wait.Go(func() { workers, err = t.readWorkers() })
+	c, loadErr := t.vm.journal.Load(t.ctx)
+	wait.Wait()
+	return c, workers, errors.Join(loadErr, err)
+}
+
 // jobFollower returns a follower that adds the jobs and cancellations of which no message tells. It
 // soon reads again after the leases of earlier leaders have ended: until it has, each new job may be
 // one that an earlier leader has started.
@@ -376,10 +395,17 @@
 	for _, id := range c.Cancelled {
 		t.planner.Cancel(now, id)
 	}
+	for _, x := range c.TeamCancellations {
+		t.planner.CancelFor(now, x)
+	}
 	for _, w := range c.Roster {
 		t.planner.AddEarlierWorker(w)
 		t.roster[w.ID], t.rosterSizes[w.ID] = true, w.Capacity
 	}
+	for _, x := range c.Cordons {
+		t.planner.AddCordon(x)
+	}
+	t.cordonWriter = t.vm.journal.ProgressWriter(t.fence, c)
 	t.planner.SetRoster(t.roster)
 	t.loaded = true
 	t.setWorkers(workers)
@@ -403,6 +429,9 @@
 		for _, id := range c.Cancelled {
 			t.planner.Cancel(now, id)
 		}
+		for _, x := range c.TeamCancellations {
+			t.planner.CancelFor(now, x)
+		}
 	})
 }
 
@@ -414,6 +443,7 @@
 		if err != nil {
 			return nil, err
 		}
+		job.Revision = m.Revision
 		t.do(func() { t.planner.AddJob(t.vm.clock.Now(), job, false) })
 		return laddermessage.Ack{}, nil
 	case laddermessage.JobCancelled:
@@ -427,6 +457,10 @@
 		return t.query(ctx, func() laddermessage.Message {
 			return laddermessage.QueueLength{Pending: t.planner.QueuedJobs(m.Queue)}
 		}), nil
+	case laddermessage.IntakeReport:
+		return t.query(ctx, func() laddermessage.Message { return t.intakeLimits(m) }), nil
+	case laddermessage.IntakeQuery:
+		return t.query(ctx, func() laddermessage.Message { return t.intakeTurn(m) }), nil
 	case laddermessage.OperatorQuery:
 		return t.query(ctx, func() laddermessage.Message { return t.answerOperator(m) }), nil
 	}
@@ -448,5 +482,9 @@
 // jobState returns the reply to a query for a job's state.
 func (t *term) jobState(id string) laddermessage.Message {
 	v := t.planner.View(t.vm.clock.Now(), id)
-	return laddermessage.JobState{Found: v.Known, State: string(v.State)}
+	m := laddermessage.JobState{Found: v.Known, State: string(v.State)}
+	if team, queue := t.planner.Owner(id); team != "" {
+		m.Team, m.Queue = team, queue
+	}
+	return m
 }
