--- a/laddervm/term.go
+++ b/laddervm/term.go
@@ -139,7 +139,6 @@
 		roster: map[string]bool{}, rosterSizes: map[string]ladderflow.Size{}, waves: map[int64]bool{}, runtimeLoad: newRuntimeLoad(),
 		intake: ladderintake.NewLimiter(),
 	}
-	t.rosterSizes = map[string]ladderflow.Size{}
 	t.ctx, t.cancel = context.WithCancel(ctx)
 	t.outageSeenAt.Store(math.MinInt64 / 2)
 	b := v.bounds.Load()
