Let the model's commits depend on nothing but its draws

Since each record has a transaction of its own, the order of a batch's records, which is that of a map, and a count over all simulations decided which one an outcome was for, so that a failing seed could not always be played again.

--- a/ladderproof/flow_simulation_test.go
+++ b/ladderproof/flow_simulation_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -176,6 +177,8 @@
 	// gangs, if set, checks how long members of gangs wait, and quotas what teams run.
 	gangs  *gangWatch
 	quotas *quotaWatch
+	// commits counts the batches that leaders have stored or tried to.
+	commits int
 	// cordons is set if leaders store cordons and their terms.
 	cordons *cordonWatch
 	// steps and starts count the checked actions and the started runs of all simulations.
@@ -490,7 +493,9 @@
 	var err error
 	if len(b.Records) > 0 {
 		// Each record has a transaction of its own, and the outcome is that of one of them.
-		sim.store.nextCommit, sim.store.before = outcome, *sim.steps%len(b.Records)
+		slices.SortFunc(b.Records, func(a, b ladderplan.Record) int { return strings.Compare(a.Job, b.Job) })
+		sim.commits++
+		sim.store.nextCommit, sim.store.before = outcome, sim.commits%len(b.Records)
 		missing, err = l.progress.Commit(context.Background(), b.Records, 1)
 		sim.store.nextCommit, sim.store.before = 0, 0
 	}
