--- a/laddercommand/check.go
+++ b/laddercommand/check.go
@@ -13,6 +13,7 @@
 	"lacewingladder/laddersettings"
 	"lacewingladder/laddertrace"
 	"lacewingladder/ladderyaml"
+	"lacewingladder/platform"
 )
 
 // check is the subcommand that validates input files.
@@ -26,8 +27,8 @@
 	return `check FILE...
   Validate files and print every finding with its position. A file whose name ends
   in .jsonl is a trace, a file with the key "defaults" is a configuration, one with
-  the key "routes" is the operators' configuration on the members' platform, as the
-  store holds it under op/config, and any other file contains the settings of an
+  the key "` + platform.FleetField + `" is the operators' configuration on the members' platform, as the
+  store holds it under ` + platform.FleetKey + `, and any other file contains the settings of an
   entry VM. No finding shows a key of a team.
 `
 }
@@ -63,8 +64,8 @@
 	case document.HasKey("defaults"):
 		_, err := ladderconfig.Parse(file, data)
 		return err
-	case document.HasKey("routes"):
-		return checkFleet(file, data)
+	case document.HasKey(platform.FleetField):
+		return platform.CheckFleet(file, data)
 	}
 	_, err = laddersettings.Parse(file, data)
 	return err
