--- a/ladderjournal/lane.go
+++ b/ladderjournal/lane.go
@@ -47,8 +47,8 @@
 	return append(missing, records...), err
 }
 
-// assignLanes divides records among the lanes, the first ones first. It returns the records that are left because
-// their lanes are full.
+// assignLanes divides records among the lanes and fills the first lanes first. It returns the records for which
+// their lanes have no room.
 func (p *ProgressWriter) assignLanes(records []ladderplan.Record, size int) (chunks [recordLanes][]ladderplan.Record, rest []ladderplan.Record) {
 	owners := map[string]int{}
 	for i := range p.lanes {
--- a/ladderplan/cordon.go
+++ b/ladderplan/cordon.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// cordonDelay is how long a worker that accepts no tasks stays open. Many answer again within that time.
+	// cordonDelay is how long a worker must have accepted no tasks before it is cordoned.
 	cordonDelay = 400 * time.Millisecond
 	// cordonCheckInterval is the time between two checks which workers to cordon.
 	cordonCheckInterval = 100 * time.Millisecond
@@ -93,8 +93,8 @@
 	return list, true
 }
 
-// wantsCordon reports whether a worker is to be cordoned. Before the leases of earlier leaders have ended, they may
-// hear of new jobs and start them on the worker, so that only cordons of theirs hold.
+// wantsCordon reports whether a worker is to be cordoned. It adds no cordon before the leases of earlier leaders have
+// ended: until then, these leaders may hear of new jobs and start them on the worker.
 func (p *Planner) wantsCordon(now time.Time, w *worker, cordoned bool) bool {
 	leaves := w.spec.Draining || !w.leavesAt.IsZero()
 	blocked := w.unresponsive || !w.seenByLeader || !w.listed || leaves || now.Sub(w.polledAt) >= unresponsiveAfter
--- a/ladderplan/quota.go
+++ b/ladderplan/quota.go
@@ -12,13 +12,13 @@
 const (
 	// quotaLogPause is how long a quota must hold nothing back before that is logged.
 	quotaLogPause = time.Second
-	// maxKeptWait is how long a step waits for room that is kept for other work of its team once the team
-	// uses less than half of its quota. A job must not wait for 3 s then with nothing running.
+	// maxKeptWait bounds how long a step waits for room that is kept for other work of its team while the team
+	// uses less than half of its quota.
 	maxKeptWait = 1500 * time.Millisecond
 	// turnCheckInterval is the time between two checks whether a step should get its turn.
 	turnCheckInterval = 500 * time.Millisecond
-	// turnShare limits the turns of a team's steps to one part in turnShare of the time. What is kept free for
-	// them is idle, which costs a team more than it gains if its quota is always in use.
+	// turnShare limits the turns of a team's steps to one part in turnShare of the time, since the room that is
+	// kept free for them is idle.
 	turnShare = 10
 )
 
@@ -53,7 +53,7 @@
 	turnAfter time.Time
 	// nextCheck is when to check again whether a step should get its turn.
 	nextCheck time.Time
-	// blocked is what a step of single tasks keeps free for one of them in the placement pass blockedPass.
+	// blocked is the room that a step keeps free for one of its tasks during the placement pass blockedPass.
 	blocked     ladderflow.Size
 	blockedPass int64
 	// underHalfSince is since when the team uses less than half of its quota while work waits, or zero.
@@ -165,8 +165,8 @@
 	return ladderflow.Size{}
 }
 
-// mostUnheard returns the most that may run on a worker besides its known runs. The worker may have shrunk
-// under them before this leader first saw its capacity, so the largest worker of its service counts.
+// mostUnheard returns the most that may run on a worker besides its known runs. The worker may have had more
+// capacity before this leader first saw it, so the largest worker of its service counts.
 func (w *worker) mostUnheard(largest ladderflow.Size) ladderflow.Size {
 	known := w.spec.Capacity.Minus(w.free)
 	rest := largest.Minus(known)
@@ -211,8 +211,8 @@
 	}
 }
 
-// assume counts a task that an earlier leader may have started and that has no known run. The run that was known
-// may have been older than one on a worker that has not reported.
+// assume counts a task that an earlier leader may have started and that has no known run. That includes a task
+// whose known run is over: a newer run may be on a worker that has not reported.
 func (q *teamQuota) assume(t *task) {
 	if q.all.heard || t.assumed || !t.needsRun() || !t.step.round.job.knownToEarlierLeader {
 		return
--- a/ladderplan/quota_turn.go
+++ b/ladderplan/quota_turn.go
@@ -47,9 +47,10 @@
 	}
 }
 
-// takeTurn gives a step that the quota holds back its turn, if it is due: the step must start as soon as enough
-// runs of the team have ended, to meet its objective, or it has been held back for as long as that. After three
-// times as long, it is due even if these runs take longer.
+// takeTurn gives a step that the quota holds back its turn, if it is due. It is due if the step can meet its job's
+// objective only by starting as soon as enough runs of the team have ended. A step that misses the objective in any
+// case is due once it has been held back for as long as the objective. If the runs end later than the objective from
+// now, worthlessFactor times the objective must have passed.
 func (sp *stepPlacement) takeTurn(q *teamQuota, objective time.Duration) bool {
 	p, s := sp.planner, sp.step
 	if sp.now.Before(q.turnAfter) || sp.now.Before(q.nextCheck) || sp.now.Before(s.quotaWait.nextCheck) {
--- a/laddershare/team.go
+++ b/laddershare/team.go
@@ -104,8 +104,7 @@
 	}
 }
 
-// Share returns the part of the fleet that the team is entitled to, and Used the part that it used at the last
-// update.
+// Share returns the part of the fleet that the team is entitled to.
 func (t *Team) Share() float64 { return t.share }
 
 // Used returns the part of the fleet that the team used at the last update.
